--- /dev/null
+++ b/Utilities/test.sh
@@ -0,0 +1,9 @@
+#!/bin/sh
+# Installs, builds and runs all tests.
+set -eu
+cd "$(dirname "$0")/.."
+sh Utilities/install.sh
+preset=${1:-normal}
+cmake --preset "$preset" >/dev/null
+cmake --build --preset "$preset"
+ctest --preset "$preset" -j "${PARSLEYCOVE_JOBS:-$(nproc)}"
