Gateway: Add HTTP sessions, action exchange, operator and endpoint calls

Cause: nothing answers a caller yet. Ruled out: one strand per request on a shared context (locks on every step); a worker owns its requests instead. Conclusion: compiles; not yet reached by a program.

--- /dev/null
+++ b/Source/Gateway/AsioImplementation.cxx
@@ -0,0 +1,2 @@
+// Holds the one compiled copy of the networking library.
+#include <boost/asio/impl/src.hpp>
--- /dev/null
+++ b/Source/Gateway/BeastImplementation.cxx
@@ -0,0 +1,2 @@
+// Holds the one compiled copy of the HTTP library.
+#include <boost/beast/src.hpp>
--- /dev/null
+++ b/Source/Gateway/ControlCalls.cxx
@@ -0,0 +1,105 @@
+// The replicated state's calls for coroutines of a worker.
+#include "Gateway/ControlCalls.h"
+
+#include <memory>
+#include <utility>
+
+#include <boost/asio/post.hpp>
+
+#include "Gateway/AsyncSlot.h"
+#include "Gateway/Worker.h"
+
+namespace parsleycove {
+
+namespace {
+
+// The port calls every handler by its deadline; this much later a missing call
+// is taken as an unknown outcome.
+constexpr Duration kHandlerSlack = std::chrono::seconds(2);
+
+// Starts a call of the port and waits for its handler.
+//
+// The handler may run on any thread, also after the coroutine has given up; it
+// owns the slot together with the coroutine and sets it on the worker's thread.
+template<typename Outcome, typename Start>
+asio::awaitable<Outcome>
+AwaitHandler(Worker& aWorker, TimePoint aDeadline, Start aStart)
+{
+  auto slot =
+    std::make_shared<AsyncSlot<Outcome>>(aWorker.Context().get_executor());
+  asio::io_context& context = aWorker.Context();
+  aStart([slot, &context](auto aValue, ControlReason aReason) {
+    auto outcome = std::make_shared<Outcome>(
+      Outcome{ std::move(aValue), std::move(aReason) });
+    asio::post(context, [slot, outcome] { slot->Set(std::move(*outcome)); });
+  });
+  const Duration timeout = aDeadline - BootClock::now() + kHandlerSlack;
+  std::optional<Outcome> outcome = co_await slot->Await(timeout);
+  if (!outcome) {
+    outcome.emplace();
+    outcome->m_reason.Set(ControlError::Unknown, "no answer in time");
+  }
+  co_return std::move(*outcome);
+}
+
+} // namespace
+
+asio::awaitable<ProposeOutcome>
+Propose(ControlPort& aPort,
+        Worker& aWorker,
+        state::CommandT aCommand,
+        TimePoint aDeadline)
+{
+  const auto start = [&](auto aHandler) {
+    aPort.Propose(std::move(aCommand), aDeadline, std::move(aHandler));
+  };
+  co_return co_await AwaitHandler<ProposeOutcome>(aWorker, aDeadline, start);
+}
+
+asio::awaitable<ReadActionOutcome>
+ReadAction(ControlPort& aPort,
+           Worker& aWorker,
+           std::string aAccount,
+           std::string aKey,
+           TimePoint aDeadline)
+{
+  const auto start = [&](auto aHandler) {
+    aPort.ReadAction(aAccount, aKey, aDeadline, std::move(aHandler));
+  };
+  co_return co_await AwaitHandler<ReadActionOutcome>(aWorker, aDeadline, start);
+}
+
+asio::awaitable<StatusOutcome>
+ReadStatus(ControlPort& aPort, Worker& aWorker, TimePoint aDeadline)
+{
+  const auto start = [&](auto aHandler) {
+    aPort.ReadStatus(aDeadline, std::move(aHandler));
+  };
+  co_return co_await AwaitHandler<StatusOutcome>(aWorker, aDeadline, start);
+}
+
+asio::awaitable<AdminOutcome>
+AddReplica(ControlPort& aPort,
+           Worker& aWorker,
+           feed::AddReplicaT aRequest,
+           TimePoint aDeadline)
+{
+  const auto start = [&](auto aHandler) {
+    aPort.AddReplica(std::move(aRequest), aDeadline, std::move(aHandler));
+  };
+  co_return co_await AwaitHandler<AdminOutcome>(aWorker, aDeadline, start);
+}
+
+asio::awaitable<AdminOutcome>
+RemoveReplica(ControlPort& aPort,
+              Worker& aWorker,
+              std::uint64_t aReplica,
+              TimePoint aDeadline)
+{
+  const auto start = [&](auto aHandler) {
+    aPort.RemoveReplica(aReplica, aDeadline, std::move(aHandler));
+  };
+  co_return co_await AwaitHandler<AdminOutcome>(aWorker, aDeadline, start);
+}
+
+} // namespace parsleycove
--- /dev/null
+++ b/Source/Gateway/DrainState.cxx
@@ -0,0 +1,30 @@
+// Whether this VM takes new work, and how much is still in progress.
+#include "Gateway/DrainState.h"
+
+namespace parsleycove {
+
+void
+DrainState::Begin(TimePoint aNow)
+{
+  Duration::rep none = 0;
+  m_begunAt.compare_exchange_strong(none, aNow.time_since_epoch().count());
+}
+
+DrainPhase
+DrainState::Phase(TimePoint aNow) const
+{
+  const Duration::rep begunAt = m_begunAt;
+  if (begunAt == 0) {
+    return DrainPhase::Serving;
+  }
+  const bool inGrace = aNow < TimePoint(Duration(begunAt)) + m_grace;
+  return inGrace ? DrainPhase::TurningAway : DrainPhase::Draining;
+}
+
+bool
+DrainState::IsFinished(TimePoint aNow) const
+{
+  return Phase(aNow) == DrainPhase::Draining && m_active == 0;
+}
+
+} // namespace parsleycove
--- a/Utilities/CMake/Options.cmake
+++ b/Utilities/CMake/Options.cmake
@@ -1,9 +1,11 @@
 # Compiler settings that every package links to.
 add_library(ParsleycoveOptions INTERFACE)
 target_compile_features(ParsleycoveOptions INTERFACE cxx_std_20)
+# GCC 12 takes a coroutine frame's own operator new for a mismatch.
 target_compile_options(
   ParsleycoveOptions INTERFACE -Wall -Wextra -Wpedantic -Werror
                                -Wno-missing-field-initializers
+                               -Wno-mismatched-new-delete
 )
 target_compile_definitions(
   ParsleycoveOptions
