--- a/Source/Wire/Generated/StateGenerated.h
+++ b/Source/Wire/Generated/StateGenerated.h
@@ -2741,6 +2741,7 @@
   std::unique_ptr<parsleycove::state::StoredAnswerT> answer{};
   std::string operator_name{};
   uint64_t unix_ms = 0;
+  uint64_t attempt = 0;
   ResolveActionT() = default;
   ResolveActionT(const ResolveActionT &o);
   ResolveActionT(ResolveActionT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2757,7 +2758,8 @@
     VT_RAN = 8,
     VT_ANSWER = 10,
     VT_OPERATOR_NAME = 12,
-    VT_UNIX_MS = 14
+    VT_UNIX_MS = 14,
+    VT_ATTEMPT = 16
   };
   const flatbuffers::String *account() const {
     return GetPointer<const flatbuffers::String *>(VT_ACCOUNT);
@@ -2777,6 +2779,9 @@
   uint64_t unix_ms() const {
     return GetField<uint64_t>(VT_UNIX_MS, 0);
   }
+  uint64_t attempt() const {
+    return GetField<uint64_t>(VT_ATTEMPT, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ACCOUNT) &&
@@ -2789,6 +2794,7 @@
            VerifyOffset(verifier, VT_OPERATOR_NAME) &&
            verifier.VerifyString(operator_name()) &&
            VerifyField<uint64_t>(verifier, VT_UNIX_MS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ATTEMPT, 8) &&
            verifier.EndTable();
   }
   ResolveActionT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2818,6 +2824,9 @@
   void add_unix_ms(uint64_t unix_ms) {
     fbb_.AddElement<uint64_t>(ResolveAction::VT_UNIX_MS, unix_ms, 0);
   }
+  void add_attempt(uint64_t attempt) {
+    fbb_.AddElement<uint64_t>(ResolveAction::VT_ATTEMPT, attempt, 0);
+  }
   explicit ResolveActionBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2836,8 +2845,10 @@
     bool ran = false,
     flatbuffers::Offset<parsleycove::state::StoredAnswer> answer = 0,
     flatbuffers::Offset<flatbuffers::String> operator_name = 0,
-    uint64_t unix_ms = 0) {
+    uint64_t unix_ms = 0,
+    uint64_t attempt = 0) {
   ResolveActionBuilder builder_(_fbb);
+  builder_.add_attempt(attempt);
   builder_.add_unix_ms(unix_ms);
   builder_.add_operator_name(operator_name);
   builder_.add_answer(answer);
@@ -2859,7 +2870,8 @@
     bool ran = false,
     flatbuffers::Offset<parsleycove::state::StoredAnswer> answer = 0,
     const char *operator_name = nullptr,
-    uint64_t unix_ms = 0) {
+    uint64_t unix_ms = 0,
+    uint64_t attempt = 0) {
   auto account__ = account ? _fbb.CreateString(account) : 0;
   auto key__ = key ? _fbb.CreateString(key) : 0;
   auto operator_name__ = operator_name ? _fbb.CreateString(operator_name) : 0;
@@ -2870,7 +2882,8 @@
       ran,
       answer,
       operator_name__,
-      unix_ms);
+      unix_ms,
+      attempt);
 }
 
 flatbuffers::Offset<ResolveAction> CreateResolveAction(flatbuffers::FlatBufferBuilder &_fbb, const ResolveActionT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4189,6 +4202,8 @@
   std::vector<std::unique_ptr<parsleycove::state::ChangeRecordT>> changes{};
   std::vector<std::unique_ptr<parsleycove::state::ActionRecordT>> actions{};
   uint64_t last_unix_ms = 0;
+  uint64_t evicted_key_unix_ms = 0;
+  uint64_t attempt_floor = 0;
   StateImageT() = default;
   StateImageT(const StateImageT &o);
   StateImageT(StateImageT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -4203,7 +4218,9 @@
     VT_CONFIG = 4,
     VT_CHANGES = 6,
     VT_ACTIONS = 8,
-    VT_LAST_UNIX_MS = 10
+    VT_LAST_UNIX_MS = 10,
+    VT_EVICTED_KEY_UNIX_MS = 12,
+    VT_ATTEMPT_FLOOR = 14
   };
   const parsleycove::state::ConfigImage *config() const {
     return GetPointer<const parsleycove::state::ConfigImage *>(VT_CONFIG);
@@ -4217,6 +4234,12 @@
   uint64_t last_unix_ms() const {
     return GetField<uint64_t>(VT_LAST_UNIX_MS, 0);
   }
+  uint64_t evicted_key_unix_ms() const {
+    return GetField<uint64_t>(VT_EVICTED_KEY_UNIX_MS, 0);
+  }
+  uint64_t attempt_floor() const {
+    return GetField<uint64_t>(VT_ATTEMPT_FLOOR, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_CONFIG) &&
@@ -4228,6 +4251,8 @@
            verifier.VerifyVector(actions()) &&
            verifier.VerifyVectorOfTables(actions()) &&
            VerifyField<uint64_t>(verifier, VT_LAST_UNIX_MS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_EVICTED_KEY_UNIX_MS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ATTEMPT_FLOOR, 8) &&
            verifier.EndTable();
   }
   StateImageT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4251,6 +4276,12 @@
   void add_last_unix_ms(uint64_t last_unix_ms) {
     fbb_.AddElement<uint64_t>(StateImage::VT_LAST_UNIX_MS, last_unix_ms, 0);
   }
+  void add_evicted_key_unix_ms(uint64_t evicted_key_unix_ms) {
+    fbb_.AddElement<uint64_t>(StateImage::VT_EVICTED_KEY_UNIX_MS, evicted_key_unix_ms, 0);
+  }
+  void add_attempt_floor(uint64_t attempt_floor) {
+    fbb_.AddElement<uint64_t>(StateImage::VT_ATTEMPT_FLOOR, attempt_floor, 0);
+  }
   explicit StateImageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4267,8 +4298,12 @@
     flatbuffers::Offset<parsleycove::state::ConfigImage> config = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<parsleycove::state::ChangeRecord>>> changes = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<parsleycove::state::ActionRecord>>> actions = 0,
-    uint64_t last_unix_ms = 0) {
+    uint64_t last_unix_ms = 0,
+    uint64_t evicted_key_unix_ms = 0,
+    uint64_t attempt_floor = 0) {
   StateImageBuilder builder_(_fbb);
+  builder_.add_attempt_floor(attempt_floor);
+  builder_.add_evicted_key_unix_ms(evicted_key_unix_ms);
   builder_.add_last_unix_ms(last_unix_ms);
   builder_.add_actions(actions);
   builder_.add_changes(changes);
@@ -4286,7 +4321,9 @@
     flatbuffers::Offset<parsleycove::state::ConfigImage> config = 0,
     const std::vector<flatbuffers::Offset<parsleycove::state::ChangeRecord>> *changes = nullptr,
     const std::vector<flatbuffers::Offset<parsleycove::state::ActionRecord>> *actions = nullptr,
-    uint64_t last_unix_ms = 0) {
+    uint64_t last_unix_ms = 0,
+    uint64_t evicted_key_unix_ms = 0,
+    uint64_t attempt_floor = 0) {
   auto changes__ = changes ? _fbb.CreateVector<flatbuffers::Offset<parsleycove::state::ChangeRecord>>(*changes) : 0;
   auto actions__ = actions ? _fbb.CreateVector<flatbuffers::Offset<parsleycove::state::ActionRecord>>(*actions) : 0;
   return parsleycove::state::CreateStateImage(
@@ -4294,7 +4331,9 @@
       config,
       changes__,
       actions__,
-      last_unix_ms);
+      last_unix_ms,
+      evicted_key_unix_ms,
+      attempt_floor);
 }
 
 flatbuffers::Offset<StateImage> CreateStateImage(flatbuffers::FlatBufferBuilder &_fbb, const StateImageT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5067,7 +5106,8 @@
         ran(o.ran),
         answer((o.answer) ? new parsleycove::state::StoredAnswerT(*o.answer) : nullptr),
         operator_name(o.operator_name),
-        unix_ms(o.unix_ms) {
+        unix_ms(o.unix_ms),
+        attempt(o.attempt) {
 }
 
 inline ResolveActionT &ResolveActionT::operator=(ResolveActionT o) FLATBUFFERS_NOEXCEPT {
@@ -5077,6 +5117,7 @@
   std::swap(answer, o.answer);
   std::swap(operator_name, o.operator_name);
   std::swap(unix_ms, o.unix_ms);
+  std::swap(attempt, o.attempt);
   return *this;
 }
 
@@ -5095,6 +5136,7 @@
   { auto _e = answer(); if (_e) _o->answer = std::unique_ptr<parsleycove::state::StoredAnswerT>(_e->UnPack(_resolver)); }
   { auto _e = operator_name(); if (_e) _o->operator_name = _e->str(); }
   { auto _e = unix_ms(); _o->unix_ms = _e; }
+  { auto _e = attempt(); _o->attempt = _e; }
 }
 
 inline flatbuffers::Offset<ResolveAction> ResolveAction::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ResolveActionT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5111,6 +5153,7 @@
   auto _answer = _o->answer ? CreateStoredAnswer(_fbb, _o->answer.get(), _rehasher) : 0;
   auto _operator_name = _o->operator_name.empty() ? 0 : _fbb.CreateString(_o->operator_name);
   auto _unix_ms = _o->unix_ms;
+  auto _attempt = _o->attempt;
   return parsleycove::state::CreateResolveAction(
       _fbb,
       _account,
@@ -5118,7 +5161,8 @@
       _ran,
       _answer,
       _operator_name,
-      _unix_ms);
+      _unix_ms,
+      _attempt);
 }
 
 inline GatewayGoneT *GatewayGone::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -5624,7 +5668,9 @@
 
 inline StateImageT::StateImageT(const StateImageT &o)
       : config((o.config) ? new parsleycove::state::ConfigImageT(*o.config) : nullptr),
-        last_unix_ms(o.last_unix_ms) {
+        last_unix_ms(o.last_unix_ms),
+        evicted_key_unix_ms(o.evicted_key_unix_ms),
+        attempt_floor(o.attempt_floor) {
   changes.reserve(o.changes.size());
   for (const auto &changes_ : o.changes) { changes.emplace_back((changes_) ? new parsleycove::state::ChangeRecordT(*changes_) : nullptr); }
   actions.reserve(o.actions.size());
@@ -5636,6 +5682,8 @@
   std::swap(changes, o.changes);
   std::swap(actions, o.actions);
   std::swap(last_unix_ms, o.last_unix_ms);
+  std::swap(evicted_key_unix_ms, o.evicted_key_unix_ms);
+  std::swap(attempt_floor, o.attempt_floor);
   return *this;
 }
 
@@ -5652,6 +5700,8 @@
   { auto _e = changes(); if (_e) { _o->changes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->changes[_i] = std::unique_ptr<parsleycove::state::ChangeRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = actions(); if (_e) { _o->actions.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->actions[_i] = std::unique_ptr<parsleycove::state::ActionRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = last_unix_ms(); _o->last_unix_ms = _e; }
+  { auto _e = evicted_key_unix_ms(); _o->evicted_key_unix_ms = _e; }
+  { auto _e = attempt_floor(); _o->attempt_floor = _e; }
 }
 
 inline flatbuffers::Offset<StateImage> StateImage::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StateImageT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5666,12 +5716,16 @@
   auto _changes = _o->changes.size() ? _fbb.CreateVector<flatbuffers::Offset<parsleycove::state::ChangeRecord>> (_o->changes.size(), [](size_t i, _VectorArgs *__va) { return CreateChangeRecord(*__va->__fbb, __va->__o->changes[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _actions = _o->actions.size() ? _fbb.CreateVector<flatbuffers::Offset<parsleycove::state::ActionRecord>> (_o->actions.size(), [](size_t i, _VectorArgs *__va) { return CreateActionRecord(*__va->__fbb, __va->__o->actions[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _last_unix_ms = _o->last_unix_ms;
+  auto _evicted_key_unix_ms = _o->evicted_key_unix_ms;
+  auto _attempt_floor = _o->attempt_floor;
   return parsleycove::state::CreateStateImage(
       _fbb,
       _config,
       _changes,
       _actions,
-      _last_unix_ms);
+      _last_unix_ms,
+      _evicted_key_unix_ms,
+      _attempt_floor);
 }
 
 inline bool VerifyCommandBody(flatbuffers::Verifier &verifier, const void *obj, CommandBody type) {
