--- /dev/null
+++ b/Source/State/ReplicatedState.h
@@ -0,0 +1,71 @@
+// The state machine behind the replicated log.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "State/ActionLedger.h"
+#include "State/ChangeHistory.h"
+#include "State/ConfigState.h"
+#include "State/StateLimits.h"
+#include "State/StateReason.h"
+#include "StateGenerated.h"
+
+namespace parsleycove {
+
+// Applies committed commands in the order of the log.
+//
+// Apply is a pure function of the state, the index, the term and the command:
+// equal on every replica. Time comes from the commands only and never goes
+// back. A command that is proposed again changes nothing a second time.
+class ReplicatedState
+{
+public:
+  explicit ReplicatedState(StateLimits aLimits = {});
+
+  state::CommandResultT Apply(std::uint64_t aIndex,
+                              std::uint64_t aTerm,
+                              const state::CommandT& aCommand);
+
+  // Returns a StateImage buffer; equal states give equal bytes.
+  std::vector<std::uint8_t> TakeImage() const;
+  // Replaces the state. On a malformed image returns false, keeps the state
+  // and sets LastReason().
+  bool Restore(const std::vector<std::uint8_t>& aImage);
+  const StateReason& LastReason() const { return m_reason; }
+
+  const state::ConfigImageT& Config() const { return m_config.Image(); }
+  // Null when the ledger has no such key.
+  const state::ActionRecordT* FindAction(const std::string& aAccount,
+                                         const std::string& aKey) const;
+  // Actions that a process of this gateway up to this epoch holds, Reserved or
+  // Dispatched; they end with GatewayGone.
+  std::vector<const state::ActionRecordT*> FindHeldActions(
+    const std::string& aGateway,
+    std::uint64_t aEpoch) const;
+  // VM ids of the gateways that hold actions, in order.
+  std::vector<std::string> ListHolders() const;
+  // Orders that are not done, in order of their sequence.
+  std::vector<const state::EngineOrderT*> FindPendingOrders() const;
+  std::uint64_t LastUnixMs() const { return m_lastUnixMs; }
+
+private:
+  state::CommandResultT Route(std::uint64_t aIndex,
+                              std::uint64_t aTerm,
+                              const state::CommandT& aCommand);
+  state::CommandResultT ApplyChange(std::uint64_t aIndex,
+                                    const state::CommandT& aCommand);
+  state::CommandResultT IssueOrder(std::uint64_t aIndex,
+                                   std::uint64_t aTerm,
+                                   const state::CommandT& aCommand);
+
+  StateLimits m_limits;
+  ConfigState m_config;
+  ChangeHistory m_changes;
+  ActionLedger m_ledger;
+  std::uint64_t m_lastUnixMs = 0; // never goes back
+  StateReason m_reason;
+};
+
+} // namespace parsleycove
