--- a/Source/Gateway/ActionExchange.cxx
+++ b/Source/Gateway/ActionExchange.cxx
@@ -8,8 +8,8 @@
 #include <boost/json.hpp>
 
 #include "Gateway/DrainState.h"
-#include "Gateway/ServiceChoice.h"
 #include "Gateway/Worker.h"
+#include "Routing/RunnerTable.h"
 #include "Telemetry/Logging.h"
 #include "Telemetry/MetricRegistry.h"
 
@@ -108,8 +108,7 @@
 asio::awaitable<ActionAnswer>
 ActionExchange::RunOwned(std::uint64_t aAttempt)
 {
-  std::optional<state::EndpointT> target =
-    ChooseServiceEndpoint(m_services, m_call.m_service);
+  const RunnerPtr target = ChooseServiceEndpoint();
   if (!target) {
     co_return co_await Abandon(aAttempt,
                                false,
@@ -122,8 +121,8 @@
   dispatch.key = m_call.m_key;
   dispatch.attempt = aAttempt;
   dispatch.endpoint = std::make_unique<state::EndpointRefT>();
-  dispatch.endpoint->id = target->id;
-  dispatch.endpoint->incarnation = target->incarnation;
+  dispatch.endpoint->id = target->m_id;
+  dispatch.endpoint->incarnation = target->m_incarnation;
   dispatch.unix_ms = UnixMs();
   const ProposeOutcome outcome =
     co_await ProposeUntil(MakeCommand(std::move(dispatch)), m_call.m_deadline);
@@ -147,13 +146,22 @@
   co_return co_await SendAndSettle(aAttempt, *target);
 }
 
+RunnerPtr
+ActionExchange::ChooseServiceEndpoint()
+{
+  PickRequest request;
+  request.m_service = m_call.m_service;
+  request.m_ownZone = m_services.m_options.m_zone;
+  const auto table = m_services.m_runners.Read();
+  return m_worker.Picker().Pick(Now(), *table, request);
+}
+
 HttpRequest
-ActionExchange::MakeRequest(const state::EndpointT& aTarget) const
+ActionExchange::MakeRequest(const Runner& aTarget) const
 {
   HttpRequest request(
     http::string_to_verb(m_call.m_method), m_call.m_path, kHttp11);
-  const SocketAddress address{ aTarget.address, aTarget.port };
-  request.set(http::field::host, address.ToString());
+  request.set(http::field::host, aTarget.m_address.ToString());
   request.set("Idempotency-Key", m_call.m_key);
   request.set("traceparent", m_call.m_traceParent);
   if (!m_call.m_contentType.empty()) {
@@ -166,10 +174,8 @@
 }
 
 asio::awaitable<ActionAnswer>
-ActionExchange::SendAndSettle(std::uint64_t aAttempt,
-                              const state::EndpointT& aTarget)
+ActionExchange::SendAndSettle(std::uint64_t aAttempt, const Runner& aTarget)
 {
-  const SocketAddress address{ aTarget.address, aTarget.port };
   HttpRequest request = MakeRequest(aTarget);
   // An answer after the caller's deadline still settles the ledger.
   const Duration timeout = m_call.m_deadline + kSettleTime - Now();
--- a/Source/Gateway/ActionExchange.h
+++ b/Source/Gateway/ActionExchange.h
@@ -10,6 +10,7 @@
 #include "Gateway/ControlCalls.h"
 #include "Gateway/EndpointClient.h"
 #include "Gateway/GatewayServices.h"
+#include "Routing/Runner.h"
 
 namespace parsleycove {
 
@@ -59,12 +60,13 @@
   asio::awaitable<void> Run();
   asio::awaitable<ActionAnswer> RunOwned(std::uint64_t aAttempt);
   asio::awaitable<ActionAnswer> SendAndSettle(std::uint64_t aAttempt,
-                                              const state::EndpointT& aTarget);
+                                              const Runner& aTarget);
   asio::awaitable<ActionAnswer> SettleResponse(std::uint64_t aAttempt,
                                                const HttpResponse& aResponse);
   // Waits for the outcome of an attempt that somebody else holds.
   asio::awaitable<ActionAnswer> Join();
 
+  RunnerPtr ChooseServiceEndpoint();
   asio::awaitable<ProposeOutcome> ProposeUntil(state::CommandT aCommand,
                                                TimePoint aDeadline);
   // Commits that the attempt did not run and says so, or says unknown.
@@ -77,7 +79,7 @@
   ActionAnswer AnswerFromRecord(const state::ActionRecordT& aRecord) const;
   ActionAnswer AnswerFromRefusal(const state::CommandResultT& aResult) const;
   ActionAnswer Unknown(std::string aWhy) const;
-  HttpRequest MakeRequest(const state::EndpointT& aTarget) const;
+  HttpRequest MakeRequest(const Runner& aTarget) const;
   std::uint64_t UnixMs() const { return m_services.m_clock.UnixMs(); }
   TimePoint Now() const { return m_services.m_clock.Now(); }
 
--- /dev/null
+++ b/Source/Gateway/ChatHandler.cxx
@@ -0,0 +1,137 @@
+// POST /v1/chat/completions.
+#include "Gateway/ChatHandler.h"
+
+#include <memory>
+#include <utility>
+
+#include "Gateway/ChatRequest.h"
+#include "Gateway/ChatSinks.h"
+#include "Gateway/DrainState.h"
+#include "Gateway/GatewayServices.h"
+#include "Gateway/RequestContext.h"
+#include "Gateway/RequestTrace.h"
+#include "Gateway/Responder.h"
+#include "Gateway/Worker.h"
+
+namespace parsleycove {
+
+namespace {
+
+constexpr Duration kRetryNoRunner = std::chrono::seconds(1);
+constexpr std::uint64_t kMsPerSecond = 1000;
+
+// Returns the error that an unfinished text ends with.
+ApiError
+ErrorOf(const GenerationEnd& aEnd)
+{
+  const ApiErrorCode code = aEnd.m_reason == FinishReason::DeadlineExceeded
+                              ? ApiErrorCode::DeadlineExceeded
+                              : ApiErrorCode::NoRunner;
+  return { code, aEnd.m_text, CallOutcome::NotApplicable, kRetryNoRunner };
+}
+
+bool
+IsWhole(const GenerationEnd& aEnd)
+{
+  return aEnd.m_reason == FinishReason::End ||
+         aEnd.m_reason == FinishReason::MaxTokens;
+}
+
+std::string
+NameOfFinish(const GenerationEnd& aEnd)
+{
+  return aEnd.m_reason == FinishReason::MaxTokens ? "length" : "stop";
+}
+
+asio::awaitable<void>
+AnswerWhole(Generation& aGeneration,
+            TargetWatch& aWatch,
+            const ChatNames& aNames,
+            GenerationEnd& aEnd,
+            Responder& aResponder)
+{
+  TextSink sink(aWatch);
+  aEnd = co_await aGeneration.Run(sink);
+  if (!IsWhole(aEnd)) {
+    co_await aResponder.SendError(ErrorOf(aEnd));
+    co_return;
+  }
+  co_await aResponder.SendJson(
+    200, PrintCompletion(aNames, sink.Text(), NameOfFinish(aEnd), aEnd));
+}
+
+asio::awaitable<void>
+AnswerEvents(Generation& aGeneration,
+             TargetWatch& aWatch,
+             const ChatNames& aNames,
+             GenerationEnd& aEnd,
+             Responder& aResponder)
+{
+  EventSink sink(aWatch, aResponder, aNames);
+  aEnd = co_await aGeneration.Run(sink);
+  if (IsWhole(aEnd)) {
+    co_await sink.End(NameOfFinish(aEnd));
+  } else if (aEnd.m_reason == FinishReason::Cancelled) {
+    aResponder.CloseAfterwards();
+  } else if (aResponder.HasStarted()) {
+    co_await sink.Fail(ErrorOf(aEnd).Print());
+  } else {
+    co_await aResponder.SendError(ErrorOf(aEnd));
+  }
+}
+
+} // namespace
+
+ChatHandler::ChatHandler(const GatewayServices& aServices)
+  : m_services(aServices)
+{
+}
+
+asio::awaitable<void>
+ChatHandler::Handle(const RequestContext& aContext, Responder& aResponder)
+{
+  const ActiveRequest active(m_services.m_drain);
+  ApiError refusal;
+  const auto caller = AdmitCaller(m_services, aContext, refusal);
+  if (!caller) {
+    co_await aResponder.SendError(refusal);
+    co_return;
+  }
+  ChatRequestReason reason;
+  const auto chat = ChatRequest::Parse(aContext.m_request.body(), reason);
+  if (!chat) {
+    refusal = { ApiErrorCode::BadRequest, reason.m_text };
+    co_await aResponder.SendError(refusal);
+    co_return;
+  }
+  if (!caller->m_view->FindModel(chat->m_model)) {
+    refusal = { ApiErrorCode::NotFound,
+                "there is no model \"" + chat->m_model + "\"" };
+    co_await aResponder.SendError(refusal);
+    co_return;
+  }
+  GenerationRequest request;
+  request.m_model = chat->m_model;
+  request.m_prompt = chat->m_prompt;
+  request.m_maxTokens = chat->m_maxTokens;
+  request.m_seed = chat->m_seed;
+  auto generation = std::make_shared<Generation>(m_services,
+                                                 aContext.m_worker,
+                                                 aContext.m_trace,
+                                                 *caller,
+                                                 std::move(request));
+  const ChatNames names{ "chatcmpl-" + aContext.m_trace.Root().m_traceId,
+                         chat->m_model,
+                         m_services.m_clock.UnixMs() / kMsPerSecond };
+  TargetWatch watch(MakeTargets(*caller->m_class), aContext.m_arrival);
+  GenerationEnd end;
+  if (chat->m_isStream) {
+    co_await AnswerEvents(*generation, watch, names, end, aResponder);
+  } else {
+    co_await AnswerWhole(*generation, watch, names, end, aResponder);
+  }
+  aContext.m_trace.AddRootAttribute("attempts", std::to_string(end.m_attempts));
+  aContext.m_trace.AddRootAttribute("tokens", std::to_string(end.m_emitted));
+}
+
+} // namespace parsleycove
--- a/Source/Gateway/EngineCodec.cxx
+++ b/Source/Gateway/EngineCodec.cxx
@@ -1,7 +1,7 @@
 // JSON form of pipeline steps; see docs/integrate/engine-protocol.md.
 #include "Gateway/EngineCodec.h"
 
-#include <array>
+#include <stdexcept>
 #include <unordered_map>
 #include <utility>
 
@@ -15,45 +15,44 @@
 
 namespace {
 
-constexpr std::array<EnumName<EngineStepStatus>, 4> kStatusNames{ {
-  { EngineStepStatus::Ok, "ok" },
-  { EngineStepStatus::Gap, "gap" },
-  { EngineStepStatus::Cancelled, "cancelled" },
-  { EngineStepStatus::Refused, "refused" },
-} };
+// Activations pass through as the JSON text they came in.
+json::value
+ParseText(std::string_view aText)
+{
+  return json::parse(json::string_view(aText.data(), aText.size()));
+}
 
 json::object
-MakeStep(const EngineStep& aStep)
+MakeStep(const StepCall& aCall)
 {
-  json::array inputs;
-  inputs.reserve(aStep.m_inputs.size());
-  for (const std::uint64_t input : aStep.m_inputs) {
-    inputs.emplace_back(input);
-  }
-  json::object step{
-    { "stream", aStep.m_stream },     { "attempt", aStep.m_attempt },
-    { "position", aStep.m_position }, { "count", aStep.m_inputs.size() },
-    { "priority", aStep.m_priority }, { "deadline_ms", aStep.m_deadlineMs },
-    { "seed", aStep.m_seed }
+  const EngineStep& step = aCall.m_step;
+  json::object fields{
+    { "stream", aCall.m_stream },     { "attempt", step.m_attempt },
+    { "position", step.m_position },  { "count", step.m_count },
+    { "priority", aCall.m_priority }, { "deadline_ms", aCall.m_deadlineMs },
+    { "seed", aCall.m_seed }
   };
-  step[aStep.m_isFirstStage ? "tokens" : "hidden"] = std::move(inputs);
-  return step;
+  if (step.m_tokens.empty()) {
+    fields["hidden"] = ParseText(step.m_hidden);
+  } else {
+    fields["tokens"] = json::value_from(step.m_tokens);
+  }
+  return fields;
 }
 
 std::string
-MakeKey(std::string_view aStream,
-        std::uint64_t aAttempt,
-        std::uint64_t aPosition)
+MakeKey(std::string_view aStream, std::uint64_t aAttempt, std::uint64_t aPlace)
 {
   return std::string(aStream) + "/" + std::to_string(aAttempt) + "/" +
-         std::to_string(aPosition);
+         std::to_string(aPlace);
 }
 
-// These throw boost::system::system_error on a missing or mistyped field.
-std::uint64_t
+// These throw on a missing or mistyped field.
+template<typename Number>
+Number
 NumberAt(const json::object& aObject, std::string_view aKey)
 {
-  return aObject.at(aKey).to_number<std::uint64_t>();
+  return aObject.at(aKey).to_number<Number>();
 }
 
 std::string_view
@@ -66,96 +65,92 @@
   return value.get_string();
 }
 
-EngineLoad
-ParseLoad(const json::object& aAnswer)
+void
+ParseLoad(const json::object& aBody, StepAnswer& aAnswer)
 {
-  const json::value* load = aAnswer.if_contains("load");
-  if (!load || !load->is_object()) {
-    return {};
+  const json::value* load = aBody.if_contains("load");
+  if (load && load->is_object()) {
+    const json::object& fields = load->get_object();
+    aAnswer.m_queued = NumberAt<std::uint32_t>(fields, "queued");
+    aAnswer.m_running = NumberAt<std::uint32_t>(fields, "running");
   }
-  const json::object& fields = load->get_object();
-  return { NumberAt(fields, "queued"), NumberAt(fields, "running") };
 }
 
-EngineStepResult
-ParseResult(const json::object& aFields, const EngineLoad& aLoad)
+StepResult
+ParseResult(const json::object& aFields)
 {
-  EngineStepResult result;
-  result.m_load = aLoad;
-  const auto status = ValueOf(kStatusNames, TextAt(aFields, "status"));
+  StepResult result;
+  result.m_attempt = NumberAt<std::uint32_t>(aFields, "attempt");
+  result.m_position = NumberAt<std::uint32_t>(aFields, "position");
+  const auto status = ValueOf(kStepStatusNames, TextAt(aFields, "status"));
   if (!status) {
     throw std::invalid_argument("unknown status");
   }
   result.m_status = *status;
   if (const json::value* hidden = aFields.if_contains("hidden")) {
-    for (const json::value& output : hidden->as_array()) {
-      result.m_hidden.push_back(output.to_number<std::uint64_t>());
-    }
+    result.m_hidden = json::serialize(*hidden);
   }
   if (aFields.contains("token")) {
-    EngineToken token{ NumberAt(aFields, "token"),
-                       std::string(TextAt(aFields, "text")),
-                       aFields.at("end").as_bool() };
-    result.m_token = std::move(token);
+    result.m_token = NumberAt<std::uint32_t>(aFields, "token");
+    result.m_text = TextAt(aFields, "text");
+    result.m_end = aFields.at("end").as_bool();
+  }
+  const bool isEmpty = result.m_hidden.empty() && !aFields.contains("token");
+  if (result.m_status == StepStatus::Ok && isEmpty) {
+    throw std::invalid_argument("a result has neither hidden nor token");
   }
   return result;
 }
 
-bool
-HasWhatTheStepAsked(const EngineStepResult& aResult, const EngineStep& aStep)
-{
-  const bool isComplete =
-    aResult.m_token || aResult.m_hidden.size() == aStep.m_inputs.size();
-  return aResult.m_status != EngineStepStatus::Ok || isComplete;
-}
-
-std::vector<EngineStepResult>
-ParseAll(std::string_view aBody, const std::vector<const EngineStep*>& aSteps)
+std::vector<StepAnswer>
+ParseAll(std::string_view aBody, const std::vector<const StepCall*>& aCalls)
 {
-  const json::value document =
-    json::parse(json::string_view(aBody.data(), aBody.size()));
-  const json::object& answer = document.as_object();
-  const EngineLoad load = ParseLoad(answer);
-  std::unordered_map<std::string, EngineStepResult> byKey;
-  for (const json::value& entry : answer.at("results").as_array()) {
+  const json::value document = ParseText(aBody);
+  const json::object& body = document.as_object();
+  StepAnswer common;
+  ParseLoad(body, common);
+  std::unordered_map<std::string, StepResult> byKey;
+  for (const json::value& entry : body.at("results").as_array()) {
     const json::object& fields = entry.as_object();
-    std::string key = MakeKey(TextAt(fields, "stream"),
-                              NumberAt(fields, "attempt"),
-                              NumberAt(fields, "position"));
-    byKey.insert_or_assign(std::move(key), ParseResult(fields, load));
+    StepResult result = ParseResult(fields);
+    std::string key =
+      MakeKey(TextAt(fields, "stream"), result.m_attempt, result.m_position);
+    byKey.insert_or_assign(std::move(key), std::move(result));
   }
-  std::vector<EngineStepResult> results;
-  for (const EngineStep* step : aSteps) {
+  std::vector<StepAnswer> answers;
+  for (const StepCall* call : aCalls) {
+    const EngineStep& step = call->m_step;
     const auto found =
-      byKey.find(MakeKey(step->m_stream, step->m_attempt, step->m_position));
-    if (found == byKey.end() || !HasWhatTheStepAsked(found->second, *step)) {
-      throw std::invalid_argument("no result for stream " + step->m_stream);
+      byKey.find(MakeKey(call->m_stream, step.m_attempt, step.m_position));
+    if (found == byKey.end()) {
+      throw std::invalid_argument("no result for stream " + call->m_stream);
     }
-    results.push_back(std::move(found->second));
+    common.m_result = std::move(found->second);
+    answers.push_back(common);
   }
-  return results;
+  return answers;
 }
 
 } // namespace
 
 std::string
-PrintSteps(const std::vector<const EngineStep*>& aSteps)
+PrintSteps(const std::vector<const StepCall*>& aCalls)
 {
   json::array steps;
-  steps.reserve(aSteps.size());
-  for (const EngineStep* step : aSteps) {
-    steps.emplace_back(MakeStep(*step));
+  steps.reserve(aCalls.size());
+  for (const StepCall* call : aCalls) {
+    steps.emplace_back(MakeStep(*call));
   }
   return json::serialize(json::object{ { "steps", std::move(steps) } });
 }
 
-std::optional<std::vector<EngineStepResult>>
+std::optional<std::vector<StepAnswer>>
 ParseStepResults(std::string_view aBody,
-                 const std::vector<const EngineStep*>& aSteps,
+                 const std::vector<const StepCall*>& aCalls,
                  EngineCodecReason& aReason)
 {
   try {
-    return ParseAll(aBody, aSteps);
+    return ParseAll(aBody, aCalls);
   } catch (const std::exception& fault) {
     aReason.Set(EngineCodecError::Malformed,
                 std::string("malformed answer to /engine/steps: ") +
--- a/Source/Gateway/EngineCodec.h
+++ b/Source/Gateway/EngineCodec.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "Base/Reason.h"
-#include "Gateway/EngineStep.h"
+#include "Gateway/StepCall.h"
 
 namespace parsleycove {
 
@@ -19,13 +19,13 @@
 using EngineCodecReason = Reason<EngineCodecError>;
 
 std::string
-PrintSteps(const std::vector<const EngineStep*>& aSteps);
+PrintSteps(const std::vector<const StepCall*>& aCalls);
 
-// Returns one result for each step, in the order of the steps. An answer that
-// lacks one of them, or is about another position, is malformed.
-std::optional<std::vector<EngineStepResult>>
+// Returns one answer for each call, in the order of the calls. A body that
+// lacks one of them is malformed.
+std::optional<std::vector<StepAnswer>>
 ParseStepResults(std::string_view aBody,
-                 const std::vector<const EngineStep*>& aSteps,
+                 const std::vector<const StepCall*>& aCalls,
                  EngineCodecReason& aReason);
 
 } // namespace parsleycove
--- a/Source/Gateway/StepChannel.cxx
+++ b/Source/Gateway/StepChannel.cxx
@@ -13,8 +13,8 @@
 namespace parsleycove {
 
 StepChannel::Pending::Pending(const asio::any_io_executor& aExecutor,
-                              EngineStep aStep)
-  : m_step(std::move(aStep))
+                              StepCall aCall)
+  : m_call(std::move(aCall))
   , m_slot(aExecutor)
 {
 }
@@ -29,9 +29,9 @@
 }
 
 asio::awaitable<StepOutcome>
-StepChannel::Submit(EngineStep aStep, Duration aTimeout)
+StepChannel::Submit(StepCall aCall, Duration aTimeout)
 {
-  auto pending = std::make_shared<Pending>(m_executor, std::move(aStep));
+  auto pending = std::make_shared<Pending>(m_executor, std::move(aCall));
   pending->m_deadline = BootClock::now() + aTimeout;
   m_waiting.push_back(pending);
   StartCalls();
@@ -70,8 +70,8 @@
   std::stable_sort(m_waiting.begin(),
                    m_waiting.end(),
                    [](const auto& aLeft, const auto& aRight) {
-                     return aLeft->m_step.m_priority <
-                            aRight->m_step.m_priority;
+                     return aLeft->m_call.m_priority <
+                            aRight->m_call.m_priority;
                    });
   const auto count = std::min(m_waiting.size(), kMaxStepsPerCall);
   const auto end = m_waiting.begin() + static_cast<std::ptrdiff_t>(count);
@@ -84,10 +84,10 @@
 asio::awaitable<void>
 StepChannel::RunCall(Batch aBatch)
 {
-  std::vector<const EngineStep*> steps;
+  std::vector<const StepCall*> steps;
   TimePoint deadline{};
   for (const auto& pending : aBatch) {
-    steps.push_back(&pending->m_step);
+    steps.push_back(&pending->m_call);
     deadline = std::max(deadline, pending->m_deadline);
   }
   HttpRequest request =
@@ -108,11 +108,11 @@
 {
   StepOutcome failure;
   failure.m_reason = aResult.m_reason;
-  std::optional<std::vector<EngineStepResult>> results;
+  std::optional<std::vector<StepAnswer>> results;
   if (aResult.m_response) {
-    std::vector<const EngineStep*> steps;
+    std::vector<const StepCall*> steps;
     for (const auto& pending : aBatch) {
-      steps.push_back(&pending->m_step);
+      steps.push_back(&pending->m_call);
     }
     EngineCodecReason reason;
     results = ParseStepResults(aResult.m_response->body(), steps, reason);
@@ -121,7 +121,7 @@
   for (std::size_t i = 0; i < aBatch.size(); ++i) {
     StepOutcome outcome = failure;
     if (results) {
-      outcome.m_result = std::move((*results)[i]);
+      outcome.m_answer = std::move((*results)[i]);
     }
     aBatch[i]->m_slot.Set(std::move(outcome));
   }
--- a/Source/Gateway/StepChannel.h
+++ b/Source/Gateway/StepChannel.h
@@ -10,14 +10,14 @@
 #include "Gateway/AsyncSlot.h"
 #include "Gateway/CallResult.h"
 #include "Gateway/EndpointClient.h"
-#include "Gateway/EngineStep.h"
+#include "Gateway/StepCall.h"
 
 namespace parsleycove {
 
-// What became of a step: a result, or the reason why there is none.
+// What became of a step: an answer, or the reason why there is none.
 struct StepOutcome
 {
-  std::optional<EngineStepResult> m_result;
+  std::optional<StepAnswer> m_answer;
   CallReason m_reason;
 };
 
@@ -33,7 +33,7 @@
               SocketAddress aAddress);
 
   // Waits for the result for at most aTimeout.
-  asio::awaitable<StepOutcome> Submit(EngineStep aStep, Duration aTimeout);
+  asio::awaitable<StepOutcome> Submit(StepCall aCall, Duration aTimeout);
 
 private:
   // More calls side by side let short steps pass a long one.
@@ -42,8 +42,8 @@
 
   struct Pending
   {
-    Pending(const asio::any_io_executor& aExecutor, EngineStep aStep);
-    EngineStep m_step;
+    Pending(const asio::any_io_executor& aExecutor, StepCall aCall);
+    StepCall m_call;
     TimePoint m_deadline;
     AsyncSlot<StepOutcome> m_slot;
   };
--- a/Source/Gateway/Worker.cxx
+++ b/Source/Gateway/Worker.cxx
@@ -5,13 +5,38 @@
 
 #include "Gateway/GatewayServices.h"
 #include "Gateway/StepChannel.h"
+#include "Routing/ExpectedCompletionPlanner.h"
 
 namespace parsleycove {
 
+namespace {
+
+// Retries and hedges are at most this share of the successful calls, beyond a
+// reserve for quiet times.
+constexpr double kRetryShare = 0.1;
+constexpr double kRetryReserve = 10;
+
+// Workers and VMs must not draw the same numbers, or they would all choose the
+// same runner.
+std::uint64_t
+MakeSeed(const GatewayOptions& aOptions, std::size_t aIndex)
+{
+  return HashId(aOptions.m_vm) ^ (aOptions.m_epoch << 8) ^ aIndex;
+}
+
+} // namespace
+
 Worker::Worker(const GatewayServices& aServices, std::size_t aIndex)
   : m_index(aIndex)
   , m_context(1)
   , m_endpoints(m_context.get_executor())
+  , m_planner(std::make_unique<ExpectedCompletionPlanner>(
+      PlannerSettings{},
+      MakeSeed(aServices.m_options, aIndex)))
+  , m_picker(MakeSeed(aServices.m_options, aIndex) + 1)
+  , m_retries(kRetryShare,
+              kRetryReserve,
+              MakeSeed(aServices.m_options, aIndex) + 2)
   , m_latency(
       aServices.m_metrics.AddHistogram("parsleycove_request_seconds", ""))
 {
--- a/Source/Gateway/Worker.h
+++ b/Source/Gateway/Worker.h
@@ -12,10 +12,13 @@
 
 #include "Base/Clock.h"
 #include "Gateway/EndpointClient.h"
+#include "Routing/RetryBudget.h"
+#include "Routing/ServicePicker.h"
 #include "Telemetry/MetricRegistry.h"
 
 namespace parsleycove {
 
+class ChainPlanner;
 class StepChannel;
 struct GatewayServices;
 
@@ -40,6 +43,10 @@
   // The channel for pipeline steps to one address.
   StepChannel& StepsTo(const SocketAddress& aAddress);
 
+  ChainPlanner& Planner() { return *m_planner; }
+  ServicePicker& Picker() { return m_picker; }
+  RetryBudget& Retries() { return m_retries; }
+
   void CountAnswer(unsigned aStatus, Duration aSpent);
 
 private:
@@ -49,6 +56,9 @@
   asio::io_context m_context;
   EndpointClient m_endpoints;
   std::unordered_map<std::string, std::unique_ptr<StepChannel>> m_channels;
+  std::unique_ptr<ChainPlanner> m_planner;
+  ServicePicker m_picker;
+  RetryBudget m_retries;
   std::array<Counter*, kStatusClasses> m_answers{};
   LatencyHistogram& m_latency;
   std::thread m_thread;
