--- /dev/null
+++ b/Source/Routing/Runner.h
@@ -0,0 +1,51 @@
+// One announced endpoint as the deciding code sees it.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+
+#include "Base/SocketAddress.h"
+#include "Routing/RunnerLoad.h"
+#include "StateGenerated.h"
+
+namespace parsleycove {
+
+// An engine with a range of layers, or an endpoint of a plain service.
+//
+// Invariant: unchanged once its table is published; only m_load moves.
+class Runner : public boost::intrusive_ref_counter<Runner>
+{
+public:
+  std::string m_id;
+  std::uint64_t m_incarnation = 0;
+  state::EndpointKind m_kind{};
+  state::EndpointPhase m_phase{};
+  SocketAddress m_address;
+  std::string m_zone;
+  // Index into the zones of the table that holds this runner.
+  std::uint32_t m_zoneIndex = 0;
+  std::string m_model;
+  std::string m_version;
+  std::string m_service;
+  std::string m_accelerator;
+  std::uint32_t m_firstLayer = 0;
+  // Inclusive.
+  std::uint32_t m_lastLayer = 0;
+  double m_tokensPerSecond = 0;
+  std::uint32_t m_slots = 0;
+  // Hash of the id, the same in every process.
+  std::uint64_t m_idHash = 0;
+  boost::intrusive_ptr<RunnerLoad> m_load;
+};
+
+using RunnerPtr = boost::intrusive_ptr<const Runner>;
+
+// Hashes an id or prefix the same way in every process.
+std::uint64_t
+HashId(std::string_view aId);
+
+} // namespace parsleycove
--- /dev/null
+++ b/Source/Routing/RunnerLoad.cxx
@@ -0,0 +1,167 @@
+// What this process knows of one endpoint's load and health.
+#include "Routing/RunnerLoad.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace parsleycove {
+
+namespace {
+
+constexpr double kAverageWeight = 0.125;
+constexpr double kMinSlowness = 0.25;
+constexpr double kMaxSlowness = 64.0;
+constexpr double kSlownessHalfLifeSeconds = 2.0;
+constexpr double kReportHalfLifeSeconds = 0.5;
+// Steps below this many positions measure the round trip, others the rate.
+constexpr std::uint32_t kPrefillPositions = 8;
+constexpr std::uint32_t kFailuresToSuspect = 2;
+constexpr std::int64_t kFirstSuspicionNs = 500'000'000;
+constexpr std::uint32_t kMaxSuspicionDoublings = 6;
+constexpr std::int64_t kProbeWindowNs = 1'000'000'000;
+
+std::int64_t
+ToNs(TimePoint aTime)
+{
+  return aTime.time_since_epoch().count();
+}
+
+void
+Average(std::atomic<std::int64_t>& aAverage, std::int64_t aSample)
+{
+  const std::int64_t old = aAverage.load(std::memory_order_relaxed);
+  const double next =
+    old == 0 ? static_cast<double>(aSample)
+             : static_cast<double>(old) +
+                 kAverageWeight * static_cast<double>(aSample - old);
+  aAverage.store(static_cast<std::int64_t>(next), std::memory_order_relaxed);
+}
+
+double
+Fade(std::int64_t aAgeNs, double aHalfLifeSeconds)
+{
+  const double seconds = static_cast<double>(std::max<std::int64_t>(
+                           aAgeNs, 0)) /
+                         1e9;
+  return 1.0 / (1.0 + std::pow(seconds / aHalfLifeSeconds, 2));
+}
+
+} // namespace
+
+void
+RunnerLoad::StartStep(std::uint32_t aPositions)
+{
+  m_steps.fetch_add(1, std::memory_order_relaxed);
+  m_positions.fetch_add(static_cast<std::int32_t>(aPositions),
+                        std::memory_order_relaxed);
+}
+
+void
+RunnerLoad::AbandonStep(std::uint32_t aPositions)
+{
+  m_steps.fetch_sub(1, std::memory_order_relaxed);
+  m_positions.fetch_sub(static_cast<std::int32_t>(aPositions),
+                        std::memory_order_relaxed);
+}
+
+void
+RunnerLoad::FinishStep(TimePoint aNow,
+                       std::uint32_t aPositions,
+                       Duration aTaken,
+                       Duration aExpected)
+{
+  AbandonStep(aPositions);
+  const std::int64_t taken = std::max<std::int64_t>(aTaken.count(), 1);
+  if (aPositions < kPrefillPositions) {
+    Average(m_roundTripNs, taken);
+  } else {
+    Average(m_positionNs, taken / aPositions);
+  }
+  const double expected = std::max<double>(aExpected.count(), 1.0);
+  const double sample =
+    std::clamp(static_cast<double>(taken) / expected, 0.0, kMaxSlowness);
+  const double old = Slowness(aNow);
+  const double next = old + kAverageWeight * (sample - old);
+  m_slowness.store(std::clamp(next, kMinSlowness, kMaxSlowness),
+                   std::memory_order_relaxed);
+  m_slownessAtNs.store(ToNs(aNow), std::memory_order_relaxed);
+  m_failures.store(0, std::memory_order_relaxed);
+  m_suspectUntilNs.store(0, std::memory_order_relaxed);
+}
+
+void
+RunnerLoad::RecordReport(TimePoint aNow,
+                         std::uint32_t aQueued,
+                         std::uint32_t aRunning)
+{
+  const std::int64_t others =
+    static_cast<std::int64_t>(aQueued) + aRunning - Load(m_streams);
+  m_reportedOthers.store(
+    static_cast<std::int32_t>(std::max<std::int64_t>(others, 0)),
+    std::memory_order_relaxed);
+  m_reportedAtNs.store(ToNs(aNow), std::memory_order_relaxed);
+}
+
+void
+RunnerLoad::RecordFailure(TimePoint aNow)
+{
+  const std::uint32_t failures =
+    m_failures.fetch_add(1, std::memory_order_relaxed) + 1;
+  if (failures < kFailuresToSuspect) {
+    return;
+  }
+  const std::uint32_t doublings =
+    std::min(failures - kFailuresToSuspect, kMaxSuspicionDoublings);
+  m_suspectUntilNs.store(ToNs(aNow) + (kFirstSuspicionNs << doublings),
+                         std::memory_order_relaxed);
+}
+
+CircuitState
+RunnerLoad::Circuit(TimePoint aNow) const
+{
+  const std::int64_t until = Load(m_suspectUntilNs);
+  if (until == 0) {
+    return CircuitState::Ok;
+  }
+  return ToNs(aNow) < until ? CircuitState::Suspect : CircuitState::HalfOpen;
+}
+
+bool
+RunnerLoad::ClaimProbe(TimePoint aNow)
+{
+  std::int64_t until = Load(m_suspectUntilNs);
+  if (until == 0) {
+    return true;
+  }
+  if (ToNs(aNow) < until) {
+    return false;
+  }
+  return m_suspectUntilNs.compare_exchange_strong(
+    until, ToNs(aNow) + kProbeWindowNs, std::memory_order_relaxed);
+}
+
+double
+RunnerLoad::EstimateStreams(TimePoint aNow) const
+{
+  const double own = std::max(Load(m_streams), 0);
+  const std::int64_t reportedAt = Load(m_reportedAtNs);
+  if (reportedAt == 0) {
+    return own;
+  }
+  const double others = Load(m_reportedOthers);
+  return own + others * Fade(ToNs(aNow) - reportedAt, kReportHalfLifeSeconds);
+}
+
+double
+RunnerLoad::Slowness(TimePoint aNow) const
+{
+  const std::int64_t at = Load(m_slownessAtNs);
+  if (at == 0) {
+    return 1.0;
+  }
+  const double slowness = Load(m_slowness);
+  const double weight = Fade(ToNs(aNow) - at, kSlownessHalfLifeSeconds);
+  return 1.0 + (slowness - 1.0) * weight;
+}
+
+} // namespace parsleycove
--- /dev/null
+++ b/Source/Routing/RunnerLoad.h
@@ -0,0 +1,89 @@
+// What this process knows of one endpoint's load and health.
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+
+#include "Base/Clock.h"
+
+namespace parsleycove {
+
+// A small circuit: work flows, is kept away, or one probe may try again.
+enum class CircuitState
+{
+  Ok,
+  Suspect,
+  HalfOpen,
+};
+
+// Load and health of one endpoint id and incarnation, shared by all threads.
+//
+// Counts of this process are exact; whatever a reply or report said is a hint
+// that loses weight with its age.
+class RunnerLoad : public boost::intrusive_ref_counter<RunnerLoad>
+{
+public:
+  // A stream or call was assigned to the endpoint, or has left it.
+  void AddStream() { m_streams.fetch_add(1, std::memory_order_relaxed); }
+  void RemoveStream() { m_streams.fetch_sub(1, std::memory_order_relaxed); }
+
+  // Every StartStep is followed by exactly one FinishStep or AbandonStep.
+  void StartStep(std::uint32_t aPositions);
+  // Records a good reply: aExpected is what was predicted when it was sent.
+  void FinishStep(TimePoint aNow,
+                  std::uint32_t aPositions,
+                  Duration aTaken,
+                  Duration aExpected);
+  void AbandonStep(std::uint32_t aPositions);
+
+  // Takes the load that a reply or a report carried.
+  void RecordReport(TimePoint aNow,
+                    std::uint32_t aQueued,
+                    std::uint32_t aRunning);
+  // Counts a failure; repeated ones keep work away for a growing time.
+  void RecordFailure(TimePoint aNow);
+
+  CircuitState Circuit(TimePoint aNow) const;
+  // Takes the one probe of a half-open circuit; true when the caller has it.
+  bool ClaimProbe(TimePoint aNow);
+
+  std::int32_t Streams() const { return Load(m_streams); }
+  std::int32_t Steps() const { return Load(m_steps); }
+  std::int32_t Positions() const { return Load(m_positions); }
+  // Work of all gateways: the own streams plus what others were reported to
+  // have there, faded by the age of the report.
+  double EstimateStreams(TimePoint aNow) const;
+  // Observed over predicted step time; 1 when nothing is known.
+  double Slowness(TimePoint aNow) const;
+  // Zero until a step has been answered.
+  Duration RoundTrip() const { return Duration(Load(m_roundTripNs)); }
+  Duration ServicePerPosition() const { return Duration(Load(m_positionNs)); }
+
+private:
+  template<typename Value>
+  static Value Load(const std::atomic<Value>& aValue)
+  {
+    return aValue.load(std::memory_order_relaxed);
+  }
+
+  std::atomic<std::int32_t> m_streams{ 0 };
+  std::atomic<std::int32_t> m_steps{ 0 };
+  std::atomic<std::int32_t> m_positions{ 0 };
+  // Moving averages; a lost update between threads is harmless.
+  std::atomic<std::int64_t> m_roundTripNs{ 0 };
+  std::atomic<std::int64_t> m_positionNs{ 0 };
+  std::atomic<double> m_slowness{ 1.0 };
+  std::atomic<std::int64_t> m_slownessAtNs{ 0 };
+  // Reported work that is not this process's own.
+  std::atomic<std::int32_t> m_reportedOthers{ 0 };
+  // Zero: never reported.
+  std::atomic<std::int64_t> m_reportedAtNs{ 0 };
+  // Failures since the last success.
+  std::atomic<std::uint32_t> m_failures{ 0 };
+  // Zero: the circuit is closed.
+  std::atomic<std::int64_t> m_suspectUntilNs{ 0 };
+};
+
+} // namespace parsleycove
--- /dev/null
+++ b/Source/Routing/ServicePicker.h
@@ -0,0 +1,51 @@
+// Choice of an endpoint for one call to a plain service.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "Base/Reason.h"
+#include "Routing/Random.h"
+#include "Routing/RunnerTable.h"
+
+namespace parsleycove {
+
+enum class PickError
+{
+  None,
+  // No Ready endpoint, or all of them were excluded.
+  NoEndpoint,
+};
+using PickReason = Reason<PickError>;
+
+struct PickRequest
+{
+  std::string m_service;
+  std::vector<std::string> m_excluded;
+  std::string m_ownZone;
+};
+
+// Picks the less loaded of two random endpoints, own zone first when equal.
+class ServicePicker
+{
+public:
+  explicit ServicePicker(std::uint64_t aSeed);
+
+  // Returns null when there is none; LastReason() says why.
+  RunnerPtr Pick(TimePoint aNow,
+                 const RunnerTable& aTable,
+                 const PickRequest& aRequest);
+  const PickReason& LastReason() const { return m_reason; }
+
+private:
+  double Score(TimePoint aNow,
+               const Runner& aRunner,
+               const PickRequest& aRequest) const;
+
+  Random m_random;
+  PickReason m_reason;
+  // Scratch space, kept to save allocations.
+  std::vector<const RunnerPtr*> m_candidates;
+};
+
+} // namespace parsleycove
--- /dev/null
+++ b/Source/Routing/StreamAction.h
@@ -0,0 +1,78 @@
+// What a generation asks its shell to do.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "Base/Clock.h"
+#include "Routing/Runner.h"
+
+namespace parsleycove {
+
+// The inputs of one step; m_tokens for stage 0, m_hidden for the others.
+struct EngineStep
+{
+  std::uint32_t m_attempt = 0;
+  std::uint32_t m_position = 0;
+  std::uint32_t m_count = 0;
+  std::vector<std::uint32_t> m_tokens;
+  std::string m_hidden;
+};
+
+struct SendStep
+{
+  std::size_t m_stage = 0;
+  RunnerPtr m_runner;
+  EngineStep m_step;
+};
+
+struct SendCancel
+{
+  std::size_t m_stage = 0;
+  RunnerPtr m_runner;
+  std::uint32_t m_attempt = 0;
+};
+
+struct EmitToken
+{
+  // Counts from 0 without gaps.
+  std::size_t m_index = 0;
+  std::uint32_t m_token = 0;
+  std::string m_text;
+};
+
+// Answered by OnChain or OnNoChain.
+struct NeedChain
+{
+  std::uint32_t m_attempt = 0;
+  // Inputs that the new chain has to compute before the next token.
+  std::uint32_t m_promptTokens = 0;
+  std::uint32_t m_expectedTokens = 0;
+  std::vector<std::string> m_excluded;
+};
+
+enum class FinishReason
+{
+  // The model ended the text.
+  End,
+  MaxTokens,
+  Cancelled,
+  DeadlineExceeded,
+  NoChain,
+  TooManyAttempts,
+};
+
+struct FinishStream
+{
+  FinishReason m_reason = FinishReason::End;
+  // For people; empty when the whole text was given.
+  std::string m_text;
+};
+
+using StreamAction =
+  std::variant<SendStep, SendCancel, EmitToken, NeedChain, FinishStream>;
+
+} // namespace parsleycove
--- /dev/null
+++ b/Source/Routing/StreamMachine.h
@@ -0,0 +1,124 @@
+// The state machine of one generation over a chain of runners.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "Base/Clock.h"
+#include "Routing/Chain.h"
+#include "Routing/RetryBudget.h"
+#include "Routing/StreamAction.h"
+#include "Routing/StreamEvent.h"
+
+namespace parsleycove {
+
+struct StreamSettings
+{
+  ClassTargets m_targets;
+  TimePoint m_deadline;
+  std::uint32_t m_maxTokens = 1;
+  std::uint32_t m_maxAttempts = 8;
+  // Inputs per prefill step; zero sends the whole prompt in one step.
+  std::uint32_t m_prefillChunk = 0;
+};
+
+// Drives a generation: (now, event) in, actions out.
+//
+// At most one step is outstanding, so for an attempt each stage is sent each
+// position once, in order. A result is taken only when its attempt, stage and
+// position are those of the outstanding step. A failed, silent or refusing
+// stage starts the next attempt on a new chain, with the prompt and all tokens
+// already emitted as its input; so the caller sees each token once.
+//
+// Invariant: the runners of m_chain count one stream for this machine and the
+// outstanding step until it ends, on every way out.
+class StreamMachine
+{
+public:
+  // aBudget may be null: then attempts are bounded by count and deadline only.
+  StreamMachine(StreamSettings aSettings, RetryBudget* aBudget);
+  ~StreamMachine();
+  StreamMachine(const StreamMachine&) = delete;
+  StreamMachine& operator=(const StreamMachine&) = delete;
+
+  void OnTokenized(TimePoint aNow, std::vector<std::uint32_t> aTokens);
+  // Answers to NeedChain.
+  void OnChain(TimePoint aNow, Chain aChain);
+  void OnNoChain(TimePoint aNow, const std::string& aWhy);
+  void OnResult(TimePoint aNow, StepResult aResult);
+  // The connection broke or was refused, or the endpoint is gone.
+  void OnStepFailed(TimePoint aNow, std::uint32_t aAttempt, std::size_t aStage);
+  // The connection of the step gave no sign of life.
+  void OnStepSilent(TimePoint aNow, std::uint32_t aAttempt, std::size_t aStage);
+  // The caller's buffer is full, or has room again.
+  void OnCallerSlow(TimePoint aNow);
+  void OnCallerDrained(TimePoint aNow);
+  void OnCancel(TimePoint aNow);
+  void OnTick(TimePoint aNow);
+
+  // Hands over the actions since the last call, in order.
+  std::vector<StreamAction> TakeActions();
+  // When OnTick is due at the latest; the deadline while nothing else is.
+  TimePoint NextDeadline() const;
+
+  bool IsFinished() const { return m_phase == Phase::Finished; }
+  std::uint32_t Attempt() const { return m_attempt; }
+  std::size_t Emitted() const { return m_emitted.size(); }
+
+private:
+  enum class Phase
+  {
+    Tokenizing,
+    WaitingForChain,
+    Running,
+    // A token was emitted and the caller's buffer is full.
+    Paused,
+    Finished,
+  };
+  struct Outstanding
+  {
+    std::size_t m_stage = 0;
+    std::uint32_t m_position = 0;
+    std::uint32_t m_count = 0;
+    TimePoint m_sentAt;
+    TimePoint m_timeoutAt;
+    Duration m_expected{};
+  };
+
+  bool IsOutstanding(std::uint32_t aAttempt, std::size_t aStage) const;
+  std::vector<std::uint32_t> Inputs() const;
+  std::uint32_t InputCount() const;
+  void AskForChain(TimePoint aNow, TimePoint aNotBefore);
+  void SendInputs(TimePoint aNow);
+  void Send(TimePoint aNow, EngineStep aStep, std::size_t aStage);
+  void TakeOk(TimePoint aNow, StepResult aResult);
+  void TakeToken(TimePoint aNow, const StepResult& aResult);
+  void Restart(TimePoint aNow, const std::string& aWhy, bool aCountFailure);
+  void ReleaseStep();
+  void ReleaseChain(bool aSendCancel);
+  void Finish(FinishReason aReason, std::string aText);
+  Duration StepTimeout(const Runner& aRunner, std::uint32_t aCount) const;
+
+  const StreamSettings m_settings;
+  RetryBudget* const m_budget;
+  Phase m_phase = Phase::Tokenizing;
+  std::uint32_t m_attempt = 1;
+  std::vector<std::uint32_t> m_prompt;
+  // Tokens the caller was given, in order; never changed once there.
+  std::vector<std::uint32_t> m_emitted;
+  Chain m_chain;
+  std::optional<Outstanding> m_outstanding;
+  // Inputs of this attempt that have passed the last stage.
+  std::uint32_t m_done = 0;
+  bool m_callerSlow = false;
+  std::vector<std::string> m_excluded;
+  TimePoint m_chainAskedAt;
+  // When a chain is asked for again, or max while an answer is due.
+  TimePoint m_askAgainAt = TimePoint::max();
+  std::string m_lastFailure;
+  std::vector<StreamAction> m_actions;
+};
+
+} // namespace parsleycove
