--- /dev/null
+++ b/Source/Routing/AdmissionQueue.cxx
@@ -0,0 +1,297 @@
+// The admission of requests to one resource.
+#include "Routing/AdmissionQueue.h"
+
+#include <algorithm>
+
+namespace parsleycove {
+
+namespace {
+
+// Share of the time before the latest start that may be planned as waiting.
+constexpr double kPlannedWaitShare = 0.8;
+// Accounts this many requests ahead of the least served still compete.
+constexpr double kEligibleRequests = 2.0;
+constexpr std::size_t kMaxCompeting = 32;
+constexpr Duration kNoCapacityRetry = std::chrono::seconds(1);
+constexpr Duration kMinRetryAfter = std::chrono::milliseconds(20);
+
+double
+ToSeconds(Duration aDuration)
+{
+  return static_cast<double>(aDuration.count()) / 1e9;
+}
+
+Duration
+FromSeconds(double aSeconds)
+{
+  constexpr double kMaxSeconds = 3600;
+  const double bounded = std::min(aSeconds, kMaxSeconds);
+  return Duration(static_cast<std::int64_t>(bounded * 1e9));
+}
+
+} // namespace
+
+AdmissionQueue::~AdmissionQueue()
+{
+  m_waiting.clear();
+  for (auto& [name, account] : m_accounts) {
+    account.m_waiting.clear();
+  }
+  m_active.clear();
+}
+
+void
+AdmissionQueue::SetCapacity(TimePoint aNow, double aCostPerSecond)
+{
+  m_capacity.Configure(aNow, aCostPerSecond);
+}
+
+std::size_t
+AdmissionQueue::ClassOf(const ClassTargets& aTargets)
+{
+  for (std::size_t i = 0; i < m_classes.size(); ++i) {
+    if (m_classes[i].m_name == aTargets.m_name) {
+      return i;
+    }
+  }
+  const double allowedLate = 1.0 - aTargets.m_successPerMille / 1000.0;
+  m_classes.push_back(
+    { aTargets.m_name, aTargets.m_completion, allowedLate, 0 });
+  return m_classes.size() - 1;
+}
+
+AccountShare&
+AdmissionQueue::AccountOf(const std::string& aName)
+{
+  AccountShare& account = m_accounts[aName];
+  if (account.m_waiting.empty()) {
+    account.m_virtualTime = std::max(account.m_virtualTime, m_virtualNow);
+  }
+  return account;
+}
+
+bool
+AdmissionQueue::HasRoomFor(double aCost) const
+{
+  return m_outstandingCost == 0 ||
+         m_outstandingCost + aCost <= m_capacity.Limit();
+}
+
+AdmissionAnswer
+AdmissionQueue::Refuse(AdmissionRefusal aRefusal, Duration aRetryAfter) const
+{
+  return { AdmissionVerdict::Refused,
+           aRefusal,
+           std::max(aRetryAfter, kMinRetryAfter) };
+}
+
+Duration
+AdmissionQueue::ExpectedWait(const AccountShare& aAccount,
+                             double aCost,
+                             Duration aBudget) const
+{
+  // Of a longer class only the part that is due before this request.
+  double ahead = 0;
+  for (const ClassQueue& queue : m_classes) {
+    const double share = queue.m_completion > aBudget
+                           ? ToSeconds(aBudget) / ToSeconds(queue.m_completion)
+                           : 1.0;
+    ahead += queue.m_waitingCost * share;
+  }
+  // With fair shares, no other account is served more than this one before.
+  const double accounts =
+    static_cast<double>(m_active.size()) + (aAccount.is_linked() ? 0.0 : 1.0);
+  const double fair = (aAccount.m_waitingCost + aCost) * accounts;
+  return FromSeconds(std::min(ahead + aCost, fair) / m_capacity.Rate());
+}
+
+AdmissionAnswer
+AdmissionQueue::Submit(TimePoint aNow, const AdmissionRequest& aRequest)
+{
+  if (!m_capacity.IsConfigured()) {
+    return Refuse(AdmissionRefusal::NoCapacity, kNoCapacityRetry);
+  }
+  AccountShare& account = AccountOf(aRequest.m_account);
+  const std::size_t classIndex = ClassOf(aRequest.m_targets);
+  const Duration budget = aRequest.m_deadline - aNow;
+  const Duration slack = budget - m_capacity.ServiceTime(aRequest.m_cost);
+  if (budget <= Duration::zero()) {
+    return Refuse(AdmissionRefusal::CannotBeInTime, kMinRetryAfter);
+  }
+  m_largestCost = std::max(m_largestCost, aRequest.m_cost);
+  if (m_waiting.empty() && HasRoomFor(aRequest.m_cost)) {
+    Start(aNow, aRequest.m_id, account, aRequest.m_cost, classIndex);
+    return { AdmissionVerdict::Admitted, AdmissionRefusal::None, {} };
+  }
+  m_capacity.NoteSaturated();
+  const Duration wait = ExpectedWait(account, aRequest.m_cost, budget);
+  const Duration planned = FromSeconds(ToSeconds(slack) * kPlannedWaitShare);
+  if (wait > planned) {
+    const bool ownBacklog =
+      account.m_waitingCost * static_cast<double>(m_active.size()) >
+      m_waitingCost;
+    return Refuse(ownBacklog ? AdmissionRefusal::AccountShare
+                             : AdmissionRefusal::CannotBeInTime,
+                  wait - std::max(planned, Duration::zero()));
+  }
+  Enqueue(aRequest, account, classIndex);
+  return { AdmissionVerdict::Queued, AdmissionRefusal::None, {} };
+}
+
+void
+AdmissionQueue::Enqueue(const AdmissionRequest& aRequest,
+                        AccountShare& aAccount,
+                        std::size_t aClass)
+{
+  WaitingRequest& request = m_requests[aRequest.m_id];
+  request.m_id = aRequest.m_id;
+  request.m_account = &aAccount;
+  request.m_class = aClass;
+  request.m_cost = aRequest.m_cost;
+  request.m_deadline = aRequest.m_deadline;
+  request.m_latestStart =
+    aRequest.m_deadline - m_capacity.ServiceTime(aRequest.m_cost);
+  if (aAccount.m_waiting.empty()) {
+    m_active.insert(aAccount);
+  }
+  aAccount.m_waiting.insert(request);
+  aAccount.m_waitingCost += request.m_cost;
+  m_waiting.insert(request);
+  m_waitingCost += request.m_cost;
+  m_classes[aClass].m_waitingCost += request.m_cost;
+}
+
+void
+AdmissionQueue::Start(TimePoint aNow,
+                      std::uint64_t aId,
+                      AccountShare& aAccount,
+                      double aCost,
+                      std::size_t aClass)
+{
+  aAccount.m_virtualTime += aCost;
+  m_outstandingCost += aCost;
+  m_started[aId] = { aCost, aNow, m_classes[aClass].m_allowedLate };
+}
+
+void
+AdmissionQueue::Unlink(WaitingRequest& aRequest)
+{
+  AccountShare& account = *aRequest.m_account;
+  account.m_waiting.erase(account.m_waiting.iterator_to(aRequest));
+  account.m_waitingCost -= aRequest.m_cost;
+  m_waiting.erase(m_waiting.iterator_to(aRequest));
+  m_waitingCost -= aRequest.m_cost;
+  m_classes[aRequest.m_class].m_waitingCost -= aRequest.m_cost;
+  if (account.m_waiting.empty()) {
+    m_active.erase(m_active.iterator_to(account));
+    account.m_waitingCost = 0;
+  }
+  if (m_waiting.empty()) {
+    m_waitingCost = 0;
+  }
+}
+
+void
+AdmissionQueue::RefuseHopeless(TimePoint aNow, AdmissionBatch& aBatch)
+{
+  while (!m_waiting.empty() && m_waiting.begin()->m_latestStart < aNow) {
+    WaitingRequest& request = *m_waiting.begin();
+    const Duration drain = FromSeconds(m_waitingCost / m_capacity.Rate());
+    Unlink(request);
+    aBatch.m_refused.push_back({ request.m_id,
+                                 AdmissionRefusal::CannotBeInTime,
+                                 std::max(drain, kMinRetryAfter) });
+    m_requests.erase(request.m_id);
+  }
+}
+
+WaitingRequest&
+AdmissionQueue::ChooseNext()
+{
+  m_virtualNow = std::max(m_virtualNow, m_active.begin()->m_virtualTime);
+  const double limit =
+    m_active.begin()->m_virtualTime + kEligibleRequests * m_largestCost;
+  WaitingRequest* best = nullptr;
+  std::size_t seen = 0;
+  for (AccountShare& account : m_active) {
+    if (account.m_virtualTime > limit || seen == kMaxCompeting) {
+      break;
+    }
+    WaitingRequest& first = *account.m_waiting.begin();
+    if (!best || first.m_deadline < best->m_deadline) {
+      best = &first;
+    }
+    ++seen;
+  }
+  return *best;
+}
+
+void
+AdmissionQueue::TakeReady(TimePoint aNow, AdmissionBatch& aBatch)
+{
+  RefuseHopeless(aNow, aBatch);
+  while (!m_waiting.empty()) {
+    WaitingRequest& request = ChooseNext();
+    if (!HasRoomFor(request.m_cost)) {
+      m_capacity.NoteSaturated();
+      return;
+    }
+    AccountShare& account = *request.m_account;
+    Unlink(request);
+    if (account.is_linked()) {
+      m_active.erase(m_active.iterator_to(account));
+    }
+    Start(aNow, request.m_id, account, request.m_cost, request.m_class);
+    if (!account.m_waiting.empty()) {
+      m_active.insert(account);
+    }
+    aBatch.m_start.push_back(request.m_id);
+    m_requests.erase(request.m_id);
+  }
+}
+
+void
+AdmissionQueue::Finish(TimePoint aNow,
+                       std::uint64_t aId,
+                       const AdmissionOutcome& aOutcome)
+{
+  const auto found = m_started.find(aId);
+  if (found == m_started.end()) {
+    return;
+  }
+  const Started started = found->second;
+  m_started.erase(found);
+  m_outstandingCost -= started.m_cost;
+  if (m_started.empty()) {
+    m_outstandingCost = 0;
+  }
+  m_capacity.NoteFinished(aNow,
+                          { started.m_cost,
+                            aOutcome.m_tokens,
+                            aNow - started.m_startedAt,
+                            aOutcome.m_inTime,
+                            started.m_allowedLate });
+}
+
+void
+AdmissionQueue::Withdraw(std::uint64_t aId)
+{
+  if (const auto found = m_requests.find(aId); found != m_requests.end()) {
+    Unlink(found->second);
+    m_requests.erase(found);
+    return;
+  }
+  if (const auto found = m_started.find(aId); found != m_started.end()) {
+    m_outstandingCost -= found->second.m_cost;
+    m_started.erase(found);
+  }
+}
+
+TimePoint
+AdmissionQueue::NextDeadline() const
+{
+  return m_waiting.empty() ? TimePoint::max()
+                           : m_waiting.begin()->m_latestStart + Duration(1);
+}
+
+} // namespace parsleycove
--- /dev/null
+++ b/Source/Routing/AdmissionQueue.h
@@ -0,0 +1,90 @@
+// The admission of requests to one resource.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "Routing/AccountShare.h"
+#include "Routing/AdmissionController.h"
+#include "Routing/CapacityEstimate.h"
+
+namespace parsleycove {
+
+class AdmissionQueue
+{
+public:
+  AdmissionQueue() = default;
+  ~AdmissionQueue();
+  AdmissionQueue(const AdmissionQueue&) = delete;
+  AdmissionQueue& operator=(const AdmissionQueue&) = delete;
+
+  void SetCapacity(TimePoint aNow, double aCostPerSecond);
+  AdmissionAnswer Submit(TimePoint aNow, const AdmissionRequest& aRequest);
+  // Appends to aBatch what leaves the queue now.
+  void TakeReady(TimePoint aNow, AdmissionBatch& aBatch);
+  void Finish(TimePoint aNow,
+              std::uint64_t aId,
+              const AdmissionOutcome& aOutcome);
+  void Withdraw(std::uint64_t aId);
+  TimePoint NextDeadline() const;
+
+  std::size_t Waiting() const { return m_waiting.size(); }
+  double Outstanding() const { return m_outstandingCost; }
+  double Limit() const { return m_capacity.Limit(); }
+
+private:
+  struct Started
+  {
+    double m_cost = 0;
+    TimePoint m_startedAt;
+    double m_allowedLate = 0;
+  };
+  // Waiting cost of one class.
+  struct ClassQueue
+  {
+    std::string m_name;
+    Duration m_completion{};
+    double m_allowedLate = 0;
+    double m_waitingCost = 0;
+  };
+
+  std::size_t ClassOf(const ClassTargets& aTargets);
+  AccountShare& AccountOf(const std::string& aName);
+  bool HasRoomFor(double aCost) const;
+  AdmissionAnswer Refuse(AdmissionRefusal aRefusal, Duration aRetryAfter) const;
+  // Expected waiting time behind earlier deadlines and within a fair share.
+  Duration ExpectedWait(const AccountShare& aAccount,
+                        double aCost,
+                        Duration aBudget) const;
+  void Enqueue(const AdmissionRequest& aRequest,
+               AccountShare& aAccount,
+               std::size_t aClass);
+  void Start(TimePoint aNow,
+             std::uint64_t aId,
+             AccountShare& aAccount,
+             double aCost,
+             std::size_t aClass);
+  // Returns the request to start next; something must wait.
+  WaitingRequest& ChooseNext();
+  void Unlink(WaitingRequest& aRequest);
+  void RefuseHopeless(TimePoint aNow, AdmissionBatch& aBatch);
+
+  CapacityEstimate m_capacity;
+  std::vector<ClassQueue> m_classes;
+  std::unordered_map<std::string, AccountShare> m_accounts;
+  std::unordered_map<std::uint64_t, WaitingRequest> m_requests;
+  std::unordered_map<std::uint64_t, Started> m_started;
+  // The accounts with waiting requests, least served first.
+  AccountOrder m_active;
+  LatestStartOrder m_waiting;
+  double m_waitingCost = 0;
+  double m_outstandingCost = 0;
+  double m_largestCost = 0;
+  // Virtual time of the least served account; an account that comes back
+  // from idleness starts here, without credit for its absence.
+  double m_virtualNow = 0;
+};
+
+} // namespace parsleycove
--- a/Source/Routing/ChainPlanner.h
+++ b/Source/Routing/ChainPlanner.h
@@ -36,7 +36,7 @@
   const RunnerSet* FindRunners(const RunnerTable& aTable,
                                const ChainRequest& aRequest,
                                std::uint32_t& aLayers);
-  // Names the first layer that aReached shows no way past.
+  // Says that no chain gets past aLayer.
   std::optional<Chain> FailAtLayer(const ChainRequest& aRequest,
                                    std::uint32_t aLayer);
 
--- /dev/null
+++ b/Source/Routing/LeastOutstandingPlanner.h
@@ -0,0 +1,14 @@
+// Baseline: takes the runner with the fewest streams known to this process.
+#pragma once
+
+#include "Routing/StagewisePlanner.h"
+
+namespace parsleycove {
+
+class LeastOutstandingPlanner final : public StagewisePlanner
+{
+protected:
+  std::size_t Choose(TimePoint aNow, const Candidates& aCandidates) override;
+};
+
+} // namespace parsleycove
--- a/Source/Routing/RunnerLoad.cxx
+++ b/Source/Routing/RunnerLoad.cxx
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr double kAverageWeight = 0.125;
-constexpr double kMinSlowness = 0.25;
+constexpr double kMinSlowness = 1.0 / 64;
 constexpr double kMaxSlowness = 64.0;
 constexpr double kSlownessHalfLifeSeconds = 2.0;
 constexpr double kReportHalfLifeSeconds = 0.5;
@@ -30,19 +30,18 @@
 Average(std::atomic<std::int64_t>& aAverage, std::int64_t aSample)
 {
   const std::int64_t old = aAverage.load(std::memory_order_relaxed);
-  const double next =
-    old == 0 ? static_cast<double>(aSample)
-             : static_cast<double>(old) +
-                 kAverageWeight * static_cast<double>(aSample - old);
+  const double next = old == 0
+                        ? static_cast<double>(aSample)
+                        : static_cast<double>(old) +
+                            kAverageWeight * static_cast<double>(aSample - old);
   aAverage.store(static_cast<std::int64_t>(next), std::memory_order_relaxed);
 }
 
 double
 Fade(std::int64_t aAgeNs, double aHalfLifeSeconds)
 {
-  const double seconds = static_cast<double>(std::max<std::int64_t>(
-                           aAgeNs, 0)) /
-                         1e9;
+  const double seconds =
+    static_cast<double>(std::max<std::int64_t>(aAgeNs, 0)) / 1e9;
   return 1.0 / (1.0 + std::pow(seconds / aHalfLifeSeconds, 2));
 }
 
--- a/Source/Routing/RunnerTable.cxx
+++ b/Source/Routing/RunnerTable.cxx
@@ -29,8 +29,7 @@
   runner->m_tokensPerSecond = aEndpoint.tokens_per_second;
   runner->m_slots = aEndpoint.slots;
   runner->m_idHash = HashId(aEndpoint.id);
-  const Runner* old =
-    aPrevious ? aPrevious->FindRunner(aEndpoint.id) : nullptr;
+  const Runner* old = aPrevious ? aPrevious->FindRunner(aEndpoint.id) : nullptr;
   if (old && old->m_incarnation == aEndpoint.incarnation) {
     runner->m_load = old->m_load;
   } else {
@@ -57,7 +56,8 @@
       aSet.m_groups.back().m_firstLayer == runner.m_firstLayer &&
       aSet.m_groups.back().m_lastLayer == runner.m_lastLayer;
     if (!sameRange) {
-      aSet.m_groups.push_back({ runner.m_firstLayer, runner.m_lastLayer, i, i });
+      aSet.m_groups.push_back(
+        { runner.m_firstLayer, runner.m_lastLayer, i, i });
     }
     aSet.m_groups.back().m_end = i + 1;
   }
@@ -136,8 +136,8 @@
   }
   for (const RunnerPtr& runner : m_all) {
     const auto found = m_modelIndex.find(runner->m_model);
-    const bool usable = runner->m_kind == state::EndpointKind_Engine &&
-                        runner->m_phase == state::EndpointPhase_Ready &&
+    const bool usable = runner->m_kind == state::EndpointKind::Engine &&
+                        runner->m_phase == state::EndpointPhase::Ready &&
                         found != m_modelIndex.end() &&
                         runner->m_firstLayer <= runner->m_lastLayer;
     if (!usable) {
@@ -159,8 +159,8 @@
 RunnerTable::AddServices()
 {
   for (const RunnerPtr& runner : m_all) {
-    const bool usable = runner->m_kind == state::EndpointKind_PlainService &&
-                        runner->m_phase == state::EndpointPhase_Ready;
+    const bool usable = runner->m_kind == state::EndpointKind::PlainService &&
+                        runner->m_phase == state::EndpointPhase::Ready;
     if (usable) {
       m_services[runner->m_service].push_back(runner);
     }
@@ -193,8 +193,8 @@
 {
   const auto found = std::lower_bound(m_zones.begin(), m_zones.end(), aZone);
   const bool known = found != m_zones.end() && *found == aZone;
-  return static_cast<std::uint32_t>(
-    known ? found - m_zones.begin() : m_zones.end() - m_zones.begin());
+  return static_cast<std::uint32_t>(known ? found - m_zones.begin()
+                                          : m_zones.end() - m_zones.begin());
 }
 
 } // namespace parsleycove
--- /dev/null
+++ b/Source/Routing/ServicePicker.cxx
@@ -0,0 +1,83 @@
+// Choice of an endpoint for one call to a plain service.
+#include "Routing/ServicePicker.h"
+
+#include <algorithm>
+
+namespace parsleycove {
+
+namespace {
+
+// Load, in calls for each slot, that going to another zone is worth.
+constexpr double kOtherZonePenalty = 0.05;
+constexpr double kSuspectPenalty = 1e6;
+
+} // namespace
+
+ServicePicker::ServicePicker(std::uint64_t aSeed)
+  : m_random(aSeed)
+{
+}
+
+double
+ServicePicker::Score(TimePoint aNow,
+                     const Runner& aRunner,
+                     const PickRequest& aRequest) const
+{
+  const RunnerLoad& load = *aRunner.m_load;
+  const double slots = std::max(1U, aRunner.m_slots);
+  double score =
+    (1.0 + load.EstimateStreams(aNow)) / slots * load.Slowness(aNow);
+  if (aRunner.m_zone != aRequest.m_ownZone) {
+    score += kOtherZonePenalty / slots;
+  }
+  if (load.Circuit(aNow) == CircuitState::Suspect) {
+    score += kSuspectPenalty;
+  }
+  return score;
+}
+
+RunnerPtr
+ServicePicker::Pick(TimePoint aNow,
+                    const RunnerTable& aTable,
+                    const PickRequest& aRequest)
+{
+  m_reason = {};
+  m_candidates.clear();
+  if (const auto* all = aTable.FindService(aRequest.m_service)) {
+    for (const RunnerPtr& runner : *all) {
+      const auto& excluded = aRequest.m_excluded;
+      if (std::find(excluded.begin(), excluded.end(), runner->m_id) ==
+          excluded.end()) {
+        m_candidates.push_back(&runner);
+      }
+    }
+  }
+  if (m_candidates.empty()) {
+    m_reason.Set(PickError::NoEndpoint,
+                 "service " + aRequest.m_service +
+                   ": expected a ready endpoint that was not excluded");
+    return nullptr;
+  }
+  // A suspect endpoint is taken only when no other is left.
+  const auto isSuspect = [aNow](const RunnerPtr* aRunner) {
+    return (*aRunner)->m_load->Circuit(aNow) == CircuitState::Suspect;
+  };
+  const auto healthyEnd = std::stable_partition(
+    m_candidates.begin(), m_candidates.end(), [&](const RunnerPtr* aRunner) {
+      return !isSuspect(aRunner);
+    });
+  const auto healthy =
+    static_cast<std::size_t>(healthyEnd - m_candidates.begin());
+  const std::size_t count = healthy > 0 ? healthy : m_candidates.size();
+  const std::size_t first = m_random.Below(count);
+  const std::size_t step = count > 1 ? 1 + m_random.Below(count - 1) : 0;
+  const RunnerPtr& one = *m_candidates[first];
+  const RunnerPtr& other = *m_candidates[(first + step) % count];
+  const bool otherIsBetter =
+    Score(aNow, *other, aRequest) < Score(aNow, *one, aRequest);
+  RunnerPtr best = otherIsBetter ? other : one;
+  best->m_load->ClaimProbe(aNow);
+  return best;
+}
+
+} // namespace parsleycove
--- /dev/null
+++ b/Source/Routing/StreamMachine.cxx
@@ -0,0 +1,384 @@
+// The state machine of one generation over a chain of runners.
+#include "Routing/StreamMachine.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace parsleycove {
+
+namespace {
+
+constexpr Duration kMinStepTimeout = std::chrono::milliseconds(100);
+constexpr Duration kMaxStepTimeout = std::chrono::seconds(30);
+constexpr int kTimeoutIntervals = 4;
+constexpr Duration kChainRetryInterval = std::chrono::milliseconds(100);
+
+} // namespace
+
+StreamMachine::StreamMachine(StreamSettings aSettings, RetryBudget* aBudget)
+  : m_settings(std::move(aSettings))
+  , m_budget(aBudget)
+{
+}
+
+StreamMachine::~StreamMachine()
+{
+  ReleaseChain(false);
+}
+
+std::vector<StreamAction>
+StreamMachine::TakeActions()
+{
+  return std::exchange(m_actions, {});
+}
+
+TimePoint
+StreamMachine::NextDeadline() const
+{
+  if (m_phase == Phase::Finished) {
+    return TimePoint::max();
+  }
+  TimePoint next = std::min(m_settings.m_deadline, m_askAgainAt);
+  if (m_outstanding) {
+    next = std::min(next, m_outstanding->m_timeoutAt);
+  }
+  return next;
+}
+
+void
+StreamMachine::OnTokenized(TimePoint aNow, std::vector<std::uint32_t> aTokens)
+{
+  if (m_phase != Phase::Tokenizing) {
+    return;
+  }
+  m_prompt = std::move(aTokens);
+  AskForChain(aNow, aNow);
+}
+
+void
+StreamMachine::AskForChain(TimePoint aNow, TimePoint aNotBefore)
+{
+  m_phase = Phase::WaitingForChain;
+  if (aNotBefore > aNow) {
+    m_askAgainAt = aNotBefore;
+    return;
+  }
+  m_askAgainAt = TimePoint::max();
+  const auto emitted = static_cast<std::uint32_t>(m_emitted.size());
+  const std::uint32_t missing =
+    m_settings.m_maxTokens > emitted ? m_settings.m_maxTokens - emitted : 0;
+  m_actions.emplace_back(
+    NeedChain{ m_attempt, InputCount(), missing, m_excluded });
+}
+
+void
+StreamMachine::OnChain(TimePoint aNow, Chain aChain)
+{
+  if (m_phase != Phase::WaitingForChain || aChain.m_stages.empty()) {
+    return;
+  }
+  if (m_prompt.empty()) {
+    Finish(FinishReason::End, "prompt: expected at least one token");
+    return;
+  }
+  m_chain = std::move(aChain);
+  for (const ChainStage& stage : m_chain.m_stages) {
+    stage.m_runner->m_load->AddStream();
+  }
+  m_askAgainAt = TimePoint::max();
+  m_phase = Phase::Running;
+  m_done = 0;
+  SendInputs(aNow);
+}
+
+void
+StreamMachine::OnNoChain(TimePoint aNow, const std::string& aWhy)
+{
+  if (m_phase != Phase::WaitingForChain) {
+    return;
+  }
+  const bool fresh = m_attempt == 1;
+  if (fresh) {
+    Finish(FinishReason::NoChain, aWhy);
+    return;
+  }
+  // A running stream waits for another placement until its deadline, and may
+  // go back to a runner that failed it once.
+  m_lastFailure = aWhy;
+  m_excluded.clear();
+  AskForChain(aNow, aNow + kChainRetryInterval);
+}
+
+std::uint32_t
+StreamMachine::InputCount() const
+{
+  return static_cast<std::uint32_t>(m_prompt.size() + m_emitted.size());
+}
+
+void
+StreamMachine::SendInputs(TimePoint aNow)
+{
+  const std::uint32_t missing = InputCount() - m_done;
+  const std::uint32_t chunk = m_settings.m_prefillChunk;
+  const std::uint32_t count = chunk == 0 ? missing : std::min(missing, chunk);
+  EngineStep step;
+  step.m_attempt = m_attempt;
+  step.m_position = m_done;
+  step.m_count = count;
+  step.m_tokens.reserve(count);
+  for (std::uint32_t i = m_done; i < m_done + count; ++i) {
+    step.m_tokens.push_back(
+      i < m_prompt.size() ? m_prompt[i] : m_emitted[i - m_prompt.size()]);
+  }
+  Send(aNow, std::move(step), 0);
+}
+
+void
+StreamMachine::Send(TimePoint aNow, EngineStep aStep, std::size_t aStage)
+{
+  const RunnerPtr& runner = m_chain.m_stages[aStage].m_runner;
+  Outstanding outstanding;
+  outstanding.m_stage = aStage;
+  outstanding.m_position = aStep.m_position;
+  outstanding.m_count = aStep.m_count;
+  outstanding.m_sentAt = aNow;
+  outstanding.m_timeoutAt = aNow + StepTimeout(*runner, aStep.m_count);
+  const auto stages = static_cast<std::int64_t>(m_chain.m_stages.size());
+  outstanding.m_expected = m_chain.m_expectedInterval / stages;
+  m_outstanding = outstanding;
+  runner->m_load->StartStep(aStep.m_count);
+  m_actions.emplace_back(SendStep{ aStage, runner, std::move(aStep) });
+}
+
+Duration
+StreamMachine::StepTimeout(const Runner& aRunner, std::uint32_t aCount) const
+{
+  const RunnerLoad& load = *aRunner.m_load;
+  const Duration usual =
+    std::max(m_settings.m_targets.m_tokenInterval, load.RoundTrip());
+  Duration perPosition = load.ServicePerPosition();
+  if (perPosition == Duration::zero() && aRunner.m_tokensPerSecond > 0) {
+    perPosition =
+      Duration(static_cast<std::int64_t>(1e9 / aRunner.m_tokensPerSecond));
+  }
+  const Duration timeout =
+    kTimeoutIntervals * (usual + perPosition * (aCount - 1));
+  return std::clamp(timeout, kMinStepTimeout, kMaxStepTimeout);
+}
+
+bool
+StreamMachine::IsOutstanding(std::uint32_t aAttempt, std::size_t aStage) const
+{
+  return m_phase == Phase::Running && m_outstanding && aAttempt == m_attempt &&
+         aStage == m_outstanding->m_stage;
+}
+
+void
+StreamMachine::OnResult(TimePoint aNow, StepResult aResult)
+{
+  const bool expected = IsOutstanding(aResult.m_attempt, aResult.m_stage) &&
+                        aResult.m_position == m_outstanding->m_position;
+  if (!expected) {
+    return;
+  }
+  switch (aResult.m_status) {
+    case StepStatus::Ok:
+      TakeOk(aNow, std::move(aResult));
+      return;
+    case StepStatus::Gap:
+      Restart(aNow, "a stage lacked earlier positions", false);
+      return;
+    case StepStatus::Cancelled:
+      Restart(aNow, "a stage had cancelled the stream", false);
+      return;
+    case StepStatus::Refused:
+      Restart(aNow, "a stage refused the step", false);
+      return;
+  }
+}
+
+void
+StreamMachine::TakeOk(TimePoint aNow, StepResult aResult)
+{
+  const Outstanding sent = *m_outstanding;
+  m_outstanding.reset();
+  const RunnerPtr& runner = m_chain.m_stages[sent.m_stage].m_runner;
+  runner->m_load->FinishStep(
+    aNow, sent.m_count, aNow - sent.m_sentAt, sent.m_expected);
+  const std::size_t next = sent.m_stage + 1;
+  if (next < m_chain.m_stages.size()) {
+    EngineStep step;
+    step.m_attempt = m_attempt;
+    step.m_position = sent.m_position;
+    step.m_count = sent.m_count;
+    step.m_hidden = std::move(aResult.m_hidden);
+    Send(aNow, std::move(step), next);
+    return;
+  }
+  m_done += sent.m_count;
+  if (m_done < InputCount()) {
+    SendInputs(aNow);
+    return;
+  }
+  TakeToken(aNow, aResult);
+}
+
+void
+StreamMachine::TakeToken(TimePoint aNow, const StepResult& aResult)
+{
+  // The end mark may carry no text; then it is no token of the answer.
+  if (!aResult.m_end || !aResult.m_text.empty()) {
+    m_actions.emplace_back(
+      EmitToken{ m_emitted.size(), aResult.m_token, aResult.m_text });
+    m_emitted.push_back(aResult.m_token);
+  }
+  if (m_budget) {
+    m_budget->RecordSuccess();
+  }
+  if (aResult.m_end) {
+    Finish(FinishReason::End, {});
+  } else if (m_emitted.size() >= m_settings.m_maxTokens) {
+    Finish(FinishReason::MaxTokens, {});
+  } else if (m_callerSlow) {
+    m_phase = Phase::Paused;
+  } else {
+    SendInputs(aNow);
+  }
+}
+
+void
+StreamMachine::OnStepFailed(TimePoint aNow,
+                            std::uint32_t aAttempt,
+                            std::size_t aStage)
+{
+  if (IsOutstanding(aAttempt, aStage)) {
+    Restart(aNow, "the connection to a stage failed", true);
+  }
+}
+
+void
+StreamMachine::OnStepSilent(TimePoint aNow,
+                            std::uint32_t aAttempt,
+                            std::size_t aStage)
+{
+  if (IsOutstanding(aAttempt, aStage)) {
+    Restart(aNow, "a stage stayed silent", true);
+  }
+}
+
+void
+StreamMachine::Restart(TimePoint aNow,
+                       const std::string& aWhy,
+                       bool aCountFailure)
+{
+  const Outstanding sent = *m_outstanding;
+  const RunnerPtr failed = m_chain.m_stages[sent.m_stage].m_runner;
+  if (aCountFailure) {
+    failed->m_load->RecordFailure(aNow);
+  }
+  m_lastFailure = failed->m_id + ": " + aWhy;
+  m_excluded.push_back(failed->m_id);
+  ReleaseChain(true);
+  RetryDecision decision;
+  if (m_budget) {
+    // Steps are idempotent: an attempt's number keeps its results apart.
+    decision = m_budget->Decide(aNow,
+                                { .m_attempts = m_attempt,
+                                  .m_maxAttempts = m_settings.m_maxAttempts,
+                                  .m_idempotent = true,
+                                  .m_byteMayHaveLeft = true,
+                                  .m_expected = {},
+                                  .m_deadline = m_settings.m_deadline });
+  } else if (m_attempt >= m_settings.m_maxAttempts) {
+    decision.m_verdict = RetryVerdict::TooManyAttempts;
+  }
+  if (decision.m_verdict == RetryVerdict::TooLate) {
+    Finish(FinishReason::DeadlineExceeded, m_lastFailure);
+    return;
+  }
+  if (decision.m_verdict != RetryVerdict::Retry) {
+    Finish(FinishReason::TooManyAttempts, m_lastFailure);
+    return;
+  }
+  ++m_attempt;
+  AskForChain(aNow, aNow + decision.m_backoff);
+}
+
+void
+StreamMachine::OnCallerSlow(TimePoint /*aNow*/)
+{
+  m_callerSlow = true;
+}
+
+void
+StreamMachine::OnCallerDrained(TimePoint aNow)
+{
+  m_callerSlow = false;
+  if (m_phase == Phase::Paused) {
+    m_phase = Phase::Running;
+    SendInputs(aNow);
+  }
+}
+
+void
+StreamMachine::OnCancel(TimePoint /*aNow*/)
+{
+  if (m_phase != Phase::Finished) {
+    Finish(FinishReason::Cancelled, "the caller cancelled the request");
+  }
+}
+
+void
+StreamMachine::OnTick(TimePoint aNow)
+{
+  if (m_phase == Phase::Finished) {
+    return;
+  }
+  if (aNow >= m_settings.m_deadline) {
+    Finish(FinishReason::DeadlineExceeded, m_lastFailure);
+    return;
+  }
+  if (m_phase == Phase::WaitingForChain && aNow >= m_askAgainAt) {
+    AskForChain(aNow, aNow);
+    return;
+  }
+  if (m_outstanding && aNow >= m_outstanding->m_timeoutAt) {
+    OnStepSilent(aNow, m_attempt, m_outstanding->m_stage);
+  }
+}
+
+void
+StreamMachine::ReleaseStep()
+{
+  if (m_outstanding) {
+    const ChainStage& stage = m_chain.m_stages[m_outstanding->m_stage];
+    stage.m_runner->m_load->AbandonStep(m_outstanding->m_count);
+    m_outstanding.reset();
+  }
+}
+
+void
+StreamMachine::ReleaseChain(bool aSendCancel)
+{
+  ReleaseStep();
+  for (std::size_t i = 0; i < m_chain.m_stages.size(); ++i) {
+    const RunnerPtr& runner = m_chain.m_stages[i].m_runner;
+    runner->m_load->RemoveStream();
+    if (aSendCancel) {
+      m_actions.emplace_back(SendCancel{ i, runner, m_attempt });
+    }
+  }
+  m_chain = {};
+}
+
+void
+StreamMachine::Finish(FinishReason aReason, std::string aText)
+{
+  // Engines keep a stream's KV cache until they are told that it is over.
+  ReleaseChain(true);
+  m_phase = Phase::Finished;
+  m_askAgainAt = TimePoint::max();
+  m_actions.emplace_back(FinishStream{ aReason, std::move(aText) });
+}
+
+} // namespace parsleycove
--- a/Source/Routing/StreamMachine.h
+++ b/Source/Routing/StreamMachine.h
@@ -9,8 +9,8 @@
 #include "Base/Clock.h"
 #include "Routing/Chain.h"
 #include "Routing/RetryBudget.h"
+#include "Routing/StepResult.h"
 #include "Routing/StreamAction.h"
-#include "Routing/StreamEvent.h"
 
 namespace parsleycove {
 
@@ -114,7 +114,6 @@
   std::uint32_t m_done = 0;
   bool m_callerSlow = false;
   std::vector<std::string> m_excluded;
-  TimePoint m_chainAskedAt;
   // When a chain is asked for again, or max while an answer is due.
   TimePoint m_askAgainAt = TimePoint::max();
   std::string m_lastFailure;
