--- a/Source/Gateway/ActionExchange.cxx
+++ b/Source/Gateway/ActionExchange.cxx
@@ -180,7 +180,7 @@
   // An answer after the caller's deadline still settles the ledger.
   const Duration timeout = m_call.m_deadline + kSettleTime - Now();
   const CallResult result = co_await m_worker.Endpoints().Call(
-    address, std::move(request), timeout, ConnectionChoice::Fresh);
+    aTarget.m_address, std::move(request), timeout, ConnectionChoice::Fresh);
   if (result.m_response) {
     co_return co_await SettleResponse(aAttempt, *result.m_response);
   }
--- a/Source/Gateway/AsioImplementation.cxx
+++ /dev/null
@@ -1,2 +0,0 @@
-// Holds the one compiled copy of the networking library.
-#include <boost/asio/impl/src.hpp>
--- a/Source/Gateway/Generation.cxx
+++ b/Source/Gateway/Generation.cxx
@@ -12,6 +12,7 @@
 #include "Gateway/GatewayServices.h"
 #include "Gateway/RequestTrace.h"
 #include "Gateway/Worker.h"
+#include "Routing/ChainPlanner.h"
 #include "Routing/RunnerTable.h"
 
 namespace parsleycove {
--- a/Source/Gateway/StepCall.h
+++ b/Source/Gateway/StepCall.h
@@ -4,8 +4,8 @@
 #include <cstdint>
 #include <string>
 
+#include "Routing/StepResult.h"
 #include "Routing/StreamAction.h"
-#include "Routing/StreamEvent.h"
 
 namespace parsleycove {
 
