--- a/Source/Consensus/Replica.h
+++ b/Source/Consensus/Replica.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <vector>
 
@@ -43,6 +44,10 @@
   std::size_t m_maxAppendBytes = 256 * 1024;
   std::size_t m_maxInflightAppends = 16;
   std::size_t m_snapshotChunkBytes = 256 * 1024;
+  // Entries kept in memory behind a snapshot for members that lag.
+  std::uint64_t m_compactionTailEntries = 1024;
+  // A read that nobody answered fails after this long.
+  Duration m_readTimeout = std::chrono::seconds(2);
   std::uint64_t m_seed = 1;
 };
 
@@ -90,6 +95,9 @@
 
 // Work for the shell, in this order: store hard state and entries and sync
 // once; then call Persisted and send the messages; apply committed entries.
+//
+// Between a Ready that needs a sync and its Persisted, TakeReady may be called
+// again: it then returns only what rests on nothing unsynced.
 struct Ready
 {
   std::optional<consensus::HardStateT> m_hardState;
@@ -106,6 +114,8 @@
   std::vector<SnapshotChunk> m_chunks;
 
   bool IsEmpty() const;
+  // Whether there is something to store, so that Persisted must follow.
+  bool NeedsSync() const;
 };
 
 // A replica of the log by Raft's published rules: pre-vote, check-quorum,
@@ -117,6 +127,9 @@
 {
 public:
   Replica(ReplicaOptions aOptions, RestoredLog aRestored, TimePoint aNow);
+  ~Replica();
+  Replica(const Replica&) = delete;
+  Replica& operator=(const Replica&) = delete;
 
   // First membership of a new cluster. Only on an empty log, once.
   bool Bootstrap(consensus::MembershipT aMembership);
@@ -141,8 +154,15 @@
   // The state covers the log up to here in a stored snapshot; drops the log
   // before it but for a tail that slow members may need.
   void Compact(consensus::SnapshotMetaT aMeta);
+  // Index, term and membership of a snapshot of the state at an applied index;
+  // nothing for an index that is not in the log. The shell adds the size and
+  // the checksum.
+  std::optional<consensus::SnapshotMetaT> DescribeSnapshot(
+    std::uint64_t aIndex) const;
   // A received snapshot has been stored and applied whole.
   void SnapshotInstalled(TimePoint aNow, consensus::SnapshotMetaT aMeta);
+  // A received snapshot was not what its checksum says; asks for it again.
+  void SnapshotRejected(TimePoint aNow);
   // A requested piece was read; goes out as a message.
   void SendSnapshotChunk(std::uint64_t aTo, consensus::InstallSnapshotT aPiece);
 
@@ -160,6 +180,9 @@
   const ReplicaReason& LastReason() const { return m_reason; }
 
 private:
+  struct Parts;
+
+  std::unique_ptr<Parts> m_parts;
   ReplicaReason m_reason;
 };
 
