--- /dev/null
+++ b/Source/Consensus/LeaderDuty.cxx
@@ -0,0 +1,354 @@
+// What a leader does: replicates, commits, confirms reads, keeps its lease.
+#include "Consensus/LeaderDuty.h"
+
+#include <algorithm>
+
+#include "Consensus/MembershipRules.h"
+#include "Consensus/ReplicaState.h"
+
+namespace parsleycove {
+
+LeaderDuty::LeaderDuty(ReplicaState& aState)
+  : m_state(aState)
+  , m_tracker(aState.Self())
+{
+}
+
+void
+LeaderDuty::Start(TimePoint aNow)
+{
+  m_state.m_role = ReplicaRole::Leader;
+  m_state.m_leader = m_state.Self();
+  m_startedAt = aNow;
+  m_nextHeartbeat = aNow + m_state.m_options.m_heartbeatInterval;
+  m_tracker.Clear();
+  m_tracker.Follow(m_state.m_members.Latest(), m_state.m_log.LastIndex() + 1);
+  m_firstIndex = Propose(aNow, consensus::EntryKind::Empty, {});
+}
+
+void
+LeaderDuty::Tick(TimePoint aNow)
+{
+  if (aNow < m_nextHeartbeat) {
+    return;
+  }
+  m_nextHeartbeat = aNow + m_state.m_options.m_heartbeatInterval;
+  Broadcast(aNow);
+}
+
+void
+LeaderDuty::CheckQuorum(TimePoint aNow)
+{
+  const TimePoint contact = std::max(
+    m_startedAt, m_tracker.QuorumSentAt(m_state.m_members.Latest(), aNow));
+  if (aNow - contact > m_state.m_options.m_electionTimeout) {
+    m_state.BecomeFollower(aNow, m_state.m_hard.term, 0);
+  }
+}
+
+bool
+LeaderDuty::HasLease(TimePoint aNow) const
+{
+  const TimePoint sentAt =
+    m_tracker.QuorumSentAt(m_state.m_members.Latest(), aNow);
+  return m_state.IsLeader() && sentAt != TimePoint::min() &&
+         aNow < sentAt + m_state.m_options.m_leaderLease;
+}
+
+bool
+LeaderDuty::HasCommittedOwnTerm() const
+{
+  return m_state.m_log.CommitIndex() >= m_firstIndex;
+}
+
+std::uint64_t
+LeaderDuty::Propose(TimePoint aNow,
+                    consensus::EntryKind aKind,
+                    std::vector<std::uint8_t> aData)
+{
+  consensus::EntryT entry;
+  entry.term = m_state.m_hard.term;
+  entry.index = m_state.m_log.LastIndex() + 1;
+  entry.kind = aKind;
+  entry.data = std::move(aData);
+  const std::uint64_t index = entry.index;
+  m_state.AppendEntry(std::move(entry));
+  if (aKind == consensus::EntryKind::Membership) {
+    m_tracker.Follow(m_state.m_members.Latest(), index);
+  }
+  for (Progress& progress : m_tracker.Members()) {
+    Replicate(aNow, progress);
+  }
+  return index;
+}
+
+void
+LeaderDuty::Read(TimePoint aNow,
+                 std::uint64_t aFrom,
+                 std::uint64_t aId,
+                 TimePoint aRequestedAt)
+{
+  WaitingRead read{ aFrom, aId, aRequestedAt, 0 };
+  if (!HasCommittedOwnTerm()) {
+    m_state.m_reads.Add(read);
+    return;
+  }
+  if (HasLease(aNow)) {
+    m_state.AnswerRead(read, true);
+    return;
+  }
+  read.m_probe = m_probe + 1;
+  m_state.m_reads.Add(read);
+  Broadcast(aNow);
+}
+
+void
+LeaderDuty::OnAppendReply(TimePoint aNow,
+                          std::uint64_t aFrom,
+                          const consensus::AppendReplyT& aBody)
+{
+  Progress* progress = m_tracker.Find(aFrom);
+  if (!progress) {
+    return;
+  }
+  if (aBody.term > m_state.m_hard.term) {
+    m_state.BecomeFollower(aNow, aBody.term, 0);
+    return;
+  }
+  if (aBody.term < m_state.m_hard.term) {
+    return;
+  }
+  progress->NoteAck(aBody.probe);
+  if (aBody.success) {
+    Accept(*progress, aBody.match_index);
+  } else {
+    Reject(aNow, *progress, aBody.hint_index);
+  }
+  AdvanceCommit(aNow);
+  if (m_state.IsLeader()) {
+    ConfirmReads(aNow);
+    Replicate(aNow, *progress);
+  }
+}
+
+void
+LeaderDuty::Accept(Progress& aProgress, std::uint64_t aMatch)
+{
+  aProgress.m_match = std::max(aProgress.m_match, aMatch);
+  aProgress.m_next = std::max(aProgress.m_next, aProgress.m_match + 1);
+  const bool inSnapshot = aProgress.m_state == ProgressState::Snapshot;
+  if (inSnapshot && aProgress.m_match < aProgress.m_snapshotIndex) {
+    return;
+  }
+  if (aProgress.m_state != ProgressState::Replicate) {
+    aProgress.m_state = ProgressState::Replicate;
+    aProgress.m_next = aProgress.m_match + 1;
+  }
+  aProgress.m_paused = false;
+}
+
+void
+LeaderDuty::Reject(TimePoint aNow, Progress& aProgress, std::uint64_t aHint)
+{
+  const bool stale = aHint < aProgress.m_match || aHint + 1 > aProgress.m_next;
+  if (stale || aProgress.m_state == ProgressState::Snapshot) {
+    return;
+  }
+  aProgress.m_state = ProgressState::Probe;
+  aProgress.m_next = aHint + 1;
+  aProgress.m_paused = false;
+  Replicate(aNow, aProgress);
+}
+
+void
+LeaderDuty::OnInstallSnapshotReply(
+  TimePoint aNow,
+  std::uint64_t aFrom,
+  const consensus::InstallSnapshotReplyT& aBody)
+{
+  Progress* progress = m_tracker.Find(aFrom);
+  if (!progress || aBody.term < m_state.m_hard.term) {
+    return;
+  }
+  if (aBody.term > m_state.m_hard.term) {
+    m_state.BecomeFollower(aNow, aBody.term, 0);
+    return;
+  }
+  if (aBody.done) {
+    progress->m_state = ProgressState::Probe;
+    Accept(*progress, aBody.index);
+    AdvanceCommit(aNow);
+    Replicate(aNow, *progress);
+    return;
+  }
+  if (progress->m_state != ProgressState::Snapshot) {
+    return;
+  }
+  progress->m_snapshotIndex = aBody.index;
+  progress->m_snapshotOffset = aBody.next_offset;
+  AskForChunk(aNow, *progress);
+}
+
+void
+LeaderDuty::OnPersisted(TimePoint aNow)
+{
+  AdvanceCommit(aNow);
+}
+
+const Progress*
+LeaderDuty::Find(std::uint64_t aReplica) const
+{
+  return m_tracker.Find(aReplica);
+}
+
+bool
+LeaderDuty::HasLiveQuorum(TimePoint aNow,
+                          const consensus::MembershipT& aMembership) const
+{
+  const TimePoint sentAt = m_tracker.QuorumSentAt(aMembership, aNow);
+  return sentAt != TimePoint::min() &&
+         aNow - sentAt <= m_state.m_options.m_electionTimeout;
+}
+
+TimePoint
+LeaderDuty::NextDeadline() const
+{
+  return m_nextHeartbeat;
+}
+
+void
+LeaderDuty::Broadcast(TimePoint aNow)
+{
+  for (Progress& progress : m_tracker.Members()) {
+    progress.m_paused = false;
+    SendHeartbeat(aNow, progress);
+  }
+}
+
+void
+LeaderDuty::SendHeartbeat(TimePoint aNow, Progress& aProgress)
+{
+  if (aProgress.m_state != ProgressState::Snapshot) {
+    SendAppend(aNow, aProgress, true);
+    return;
+  }
+  consensus::AppendT heartbeat;
+  heartbeat.term = m_state.m_hard.term;
+  heartbeat.probe = ++m_probe;
+  aProgress.NoteSent(m_probe, aNow, false);
+  m_state.SendEarly(aProgress.m_replica, std::move(heartbeat));
+  const Duration waited = aNow - aProgress.m_snapshotAskedAt;
+  if (waited > m_state.m_options.m_electionTimeout) {
+    AskForChunk(aNow, aProgress);
+  }
+}
+
+void
+LeaderDuty::Replicate(TimePoint aNow, Progress& aProgress)
+{
+  while (SendAppend(aNow, aProgress, false)) {
+  }
+}
+
+bool
+LeaderDuty::SendAppend(TimePoint aNow, Progress& aProgress, bool aEvenEmpty)
+{
+  const RaftLog& log = m_state.m_log;
+  if (aProgress.m_state == ProgressState::Snapshot || aProgress.m_paused) {
+    return false;
+  }
+  const auto previousTerm = log.TermAt(aProgress.m_next - 1);
+  if (!previousTerm) {
+    StartSnapshot(aNow, aProgress);
+    return false;
+  }
+  consensus::AppendT append;
+  const bool full =
+    aProgress.CountInflight() >= m_state.m_options.m_maxInflightAppends;
+  if (!full) {
+    append.entries.reserve(1);
+    for (auto& entry :
+         log.Slice(aProgress.m_next, m_state.m_options.m_maxAppendBytes)) {
+      append.entries.push_back(
+        std::make_unique<consensus::EntryT>(std::move(entry)));
+    }
+  }
+  const std::size_t count = append.entries.size();
+  const bool newCommit = aProgress.m_sentCommit < log.CommitIndex();
+  if (count == 0 && !aEvenEmpty && !newCommit) {
+    return false;
+  }
+  append.term = m_state.m_hard.term;
+  append.previous_index = aProgress.m_next - 1;
+  append.previous_term = *previousTerm;
+  append.commit = log.CommitIndex();
+  append.probe = ++m_probe;
+  aProgress.NoteSent(m_probe, aNow, count > 0);
+  aProgress.m_sentCommit = log.CommitIndex();
+  if (aProgress.m_state == ProgressState::Replicate) {
+    aProgress.m_next += count;
+  } else {
+    aProgress.m_paused = true;
+  }
+  m_state.SendEarly(aProgress.m_replica, std::move(append));
+  return count > 0;
+}
+
+void
+LeaderDuty::StartSnapshot(TimePoint aNow, Progress& aProgress)
+{
+  aProgress.m_state = ProgressState::Snapshot;
+  aProgress.m_snapshotIndex = m_state.m_log.SnapshotIndex();
+  aProgress.m_snapshotOffset = 0;
+  AskForChunk(aNow, aProgress);
+}
+
+void
+LeaderDuty::AskForChunk(TimePoint aNow, Progress& aProgress)
+{
+  aProgress.m_snapshotAskedAt = aNow;
+  m_state.m_out.m_chunkRequests.push_back({ aProgress.m_replica,
+                                            aProgress.m_snapshotIndex,
+                                            aProgress.m_snapshotOffset });
+}
+
+void
+LeaderDuty::AdvanceCommit(TimePoint aNow)
+{
+  RaftLog& log = m_state.m_log;
+  const auto& members = m_state.m_members.Latest();
+  const std::uint64_t match =
+    m_tracker.QuorumMatch(members, log.PersistedIndex());
+  const bool ownTerm = log.TermAt(match) == m_state.m_hard.term;
+  if (match <= log.CommitIndex() || !ownTerm) {
+    return;
+  }
+  log.MoveCommit(match);
+  for (Progress& progress : m_tracker.Members()) {
+    Replicate(aNow, progress);
+  }
+  if (m_state.m_reads.StartProbe(m_probe + 1)) {
+    Broadcast(aNow);
+  }
+  ConfirmReads(aNow);
+  const bool removed = !FindMember(members, m_state.Self());
+  if (removed && log.CommitIndex() >= m_state.m_members.LatestIndex()) {
+    m_state.BecomeFollower(aNow, m_state.m_hard.term, 0);
+  }
+}
+
+void
+LeaderDuty::ConfirmReads(TimePoint aNow)
+{
+  if (m_state.m_reads.IsEmpty() || !HasCommittedOwnTerm()) {
+    return;
+  }
+  const std::uint64_t probe =
+    HasLease(aNow) ? m_probe + 1
+                   : m_tracker.QuorumProbe(m_state.m_members.Latest());
+  for (const WaitingRead& read : m_state.m_reads.TakeConfirmed(probe)) {
+    m_state.AnswerRead(read, true);
+  }
+}
+
+} // namespace parsleycove
--- /dev/null
+++ b/Source/Consensus/MembershipRules.cxx
@@ -0,0 +1,160 @@
+// What a membership may be, and how it may change.
+#include "Consensus/MembershipRules.h"
+
+#include <algorithm>
+
+namespace parsleycove {
+
+namespace {
+
+using consensus::MembershipT;
+using consensus::MemberT;
+
+constexpr std::size_t kZoneRuleMinVoters = 3;
+
+std::string
+NameMember(const MemberT& aMember)
+{
+  return "replica " + std::to_string(aMember.replica) + " on VM \"" +
+         aMember.vm + "\"";
+}
+
+std::size_t
+CountVotersOfZone(const MembershipT& aMembership, const std::string& aZone)
+{
+  return std::count_if(
+    aMembership.members.begin(),
+    aMembership.members.end(),
+    [&](const auto& member) { return member->voter && member->zone == aZone; });
+}
+
+bool
+HasSameAddress(const MemberT& aLeft, const MemberT& aRight)
+{
+  return aLeft.vm == aRight.vm && aLeft.zone == aRight.zone &&
+         aLeft.address == aRight.address && aLeft.port == aRight.port;
+}
+
+} // namespace
+
+const MemberT*
+FindMember(const MembershipT& aMembership, std::uint64_t aReplica)
+{
+  for (const auto& member : aMembership.members) {
+    if (member->replica == aReplica) {
+      return member.get();
+    }
+  }
+  return nullptr;
+}
+
+bool
+IsVoter(const MembershipT& aMembership, std::uint64_t aReplica)
+{
+  const MemberT* member = FindMember(aMembership, aReplica);
+  return member && member->voter;
+}
+
+std::size_t
+CountVoters(const MembershipT& aMembership)
+{
+  return std::count_if(aMembership.members.begin(),
+                       aMembership.members.end(),
+                       [](const auto& member) { return member->voter; });
+}
+
+std::size_t
+QuorumOf(const MembershipT& aMembership)
+{
+  return CountVoters(aMembership) / 2 + 1;
+}
+
+std::optional<std::string>
+FindMembershipFault(const MembershipT& aMembership)
+{
+  const std::size_t voters = CountVoters(aMembership);
+  if (voters == 0) {
+    return "membership: no voter; expected at least one";
+  }
+  for (const auto& member : aMembership.members) {
+    if (member->replica == 0) {
+      return "membership: replica 0 on VM \"" + member->vm +
+             "\"; expected an identity other than 0";
+    }
+    if (FindMember(aMembership, member->replica) != member.get()) {
+      return "membership: " + NameMember(*member) + " is listed twice";
+    }
+    const std::size_t ofZone = CountVotersOfZone(aMembership, member->zone);
+    if (voters >= kZoneRuleMinVoters && ofZone >= QuorumOf(aMembership)) {
+      return "membership: availability zone \"" + member->zone + "\" has " +
+             std::to_string(ofZone) + " of " + std::to_string(voters) +
+             " voters; expected fewer than a majority";
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<std::string>
+FindChangeFault(const MembershipT& aCurrent, const MembershipT& aNext)
+{
+  if (auto fault = FindMembershipFault(aNext)) {
+    return fault;
+  }
+  std::size_t changes = 0;
+  for (const auto& member : aNext.members) {
+    const MemberT* before = FindMember(aCurrent, member->replica);
+    if (!before && member->voter) {
+      return "membership: " + NameMember(*member) +
+             " would join as a voter; expected a learner first";
+    }
+    if (before && before->voter && !member->voter) {
+      return "membership: " + NameMember(*member) +
+             " would turn from voter to learner; expected its removal";
+    }
+    const bool same = before && before->voter == member->voter &&
+                      HasSameAddress(*before, *member);
+    changes += same ? 0 : 1;
+  }
+  for (const auto& member : aCurrent.members) {
+    changes += FindMember(aNext, member->replica) ? 0 : 1;
+  }
+  if (changes != 1) {
+    return "membership: " + std::to_string(changes) +
+           " members differ; expected one change at a time";
+  }
+  return std::nullopt;
+}
+
+std::uint64_t
+FindPromoted(const MembershipT& aCurrent, const MembershipT& aNext)
+{
+  for (const auto& member : aNext.members) {
+    if (member->voter && !IsVoter(aCurrent, member->replica)) {
+      return member->replica;
+    }
+  }
+  return 0;
+}
+
+std::vector<std::uint8_t>
+EncodeMembership(const MembershipT& aMembership)
+{
+  flatbuffers::FlatBufferBuilder builder;
+  builder.Finish(consensus::Membership::Pack(builder, &aMembership));
+  return { builder.GetBufferPointer(),
+           builder.GetBufferPointer() + builder.GetSize() };
+}
+
+std::optional<MembershipT>
+DecodeMembership(const std::vector<std::uint8_t>& aBytes)
+{
+  flatbuffers::Verifier verifier(aBytes.data(), aBytes.size());
+  if (!verifier.VerifyBuffer<consensus::Membership>(nullptr)) {
+    return std::nullopt;
+  }
+  MembershipT result;
+  flatbuffers::GetRoot<consensus::Membership>(aBytes.data())->UnPackTo(&result);
+  return result;
+}
+
+} // namespace parsleycove
--- /dev/null
+++ b/Source/Consensus/RaftLog.cxx
@@ -0,0 +1,173 @@
+// The entries of the log in memory, with what is committed and what is stored.
+#include "Consensus/RaftLog.h"
+
+#include <algorithm>
+#include <iterator>
+
+#include "Consensus/Replica.h"
+
+namespace parsleycove {
+
+RaftLog::RaftLog(RestoredLog& aRestored)
+{
+  if (aRestored.m_snapshot) {
+    m_baseIndex = aRestored.m_snapshot->index;
+    m_baseTerm = aRestored.m_snapshot->term;
+  }
+  m_snapshotIndex = m_baseIndex;
+  m_commit = m_baseIndex;
+  m_applied = m_baseIndex;
+  std::move(aRestored.m_entries.begin(),
+            aRestored.m_entries.end(),
+            std::back_inserter(m_entries));
+  m_handed = LastIndex();
+  m_persisted = m_handed;
+}
+
+std::optional<std::uint64_t>
+RaftLog::TermAt(std::uint64_t aIndex) const
+{
+  if (aIndex == m_baseIndex) {
+    return m_baseTerm;
+  }
+  if (aIndex < m_baseIndex || aIndex > LastIndex()) {
+    return std::nullopt;
+  }
+  return At(aIndex).term;
+}
+
+bool
+RaftLog::IsUpToDate(std::uint64_t aLastIndex, std::uint64_t aLastTerm) const
+{
+  if (aLastTerm != LastTerm()) {
+    return aLastTerm > LastTerm();
+  }
+  return aLastIndex >= LastIndex();
+}
+
+const consensus::EntryT&
+RaftLog::At(std::uint64_t aIndex) const
+{
+  return m_entries[aIndex - m_baseIndex - 1];
+}
+
+void
+RaftLog::Append(consensus::EntryT aEntry)
+{
+  m_entries.push_back(std::move(aEntry));
+}
+
+void
+RaftLog::TruncateFrom(std::uint64_t aIndex)
+{
+  m_entries.resize(aIndex - m_baseIndex - 1);
+  m_handed = std::min(m_handed, aIndex - 1);
+  m_persisted = std::min(m_persisted, aIndex - 1);
+}
+
+std::uint64_t
+RaftLog::ConflictHint(std::uint64_t aIndex) const
+{
+  if (aIndex > LastIndex()) {
+    return LastIndex();
+  }
+  const std::uint64_t term = *TermAt(aIndex);
+  std::uint64_t hint = aIndex - 1;
+  while (hint > m_commit && TermAt(hint) == term) {
+    --hint;
+  }
+  return hint;
+}
+
+std::vector<consensus::EntryT>
+RaftLog::Slice(std::uint64_t aFrom, std::size_t aMaxBytes) const
+{
+  std::vector<consensus::EntryT> result;
+  std::size_t bytes = 0;
+  for (std::uint64_t index = aFrom; index <= LastIndex(); ++index) {
+    const consensus::EntryT& entry = At(index);
+    bytes += entry.data.size();
+    if (!result.empty() && bytes > aMaxBytes) {
+      break;
+    }
+    result.push_back(entry);
+  }
+  return result;
+}
+
+std::vector<consensus::EntryT>
+RaftLog::TakeUnstored()
+{
+  std::vector<consensus::EntryT> result;
+  for (std::uint64_t index = m_handed + 1; index <= LastIndex(); ++index) {
+    result.push_back(At(index));
+  }
+  m_handed = LastIndex();
+  m_syncingIndex = LastIndex();
+  m_syncingTerm = LastTerm();
+  return result;
+}
+
+void
+RaftLog::MarkPersisted()
+{
+  // A truncation meanwhile replaced what was synced; the next sync tells.
+  if (TermAt(m_syncingIndex) == m_syncingTerm) {
+    m_persisted = std::max(m_persisted, std::min(m_syncingIndex, m_handed));
+  }
+}
+
+void
+RaftLog::MoveCommit(std::uint64_t aIndex)
+{
+  m_commit = std::max(m_commit, std::min(aIndex, LastIndex()));
+}
+
+bool
+RaftLog::HasCommitted() const
+{
+  return std::min(m_commit, m_persisted) > m_applied;
+}
+
+std::vector<consensus::EntryT>
+RaftLog::TakeCommitted()
+{
+  std::vector<consensus::EntryT> result;
+  const std::uint64_t end = std::min(m_commit, m_persisted);
+  for (; m_applied < end; ++m_applied) {
+    result.push_back(At(m_applied + 1));
+  }
+  return result;
+}
+
+void
+RaftLog::Compact(std::uint64_t aIndex, std::uint64_t aTailEntries)
+{
+  m_snapshotIndex = std::max(m_snapshotIndex, aIndex);
+  const std::uint64_t base =
+    m_snapshotIndex > aTailEntries ? m_snapshotIndex - aTailEntries : 0;
+  if (base <= m_baseIndex) {
+    return;
+  }
+  m_baseTerm = *TermAt(base);
+  const auto count = static_cast<std::ptrdiff_t>(base - m_baseIndex);
+  m_entries.erase(m_entries.begin(), m_entries.begin() + count);
+  m_baseIndex = base;
+}
+
+void
+RaftLog::Reset(std::uint64_t aIndex, std::uint64_t aTerm)
+{
+  m_entries.clear();
+  m_baseIndex = aIndex;
+  m_baseTerm = aTerm;
+  m_snapshotIndex = aIndex;
+  m_commit = aIndex;
+  m_applied = aIndex;
+  m_persisted = aIndex;
+  m_handed = aIndex;
+  m_syncingIndex = aIndex;
+  m_syncingTerm = aTerm;
+}
+
+} // namespace parsleycove
--- /dev/null
+++ b/Source/Consensus/Replica.cxx
@@ -0,0 +1,383 @@
+// One member of the replicated log, without input or output of its own.
+#include "Consensus/Replica.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "Consensus/Election.h"
+#include "Consensus/FollowerDuty.h"
+#include "Consensus/LeaderDuty.h"
+#include "Consensus/MembershipRules.h"
+#include "Consensus/ReplicaState.h"
+
+namespace parsleycove {
+
+struct Replica::Parts
+{
+  Parts(const ReplicaOptions& aOptions, RestoredLog aRestored, TimePoint aNow)
+    : m_state(aOptions, std::move(aRestored), aNow)
+  {
+  }
+
+  // A frozen process may wake long after its time; so every call looks first.
+  void CheckQuorum(TimePoint aNow)
+  {
+    if (m_state.IsLeader()) {
+      m_leader.CheckQuorum(aNow);
+    }
+  }
+
+  void StartLeadingIfWon(TimePoint aNow)
+  {
+    if (m_election.IsWon()) {
+      m_leader.Start(aNow);
+    }
+  }
+
+  void OnReadIndex(TimePoint aNow,
+                   std::uint64_t aFrom,
+                   const consensus::ReadIndexT& aBody)
+  {
+    if (!m_state.IsLeader() || !FindMember(m_state.m_members.Latest(), aFrom)) {
+      consensus::ReadIndexReplyT refusal;
+      refusal.id = aBody.id;
+      m_state.SendEarly(aFrom, std::move(refusal));
+      return;
+    }
+    m_state.m_out.m_reports.push_back({ aFrom, aBody });
+    m_leader.Read(aNow, aFrom, aBody.id, aNow);
+  }
+
+  ReplicaState m_state;
+  Election m_election{ m_state };
+  FollowerDuty m_follower{ m_state };
+  LeaderDuty m_leader{ m_state };
+};
+
+bool
+Ready::IsEmpty() const
+{
+  return !NeedsSync() && m_messages.empty() && m_earlyMessages.empty() &&
+         m_committed.empty() && m_reads.empty() && m_reports.empty() &&
+         m_chunkRequests.empty() && m_chunks.empty();
+}
+
+bool
+Ready::NeedsSync() const
+{
+  return m_hardState.has_value() || !m_entries.empty();
+}
+
+Replica::Replica(ReplicaOptions aOptions, RestoredLog aRestored, TimePoint aNow)
+  : m_parts(std::make_unique<Parts>(aOptions, std::move(aRestored), aNow))
+{
+}
+
+Replica::~Replica() = default;
+
+bool
+Replica::Bootstrap(consensus::MembershipT aMembership)
+{
+  ReplicaState& state = m_parts->m_state;
+  if (state.m_log.LastIndex() != 0 || state.m_hard.term != 0) {
+    m_reason.Set(ReplicaError::Invalid,
+                 "bootstrap: this replica already has a term or a log; "
+                 "expected a new one");
+    return false;
+  }
+  if (auto fault = FindMembershipFault(aMembership)) {
+    m_reason.Set(ReplicaError::Invalid, std::move(*fault));
+    return false;
+  }
+  state.SetTerm(1, 0);
+  consensus::EntryT entry;
+  entry.term = 1;
+  entry.index = 1;
+  entry.kind = consensus::EntryKind::Membership;
+  entry.data = EncodeMembership(aMembership);
+  state.AppendEntry(std::move(entry));
+  return true;
+}
+
+void
+Replica::Tick(TimePoint aNow)
+{
+  ReplicaState& state = m_parts->m_state;
+  m_parts->CheckQuorum(aNow);
+  if (state.IsLeader()) {
+    m_parts->m_leader.Tick(aNow);
+  }
+  m_parts->m_election.Tick(aNow);
+  state.FailReads(aNow - state.m_options.m_readTimeout);
+}
+
+void
+Replica::Step(TimePoint aNow, const consensus::PeerMessageT& aMessage)
+{
+  ReplicaState& state = m_parts->m_state;
+  const bool forMe = aMessage.cluster == state.m_options.m_cluster &&
+                     aMessage.to == state.Self();
+  if (!forMe) {
+    return;
+  }
+  m_parts->CheckQuorum(aNow);
+  const std::uint64_t from = aMessage.from;
+  const consensus::PeerBodyUnion& body = aMessage.body;
+  if (const auto* append = body.AsAppend()) {
+    m_parts->m_follower.OnAppend(aNow, from, *append);
+  } else if (const auto* piece = body.AsInstallSnapshot()) {
+    m_parts->m_follower.OnInstallSnapshot(aNow, from, *piece);
+  } else if (const auto* readReply = body.AsReadIndexReply()) {
+    m_parts->m_follower.OnReadIndexReply(from, *readReply);
+  } else if (const auto* preVote = body.AsPreVote()) {
+    m_parts->m_election.OnPreVote(aNow, from, *preVote);
+  } else if (const auto* preVoteReply = body.AsPreVoteReply()) {
+    m_parts->m_election.OnPreVoteReply(aNow, from, *preVoteReply);
+  } else if (const auto* vote = body.AsVote()) {
+    m_parts->m_election.OnVote(aNow, from, *vote);
+  } else if (const auto* voteReply = body.AsVoteReply()) {
+    m_parts->m_election.OnVoteReply(aNow, from, *voteReply);
+    m_parts->StartLeadingIfWon(aNow);
+  } else if (const auto* read = body.AsReadIndex()) {
+    m_parts->OnReadIndex(aNow, from, *read);
+  } else if (!state.IsLeader()) {
+    return;
+  } else if (const auto* appendReply = body.AsAppendReply()) {
+    m_parts->m_leader.OnAppendReply(aNow, from, *appendReply);
+  } else if (const auto* pieceReply = body.AsInstallSnapshotReply()) {
+    m_parts->m_leader.OnInstallSnapshotReply(aNow, from, *pieceReply);
+  }
+}
+
+std::optional<std::uint64_t>
+Replica::Propose(TimePoint aNow, std::vector<std::uint8_t> aCommand)
+{
+  m_parts->CheckQuorum(aNow);
+  if (!m_parts->m_state.IsLeader()) {
+    m_reason.Set(ReplicaError::NotLeader, "this replica is not the leader");
+    return std::nullopt;
+  }
+  return m_parts->m_leader.Propose(
+    aNow, consensus::EntryKind::Command, std::move(aCommand));
+}
+
+std::optional<std::uint64_t>
+Replica::ProposeMembership(TimePoint aNow, consensus::MembershipT aNext)
+{
+  m_parts->CheckQuorum(aNow);
+  const ReplicaState& state = m_parts->m_state;
+  LeaderDuty& leader = m_parts->m_leader;
+  const consensus::MembershipT& current = state.m_members.Latest();
+  if (!state.IsLeader()) {
+    m_reason.Set(ReplicaError::NotLeader, "this replica is not the leader");
+    return std::nullopt;
+  }
+  if (!leader.HasCommittedOwnTerm()) {
+    m_reason.Set(ReplicaError::NotNow,
+                 "membership: no entry of this term is committed yet");
+    return std::nullopt;
+  }
+  if (state.m_members.LatestIndex() > state.m_log.CommitIndex()) {
+    m_reason.Set(ReplicaError::NotNow,
+                 "membership: another change is under way");
+    return std::nullopt;
+  }
+  if (auto fault = FindChangeFault(current, aNext)) {
+    m_reason.Set(ReplicaError::Invalid, std::move(*fault));
+    return std::nullopt;
+  }
+  const std::uint64_t promoted = FindPromoted(current, aNext);
+  if (promoted != 0 && MatchIndex(promoted) < state.m_log.CommitIndex()) {
+    m_reason.Set(ReplicaError::NotNow,
+                 "membership: replica " + std::to_string(promoted) +
+                   " has not stored all that is committed");
+    return std::nullopt;
+  }
+  if (!leader.HasLiveQuorum(aNow, aNext)) {
+    m_reason.Set(ReplicaError::NotNow,
+                 "membership: too few of the voters that would remain answer");
+    return std::nullopt;
+  }
+  return leader.Propose(
+    aNow, consensus::EntryKind::Membership, EncodeMembership(aNext));
+}
+
+void
+Replica::ReadIndex(TimePoint aNow, consensus::ReadIndexT aRequest)
+{
+  m_parts->CheckQuorum(aNow);
+  if (m_parts->m_state.IsLeader()) {
+    m_parts->m_leader.Read(aNow, 0, aRequest.id, aNow);
+  } else {
+    m_parts->m_follower.Read(aNow, std::move(aRequest));
+  }
+}
+
+bool
+Replica::HasReady() const
+{
+  const ReplicaState& state = m_parts->m_state;
+  const Ready& out = state.m_out;
+  const bool early = !out.m_earlyMessages.empty() || !out.m_reads.empty() ||
+                     !out.m_reports.empty() || !out.m_chunkRequests.empty() ||
+                     !out.m_chunks.empty() || state.m_log.HasCommitted();
+  const bool stored =
+    state.m_hardChanged || state.m_log.HasUnstored() || !out.m_messages.empty();
+  return early || (stored && !state.m_syncing);
+}
+
+Ready
+Replica::TakeReady()
+{
+  ReplicaState& state = m_parts->m_state;
+  Ready ready = std::exchange(state.m_out, {});
+  ready.m_committed = state.m_log.TakeCommitted();
+  if (state.m_syncing) {
+    std::swap(state.m_out.m_messages, ready.m_messages);
+    return ready;
+  }
+  if (std::exchange(state.m_hardChanged, false)) {
+    ready.m_hardState = state.m_hard;
+  }
+  ready.m_entries = state.m_log.TakeUnstored();
+  state.m_syncing = ready.NeedsSync();
+  return ready;
+}
+
+void
+Replica::Persisted(TimePoint aNow)
+{
+  ReplicaState& state = m_parts->m_state;
+  if (!std::exchange(state.m_syncing, false)) {
+    return;
+  }
+  state.m_log.MarkPersisted();
+  m_parts->m_election.OnPersisted();
+  m_parts->StartLeadingIfWon(aNow);
+  m_parts->CheckQuorum(aNow);
+  if (state.IsLeader()) {
+    m_parts->m_leader.OnPersisted(aNow);
+  }
+}
+
+void
+Replica::Compact(consensus::SnapshotMetaT aMeta)
+{
+  ReplicaState& state = m_parts->m_state;
+  if (aMeta.index > state.m_log.AppliedIndex()) {
+    return;
+  }
+  state.m_log.Compact(aMeta.index, state.m_options.m_compactionTailEntries);
+  state.m_members.Compact(state.m_log.BaseIndex());
+}
+
+std::optional<consensus::SnapshotMetaT>
+Replica::DescribeSnapshot(std::uint64_t aIndex) const
+{
+  const ReplicaState& state = m_parts->m_state;
+  const auto term = state.m_log.TermAt(aIndex);
+  if (!term || aIndex > state.m_log.AppliedIndex()) {
+    return std::nullopt;
+  }
+  consensus::SnapshotMetaT meta;
+  meta.index = aIndex;
+  meta.term = *term;
+  meta.membership =
+    std::make_unique<consensus::MembershipT>(state.m_members.At(aIndex));
+  return meta;
+}
+
+void
+Replica::SnapshotInstalled(TimePoint, consensus::SnapshotMetaT aMeta)
+{
+  m_parts->m_follower.SnapshotInstalled(aMeta);
+}
+
+void
+Replica::SnapshotRejected(TimePoint)
+{
+  m_parts->m_follower.SnapshotRejected();
+}
+
+void
+Replica::SendSnapshotChunk(std::uint64_t aTo,
+                           consensus::InstallSnapshotT aPiece)
+{
+  ReplicaState& state = m_parts->m_state;
+  if (!state.IsLeader()) {
+    return;
+  }
+  aPiece.term = state.m_hard.term;
+  state.SendEarly(aTo, std::move(aPiece));
+}
+
+ReplicaRole
+Replica::Role() const
+{
+  return m_parts->m_state.m_role;
+}
+
+std::uint64_t
+Replica::Leader() const
+{
+  return m_parts->m_state.m_leader;
+}
+
+std::uint64_t
+Replica::Term() const
+{
+  return m_parts->m_state.m_hard.term;
+}
+
+std::uint64_t
+Replica::CommitIndex() const
+{
+  return m_parts->m_state.m_log.CommitIndex();
+}
+
+std::uint64_t
+Replica::LastIndex() const
+{
+  return m_parts->m_state.m_log.LastIndex();
+}
+
+const consensus::MembershipT&
+Replica::Members() const
+{
+  return m_parts->m_state.m_members.Latest();
+}
+
+std::uint64_t
+Replica::MatchIndex(std::uint64_t aReplica) const
+{
+  const ReplicaState& state = m_parts->m_state;
+  if (!state.IsLeader()) {
+    return 0;
+  }
+  if (aReplica == state.Self()) {
+    return state.m_log.PersistedIndex();
+  }
+  const Progress* progress = m_parts->m_leader.Find(aReplica);
+  return progress ? progress->m_match : 0;
+}
+
+bool
+Replica::HasLeaderLease(TimePoint aNow) const
+{
+  return m_parts->m_leader.HasLease(aNow);
+}
+
+TimePoint
+Replica::NextDeadline() const
+{
+  const ReplicaState& state = m_parts->m_state;
+  const TimePoint oldest = state.m_reads.OldestRequestedAt();
+  const TimePoint reads = oldest == TimePoint::max()
+                            ? oldest
+                            : oldest + state.m_options.m_readTimeout;
+  const TimePoint role = state.IsLeader() ? m_parts->m_leader.NextDeadline()
+                                          : state.m_electionDeadline;
+  return std::min(reads, role);
+}
+
+} // namespace parsleycove
