--- a/Source/Consensus/FollowerDuty.cxx
+++ b/Source/Consensus/FollowerDuty.cxx
@@ -7,12 +7,30 @@
 
 namespace parsleycove {
 
+namespace {
+
+// The log's indices must never get a gap, whatever a message says.
+bool
+IsContiguous(const consensus::AppendT& aBody)
+{
+  std::uint64_t expected = aBody.previous_index;
+  for (const auto& entry : aBody.entries) {
+    ++expected;
+    if (!entry || entry->index != expected) {
+      return false;
+    }
+  }
+  return true;
+}
+
+} // namespace
+
 void
 FollowerDuty::OnAppend(TimePoint aNow,
                        std::uint64_t aFrom,
                        const consensus::AppendT& aBody)
 {
-  if (!FollowLeader(aNow, aFrom, aBody.term)) {
+  if (!IsContiguous(aBody) || !FollowLeader(aNow, aFrom, aBody.term)) {
     return;
   }
   consensus::AppendReplyT reply;
--- a/Source/Store/Files.h
+++ b/Source/Store/Files.h
@@ -54,9 +54,6 @@
   // Opens for appending; creates the file where it is missing.
   virtual std::unique_ptr<AppendFile> OpenAppend(const std::string& aPath,
                                                  StoreReason& aReason) = 0;
-  virtual bool Truncate(const std::string& aPath,
-                        std::uint64_t aSize,
-                        StoreReason& aReason) = 0;
   virtual bool Rename(const std::string& aFrom,
                       const std::string& aTo,
                       StoreReason& aReason) = 0;
