--- a/Source/State/ActionEntry.h
+++ b/Source/State/ActionEntry.h
@@ -2,8 +2,6 @@
 #pragma once
 
 #include <cstddef>
-#include <cstdint>
-#include <optional>
 
 #include <boost/intrusive/list_hook.hpp>
 
@@ -14,8 +12,6 @@
 struct ActionEntry
 {
   state::ActionRecordT m_record;
-  // Time that the key carries, if any.
-  std::optional<std::uint64_t> m_keyUnixMs;
   // Share of the ledger's byte count.
   std::size_t m_bytes = 0;
   // In the list of open entries or in the list of finished ones.
--- a/Source/State/ConfigState.h
+++ b/Source/State/ConfigState.h
@@ -26,16 +26,21 @@
 
   // Applies a command that AffectsConfig(); others are ignored. A command at
   // or below the image's index has been applied already and returns Duplicate.
+  // aUnixMs: the state's time; dates are judged by it and the command's own.
   state::CommandResultT Apply(std::uint64_t aIndex,
-                              const state::CommandT& aCommand);
+                              const state::CommandT& aCommand,
+                              std::uint64_t aUnixMs = 0);
   // Notes that nothing up to this index is missing.
   void AdvanceIndex(std::uint64_t aIndex);
   const state::ConfigImageT& Image() const { return m_image; }
 
 private:
   void ApplyChange(const state::ApplyChangeT& aCommand,
+                   std::uint64_t aUnixMs,
                    state::CommandResultT& aResult);
   void Merge(const state::ConfigChangeT& aChange);
+  // Forgets the present key hashes of accounts that the change names.
+  void ForgetKeys(const state::ConfigChangeT& aChange);
 
   // Invariant: every list is sorted by name or id, without duplicates.
   state::ConfigImageT m_image;
--- a/Source/State/EndpointLeaseTable.h
+++ b/Source/State/EndpointLeaseTable.h
@@ -1,6 +1,8 @@
 // The leader's record of when each endpoint was last heard of.
 #pragma once
 
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -22,18 +24,21 @@
   void Follow(TimePoint aNow, const state::ConfigImageT& aImage);
   // Notes renewals; one for an unknown or older incarnation is ignored.
   void Renew(TimePoint aNow, const std::vector<state::EndpointRefT>& aRenewed);
-  // Returns the endpoints whose lease ran out, for one DropEndpoints command.
-  // Each is returned again until Follow has seen it dropped.
-  state::DropEndpointsT TakeExpired(TimePoint aNow) const;
+  // Returns the endpoints whose lease ran out, sorted by id, for one
+  // DropEndpoints command. To be called several times a lease: after a longer
+  // pause of the leader itself all leases start again. An endpoint is returned
+  // again one lease later while it is still listed.
+  state::DropEndpointsT TakeExpired(TimePoint aNow);
 
 private:
   struct Lease
   {
     std::uint64_t m_incarnation = 0;
-    TimePoint m_renewedAt{};
+    TimePoint m_endsAt{};
   };
 
   Duration m_lease;
+  std::optional<TimePoint> m_checkedAt;
   std::unordered_map<std::string, Lease> m_leases;
 };
 
--- a/Source/State/ReplicatedState.h
+++ b/Source/State/ReplicatedState.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -44,6 +45,11 @@
   std::vector<const state::ActionRecordT*> FindHeldActions(
     const std::string& aGateway,
     std::uint64_t aEpoch) const;
+  // Open actions unchanged since before that time, oldest first; for actions
+  // whose holder no replica remembers.
+  std::vector<const state::ActionRecordT*> FindOverdueActions(
+    std::uint64_t aUnixMs,
+    std::size_t aMost) const;
   // VM ids of the gateways that hold actions, in order.
   std::vector<std::string> ListHolders() const;
   // Orders that are not done, in order of their sequence.
@@ -59,11 +65,12 @@
   state::CommandResultT IssueOrder(std::uint64_t aIndex,
                                    std::uint64_t aTerm,
                                    const state::CommandT& aCommand);
+  state::CommandResultT RouteAction(const state::CommandBodyUnion& aBody);
 
   StateLimits m_limits;
   ConfigState m_config;
-  ChangeHistory m_changes;
-  ActionLedger m_ledger;
+  std::unique_ptr<ChangeHistory> m_changes;
+  std::unique_ptr<ActionLedger> m_ledger;
   std::uint64_t m_lastUnixMs = 0; // never goes back
   StateReason m_reason;
 };
