--- a/Source/State/ActionLedger.cxx
+++ b/Source/State/ActionLedger.cxx
@@ -5,7 +5,7 @@
 #include <utility>
 
 #include "State/KeyTime.h"
-#include "State/StateNames.h"
+#include "State/LedgerResults.h"
 
 namespace parsleycove {
 
@@ -16,65 +16,9 @@
 
 constexpr std::size_t kMaxKeyLength = 255;
 constexpr std::size_t kMaxAccountLength = 64;
+constexpr std::size_t kMaxFingerprintLength = 64;
 constexpr std::size_t kMaxReasonLength = 256;
 
-state::CommandResultT
-Refuse(ResultCode aCode, std::string aText)
-{
-  state::CommandResultT result;
-  result.code = aCode;
-  result.text = std::move(aText);
-  return result;
-}
-
-// Tells what the ledger holds.
-state::CommandResultT
-Report(const ActionEntry& aEntry,
-       ResultCode aCode = ResultCode::Ok,
-       std::string aText = {})
-{
-  const state::ActionRecordT& record = aEntry.m_record;
-  state::CommandResultT result = Refuse(aCode, std::move(aText));
-  result.attempt = record.attempt;
-  result.action_state = record.state;
-  result.action_gateway = record.gateway;
-  if (record.answer) {
-    result.answer = std::make_unique<state::StoredAnswerT>(*record.answer);
-  }
-  return result;
-}
-
-state::CommandResultT
-ReportOwner(const ActionEntry& aEntry)
-{
-  state::CommandResultT result = Report(aEntry);
-  result.owner = true;
-  return result;
-}
-
-state::CommandResultT
-RefuseMissing(const std::string& aKey)
-{
-  return Refuse(ResultCode::NotFound,
-                "key '" + aKey +
-                  "': not in the ledger, expected a reserved "
-                  "key");
-}
-
-state::CommandResultT
-RefuseStale(const ActionEntry& aEntry, std::uint64_t aAttempt)
-{
-  const state::ActionRecordT& record = aEntry.m_record;
-  std::string text = "attempt is " + std::to_string(aAttempt) +
-                     ", the key is at attempt " +
-                     std::to_string(record.attempt) + " and " +
-                     std::string(NameOf(kActionStateNames, record.state));
-  if (!record.reason.empty()) {
-    text += " (" + record.reason + ")";
-  }
-  return Report(aEntry, ResultCode::StaleAttempt, std::move(text));
-}
-
 // Checks the fields of a reservation; empty when they are fine.
 std::string
 FindReserveFault(const state::ReserveActionT& aCommand)
@@ -87,9 +31,11 @@
     return "key has " + std::to_string(aCommand.key.size()) +
            " characters, expected 1 to " + std::to_string(kMaxKeyLength);
   }
-  if (aCommand.fingerprint.empty() || aCommand.fingerprint.size() > 64) {
+  if (aCommand.fingerprint.empty() ||
+      aCommand.fingerprint.size() > kMaxFingerprintLength) {
     return "fingerprint has " + std::to_string(aCommand.fingerprint.size()) +
-           " characters, expected 1 to 64";
+           " characters, expected 1 to " +
+           std::to_string(kMaxFingerprintLength);
   }
   if (aCommand.gateway.empty() || aCommand.gateway.size() > kMaxAccountLength) {
     return "gateway has " + std::to_string(aCommand.gateway.size()) +
@@ -110,16 +56,17 @@
 ActionLedger::Reserve(const state::ReserveActionT& aCommand, std::uint64_t aNow)
 {
   if (std::string fault = FindReserveFault(aCommand); !fault.empty()) {
-    return Refuse(ResultCode::Invalid, std::move(fault));
+    return RefuseAction(ResultCode::Invalid, std::move(fault));
   }
   ActionEntry* entry = m_table.Find(aCommand.account, aCommand.key);
   if (entry == nullptr) {
     return ReserveNew(aCommand, aNow);
   }
   if (entry->m_record.fingerprint != aCommand.fingerprint) {
-    return Refuse(ResultCode::KeyReused,
-                  "key '" + aCommand.key +
-                    "': used with another request, expected a key of its own");
+    return RefuseAction(
+      ResultCode::KeyReused,
+      "key '" + aCommand.key +
+        "': used with another request, expected a key of its own");
   }
   return ReserveAgain(*entry, aCommand, aNow);
 }
@@ -130,13 +77,13 @@
 {
   ActionEntry* entry = m_table.Find(aCommand.account, aCommand.key);
   if (entry == nullptr) {
-    return RefuseMissing(aCommand.key);
+    return RefuseMissingKey(aCommand.key);
   }
   const state::ActionRecordT& record = entry->m_record;
   const bool open = record.state == ActionState::Reserved ||
                     record.state == ActionState::Dispatched;
   if (record.attempt != aCommand.attempt || !open) {
-    return RefuseStale(*entry, aCommand.attempt);
+    return RefuseStaleAttempt(*entry, aCommand.attempt);
   }
   m_table.Update(*entry, [&](state::ActionRecordT& aRecord) {
     aRecord.state = ActionState::Dispatched;
@@ -147,7 +94,7 @@
         std::make_unique<state::EndpointRefT>(*aCommand.endpoint);
     }
   });
-  return ReportOwner(*entry);
+  return ReportToOwner(*entry);
 }
 
 state::CommandResultT
@@ -156,21 +103,21 @@
 {
   ActionEntry* entry = m_table.Find(aCommand.account, aCommand.key);
   if (entry == nullptr) {
-    return RefuseMissing(aCommand.key);
+    return RefuseMissingKey(aCommand.key);
   }
   const state::ActionRecordT& record = entry->m_record;
   if (record.attempt != aCommand.attempt) {
-    return RefuseStale(*entry, aCommand.attempt);
+    return RefuseStaleAttempt(*entry, aCommand.attempt);
   }
   if (record.state == ActionState::Done) {
-    return Report(*entry, ResultCode::Duplicate, "done already");
+    return ReportEntry(*entry, ResultCode::Duplicate, "done already");
   }
   if (record.state != ActionState::Dispatched &&
       record.state != ActionState::InDoubt) {
-    return RefuseStale(*entry, aCommand.attempt);
+    return RefuseStaleAttempt(*entry, aCommand.attempt);
   }
   Finish(*entry, aCommand.answer.get(), {}, aNow);
-  return Report(*entry);
+  return ReportEntry(*entry);
 }
 
 state::CommandResultT
@@ -178,25 +125,25 @@
 {
   ActionEntry* entry = m_table.Find(aCommand.account, aCommand.key);
   if (entry == nullptr) {
-    return RefuseMissing(aCommand.key);
+    return RefuseMissingKey(aCommand.key);
   }
   const state::ActionRecordT& record = entry->m_record;
   if (record.attempt != aCommand.attempt || record.state == ActionState::Done) {
-    return RefuseStale(*entry, aCommand.attempt);
+    return RefuseStaleAttempt(*entry, aCommand.attempt);
   }
   if (record.state == ActionState::NotRun) {
-    return Report(*entry, ResultCode::Duplicate, "not run already");
+    return ReportEntry(*entry, ResultCode::Duplicate, "not run already");
   }
   const bool certain = record.state == ActionState::Reserved ||
                        aCommand.not_sent || aCommand.service_word;
   if (!certain) {
-    return Report(*entry,
-                  ResultCode::Invalid,
-                  "key '" + aCommand.key +
-                    "': dispatched, expected not_sent or service_word");
+    return ReportEntry(*entry,
+                       ResultCode::Invalid,
+                       "key '" + aCommand.key +
+                         "': dispatched, expected not_sent or service_word");
   }
   EndAsNotRun(*entry, aCommand.reason, aNow);
-  return Report(*entry);
+  return ReportEntry(*entry);
 }
 
 state::CommandResultT
@@ -204,44 +151,45 @@
 {
   ActionEntry* entry = m_table.Find(aCommand.account, aCommand.key);
   if (entry == nullptr) {
-    return RefuseMissing(aCommand.key);
+    return RefuseMissingKey(aCommand.key);
   }
   const state::ActionRecordT& record = entry->m_record;
   if (record.attempt != aCommand.attempt) {
-    return RefuseStale(*entry, aCommand.attempt);
+    return RefuseStaleAttempt(*entry, aCommand.attempt);
   }
   if (record.state == ActionState::InDoubt) {
-    return Report(*entry, ResultCode::Duplicate, "in doubt already");
+    return ReportEntry(*entry, ResultCode::Duplicate, "in doubt already");
   }
   if (record.state != ActionState::Dispatched) {
-    return RefuseStale(*entry, aCommand.attempt);
+    return RefuseStaleAttempt(*entry, aCommand.attempt);
   }
   Move(*entry, ActionState::InDoubt, aNow);
-  return Report(*entry);
+  return ReportEntry(*entry);
 }
 
 state::CommandResultT
 ActionLedger::Resolve(const state::ResolveActionT& aCommand, std::uint64_t aNow)
 {
   if (aCommand.operator_name.empty()) {
-    return Refuse(ResultCode::Invalid,
-                  "operator_name is empty, expected who resolves the action");
+    return RefuseAction(
+      ResultCode::Invalid,
+      "operator_name is empty, expected who resolves the action");
   }
   ActionEntry* entry = m_table.Find(aCommand.account, aCommand.key);
   if (entry == nullptr) {
-    return RefuseMissing(aCommand.key);
+    return RefuseMissingKey(aCommand.key);
   }
   const state::ActionRecordT& record = entry->m_record;
   if (aCommand.attempt != 0 && aCommand.attempt != record.attempt) {
-    return RefuseStale(*entry, aCommand.attempt);
+    return RefuseStaleAttempt(*entry, aCommand.attempt);
   }
   const ActionState outcome =
     aCommand.ran ? ActionState::Done : ActionState::NotRun;
   if (record.state == outcome) {
-    return Report(*entry, ResultCode::Duplicate, "resolved already");
+    return ReportEntry(*entry, ResultCode::Duplicate, "resolved already");
   }
   if (record.state != ActionState::InDoubt) {
-    return RefuseStale(*entry, record.attempt);
+    return RefuseStaleAttempt(*entry, record.attempt);
   }
   const std::string reason = "resolved by operator " + aCommand.operator_name;
   if (aCommand.ran) {
@@ -249,7 +197,7 @@
   } else {
     EndAsNotRun(*entry, reason, aNow);
   }
-  return Report(*entry);
+  return ReportEntry(*entry);
 }
 
 state::CommandResultT
@@ -288,17 +236,19 @@
 {
   if (const auto keyTime = ReadKeyTime(aCommand.key)) {
     if (*keyTime > aNow + m_limits.m_maxKeyLeadMs) {
-      return Refuse(ResultCode::Invalid,
-                    "key '" + aCommand.key +
-                      "': carries a time in the future, expected the time of "
-                      "its first use");
+      return RefuseAction(
+        ResultCode::Invalid,
+        "key '" + aCommand.key +
+          "': carries a time in the future, expected the time of "
+          "its first use");
     }
     if (*keyTime + m_limits.m_maxRetentionMs < aNow ||
         *keyTime <= m_table.EvictedKeyUnixMs()) {
-      return Refuse(ResultCode::KeyExpired,
-                    "key '" + aCommand.key +
-                      "': older than the ledger's retention; not run now, "
-                      "earlier uses unknown");
+      return RefuseAction(
+        ResultCode::KeyExpired,
+        "key '" + aCommand.key +
+          "': older than the ledger's retention; not run now, "
+          "earlier uses unknown");
     }
   }
   state::ActionRecordT record;
@@ -310,12 +260,13 @@
   record.gateway_epoch = aCommand.gateway_epoch;
   record.unix_ms = aNow;
   if (!m_table.MakeRoom(ActionTable::CountBytes(record), aNow)) {
-    return Refuse(ResultCode::LedgerFull,
-                  "ledger: " + std::to_string(m_table.Count()) +
-                    " actions within retention, expected room for one more");
+    return RefuseAction(
+      ResultCode::LedgerFull,
+      "ledger: " + std::to_string(m_table.Count()) +
+        " actions within retention, expected room for one more");
   }
   record.attempt = m_table.AttemptFloor() + 1;
-  return ReportOwner(*m_table.Add(std::move(record)));
+  return ReportToOwner(*m_table.Add(std::move(record)));
 }
 
 state::CommandResultT
@@ -328,15 +279,15 @@
     return TakeOver(aEntry, aCommand, aNow);
   }
   if (record.state != ActionState::Reserved) {
-    return Report(aEntry);
+    return ReportEntry(aEntry);
   }
   if (record.gateway != aCommand.gateway ||
       record.gateway_epoch < aCommand.gateway_epoch) {
     return TakeOver(aEntry, aCommand, aNow);
   }
   // A late proposal of an earlier process of the same VM takes nothing over.
-  return record.gateway_epoch == aCommand.gateway_epoch ? ReportOwner(aEntry)
-                                                        : Report(aEntry);
+  return record.gateway_epoch == aCommand.gateway_epoch ? ReportToOwner(aEntry)
+                                                        : ReportEntry(aEntry);
 }
 
 state::CommandResultT
@@ -353,7 +304,7 @@
     aRecord.reason.clear();
     ++aRecord.attempt;
   });
-  return ReportOwner(aEntry);
+  return ReportToOwner(aEntry);
 }
 
 void
@@ -382,9 +333,8 @@
                        : std::make_unique<state::StoredAnswerT>(*aAnswer);
     if (aRecord.answer->body.size() > m_limits.m_maxAnswerBytes) {
       aRecord.answer->body = std::string();
-      aRecord.reason = "answer longer than " +
-                       std::to_string(m_limits.m_maxAnswerBytes) +
-                       " bytes, body not stored";
+      aRecord.reason += aRecord.reason.empty() ? "" : "; ";
+      aRecord.reason += "answer too long, body not stored";
     }
   });
 }
--- a/Source/State/ChangeValidator.cxx
+++ b/Source/State/ChangeValidator.cxx
@@ -30,6 +30,12 @@
   return std::find(aNames.begin(), aNames.end(), aName) != aNames.end();
 }
 
+std::string
+Describe(const std::string& aKind, const std::string& aName, const char* aFault)
+{
+  return aKind + " '" + aName + "': " + aFault;
+}
+
 // Checks the entities put and removed of one kind.
 template<typename Entity>
 Fault
@@ -48,18 +54,20 @@
       return fault;
     }
     if (!names.insert(entity->name).second) {
-      return aKind + " '" + entity->name +
-             "': put twice, expected each name once in a change";
+      return Describe(
+        aKind, entity->name, "put twice, expected each name once in a change");
     }
   }
   for (const std::string& name : aRemoved) {
     if (!names.insert(name).second) {
-      return aKind + " '" + name +
-             "': removed and named again, expected each name once in a change";
+      return Describe(aKind,
+                      name,
+                      "removed and named again, expected each name once in a "
+                      "change");
     }
     if (FindEntity(aPresent, name) == nullptr) {
-      return aKind + " '" + name +
-             "': removed, expected the name of one that exists";
+      return Describe(
+        aKind, name, "removed, expected the name of one that exists");
     }
   }
   return std::nullopt;
