--- a/Source/Wire/Generated/ConsensusGenerated.h
+++ b/Source/Wire/Generated/ConsensusGenerated.h
@@ -1754,6 +1754,7 @@
   uint64_t id = 0;
   uint64_t index = 0;
   bool ok = false;
+  uint64_t in_force = 0;
 };
 
 struct ReadIndexReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1763,7 +1764,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ID = 4,
     VT_INDEX = 6,
-    VT_OK = 8
+    VT_OK = 8,
+    VT_IN_FORCE = 10
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -1774,11 +1776,15 @@
   bool ok() const {
     return GetField<uint8_t>(VT_OK, 0) != 0;
   }
+  uint64_t in_force() const {
+    return GetField<uint64_t>(VT_IN_FORCE, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
            VerifyField<uint64_t>(verifier, VT_INDEX, 8) &&
            VerifyField<uint8_t>(verifier, VT_OK, 1) &&
+           VerifyField<uint64_t>(verifier, VT_IN_FORCE, 8) &&
            verifier.EndTable();
   }
   ReadIndexReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1799,6 +1805,9 @@
   void add_ok(bool ok) {
     fbb_.AddElement<uint8_t>(ReadIndexReply::VT_OK, static_cast<uint8_t>(ok), 0);
   }
+  void add_in_force(uint64_t in_force) {
+    fbb_.AddElement<uint64_t>(ReadIndexReply::VT_IN_FORCE, in_force, 0);
+  }
   explicit ReadIndexReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1814,8 +1823,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t id = 0,
     uint64_t index = 0,
-    bool ok = false) {
+    bool ok = false,
+    uint64_t in_force = 0) {
   ReadIndexReplyBuilder builder_(_fbb);
+  builder_.add_in_force(in_force);
   builder_.add_index(index);
   builder_.add_id(id);
   builder_.add_ok(ok);
@@ -2562,6 +2573,7 @@
   { auto _e = id(); _o->id = _e; }
   { auto _e = index(); _o->index = _e; }
   { auto _e = ok(); _o->ok = _e; }
+  { auto _e = in_force(); _o->in_force = _e; }
 }
 
 inline flatbuffers::Offset<ReadIndexReply> ReadIndexReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ReadIndexReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2575,11 +2587,13 @@
   auto _id = _o->id;
   auto _index = _o->index;
   auto _ok = _o->ok;
+  auto _in_force = _o->in_force;
   return parsleycove::consensus::CreateReadIndexReply(
       _fbb,
       _id,
       _index,
-      _ok);
+      _ok,
+      _in_force);
 }
 
 inline PeerMessageT *PeerMessage::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/Source/Wire/Generated/FeedGenerated.h
+++ b/Source/Wire/Generated/FeedGenerated.h
@@ -22,6 +22,10 @@
 struct HelloBuilder;
 struct HelloT;
 
+struct ReplicaAddress;
+struct ReplicaAddressBuilder;
+struct ReplicaAddressT;
+
 struct Welcome;
 struct WelcomeBuilder;
 struct WelcomeT;
@@ -600,12 +604,125 @@
 
 flatbuffers::Offset<Hello> CreateHello(flatbuffers::FlatBufferBuilder &_fbb, const HelloT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct ReplicaAddressT : public flatbuffers::NativeTable {
+  typedef ReplicaAddress TableType;
+  uint64_t replica = 0;
+  std::string zone{};
+  std::string address{};
+  uint16_t port = 0;
+};
+
+struct ReplicaAddress FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ReplicaAddressT NativeTableType;
+  typedef ReplicaAddressBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_REPLICA = 4,
+    VT_ZONE = 6,
+    VT_ADDRESS = 8,
+    VT_PORT = 10
+  };
+  uint64_t replica() const {
+    return GetField<uint64_t>(VT_REPLICA, 0);
+  }
+  const flatbuffers::String *zone() const {
+    return GetPointer<const flatbuffers::String *>(VT_ZONE);
+  }
+  const flatbuffers::String *address() const {
+    return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
+  }
+  uint16_t port() const {
+    return GetField<uint16_t>(VT_PORT, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_REPLICA, 8) &&
+           VerifyOffset(verifier, VT_ZONE) &&
+           verifier.VerifyString(zone()) &&
+           VerifyOffset(verifier, VT_ADDRESS) &&
+           verifier.VerifyString(address()) &&
+           VerifyField<uint16_t>(verifier, VT_PORT, 2) &&
+           verifier.EndTable();
+  }
+  ReplicaAddressT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ReplicaAddressT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ReplicaAddress> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ReplicaAddressT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ReplicaAddressBuilder {
+  typedef ReplicaAddress Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_replica(uint64_t replica) {
+    fbb_.AddElement<uint64_t>(ReplicaAddress::VT_REPLICA, replica, 0);
+  }
+  void add_zone(flatbuffers::Offset<flatbuffers::String> zone) {
+    fbb_.AddOffset(ReplicaAddress::VT_ZONE, zone);
+  }
+  void add_address(flatbuffers::Offset<flatbuffers::String> address) {
+    fbb_.AddOffset(ReplicaAddress::VT_ADDRESS, address);
+  }
+  void add_port(uint16_t port) {
+    fbb_.AddElement<uint16_t>(ReplicaAddress::VT_PORT, port, 0);
+  }
+  explicit ReplicaAddressBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ReplicaAddress> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ReplicaAddress>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ReplicaAddress> CreateReplicaAddress(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t replica = 0,
+    flatbuffers::Offset<flatbuffers::String> zone = 0,
+    flatbuffers::Offset<flatbuffers::String> address = 0,
+    uint16_t port = 0) {
+  ReplicaAddressBuilder builder_(_fbb);
+  builder_.add_replica(replica);
+  builder_.add_address(address);
+  builder_.add_zone(zone);
+  builder_.add_port(port);
+  return builder_.Finish();
+}
+
+struct ReplicaAddress::Traits {
+  using type = ReplicaAddress;
+  static auto constexpr Create = CreateReplicaAddress;
+};
+
+inline flatbuffers::Offset<ReplicaAddress> CreateReplicaAddressDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t replica = 0,
+    const char *zone = nullptr,
+    const char *address = nullptr,
+    uint16_t port = 0) {
+  auto zone__ = zone ? _fbb.CreateString(zone) : 0;
+  auto address__ = address ? _fbb.CreateString(address) : 0;
+  return parsleycove::feed::CreateReplicaAddress(
+      _fbb,
+      replica,
+      zone__,
+      address__,
+      port);
+}
+
+flatbuffers::Offset<ReplicaAddress> CreateReplicaAddress(flatbuffers::FlatBufferBuilder &_fbb, const ReplicaAddressT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct WelcomeT : public flatbuffers::NativeTable {
   typedef Welcome TableType;
   uint64_t replica = 0;
   std::string leader_address{};
   uint16_t leader_port = 0;
-  std::vector<std::string> peers{};
+  std::vector<std::unique_ptr<parsleycove::feed::ReplicaAddressT>> peers{};
+  WelcomeT() = default;
+  WelcomeT(const WelcomeT &o);
+  WelcomeT(WelcomeT&&) FLATBUFFERS_NOEXCEPT = default;
+  WelcomeT &operator=(WelcomeT o) FLATBUFFERS_NOEXCEPT;
 };
 
 struct Welcome FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -627,8 +744,8 @@
   uint16_t leader_port() const {
     return GetField<uint16_t>(VT_LEADER_PORT, 0);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *peers() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_PEERS);
+  const flatbuffers::Vector<flatbuffers::Offset<parsleycove::feed::ReplicaAddress>> *peers() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<parsleycove::feed::ReplicaAddress>> *>(VT_PEERS);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
@@ -638,7 +755,7 @@
            VerifyField<uint16_t>(verifier, VT_LEADER_PORT, 2) &&
            VerifyOffset(verifier, VT_PEERS) &&
            verifier.VerifyVector(peers()) &&
-           verifier.VerifyVectorOfStrings(peers()) &&
+           verifier.VerifyVectorOfTables(peers()) &&
            verifier.EndTable();
   }
   WelcomeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -659,7 +776,7 @@
   void add_leader_port(uint16_t leader_port) {
     fbb_.AddElement<uint16_t>(Welcome::VT_LEADER_PORT, leader_port, 0);
   }
-  void add_peers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> peers) {
+  void add_peers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<parsleycove::feed::ReplicaAddress>>> peers) {
     fbb_.AddOffset(Welcome::VT_PEERS, peers);
   }
   explicit WelcomeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
@@ -678,7 +795,7 @@
     uint64_t replica = 0,
     flatbuffers::Offset<flatbuffers::String> leader_address = 0,
     uint16_t leader_port = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> peers = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<parsleycove::feed::ReplicaAddress>>> peers = 0) {
   WelcomeBuilder builder_(_fbb);
   builder_.add_replica(replica);
   builder_.add_peers(peers);
@@ -697,9 +814,9 @@
     uint64_t replica = 0,
     const char *leader_address = nullptr,
     uint16_t leader_port = 0,
-    const std::vector<flatbuffers::Offset<flatbuffers::String>> *peers = nullptr) {
+    const std::vector<flatbuffers::Offset<parsleycove::feed::ReplicaAddress>> *peers = nullptr) {
   auto leader_address__ = leader_address ? _fbb.CreateString(leader_address) : 0;
-  auto peers__ = peers ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*peers) : 0;
+  auto peers__ = peers ? _fbb.CreateVector<flatbuffers::Offset<parsleycove::feed::ReplicaAddress>>(*peers) : 0;
   return parsleycove::feed::CreateWelcome(
       _fbb,
       replica,
@@ -2151,6 +2268,7 @@
   uint64_t id = 0;
   bool ok = false;
   std::string text{};
+  bool not_leader = false;
 };
 
 struct AdminReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2160,7 +2278,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ID = 4,
     VT_OK = 6,
-    VT_TEXT = 8
+    VT_TEXT = 8,
+    VT_NOT_LEADER = 10
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -2171,12 +2290,16 @@
   const flatbuffers::String *text() const {
     return GetPointer<const flatbuffers::String *>(VT_TEXT);
   }
+  bool not_leader() const {
+    return GetField<uint8_t>(VT_NOT_LEADER, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
            VerifyField<uint8_t>(verifier, VT_OK, 1) &&
            VerifyOffset(verifier, VT_TEXT) &&
            verifier.VerifyString(text()) &&
+           VerifyField<uint8_t>(verifier, VT_NOT_LEADER, 1) &&
            verifier.EndTable();
   }
   AdminReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2197,6 +2320,9 @@
   void add_text(flatbuffers::Offset<flatbuffers::String> text) {
     fbb_.AddOffset(AdminReply::VT_TEXT, text);
   }
+  void add_not_leader(bool not_leader) {
+    fbb_.AddElement<uint8_t>(AdminReply::VT_NOT_LEADER, static_cast<uint8_t>(not_leader), 0);
+  }
   explicit AdminReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2212,10 +2338,12 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t id = 0,
     bool ok = false,
-    flatbuffers::Offset<flatbuffers::String> text = 0) {
+    flatbuffers::Offset<flatbuffers::String> text = 0,
+    bool not_leader = false) {
   AdminReplyBuilder builder_(_fbb);
   builder_.add_id(id);
   builder_.add_text(text);
+  builder_.add_not_leader(not_leader);
   builder_.add_ok(ok);
   return builder_.Finish();
 }
@@ -2229,13 +2357,15 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t id = 0,
     bool ok = false,
-    const char *text = nullptr) {
+    const char *text = nullptr,
+    bool not_leader = false) {
   auto text__ = text ? _fbb.CreateString(text) : 0;
   return parsleycove::feed::CreateAdminReply(
       _fbb,
       id,
       ok,
-      text__);
+      text__,
+      not_leader);
 }
 
 flatbuffers::Offset<AdminReply> CreateAdminReply(flatbuffers::FlatBufferBuilder &_fbb, const AdminReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2453,6 +2583,57 @@
       _version);
 }
 
+inline ReplicaAddressT *ReplicaAddress::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ReplicaAddressT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ReplicaAddress::UnPackTo(ReplicaAddressT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = replica(); _o->replica = _e; }
+  { auto _e = zone(); if (_e) _o->zone = _e->str(); }
+  { auto _e = address(); if (_e) _o->address = _e->str(); }
+  { auto _e = port(); _o->port = _e; }
+}
+
+inline flatbuffers::Offset<ReplicaAddress> ReplicaAddress::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ReplicaAddressT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateReplicaAddress(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ReplicaAddress> CreateReplicaAddress(flatbuffers::FlatBufferBuilder &_fbb, const ReplicaAddressT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ReplicaAddressT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _replica = _o->replica;
+  auto _zone = _o->zone.empty() ? 0 : _fbb.CreateString(_o->zone);
+  auto _address = _o->address.empty() ? 0 : _fbb.CreateString(_o->address);
+  auto _port = _o->port;
+  return parsleycove::feed::CreateReplicaAddress(
+      _fbb,
+      _replica,
+      _zone,
+      _address,
+      _port);
+}
+
+inline WelcomeT::WelcomeT(const WelcomeT &o)
+      : replica(o.replica),
+        leader_address(o.leader_address),
+        leader_port(o.leader_port) {
+  peers.reserve(o.peers.size());
+  for (const auto &peers_ : o.peers) { peers.emplace_back((peers_) ? new parsleycove::feed::ReplicaAddressT(*peers_) : nullptr); }
+}
+
+inline WelcomeT &WelcomeT::operator=(WelcomeT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(replica, o.replica);
+  std::swap(leader_address, o.leader_address);
+  std::swap(leader_port, o.leader_port);
+  std::swap(peers, o.peers);
+  return *this;
+}
+
 inline WelcomeT *Welcome::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<WelcomeT>();
   UnPackTo(_o.get(), _resolver);
@@ -2465,7 +2646,7 @@
   { auto _e = replica(); _o->replica = _e; }
   { auto _e = leader_address(); if (_e) _o->leader_address = _e->str(); }
   { auto _e = leader_port(); _o->leader_port = _e; }
-  { auto _e = peers(); if (_e) { _o->peers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->peers[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = peers(); if (_e) { _o->peers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->peers[_i] = std::unique_ptr<parsleycove::feed::ReplicaAddressT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<Welcome> Welcome::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WelcomeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2479,7 +2660,7 @@
   auto _replica = _o->replica;
   auto _leader_address = _o->leader_address.empty() ? 0 : _fbb.CreateString(_o->leader_address);
   auto _leader_port = _o->leader_port;
-  auto _peers = _o->peers.size() ? _fbb.CreateVectorOfStrings(_o->peers) : 0;
+  auto _peers = _o->peers.size() ? _fbb.CreateVector<flatbuffers::Offset<parsleycove::feed::ReplicaAddress>> (_o->peers.size(), [](size_t i, _VectorArgs *__va) { return CreateReplicaAddress(*__va->__fbb, __va->__o->peers[i].get(), __va->__rehasher); }, &_va ) : 0;
   return parsleycove::feed::CreateWelcome(
       _fbb,
       _replica,
@@ -3086,6 +3267,7 @@
   { auto _e = id(); _o->id = _e; }
   { auto _e = ok(); _o->ok = _e; }
   { auto _e = text(); if (_e) _o->text = _e->str(); }
+  { auto _e = not_leader(); _o->not_leader = _e; }
 }
 
 inline flatbuffers::Offset<AdminReply> AdminReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AdminReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3099,11 +3281,13 @@
   auto _id = _o->id;
   auto _ok = _o->ok;
   auto _text = _o->text.empty() ? 0 : _fbb.CreateString(_o->text);
+  auto _not_leader = _o->not_leader;
   return parsleycove::feed::CreateAdminReply(
       _fbb,
       _id,
       _ok,
-      _text);
+      _text,
+      _not_leader);
 }
 
 inline FeedMessageT *FeedMessage::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
