--- /dev/null
+++ b/Source/Control/FeedServer.h
@@ -0,0 +1,83 @@
+// Serves gateways: images, deltas, leases, proposals and reads.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+
+#include "Control/DeltaRing.h"
+#include "Control/FeedBackend.h"
+#include "State/GatewayLeaseTable.h"
+#include "Wire/FrameLink.h"
+
+namespace parsleycove {
+
+struct FeedServerOptions
+{
+  Duration m_configLease = std::chrono::milliseconds(3000);
+  Duration m_gatewayLease = std::chrono::seconds(15);
+  std::size_t m_maxRingBytes = 4U * 1024 * 1024;
+};
+
+// Sends every change to every greeted link in the order of the log. A link
+// that reads too slowly is closed by its own limit; the gateway comes back
+// with the index it has, and gets what it lacks or a whole image.
+class FeedServer
+{
+public:
+  FeedServer(const FeedServerOptions& aOptions, FeedBackend& aBackend);
+
+  void OnMessage(TimePoint aNow,
+                 const FrameLink::Pointer& aLink,
+                 const feed::FeedMessageT& aMessage);
+  void OnClosed(const FrameLink& aLink);
+
+  // The state was restored or replaced: feeds begin anew with an image.
+  void OnStateReplaced();
+  void OnConfigChanged(std::uint64_t aIndex, const state::CommandT& aCommand);
+  void OnGroupChanged();
+  // The state applied here was current at aRequestedAt; leases rest on this.
+  void ConfirmRead(TimePoint aRequestedAt);
+
+  std::uint64_t MinAppliedIndex(TimePoint aNow) const;
+  std::uint32_t CountLive(TimePoint aNow) const;
+  std::vector<GatewayLeaseTable::Gateway> ListGateways() const;
+  void ForgetGone(TimePoint aNow);
+
+private:
+  struct Session
+  {
+    FrameLink::Pointer m_link;
+    std::string m_vm;
+    std::uint64_t m_epoch = 0;
+    bool m_greeted = false;
+  };
+
+  void Greet(TimePoint aNow, Session& aSession, const feed::HelloT& aHello);
+  void SendCopy(Session& aSession, std::uint64_t aHasIndex);
+  void Answer(TimePoint aNow, Session& aSession, const feed::PingT& aPing);
+  void Propose(const Session& aSession, const feed::ProposeT& aRequest);
+  void ReadAction(const Session& aSession, const feed::ReadActionT& aRequest);
+  void Describe(TimePoint aNow,
+                const Session& aSession,
+                const feed::StatusRequestT& aRequest);
+  void AddReplica(const Session& aSession, const feed::AddReplicaT& aRequest);
+  void RemoveReplica(const Session& aSession,
+                     const feed::RemoveReplicaT& aRequest);
+  Frame::Pointer ImageFrame();
+
+  FeedBackend& m_backend;
+  GatewayLeaseTable m_gateways;
+  DeltaRing m_ring;
+  std::map<const FrameLink*, Session> m_sessions;
+  // The last encoded image and the index that it was taken at.
+  Frame::Pointer m_image;
+  std::uint64_t m_imageIndex = 0;
+};
+
+} // namespace parsleycove
--- /dev/null
+++ b/Source/Control/LeaderDuties.cxx
@@ -0,0 +1,174 @@
+// What a leader does besides replicating: leases, in-force index, promotion.
+#include "Control/LeaderDuties.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+#include "Control/LeaseKey.h"
+
+namespace parsleycove {
+
+namespace {
+
+std::vector<std::uint64_t>
+ListReplicas(const consensus::MembershipT& aMembers)
+{
+  std::vector<std::uint64_t> replicas;
+  for (const auto& member : aMembers.members) {
+    replicas.push_back(member->replica);
+  }
+  return replicas;
+}
+
+template<typename Body>
+state::CommandT
+MakeCommand(Body aBody)
+{
+  state::CommandT command;
+  command.body.Set(std::move(aBody));
+  return command;
+}
+
+} // namespace
+
+LeaderDuties::LeaderDuties(const LeaderDutiesOptions& aOptions,
+                           TimePoint aNow,
+                           const consensus::MembershipT& aMembers,
+                           const state::ConfigImageT& aConfig)
+  : m_options(aOptions)
+  , m_startedAt(aNow)
+  , m_endpoints(aOptions.m_endpointLease)
+  , m_inForce(aOptions.m_configLease)
+  , m_members(ListReplicas(aMembers))
+{
+  m_endpoints.Start(aNow, aConfig);
+  m_inForce.Start(aNow, m_members);
+  FollowConfig(aNow, aConfig);
+}
+
+void
+LeaderDuties::FollowMembers(const consensus::MembershipT& aMembers)
+{
+  for (const std::uint64_t replica : ListReplicas(aMembers)) {
+    if (std::find(m_members.begin(), m_members.end(), replica) ==
+        m_members.end()) {
+      m_members.push_back(replica);
+      m_inForce.AddReplica(replica);
+    }
+  }
+}
+
+void
+LeaderDuties::FollowConfig(TimePoint aNow, const state::ConfigImageT& aConfig)
+{
+  m_endpoints.Follow(aNow, aConfig);
+  m_endpointOfKey.clear();
+  for (const auto& endpoint : aConfig.endpoints) {
+    state::EndpointRefT reference;
+    reference.id = endpoint->id;
+    reference.incarnation = endpoint->incarnation;
+    m_endpointOfKey.emplace(HashEndpoint(endpoint->id, endpoint->incarnation),
+                            std::move(reference));
+  }
+}
+
+void
+LeaderDuties::NoteReport(TimePoint aNow,
+                         std::uint64_t aReplica,
+                         const consensus::ReadIndexT& aReport)
+{
+  m_inForce.Answer(aNow, aReplica, aReport.report_min_index);
+  std::vector<state::EndpointRefT> renewed;
+  for (const std::uint64_t key : aReport.renewed) {
+    if (const auto found = m_endpointOfKey.find(key);
+        found != m_endpointOfKey.end()) {
+      renewed.push_back(found->second);
+    } else {
+      m_gatewayHeardAt[key] = aNow;
+    }
+  }
+  m_endpoints.Renew(aNow, renewed);
+  std::erase_if(m_gatewayHeardAt, [&](const auto& aHeard) {
+    return aNow - aHeard.second > 2 * m_options.m_gatewayLease;
+  });
+}
+
+std::uint64_t
+LeaderDuties::InForceIndex(TimePoint aNow, std::uint64_t aCommitIndex)
+{
+  return m_inForce.InForceIndex(aNow, aCommitIndex);
+}
+
+std::vector<state::CommandT>
+LeaderDuties::FindExpired(TimePoint aNow,
+                          std::uint64_t aUnixMs,
+                          const ReplicatedState& aState) const
+{
+  std::vector<state::CommandT> commands;
+  state::DropEndpointsT dropped = m_endpoints.TakeExpired(aNow);
+  if (!dropped.endpoints.empty()) {
+    commands.push_back(MakeCommand(std::move(dropped)));
+  }
+  // Gateways were reported to an earlier leader until this term began.
+  if (aNow - m_startedAt < m_options.m_gatewayLease) {
+    return commands;
+  }
+  for (const std::string& vm : aState.ListHolders()) {
+    if (auto gone = FindGone(aNow, aUnixMs, vm, aState)) {
+      commands.push_back(MakeCommand(std::move(*gone)));
+    }
+  }
+  return commands;
+}
+
+std::optional<state::GatewayGoneT>
+LeaderDuties::FindGone(TimePoint aNow,
+                       std::uint64_t aUnixMs,
+                       const std::string& aVm,
+                       const ReplicatedState& aState) const
+{
+  // The newest process that is gone; GatewayGone takes the older ones along,
+  // which cannot run beside it on the same VM.
+  std::uint64_t epoch = 0;
+  constexpr auto kAnyEpoch = std::numeric_limits<std::uint64_t>::max();
+  for (const auto* record : aState.FindHeldActions(aVm, kAnyEpoch)) {
+    const auto heard =
+      m_gatewayHeardAt.find(HashGateway(aVm, record->gateway_epoch));
+    const bool live = heard != m_gatewayHeardAt.end() &&
+                      aNow - heard->second < m_options.m_gatewayLease;
+    if (live) {
+      continue;
+    }
+    epoch = std::max(epoch, record->gateway_epoch);
+  }
+  if (epoch == 0) {
+    return std::nullopt;
+  }
+  state::GatewayGoneT gone;
+  gone.gateway = aVm;
+  gone.gateway_epoch = epoch;
+  gone.unix_ms = aUnixMs;
+  return gone;
+}
+
+std::optional<consensus::MembershipT>
+LeaderDuties::FindPromotion(const Replica& aReplica) const
+{
+  const consensus::MembershipT& members = aReplica.Members();
+  for (std::size_t i = 0; i < members.members.size(); ++i) {
+    const consensus::MemberT& member = *members.members[i];
+    // A follower reports only what it has synced as matching.
+    const std::uint64_t match = aReplica.MatchIndex(member.replica);
+    const bool near =
+      match != 0 && match + m_options.m_maxLearnerLag >= aReplica.CommitIndex();
+    if (!member.voter && near) {
+      consensus::MembershipT next(members);
+      next.members[i]->voter = true;
+      return next;
+    }
+  }
+  return std::nullopt;
+}
+
+} // namespace parsleycove
--- /dev/null
+++ b/Source/Control/LeaderDuties.h
@@ -0,0 +1,68 @@
+// What a leader does besides replicating: leases, in-force index, promotion.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "Consensus/Replica.h"
+#include "State/EndpointLeaseTable.h"
+#include "State/InForceTracker.h"
+#include "State/ReplicatedState.h"
+
+namespace parsleycove {
+
+struct LeaderDutiesOptions
+{
+  Duration m_configLease = std::chrono::milliseconds(3000);
+  Duration m_endpointLease = std::chrono::seconds(10);
+  Duration m_gatewayLease = std::chrono::seconds(15);
+  // A learner this close to the commit index is promoted.
+  std::uint64_t m_maxLearnerLag = 64;
+};
+
+// Kept for one term as leader; a new term starts with a new object.
+class LeaderDuties
+{
+public:
+  LeaderDuties(const LeaderDutiesOptions& aOptions,
+               TimePoint aNow,
+               const consensus::MembershipT& aMembers,
+               const state::ConfigImageT& aConfig);
+
+  void FollowMembers(const consensus::MembershipT& aMembers);
+  void FollowConfig(TimePoint aNow, const state::ConfigImageT& aConfig);
+  // A replica's report, the leader's own among them.
+  void NoteReport(TimePoint aNow,
+                  std::uint64_t aReplica,
+                  const consensus::ReadIndexT& aReport);
+  std::uint64_t InForceIndex(TimePoint aNow, std::uint64_t aCommitIndex);
+
+  // Commands for leases that ran out. Each comes again until it was applied.
+  std::vector<state::CommandT> FindExpired(TimePoint aNow,
+                                           std::uint64_t aUnixMs,
+                                           const ReplicatedState& aState) const;
+  // The membership with one learner promoted that has caught up and synced.
+  std::optional<consensus::MembershipT> FindPromotion(
+    const Replica& aReplica) const;
+
+private:
+  std::optional<state::GatewayGoneT> FindGone(
+    TimePoint aNow,
+    std::uint64_t aUnixMs,
+    const std::string& aVm,
+    const ReplicatedState& aState) const;
+
+  const LeaderDutiesOptions m_options;
+  const TimePoint m_startedAt;
+  EndpointLeaseTable m_endpoints;
+  InForceTracker m_inForce;
+  std::vector<std::uint64_t> m_members;
+  // Endpoints of the registry by their hash.
+  std::unordered_map<std::uint64_t, state::EndpointRefT> m_endpointOfKey;
+  // When each gateway process was last reported by a replica.
+  std::unordered_map<std::uint64_t, TimePoint> m_gatewayHeardAt;
+};
+
+} // namespace parsleycove
--- /dev/null
+++ b/Source/Control/ReplicaCore.cxx
@@ -0,0 +1,313 @@
+// One replica's log, store and state machine, driven together.
+#include "Control/ReplicaCore.h"
+
+#include <utility>
+
+#include "State/CommandCodec.h"
+
+namespace parsleycove {
+
+std::unique_ptr<ReplicaCore>
+ReplicaCore::Open(Files& aFiles,
+                  const std::string& aFolder,
+                  const ReplicaCoreOptions& aOptions,
+                  const std::optional<consensus::MembershipT>& aBootstrap,
+                  TimePoint aNow,
+                  ReplicaCoreListener& aListener,
+                  ControlServiceReason& aReason)
+{
+  StoreReason storeReason;
+  auto store = LogStore::Open(aFiles, aFolder, storeReason);
+  if (!store) {
+    aReason.Set(ControlServiceError::Store,
+                "data folder " + aFolder + ": " + storeReason.m_text);
+    return nullptr;
+  }
+  const consensus::HardStateT& hard = store->Restored().m_hardState;
+  const bool other = hard.replica != aOptions.m_replica.m_replica ||
+                     hard.cluster != aOptions.m_replica.m_cluster;
+  if (hard.replica != 0 && other) {
+    aReason.Set(ControlServiceError::Store,
+                "data folder " + aFolder + ": belongs to replica " +
+                  std::to_string(hard.replica) + " of cluster " +
+                  std::to_string(hard.cluster));
+    return nullptr;
+  }
+  std::unique_ptr<ReplicaCore> core(
+    new ReplicaCore(std::move(store), aOptions, aNow, aListener));
+  if (!core->RestoreState(aReason)) {
+    return nullptr;
+  }
+  if (aBootstrap && !core->BootstrapLog(*aBootstrap, aReason)) {
+    return nullptr;
+  }
+  return core;
+}
+
+ReplicaCore::ReplicaCore(std::unique_ptr<LogStore> aStore,
+                         const ReplicaCoreOptions& aOptions,
+                         TimePoint aNow,
+                         ReplicaCoreListener& aListener)
+  : m_options(aOptions)
+  , m_listener(aListener)
+  , m_store(std::move(aStore))
+  , m_replica(aOptions.m_replica, m_store->Restored(), aNow)
+{
+}
+
+bool
+ReplicaCore::RestoreState(ControlServiceReason& aReason)
+{
+  StoreReason storeReason;
+  const auto image = m_store->ReadSnapshot(storeReason);
+  if (!image) {
+    if (storeReason.m_code == StoreError::None) {
+      return true;
+    }
+    aReason.Set(ControlServiceError::Store, storeReason.m_text);
+    return false;
+  }
+  if (!m_state.Restore(*image)) {
+    aReason.Set(ControlServiceError::Store,
+                "snapshot: " + m_state.LastReason().m_text);
+    return false;
+  }
+  m_snapshotIndex = m_store->Snapshot()->index;
+  m_applied = m_snapshotIndex;
+  return true;
+}
+
+bool
+ReplicaCore::BootstrapLog(const consensus::MembershipT& aMembership,
+                          ControlServiceReason& aReason)
+{
+  const RestoredLog& restored = m_store->Restored();
+  if (!restored.m_entries.empty() || restored.m_snapshot) {
+    return true;
+  }
+  const ReplicaOptions& own = m_options.m_replica;
+  if (!m_store->MarkBootstrap(own.m_replica, own.m_cluster)) {
+    aReason.Set(ControlServiceError::Store, m_store->LastReason().m_text);
+    return false;
+  }
+  if (!m_replica.Bootstrap(aMembership)) {
+    aReason.Set(ControlServiceError::BadOption,
+                "bootstrap members: " + m_replica.LastReason().m_text);
+    return false;
+  }
+  return true;
+}
+
+bool
+ReplicaCore::Drive()
+{
+  while (!m_failed && m_replica.HasReady()) {
+    Ready ready = m_replica.TakeReady();
+    Send(ready.m_earlyMessages);
+    if (ready.NeedsSync()) {
+      if (!Store(ready)) {
+        return FailStore();
+      }
+      m_replica.Persisted(BootClock::now());
+    }
+    Send(ready.m_messages);
+    for (const consensus::EntryT& entry : ready.m_committed) {
+      Apply(entry);
+    }
+    for (const FollowerReport& report : ready.m_reports) {
+      m_listener.OnReport(report);
+    }
+    for (const ReadState& read : ready.m_reads) {
+      m_reads.Answer(read);
+    }
+    for (const SnapshotChunkRequest& request : ready.m_chunkRequests) {
+      SendChunk(request);
+    }
+    for (SnapshotChunk& chunk : ready.m_chunks) {
+      if (!InstallChunk(chunk)) {
+        return FailStore();
+      }
+    }
+    m_reads.Advance(m_applied);
+  }
+  return !m_failed && (TakeSnapshotIfDue() || FailStore());
+}
+
+bool
+ReplicaCore::Store(const Ready& aReady)
+{
+  if (aReady.m_hardState && !m_store->SaveHardState(*aReady.m_hardState)) {
+    return false;
+  }
+  if (!aReady.m_entries.empty() && !m_store->Append(aReady.m_entries)) {
+    return false;
+  }
+  return m_store->Sync();
+}
+
+void
+ReplicaCore::Send(std::vector<consensus::PeerMessageT>& aMessages)
+{
+  for (consensus::PeerMessageT& message : aMessages) {
+    m_listener.SendToPeer(std::move(message));
+  }
+}
+
+void
+ReplicaCore::Apply(const consensus::EntryT& aEntry)
+{
+  if (m_failed || aEntry.index <= m_applied) {
+    return;
+  }
+  if (aEntry.kind == consensus::EntryKind::Command) {
+    if (!ApplyCommand(aEntry)) {
+      return;
+    }
+  } else {
+    state::CommandResultT done;
+    done.index = aEntry.index;
+    m_proposals.Resolve(aEntry.index, aEntry.term, done);
+  }
+  m_applied = aEntry.index;
+}
+
+bool
+ReplicaCore::ApplyCommand(const consensus::EntryT& aEntry)
+{
+  StateReason reason;
+  const auto command =
+    DecodeCommand(aEntry.data.data(), aEntry.data.size(), reason);
+  if (!command) {
+    // Going on would make this replica's state differ from the others'.
+    m_failed = true;
+    m_listener.OnFatal("log entry " + std::to_string(aEntry.index) + ": " +
+                       reason.m_text);
+    return false;
+  }
+  const auto result = m_state.Apply(aEntry.index, aEntry.term, *command);
+  m_applied = aEntry.index;
+  if (result.code == state::ResultCode::Ok && AffectsConfig(*command)) {
+    m_listener.OnConfigChanged(aEntry.index, *command);
+  }
+  m_proposals.Resolve(aEntry.index, aEntry.term, result);
+  return true;
+}
+
+bool
+ReplicaCore::InstallChunk(SnapshotChunk& aChunk)
+{
+  auto snapshot = m_assembler.Add(std::move(aChunk.m_piece));
+  return !snapshot || InstallState(std::move(*snapshot));
+}
+
+bool
+ReplicaCore::InstallState(ReceivedSnapshot aSnapshot)
+{
+  const TimePoint now = BootClock::now();
+  if (aSnapshot.m_meta.index <= m_applied) {
+    m_replica.SnapshotInstalled(now, std::move(aSnapshot.m_meta));
+    return true;
+  }
+  const bool whole = aSnapshot.m_meta.size == aSnapshot.m_state.size();
+  if (!whole || !m_state.Restore(aSnapshot.m_state)) {
+    m_replica.SnapshotRejected(now);
+    return true;
+  }
+  if (!m_store->InstallSnapshot(
+        aSnapshot.m_meta, aSnapshot.m_state, /*aKeepTail=*/false)) {
+    return false;
+  }
+  m_snapshotIndex = aSnapshot.m_meta.index;
+  m_applied = m_snapshotIndex;
+  m_proposals.FailAll();
+  m_replica.SnapshotInstalled(now, std::move(aSnapshot.m_meta));
+  m_listener.OnStateReplaced();
+  return true;
+}
+
+void
+ReplicaCore::SendChunk(const SnapshotChunkRequest& aRequest)
+{
+  const auto meta = m_store->Snapshot();
+  if (!meta || meta->index != aRequest.m_index) {
+    return;
+  }
+  auto data = m_store->ReadSnapshotPiece(
+    aRequest.m_offset, m_options.m_replica.m_snapshotChunkBytes);
+  if (!data) {
+    return;
+  }
+  consensus::InstallSnapshotT piece;
+  piece.meta = std::make_unique<consensus::SnapshotMetaT>(*meta);
+  piece.offset = aRequest.m_offset;
+  piece.last = aRequest.m_offset + data->size() >= meta->size;
+  piece.data = std::move(*data);
+  m_replica.SendSnapshotChunk(aRequest.m_to, std::move(piece));
+}
+
+bool
+ReplicaCore::TakeSnapshotIfDue()
+{
+  const std::uint64_t entries = m_applied - m_snapshotIndex;
+  const bool due = entries >= m_options.m_snapshotEntries ||
+                   m_store->LogBytes() >= m_options.m_snapshotBytes;
+  if (!due || entries == 0) {
+    return true;
+  }
+  const auto meta = m_replica.DescribeSnapshot(m_applied);
+  if (!meta) {
+    return true;
+  }
+  if (!m_store->InstallSnapshot(
+        *meta, m_state.TakeImage(), /*aKeepTail=*/true)) {
+    return false;
+  }
+  m_snapshotIndex = meta->index;
+  m_replica.Compact(*m_store->Snapshot());
+  return true;
+}
+
+bool
+ReplicaCore::FailStore()
+{
+  if (!m_failed) {
+    m_failed = true;
+    m_listener.OnFatal("store: " + m_store->LastReason().m_text);
+  }
+  return false;
+}
+
+bool
+ReplicaCore::Propose(TimePoint aNow,
+                     const state::CommandT& aCommand,
+                     ProposalTable::Handler aHandler)
+{
+  const auto index = m_replica.Propose(aNow, EncodeCommand(aCommand));
+  if (index) {
+    m_proposals.Add(*index, m_replica.Term(), std::move(aHandler));
+  }
+  return index.has_value();
+}
+
+bool
+ReplicaCore::ProposeMembership(TimePoint aNow,
+                               consensus::MembershipT aNext,
+                               ProposalTable::Handler aHandler)
+{
+  const auto index = m_replica.ProposeMembership(aNow, std::move(aNext));
+  if (index) {
+    m_proposals.Add(*index, m_replica.Term(), std::move(aHandler));
+  }
+  return index.has_value();
+}
+
+void
+ReplicaCore::Read(TimePoint aNow,
+                  consensus::ReadIndexT aReport,
+                  ReadTable::Handler aHandler)
+{
+  aReport.id = m_reads.Add(std::move(aHandler));
+  m_replica.ReadIndex(aNow, std::move(aReport));
+}
+
+} // namespace parsleycove
--- /dev/null
+++ b/Source/Control/ReplicaNode.cxx
@@ -0,0 +1,356 @@
+// The surroundings of a replica's core on one Asio thread.
+#include "Control/ReplicaNode.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/post.hpp>
+
+#include "Control/LeaseKey.h"
+#include "Control/ReplicaNodeOptions.h"
+#include "Wire/MessageCodec.h"
+
+namespace parsleycove {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+namespace {
+
+// Rounds follow one another this fast while a change is not yet in force.
+constexpr std::chrono::milliseconds kBusyRoundMs{ 100 };
+
+asio::steady_timer::duration
+ToTimer(Duration aDuration)
+{
+  return std::chrono::duration_cast<asio::steady_timer::duration>(
+    std::max(aDuration, Duration::zero()));
+}
+
+} // namespace
+
+ReplicaNode::ReplicaNode(asio::io_context& aContext,
+                         const ReplicaServiceOptions& aOptions)
+  : m_context(aContext)
+  , m_options(aOptions)
+  , m_feeds(MakeFeedServerOptions(aOptions), *this)
+  , m_inbound({ [this](const auto& aLink, const auto& aMessage) {
+                 OnPeerMessage(aLink, aMessage);
+               },
+                [this](const auto& aLink, const auto& aMessage) {
+                  m_feeds.OnMessage(BootClock::now(), aLink, aMessage);
+                },
+                [this](const FrameLink& aLink) {
+                  m_feeds.OnClosed(aLink);
+                  std::erase_if(m_peerInbound, [&](const auto& aEntry) {
+                    return aEntry.second.get() == &aLink;
+                  });
+                },
+                [this](const std::string& aText) {
+                  Log(ControlLogLevel::Warning, aText);
+                } })
+  , m_acceptor(
+      aContext,
+      MakeInboundLinkOptions(aOptions),
+      [this](FrameLink::Pointer aLink) { m_inbound.Add(std::move(aLink)); })
+  , m_peers(
+      aContext,
+      MakePeerLinksOptions(aOptions),
+      [this](FrameLink& aLink, const ReceivedFrame& aFrame) {
+        if (const auto message = DecodePeerMessage(aFrame.m_payload)) {
+          OnPeerMessage(FrameLink::Pointer(&aLink), *message);
+        }
+      },
+      [this](const std::string& aText) { Log(ControlLogLevel::Info, aText); })
+  , m_tickTimer(aContext)
+  , m_roundTimer(aContext)
+  , m_dutiesTimer(aContext)
+{
+}
+
+ReplicaNode::~ReplicaNode() = default;
+
+bool
+ReplicaNode::Open(ControlServiceReason& aReason)
+{
+  std::optional<consensus::MembershipT> bootstrap;
+  if (!m_options.m_bootstrap.empty()) {
+    bootstrap = MakeBootstrapMembership(m_options);
+  }
+  m_core = ReplicaCore::Open(m_files,
+                             m_options.m_dataFolder,
+                             MakeReplicaCoreOptions(m_options),
+                             bootstrap,
+                             BootClock::now(),
+                             *this,
+                             aReason);
+  if (!m_core) {
+    return false;
+  }
+  m_feeds.OnStateReplaced();
+  WireReason wireReason;
+  if (!m_acceptor.Listen(m_options.m_listen, wireReason)) {
+    aReason.Set(ControlServiceError::CannotListen, wireReason.m_text);
+    return false;
+  }
+  RequestDrive();
+  ScheduleRound(Duration::zero());
+  ScheduleDuties();
+  return true;
+}
+
+void
+ReplicaNode::Close()
+{
+  m_closed = true;
+  m_leads = false;
+  m_tickTimer.cancel();
+  m_roundTimer.cancel();
+  m_dutiesTimer.cancel();
+  m_acceptor.Close();
+  m_inbound.Close();
+  m_peers.Close();
+}
+
+void
+ReplicaNode::OnPeerMessage(const FrameLink::Pointer& aLink,
+                           const consensus::PeerMessageT& aMessage)
+{
+  const bool mine = aMessage.cluster == m_options.m_cluster &&
+                    aMessage.to == m_options.m_replica;
+  if (m_closed || !mine) {
+    return;
+  }
+  m_peerInbound[aMessage.from] = aLink;
+  if (const auto* reply = aMessage.body.AsReadIndexReply();
+      reply != nullptr && reply->ok) {
+    m_inForce = std::max(m_inForce, reply->in_force);
+  }
+  m_core->Step(BootClock::now(), aMessage);
+  RequestDrive();
+}
+
+void
+ReplicaNode::SendToPeer(consensus::PeerMessageT aMessage)
+{
+  if (auto* reply = aMessage.body.AsReadIndexReply()) {
+    reply->in_force = m_inForce;
+  }
+  const std::uint64_t replica = aMessage.to;
+  const Frame::Pointer frame = EncodePeerFrame(aMessage);
+  if (m_peers.Send(replica, frame)) {
+    return;
+  }
+  if (const auto found = m_peerInbound.find(replica);
+      found != m_peerInbound.end()) {
+    found->second->Send(frame);
+  }
+}
+
+void
+ReplicaNode::RequestDrive()
+{
+  if (!std::exchange(m_driveRequested, true)) {
+    asio::post(m_context, [this] { Drive(); });
+  }
+}
+
+void
+ReplicaNode::Drive()
+{
+  m_driveRequested = false;
+  if (m_closed || !m_core->Drive()) {
+    return;
+  }
+  m_publishedApplied = m_core->AppliedIndex();
+  FollowRole();
+  FollowGroup();
+  ScheduleTick();
+}
+
+void
+ReplicaNode::FollowRole()
+{
+  const Replica& log = m_core->Log();
+  const bool leads = log.Role() == ReplicaRole::Leader;
+  const std::uint64_t term = leads ? log.Term() : 0;
+  if (term != m_ledTerm) {
+    m_ledTerm = term;
+    m_core->FailProposals();
+    m_duties.reset();
+    if (leads) {
+      Log(ControlLogLevel::Info, "leads in term " + std::to_string(term));
+      m_duties.emplace(MakeLeaderDutiesOptions(m_options),
+                       BootClock::now(),
+                       log.Members(),
+                       State().Config());
+    }
+  }
+  m_leads = leads && log.HasLeaderLease(BootClock::now());
+}
+
+void
+ReplicaNode::FollowGroup()
+{
+  const Replica& log = m_core->Log();
+  std::vector<PeerAddress> peers =
+    ListPeerAddresses(log.Members(), m_options.m_replica);
+  const bool changed = peers != m_peerAddresses;
+  if (changed) {
+    m_peerAddresses = std::move(peers);
+    m_peers.SetPeers(m_peerAddresses);
+    if (m_duties) {
+      m_duties->FollowMembers(log.Members());
+    }
+  }
+  if (changed || log.Leader() != m_knownLeader) {
+    m_knownLeader = log.Leader();
+    m_feeds.OnGroupChanged();
+  }
+}
+
+void
+ReplicaNode::ScheduleTick()
+{
+  m_tickTimer.expires_after(
+    ToTimer(m_core->Log().NextDeadline() - BootClock::now()));
+  m_tickTimer.async_wait([this](const error_code& aError) {
+    if (!aError && !m_closed) {
+      m_core->Tick(BootClock::now());
+      Drive();
+    }
+  });
+}
+
+void
+ReplicaNode::OnConfigChanged(std::uint64_t aIndex,
+                             const state::CommandT& aCommand)
+{
+  m_configIndex = aIndex;
+  m_feeds.OnConfigChanged(aIndex, aCommand);
+  if (m_duties) {
+    m_duties->FollowConfig(BootClock::now(), State().Config());
+  }
+  ScheduleRound(kBusyRoundMs);
+}
+
+void
+ReplicaNode::OnStateReplaced()
+{
+  m_configIndex = State().Config().index;
+  m_feeds.OnStateReplaced();
+}
+
+void
+ReplicaNode::OnReport(const FollowerReport& aReport)
+{
+  if (m_duties) {
+    const TimePoint now = BootClock::now();
+    m_duties->NoteReport(now, aReport.m_replica, aReport.m_request);
+    m_inForce = std::max(
+      m_inForce, m_duties->InForceIndex(now, m_core->Log().CommitIndex()));
+  }
+}
+
+void
+ReplicaNode::OnFatal(const std::string& aText)
+{
+  Log(ControlLogLevel::Error, aText);
+  Close();
+  if (m_options.m_onFatal) {
+    m_options.m_onFatal(aText);
+  }
+}
+
+std::uint64_t
+ReplicaNode::AppliedIndex() const
+{
+  return m_core->AppliedIndex();
+}
+
+void
+ReplicaNode::Log(ControlLogLevel aLevel, const std::string& aText) const
+{
+  if (m_options.m_log) {
+    m_options.m_log(
+      aLevel, "replica " + std::to_string(m_options.m_replica) + ": " + aText);
+  }
+}
+
+// Rounds ---------------------------------------------------------------------
+
+void
+ReplicaNode::ScheduleRound(Duration aAfter)
+{
+  m_roundTimer.expires_after(ToTimer(aAfter));
+  m_roundTimer.async_wait([this](const error_code& aError) {
+    if (!aError && !m_closed) {
+      StartRound();
+    }
+  });
+}
+
+void
+ReplicaNode::StartRound()
+{
+  const TimePoint now = BootClock::now();
+  m_feeds.ForgetGone(now);
+  consensus::ReadIndexT report = MakeReport();
+  if (m_duties) {
+    m_duties->NoteReport(now, m_options.m_replica, report);
+    m_inForce = std::max(
+      m_inForce, m_duties->InForceIndex(now, m_core->Log().CommitIndex()));
+  }
+  m_core->Read(now, std::move(report), [this](bool aOk, TimePoint aAt) {
+    EndRound(aOk, aAt);
+  });
+  RequestDrive();
+  const Duration pause = m_inForce < m_configIndex
+                           ? Duration(kBusyRoundMs)
+                           : m_options.m_configLease / 3;
+  ScheduleRound(std::min(pause, m_options.m_configLease / 3));
+}
+
+void
+ReplicaNode::EndRound(bool aOk, TimePoint aRequestedAt)
+{
+  if (aOk) {
+    m_feeds.ConfirmRead(aRequestedAt);
+  }
+}
+
+consensus::ReadIndexT
+ReplicaNode::MakeReport()
+{
+  const TimePoint now = BootClock::now();
+  consensus::ReadIndexT report;
+  report.report_min_index = m_feeds.MinAppliedIndex(now);
+  report.report_feeds = m_feeds.CountLive(now);
+  for (const auto& gateway : m_feeds.ListGateways()) {
+    if (gateway.m_leaseEnd > now) {
+      m_renewed.insert(HashGateway(gateway.m_vm, gateway.m_epoch));
+    }
+  }
+  report.renewed.assign(m_renewed.begin(), m_renewed.end());
+  m_renewed.clear();
+  return report;
+}
+
+void
+ReplicaNode::OnAcknowledged()
+{
+  if (m_inForce < m_configIndex) {
+    ScheduleRound(Duration::zero());
+  }
+}
+
+void
+ReplicaNode::NoteRenewals(
+  const std::vector<std::unique_ptr<state::EndpointRefT>>& aRenewed)
+{
+  for (const auto& reference : aRenewed) {
+    m_renewed.insert(HashEndpoint(reference->id, reference->incarnation));
+  }
+}
+
+} // namespace parsleycove
--- /dev/null
+++ b/Source/Control/ReplicaNodeGroup.cxx
@@ -0,0 +1,206 @@
+// The part of ReplicaNode that serves proposals, members and the leader.
+#include "Control/ReplicaNode.h"
+
+#include <utility>
+
+#include "Consensus/MembershipRules.h"
+#include "Control/ReplicaNodeOptions.h"
+
+namespace parsleycove {
+
+namespace {
+
+constexpr std::chrono::milliseconds kDutiesIntervalMs{ 250 };
+
+feed::AdminReplyT
+MakeAdminReply(bool aOk, std::string aText)
+{
+  feed::AdminReplyT reply;
+  reply.ok = aOk;
+  reply.text = std::move(aText);
+  return reply;
+}
+
+std::string_view
+RoleName(const Replica& aLog, const consensus::MemberT& aMember)
+{
+  if (aMember.replica == aLog.Leader()) {
+    return "leader";
+  }
+  return aMember.voter ? "follower" : "learner";
+}
+
+} // namespace
+
+bool
+ReplicaNode::ProposeCommand(const state::CommandT& aCommand,
+                            ProposalTable::Handler aHandler)
+{
+  const bool taken =
+    m_core->Propose(BootClock::now(), aCommand, std::move(aHandler));
+  RequestDrive();
+  return taken;
+}
+
+void
+ReplicaNode::ConfirmState(ReadHandler aHandler)
+{
+  m_core->Read(BootClock::now(),
+               MakeReport(),
+               [handler = std::move(aHandler)](bool aOk, TimePoint /*aAt*/) {
+                 handler(aOk);
+               });
+  RequestDrive();
+}
+
+void
+ReplicaNode::AddMember(const feed::AddReplicaT& aRequest, AdminHandler aHandler)
+{
+  consensus::MembershipT next(m_core->Log().Members());
+  if (FindMember(next, aRequest.replica) != nullptr) {
+    aHandler(MakeAdminReply(true, "replica is a member already"));
+    return;
+  }
+  auto member = std::make_unique<consensus::MemberT>();
+  member->replica = aRequest.replica;
+  member->vm = aRequest.vm;
+  member->zone = aRequest.zone;
+  member->address = aRequest.address;
+  member->port = aRequest.port;
+  member->voter = false;
+  next.members.push_back(std::move(member));
+  ChangeMembers(std::move(next),
+                "added as a learner; becomes a voter once it has caught up",
+                std::move(aHandler));
+}
+
+void
+ReplicaNode::RemoveMember(std::uint64_t aReplica, AdminHandler aHandler)
+{
+  consensus::MembershipT next(m_core->Log().Members());
+  if (FindMember(next, aReplica) == nullptr) {
+    aHandler(MakeAdminReply(true, "replica is no member"));
+    return;
+  }
+  std::erase_if(next.members, [&](const auto& aMember) {
+    return aMember->replica == aReplica;
+  });
+  ChangeMembers(std::move(next), "removed", std::move(aHandler));
+}
+
+void
+ReplicaNode::ChangeMembers(consensus::MembershipT aNext,
+                           std::string aDone,
+                           AdminHandler aHandler)
+{
+  if (m_core->Log().Role() != ReplicaRole::Leader) {
+    feed::AdminReplyT reply =
+      MakeAdminReply(false, "this replica is no leader");
+    reply.not_leader = true;
+    aHandler(std::move(reply));
+    return;
+  }
+  const bool taken = m_core->ProposeMembership(
+    BootClock::now(),
+    std::move(aNext),
+    [aHandler, done = std::move(aDone)](
+      const std::optional<state::CommandResultT>& aResult) {
+      aHandler(aResult ? MakeAdminReply(true, done)
+                       : MakeAdminReply(
+                           false, "leadership was lost; ask for the status"));
+    });
+  if (!taken) {
+    aHandler(MakeAdminReply(false, m_core->Log().LastReason().m_text));
+  }
+  RequestDrive();
+}
+
+std::optional<SocketAddress>
+ReplicaNode::LeaderAddress() const
+{
+  const Replica& log = m_core->Log();
+  const auto* member = FindMember(log.Members(), log.Leader());
+  if (member == nullptr) {
+    return std::nullopt;
+  }
+  return SocketAddress{ member->address, member->port };
+}
+
+feed::WelcomeT
+ReplicaNode::DescribeGroup() const
+{
+  feed::WelcomeT welcome;
+  welcome.replica = m_options.m_replica;
+  if (const auto leader = LeaderAddress()) {
+    welcome.leader_address = leader->m_address;
+    welcome.leader_port = leader->m_port;
+  }
+  for (const auto& member : m_core->Log().Members().members) {
+    auto address = std::make_unique<feed::ReplicaAddressT>();
+    address->replica = member->replica;
+    address->zone = member->zone;
+    address->address = member->address;
+    address->port = member->port;
+    welcome.peers.push_back(std::move(address));
+  }
+  return welcome;
+}
+
+feed::StatusReplyT
+ReplicaNode::DescribeStatus() const
+{
+  const Replica& log = m_core->Log();
+  feed::StatusReplyT reply;
+  reply.leader = log.Leader();
+  reply.term = log.Term();
+  reply.commit = log.CommitIndex();
+  reply.in_force_index = m_inForce;
+  for (const auto& member : log.Members().members) {
+    auto row = std::make_unique<feed::ReplicaStatusT>();
+    const bool self = member->replica == m_options.m_replica;
+    row->replica = member->replica;
+    row->vm = member->vm;
+    row->zone = member->zone;
+    row->address = SocketAddress{ member->address, member->port }.ToString();
+    row->role = RoleName(log, *member);
+    row->voter = member->voter;
+    row->reachable = self || m_peers.IsOpen(member->replica);
+    row->match_index = self ? log.LastIndex() : log.MatchIndex(member->replica);
+    reply.replicas.push_back(std::move(row));
+  }
+  return reply;
+}
+
+void
+ReplicaNode::ScheduleDuties()
+{
+  m_dutiesTimer.expires_after(kDutiesIntervalMs);
+  m_dutiesTimer.async_wait([this](const boost::system::error_code& aError) {
+    if (!aError && !m_closed) {
+      PerformDuties();
+      ScheduleDuties();
+    }
+  });
+}
+
+void
+ReplicaNode::PerformDuties()
+{
+  const TimePoint now = BootClock::now();
+  const Replica& log = m_core->Log();
+  m_leads = log.Role() == ReplicaRole::Leader && log.HasLeaderLease(now);
+  if (!m_duties || !m_leads) {
+    return;
+  }
+  m_inForce =
+    std::max(m_inForce, m_duties->InForceIndex(now, log.CommitIndex()));
+  for (const state::CommandT& command :
+       m_duties->FindExpired(now, SystemClock().UnixMs(), State())) {
+    ProposeCommand(command, [](const auto&) {});
+  }
+  if (auto promoted = m_duties->FindPromotion(log)) {
+    ChangeMembers(std::move(*promoted), "promoted", [](const auto&) {});
+  }
+}
+
+} // namespace parsleycove
--- a/Source/Wire/PeerLinks.cxx
+++ b/Source/Wire/PeerLinks.cxx
@@ -57,9 +57,9 @@
   }
 
   void OnOpen(FrameLink& /*aLink*/) override { m_reported = false; }
-  void OnFrame(FrameLink& /*aLink*/, const ReceivedFrame& /*aFrame*/) override
+  void OnFrame(FrameLink& aLink, const ReceivedFrame& aFrame) override
   {
-    // The peer answers on its own link to this replica.
+    m_owner.m_frames(aLink, aFrame);
   }
   void OnClosed(FrameLink& /*aLink*/, const WireReason& aReason) override
   {
@@ -99,9 +99,11 @@
 
 PeerLinks::PeerLinks(asio::io_context& aContext,
                      const PeerLinksOptions& aOptions,
+                     FrameHandler aFrames,
                      LogHandler aLog)
   : m_context(aContext)
   , m_options(aOptions)
+  , m_frames(std::move(aFrames))
   , m_log(std::move(aLog))
 {
 }
@@ -134,12 +136,15 @@
   }
 }
 
-void
+bool
 PeerLinks::Send(std::uint64_t aReplica, Frame::Pointer aFrame)
 {
-  if (const auto found = m_peers.find(aReplica); found != m_peers.end()) {
-    found->second->Send(std::move(aFrame));
+  const auto found = m_peers.find(aReplica);
+  if (found == m_peers.end()) {
+    return false;
   }
+  found->second->Send(std::move(aFrame));
+  return true;
 }
 
 bool
--- a/Source/Wire/PeerLinks.h
+++ b/Source/Wire/PeerLinks.h
@@ -15,6 +15,8 @@
 {
   std::uint64_t m_replica = 0;
   SocketAddress m_address;
+
+  bool operator==(const PeerAddress&) const = default;
 };
 
 struct PeerLinksOptions
@@ -30,10 +32,13 @@
 class PeerLinks
 {
 public:
+  // What a peer sends on the link that was opened to it.
+  using FrameHandler = std::function<void(FrameLink&, const ReceivedFrame&)>;
   using LogHandler = std::function<void(const std::string&)>;
 
   PeerLinks(boost::asio::io_context& aContext,
             const PeerLinksOptions& aOptions,
+            FrameHandler aFrames,
             LogHandler aLog);
   ~PeerLinks();
   PeerLinks(const PeerLinks&) = delete;
@@ -41,8 +46,9 @@
 
   // Links to peers that are not named any more are closed.
   void SetPeers(const std::vector<PeerAddress>& aPeers);
-  // Drops the frame when the peer is unknown or its link is being replaced.
-  void Send(std::uint64_t aReplica, Frame::Pointer aFrame);
+  // Drops the frame while the peer's link is being replaced. False when the
+  // peer is unknown.
+  bool Send(std::uint64_t aReplica, Frame::Pointer aFrame);
   bool IsOpen(std::uint64_t aReplica) const;
   void Close();
 
@@ -51,6 +57,7 @@
 
   boost::asio::io_context& m_context;
   const PeerLinksOptions m_options;
+  const FrameHandler m_frames;
   const LogHandler m_log;
   std::map<std::uint64_t, boost::intrusive_ptr<Peer>> m_peers;
 };
