--- /dev/null
+++ b/Source/Control/ClientNode.cxx
@@ -0,0 +1,328 @@
+// The feed of a gateway: which replica it follows, its copy and its lease.
+#include "Control/ClientNode.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/post.hpp>
+
+#include "Wire/MessageCodec.h"
+
+namespace parsleycove {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+namespace {
+
+// Pings follow one another this fast while a change is not yet in force.
+constexpr std::chrono::milliseconds kBusyPingMs{ 200 };
+constexpr std::uint32_t kFeedVersion = 1;
+// Renewals kept while no feed is open; older ones are of no use.
+constexpr std::size_t kMaxRenewals = 4096;
+
+asio::steady_timer::duration
+ToTimer(Duration aDuration)
+{
+  return std::chrono::duration_cast<asio::steady_timer::duration>(
+    std::max(aDuration, Duration::zero()));
+}
+
+} // namespace
+
+ClientNode::ClientNode(asio::io_context& aContext,
+                       const ControlClientOptions& aOptions)
+  : m_context(aContext)
+  , m_options(aOptions)
+  , m_directory(aOptions.m_seeds, aOptions.m_zone, aOptions.m_seed)
+  , m_connectTimer(aContext)
+  , m_pingTimer(aContext)
+  , m_callTimer(aContext)
+{
+}
+
+ClientNode::~ClientNode() = default;
+
+void
+ClientNode::Start()
+{
+  ConnectFeed();
+}
+
+void
+ClientNode::Close()
+{
+  m_closed = true;
+  m_connectTimer.cancel();
+  m_pingTimer.cancel();
+  m_callTimer.cancel();
+  if (m_feed) {
+    m_feed->Close();
+  }
+  DropLeaderLink();
+  m_calls.FailAll();
+}
+
+FrameLinkOptions
+ClientNode::LinkOptions() const
+{
+  FrameLinkOptions options;
+  options.m_maxFrameBytes = m_options.m_maxFrameBytes;
+  options.m_maxQueueBytes = m_options.m_maxQueueBytes;
+  options.m_heartbeatInterval = m_options.m_linkHeartbeat;
+  options.m_silenceLimit = m_options.m_silenceLimit;
+  return options;
+}
+
+void
+ClientNode::ConnectFeed()
+{
+  m_feedAddress = m_directory.Pick(BootClock::now());
+  if (!m_feedAddress) {
+    return;
+  }
+  m_feed = FrameLink::Connect(m_context, *m_feedAddress, LinkOptions(), *this);
+}
+
+void
+ClientNode::ReplaceFeed(bool aFailed)
+{
+  if (aFailed && m_feedAddress) {
+    m_directory.NoteFailure(BootClock::now(), *m_feedAddress);
+  }
+  if (m_feed) {
+    m_feed->Close();
+    m_feed.reset();
+  }
+  m_pings.clear();
+  m_pingTimer.cancel();
+  ConnectFeedLater();
+}
+
+void
+ClientNode::ConnectFeedLater()
+{
+  m_connectTimer.expires_after(ToTimer(m_options.m_reconnectInterval));
+  m_connectTimer.async_wait([this](const error_code& aError) {
+    if (!aError && !m_closed && !m_feed) {
+      ConnectFeed();
+    }
+  });
+}
+
+void
+ClientNode::OnOpen(FrameLink& aLink)
+{
+  const TimePoint now = BootClock::now();
+  if (&aLink == m_leaderLink.get()) {
+    m_calls.Hasten(CallTarget::Leader, now);
+    SendDueCalls();
+    return;
+  }
+  m_lastGrantAt = now;
+  Greet();
+  SendPing();
+  m_calls.Hasten(CallTarget::Feed, now);
+  m_calls.Hasten(CallTarget::Leader, now);
+  SendDueCalls();
+}
+
+void
+ClientNode::Greet()
+{
+  feed::HelloT hello;
+  hello.vm = m_options.m_vm;
+  hello.zone = m_options.m_zone;
+  hello.epoch = m_options.m_epoch;
+  hello.version = kFeedVersion;
+  hello.has_index = m_wantsImage ? 0 : m_view.AppliedIndex();
+  m_feed->Send(EncodeFeedBody(std::move(hello)));
+}
+
+void
+ClientNode::SendPing()
+{
+  if (!m_feed || !m_feed->IsOpen()) {
+    return;
+  }
+  feed::PingT ping;
+  ping.id = ++m_lastId;
+  ping.applied_index = m_view.AppliedIndex();
+  ping.stopping = m_stopping;
+  for (state::EndpointRefT& reference : m_renewals) {
+    ping.renewed.push_back(
+      std::make_unique<state::EndpointRefT>(std::move(reference)));
+  }
+  m_renewals.clear();
+  m_pings.emplace(ping.id, BootClock::now());
+  m_feed->Send(EncodeFeedBody(std::move(ping)));
+  const bool busy = m_view.InForceIndex() < m_view.ConfigIndex();
+  SchedulePing(busy ? std::min<Duration>(kBusyPingMs, m_options.m_pingInterval)
+                    : m_options.m_pingInterval);
+}
+
+void
+ClientNode::SchedulePing(Duration aAfter)
+{
+  m_pingTimer.expires_after(ToTimer(aAfter));
+  m_pingTimer.async_wait([this](const error_code& aError) {
+    if (!aError && !m_closed) {
+      HandlePingTimer();
+    }
+  });
+}
+
+void
+ClientNode::HandlePingTimer()
+{
+  // The replica answers, but no quorum answers it.
+  const bool cutOff =
+    BootClock::now() - m_lastGrantAt > m_options.m_silenceLimit;
+  if (m_feed && cutOff) {
+    ReplaceFeed(/*aFailed=*/true);
+    return;
+  }
+  SendPing();
+}
+
+void
+ClientNode::OnFrame(FrameLink& aLink, const ReceivedFrame& aFrame)
+{
+  const auto message = aFrame.m_kind == FrameKind::Feed
+                         ? DecodeFeedMessage(aFrame.m_payload)
+                         : std::nullopt;
+  if (!message) {
+    if (&aLink == m_feed.get()) {
+      ReplaceFeed(/*aFailed=*/true);
+    } else {
+      DropLeaderLink();
+    }
+    return;
+  }
+  if (&aLink == m_feed.get()) {
+    OnFeedMessage(message->body);
+  }
+  OnAnswer(message->body);
+}
+
+void
+ClientNode::OnFeedMessage(const feed::FeedBodyUnion& aBody)
+{
+  switch (aBody.type) {
+    case feed::FeedBody::Welcome:
+      OnWelcome(*aBody.AsWelcome());
+      break;
+    case feed::FeedBody::Image:
+      OnImage(*aBody.AsImage());
+      break;
+    case feed::FeedBody::Delta:
+      OnDelta(*aBody.AsDelta());
+      break;
+    case feed::FeedBody::Pong:
+      OnPong(*aBody.AsPong());
+      break;
+    default:
+      break;
+  }
+}
+
+void
+ClientNode::OnWelcome(const feed::WelcomeT& aWelcome)
+{
+  m_directory.Learn(aWelcome);
+  m_calls.Hasten(CallTarget::Leader, BootClock::now());
+  SendDueCalls();
+  if (m_directory.HasNearer(BootClock::now(), *m_feedAddress)) {
+    ReplaceFeed(/*aFailed=*/false);
+  }
+}
+
+void
+ClientNode::OnImage(const feed::ImageT& aImage)
+{
+  if (aImage.image) {
+    m_wantsImage = false;
+    m_view.TakeImage(*aImage.image);
+    PublishSoon();
+  }
+}
+
+void
+ClientNode::OnDelta(const feed::DeltaT& aDelta)
+{
+  if (aDelta.command && !m_wantsImage) {
+    if (!m_view.TakeDelta(aDelta.index, *aDelta.command)) {
+      m_wantsImage = true;
+      ReplaceFeed(/*aFailed=*/false);
+      return;
+    }
+    PublishSoon();
+  }
+}
+
+void
+ClientNode::PublishSoon()
+{
+  if (std::exchange(m_publishRequested, true)) {
+    return;
+  }
+  asio::post(m_context, [this] {
+    m_publishRequested = false;
+    if (!m_closed) {
+      m_view.Publish();
+      // Acknowledges at once, so that others learn what is in force.
+      SendPing();
+    }
+  });
+}
+
+void
+ClientNode::OnPong(const feed::PongT& aPong)
+{
+  const auto sent = m_pings.find(aPong.id);
+  if (sent == m_pings.end()) {
+    return;
+  }
+  const TimePoint sentAt = sent->second;
+  // Answers come in order; earlier ones are not to be expected any more.
+  std::erase_if(m_pings,
+                [&](const auto& aPing) { return aPing.first <= aPong.id; });
+  m_view.Advance(aPong.index);
+  m_view.NoteInForce(aPong.in_force_index);
+  if (aPong.lease_ms != 0 && !m_wantsImage) {
+    m_lastGrantAt = BootClock::now();
+    m_view.ExtendLease(sentAt + std::chrono::milliseconds(aPong.lease_ms));
+  }
+}
+
+void
+ClientNode::OnClosed(FrameLink& aLink, const WireReason& /*aReason*/)
+{
+  if (&aLink == m_leaderLink.get()) {
+    DropLeaderLink();
+    m_directory.SetLeader(std::nullopt);
+    m_calls.Hasten(CallTarget::Leader, BootClock::now());
+    SendDueCalls();
+    return;
+  }
+  if (&aLink == m_feed.get()) {
+    ReplaceFeed(/*aFailed=*/true);
+  }
+}
+
+void
+ClientNode::RenewEndpoint(state::EndpointRefT aReference)
+{
+  if (m_renewals.size() < kMaxRenewals) {
+    m_renewals.push_back(std::move(aReference));
+  }
+}
+
+void
+ClientNode::AnnounceStopping()
+{
+  m_stopping = true;
+  SendPing();
+}
+
+} // namespace parsleycove
--- /dev/null
+++ b/Source/Control/ClientNode.h
@@ -0,0 +1,117 @@
+// A gateway's feed and its calls to the control group, on one Asio thread.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "Control/ControlClient.h"
+#include "Control/PendingCalls.h"
+#include "Control/ReplicaDirectory.h"
+#include "Control/ViewKeeper.h"
+#include "Wire/FrameLink.h"
+
+namespace parsleycove {
+
+// Holds one feed link, and beside it a link to the leader where that is
+// another replica. A feed that is silent, ends, or grants no lease for too long
+// is replaced by one to another replica.
+class ClientNode final : public FrameLinkListener
+{
+public:
+  ClientNode(boost::asio::io_context& aContext,
+             const ControlClientOptions& aOptions);
+  ~ClientNode() override;
+  ClientNode(const ClientNode&) = delete;
+  ClientNode& operator=(const ClientNode&) = delete;
+
+  void Start();
+  void Close();
+
+  // Sends a request until it is answered. The body's id is set here.
+  template<typename Body>
+  void Call(Body aBody,
+            CallTarget aTarget,
+            TimePoint aDeadline,
+            PendingCall::Handler aHandler)
+  {
+    aBody.id = ++m_lastId;
+    feed::FeedMessageT message;
+    message.body.Set(std::move(aBody));
+    AddCall(m_lastId, message, aTarget, aDeadline, std::move(aHandler));
+  }
+  void RenewEndpoint(state::EndpointRefT aReference);
+  void AnnounceStopping();
+
+  // Any thread.
+  const ViewKeeper& View() const { return m_view; }
+
+  void OnOpen(FrameLink& aLink) override;
+  void OnFrame(FrameLink& aLink, const ReceivedFrame& aFrame) override;
+  void OnClosed(FrameLink& aLink, const WireReason& aReason) override;
+
+private:
+  // Feed
+  void ConnectFeed();
+  void ReplaceFeed(bool aFailed);
+  void ConnectFeedLater();
+  void Greet();
+  void SendPing();
+  void SchedulePing(Duration aAfter);
+  void HandlePingTimer();
+  void OnFeedMessage(const feed::FeedBodyUnion& aBody);
+  void OnWelcome(const feed::WelcomeT& aWelcome);
+  void OnImage(const feed::ImageT& aImage);
+  void OnDelta(const feed::DeltaT& aDelta);
+  void OnPong(const feed::PongT& aPong);
+  void PublishSoon();
+
+  // Calls
+  void AddCall(std::uint64_t aId,
+               const feed::FeedMessageT& aMessage,
+               CallTarget aTarget,
+               TimePoint aDeadline,
+               PendingCall::Handler aHandler);
+  void SendDueCalls();
+  void SendCall(PendingCall& aCall, TimePoint aNow);
+  FrameLink* LinkFor(CallTarget aTarget);
+  void ArmCallTimer(TimePoint aAt);
+  void OnAnswer(const feed::FeedBodyUnion& aBody);
+  void OnProposeReply(const feed::FeedBodyUnion& aBody);
+  void Retry(std::uint64_t aId, Duration aAfter);
+  void DropLeaderLink();
+
+  FrameLinkOptions LinkOptions() const;
+
+  boost::asio::io_context& m_context;
+  const ControlClientOptions m_options;
+  ReplicaDirectory m_directory;
+  ViewKeeper m_view;
+  PendingCalls m_calls;
+  std::uint64_t m_lastId = 0;
+
+  FrameLink::Pointer m_feed;
+  std::optional<SocketAddress> m_feedAddress;
+  FrameLink::Pointer m_leaderLink;
+  std::optional<SocketAddress> m_leaderLinkAddress;
+  boost::asio::steady_timer m_connectTimer;
+  boost::asio::steady_timer m_pingTimer;
+  boost::asio::steady_timer m_callTimer;
+  std::optional<TimePoint> m_callTimerAt;
+
+  // When each unanswered Ping of the present feed was sent.
+  std::unordered_map<std::uint64_t, TimePoint> m_pings;
+  // When the present feed was opened or last granted a lease.
+  TimePoint m_lastGrantAt{};
+  std::vector<state::EndpointRefT> m_renewals;
+  bool m_stopping = false;
+  bool m_wantsImage = false;
+  bool m_publishRequested = false;
+  bool m_closed = false;
+};
+
+} // namespace parsleycove
--- /dev/null
+++ b/Source/Control/ClientNodeCalls.cxx
@@ -0,0 +1,174 @@
+// The calls of a gateway: sending, resending and pairing with answers.
+#include "Control/ClientNode.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "Wire/MessageCodec.h"
+
+namespace parsleycove {
+
+namespace {
+
+// While no link is open or no leader is known.
+constexpr std::chrono::milliseconds kRetryPauseMs{ 20 };
+
+} // namespace
+
+void
+ClientNode::AddCall(std::uint64_t aId,
+                    const feed::FeedMessageT& aMessage,
+                    CallTarget aTarget,
+                    TimePoint aDeadline,
+                    PendingCall::Handler aHandler)
+{
+  const TimePoint now = BootClock::now();
+  PendingCall call;
+  call.m_id = aId;
+  call.m_target = aTarget;
+  call.m_frame = EncodeFeedFrame(aMessage);
+  call.m_deadline = aDeadline;
+  call.m_nextSendAt = now;
+  call.m_handler = std::move(aHandler);
+  m_calls.Add(std::move(call));
+  if (m_closed || aDeadline <= now) {
+    m_calls.TakeDue(m_closed ? aDeadline : now);
+    return;
+  }
+  PendingCall& added = *m_calls.Find(aId);
+  SendCall(added, now);
+  ArmCallTimer(std::min(added.m_nextSendAt, added.m_deadline));
+}
+
+void
+ClientNode::SendDueCalls()
+{
+  const TimePoint now = BootClock::now();
+  for (const std::uint64_t id : m_calls.TakeDue(now)) {
+    if (PendingCall* call = m_calls.Find(id)) {
+      SendCall(*call, now);
+    }
+  }
+  if (const auto next = m_calls.NextDue()) {
+    ArmCallTimer(*next);
+  }
+}
+
+void
+ClientNode::SendCall(PendingCall& aCall, TimePoint aNow)
+{
+  FrameLink* link = LinkFor(aCall.m_target);
+  if (link == nullptr || !link->IsOpen()) {
+    aCall.m_nextSendAt = aNow + kRetryPauseMs;
+    return;
+  }
+  ++aCall.m_unresolved;
+  aCall.m_nextSendAt = aNow + m_options.m_resendInterval;
+  link->Send(aCall.m_frame);
+}
+
+FrameLink*
+ClientNode::LinkFor(CallTarget aTarget)
+{
+  const auto& leader = m_directory.Leader();
+  if (aTarget == CallTarget::Feed || !leader || leader == m_feedAddress) {
+    return m_feed.get();
+  }
+  if (m_leaderLink && m_leaderLinkAddress == leader) {
+    return m_leaderLink.get();
+  }
+  DropLeaderLink();
+  m_leaderLinkAddress = leader;
+  m_leaderLink = FrameLink::Connect(m_context, *leader, LinkOptions(), *this);
+  return m_leaderLink.get();
+}
+
+void
+ClientNode::DropLeaderLink()
+{
+  if (m_leaderLink) {
+    m_leaderLink->Close();
+    m_leaderLink.reset();
+  }
+}
+
+void
+ClientNode::ArmCallTimer(TimePoint aAt)
+{
+  if (m_callTimerAt && *m_callTimerAt <= aAt) {
+    return;
+  }
+  m_callTimerAt = aAt;
+  const auto wait =
+    std::max<Duration>(aAt - BootClock::now(), Duration::zero());
+  m_callTimer.expires_after(
+    std::chrono::duration_cast<boost::asio::steady_timer::duration>(wait));
+  m_callTimer.async_wait([this](const boost::system::error_code& aError) {
+    if (!aError && !m_closed) {
+      m_callTimerAt.reset();
+      SendDueCalls();
+    }
+  });
+}
+
+void
+ClientNode::OnAnswer(const feed::FeedBodyUnion& aBody)
+{
+  switch (aBody.type) {
+    case feed::FeedBody::ProposeReply:
+      OnProposeReply(aBody);
+      break;
+    case feed::FeedBody::ReadActionReply:
+      if (const auto& reply = *aBody.AsReadActionReply(); reply.ok) {
+        m_calls.Complete(reply.id, aBody);
+      } else {
+        m_calls.NoteRefused(reply.id);
+        Retry(reply.id, kRetryPauseMs);
+      }
+      break;
+    case feed::FeedBody::StatusReply:
+      m_calls.Complete(aBody.AsStatusReply()->id, aBody);
+      break;
+    case feed::FeedBody::AdminReply:
+      if (const auto& reply = *aBody.AsAdminReply(); !reply.not_leader) {
+        m_calls.Complete(reply.id, aBody);
+      } else {
+        m_calls.NoteRefused(reply.id);
+        Retry(reply.id, kRetryPauseMs);
+      }
+      break;
+    default:
+      break;
+  }
+}
+
+void
+ClientNode::OnProposeReply(const feed::FeedBodyUnion& aBody)
+{
+  const feed::ProposeReplyT& reply = *aBody.AsProposeReply();
+  if (reply.status == feed::ProposeStatus::Applied && reply.result) {
+    m_calls.Complete(reply.id, aBody);
+    return;
+  }
+  if (reply.status == feed::ProposeStatus::NotLeader) {
+    m_calls.NoteRefused(reply.id);
+    if (reply.leader_address.empty()) {
+      m_directory.SetLeader(std::nullopt);
+    } else {
+      m_directory.SetLeader(
+        SocketAddress{ reply.leader_address, reply.leader_port });
+    }
+  }
+  Retry(reply.id, kRetryPauseMs);
+}
+
+void
+ClientNode::Retry(std::uint64_t aId, Duration aAfter)
+{
+  if (PendingCall* call = m_calls.Find(aId)) {
+    call->m_nextSendAt = BootClock::now() + aAfter;
+    ArmCallTimer(call->m_nextSendAt);
+  }
+}
+
+} // namespace parsleycove
--- /dev/null
+++ b/Source/Control/ReplicaDirectory.cxx
@@ -0,0 +1,131 @@
+// Which replicas a gateway knows, and which one to turn to next.
+#include "Control/ReplicaDirectory.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace parsleycove {
+
+namespace {
+
+// A replica that failed is avoided for this long where there are others.
+constexpr std::chrono::seconds kFailureMemoryS{ 10 };
+
+} // namespace
+
+ReplicaDirectory::ReplicaDirectory(const std::vector<SocketAddress>& aSeeds,
+                                   std::string aZone,
+                                   std::uint64_t aSeed)
+  : m_zone(std::move(aZone))
+  , m_random(aSeed)
+{
+  for (const SocketAddress& seed : aSeeds) {
+    if (Find(seed) == nullptr) {
+      m_candidates.push_back({ seed, {}, false, std::nullopt });
+    }
+  }
+}
+
+void
+ReplicaDirectory::Learn(const feed::WelcomeT& aWelcome)
+{
+  if (!aWelcome.leader_address.empty()) {
+    m_leader = { aWelcome.leader_address, aWelcome.leader_port };
+  }
+  if (aWelcome.peers.empty()) {
+    return;
+  }
+  for (Candidate& candidate : m_candidates) {
+    candidate.m_listed = false;
+  }
+  for (const auto& peer : aWelcome.peers) {
+    const SocketAddress address{ peer->address, peer->port };
+    if (Find(address) == nullptr) {
+      m_candidates.push_back({ address, {}, false, std::nullopt });
+    }
+    Candidate& candidate = *Find(address);
+    candidate.m_zone = peer->zone;
+    candidate.m_listed = true;
+  }
+}
+
+void
+ReplicaDirectory::SetLeader(std::optional<SocketAddress> aLeader)
+{
+  m_leader = std::move(aLeader);
+}
+
+void
+ReplicaDirectory::NoteFailure(TimePoint aNow, const SocketAddress& aAddress)
+{
+  if (Candidate* candidate = Find(aAddress)) {
+    candidate->m_failedAt = aNow;
+  }
+}
+
+std::optional<SocketAddress>
+ReplicaDirectory::Pick(TimePoint aNow)
+{
+  if (m_candidates.empty()) {
+    return std::nullopt;
+  }
+  std::shuffle(m_candidates.begin(), m_candidates.end(), m_random);
+  const auto best =
+    std::min_element(m_candidates.begin(),
+                     m_candidates.end(),
+                     [&](const Candidate& aLeft, const Candidate& aRight) {
+                       const int left = Rank(aNow, aLeft);
+                       const int right = Rank(aNow, aRight);
+                       // Among failed ones the one that failed first.
+                       return left != right
+                                ? left < right
+                                : aLeft.m_failedAt < aRight.m_failedAt;
+                     });
+  return best->m_address;
+}
+
+bool
+ReplicaDirectory::HasNearer(TimePoint aNow, const SocketAddress& aCurrent) const
+{
+  const Candidate* current = Find(aCurrent);
+  if (current == nullptr || current->m_zone == m_zone) {
+    return false;
+  }
+  return std::any_of(
+    m_candidates.begin(), m_candidates.end(), [&](const Candidate& aCandidate) {
+      return Rank(aNow, aCandidate) == 0;
+    });
+}
+
+int
+ReplicaDirectory::Rank(TimePoint aNow, const Candidate& aCandidate) const
+{
+  const bool failed =
+    aCandidate.m_failedAt && aNow - *aCandidate.m_failedAt < kFailureMemoryS;
+  const int distance = aCandidate.m_zone == m_zone ? 0 : 1;
+  return (failed ? 4 : 0) + (aCandidate.m_listed ? 0 : 2) + distance;
+}
+
+ReplicaDirectory::Candidate*
+ReplicaDirectory::Find(const SocketAddress& aAddress)
+{
+  for (Candidate& candidate : m_candidates) {
+    if (candidate.m_address == aAddress) {
+      return &candidate;
+    }
+  }
+  return nullptr;
+}
+
+const ReplicaDirectory::Candidate*
+ReplicaDirectory::Find(const SocketAddress& aAddress) const
+{
+  for (const Candidate& candidate : m_candidates) {
+    if (candidate.m_address == aAddress) {
+      return &candidate;
+    }
+  }
+  return nullptr;
+}
+
+} // namespace parsleycove
--- a/Source/Control/ReplicaNode.cxx
+++ b/Source/Control/ReplicaNode.cxx
@@ -19,6 +19,7 @@
 
 // Rounds follow one another this fast while a change is not yet in force.
 constexpr std::chrono::milliseconds kBusyRoundMs{ 100 };
+constexpr std::chrono::milliseconds kMinTickMs{ 1 };
 
 asio::steady_timer::duration
 ToTimer(Duration aDuration)
@@ -35,7 +36,8 @@
   , m_options(aOptions)
   , m_feeds(MakeFeedServerOptions(aOptions), *this)
   , m_inbound({ [this](const auto& aLink, const auto& aMessage) {
-                 OnPeerMessage(aLink, aMessage);
+                 m_peerInbound[aMessage.from] = aLink;
+                 OnPeerMessage(aMessage);
                },
                 [this](const auto& aLink, const auto& aMessage) {
                   m_feeds.OnMessage(BootClock::now(), aLink, aMessage);
@@ -56,9 +58,9 @@
   , m_peers(
       aContext,
       MakePeerLinksOptions(aOptions),
-      [this](FrameLink& aLink, const ReceivedFrame& aFrame) {
+      [this](FrameLink& /*aLink*/, const ReceivedFrame& aFrame) {
         if (const auto message = DecodePeerMessage(aFrame.m_payload)) {
-          OnPeerMessage(FrameLink::Pointer(&aLink), *message);
+          OnPeerMessage(*message);
         }
       },
       [this](const std::string& aText) { Log(ControlLogLevel::Info, aText); })
@@ -113,15 +115,13 @@
 }
 
 void
-ReplicaNode::OnPeerMessage(const FrameLink::Pointer& aLink,
-                           const consensus::PeerMessageT& aMessage)
+ReplicaNode::OnPeerMessage(const consensus::PeerMessageT& aMessage)
 {
   const bool mine = aMessage.cluster == m_options.m_cluster &&
                     aMessage.to == m_options.m_replica;
   if (m_closed || !mine) {
     return;
   }
-  m_peerInbound[aMessage.from] = aLink;
   if (const auto* reply = aMessage.body.AsReadIndexReply();
       reply != nullptr && reply->ok) {
     m_inForce = std::max(m_inForce, reply->in_force);
@@ -212,8 +212,8 @@
 void
 ReplicaNode::ScheduleTick()
 {
-  m_tickTimer.expires_after(
-    ToTimer(m_core->Log().NextDeadline() - BootClock::now()));
+  const Duration wait = m_core->Log().NextDeadline() - BootClock::now();
+  m_tickTimer.expires_after(ToTimer(std::max<Duration>(wait, kMinTickMs)));
   m_tickTimer.async_wait([this](const error_code& aError) {
     if (!aError && !m_closed) {
       m_core->Tick(BootClock::now());
@@ -320,12 +320,20 @@
 }
 
 consensus::ReadIndexT
-ReplicaNode::MakeReport()
+ReplicaNode::MakeBriefReport() const
 {
   const TimePoint now = BootClock::now();
   consensus::ReadIndexT report;
   report.report_min_index = m_feeds.MinAppliedIndex(now);
   report.report_feeds = m_feeds.CountLive(now);
+  return report;
+}
+
+consensus::ReadIndexT
+ReplicaNode::MakeReport()
+{
+  const TimePoint now = BootClock::now();
+  consensus::ReadIndexT report = MakeBriefReport();
   for (const auto& gateway : m_feeds.ListGateways()) {
     if (gateway.m_leaseEnd > now) {
       m_renewed.insert(HashGateway(gateway.m_vm, gateway.m_epoch));
--- a/Source/Control/ReplicaNode.h
+++ b/Source/Control/ReplicaNode.h
@@ -73,8 +73,7 @@
   void OnAcknowledged() override;
 
 private:
-  void OnPeerMessage(const FrameLink::Pointer& aLink,
-                     const consensus::PeerMessageT& aMessage);
+  void OnPeerMessage(const consensus::PeerMessageT& aMessage);
   void RequestDrive();
   void Drive();
   void FollowRole();
@@ -83,6 +82,8 @@
   void ScheduleRound(Duration aAfter);
   void StartRound();
   void EndRound(bool aOk, TimePoint aRequestedAt);
+  consensus::ReadIndexT MakeBriefReport() const;
+  // Takes the renewals along; they count as passed on.
   consensus::ReadIndexT MakeReport();
   void ScheduleDuties();
   void PerformDuties();
--- a/Source/Control/ReplicaNodeGroup.cxx
+++ b/Source/Control/ReplicaNodeGroup.cxx
@@ -46,7 +46,7 @@
 ReplicaNode::ConfirmState(ReadHandler aHandler)
 {
   m_core->Read(BootClock::now(),
-               MakeReport(),
+               MakeBriefReport(),
                [handler = std::move(aHandler)](bool aOk, TimePoint /*aAt*/) {
                  handler(aOk);
                });
