--- /dev/null
+++ b/Source/Daemon/DaemonSettings.cxx
@@ -0,0 +1,293 @@
+// The checked settings of one process.
+#include "Daemon/DaemonSettings.h"
+
+#include <algorithm>
+#include <cctype>
+#include <charconv>
+#include <filesystem>
+#include <string_view>
+#include <utility>
+
+namespace parsleycove {
+
+namespace {
+
+constexpr std::size_t kMaxNameLength = 64;
+constexpr std::size_t kHashDigits = 64;
+
+// Checks settings one by one and keeps the first error.
+class SettingChecker
+{
+public:
+  explicit SettingChecker(const SettingReader& aReader)
+    : m_reader(aReader)
+  {
+  }
+
+  bool HasFailed() const { return m_reason.m_code != SettingError::None; }
+  const SettingReason& LastReason() const { return m_reason; }
+
+  void Fail(SettingId aId)
+  {
+    const SettingRow& row = RowOf(aId);
+    FailWith("--" + std::string(row.m_name) + " (" +
+             std::string(row.m_variable) + ") is \"" + m_reader.TextOf(aId) +
+             "\": expected " + std::string(row.m_expected));
+  }
+
+  void FailWith(std::string aText)
+  {
+    if (!HasFailed()) {
+      m_reason.Set(SettingError::Invalid, std::move(aText));
+    }
+  }
+
+  std::string Name(SettingId aId)
+  {
+    const std::string& text = m_reader.TextOf(aId);
+    const bool fits = !text.empty() && text.size() <= kMaxNameLength;
+    const bool isPlain =
+      std::all_of(text.begin(), text.end(), [](unsigned char aSign) {
+        return std::isalnum(aSign) != 0 || aSign == '-' || aSign == '_' ||
+               aSign == '.';
+      });
+    if (!fits || !isPlain) {
+      Fail(aId);
+    }
+    return text;
+  }
+
+  std::uint64_t Number(SettingId aId,
+                       std::uint64_t aLowest,
+                       std::uint64_t aHighest)
+  {
+    const std::string& text = m_reader.TextOf(aId);
+    std::uint64_t number = 0;
+    const char* end = text.data() + text.size();
+    const auto [stop, error] = std::from_chars(text.data(), end, number);
+    const bool isNumber = error == std::errc{} && stop == end;
+    if (!isNumber || number < aLowest || number > aHighest) {
+      Fail(aId);
+    }
+    return number;
+  }
+
+  Duration Milliseconds(SettingId aId,
+                        std::uint64_t aLowest,
+                        std::uint64_t aHighest)
+  {
+    return std::chrono::milliseconds(Number(aId, aLowest, aHighest));
+  }
+
+  SocketAddress Address(SettingId aId)
+  {
+    const auto address = SocketAddress::Parse(m_reader.TextOf(aId));
+    if (!address) {
+      Fail(aId);
+      return {};
+    }
+    return *address;
+  }
+
+  std::string Hash(SettingId aId)
+  {
+    const std::string& text = m_reader.TextOf(aId);
+    const bool isHex =
+      std::all_of(text.begin(), text.end(), [](unsigned char aSign) {
+        return std::isdigit(aSign) != 0 || (aSign >= 'a' && aSign <= 'f');
+      });
+    if (!text.empty() && (text.size() != kHashDigits || !isHex)) {
+      Fail(aId);
+    }
+    return text;
+  }
+
+private:
+  const SettingReader& m_reader;
+  SettingReason m_reason;
+};
+
+std::vector<std::string_view>
+Split(std::string_view aText, char aMark)
+{
+  std::vector<std::string_view> parts;
+  while (!aText.empty()) {
+    const auto end = aText.find(aMark);
+    parts.push_back(aText.substr(0, end));
+    aText = end == std::string_view::npos ? std::string_view{}
+                                          : aText.substr(end + 1);
+  }
+  return parts;
+}
+
+std::optional<ReplicaSeed>
+ParseReplicaSeed(std::string_view aText)
+{
+  constexpr std::size_t kParts = 4;
+  const std::vector<std::string_view> parts = Split(aText, '@');
+  if (parts.size() != kParts) {
+    return std::nullopt;
+  }
+  ReplicaSeed seed;
+  const std::string_view id = parts[0];
+  const auto [stop, error] =
+    std::from_chars(id.data(), id.data() + id.size(), seed.m_replica);
+  const auto address = SocketAddress::Parse(parts[3]);
+  const bool isNumber = error == std::errc{} && stop == id.data() + id.size();
+  const bool isComplete = isNumber && seed.m_replica > 0 && address &&
+                          !parts[1].empty() && !parts[2].empty();
+  if (!isComplete) {
+    return std::nullopt;
+  }
+  seed.m_vm = parts[1];
+  seed.m_zone = parts[2];
+  seed.m_address = *address;
+  return seed;
+}
+
+GatewayOptions
+CheckGateway(const SettingReader& aReader, SettingChecker& aChecker)
+{
+  constexpr std::uint64_t kMaxThreads = 64;
+  constexpr std::uint64_t kMaxConnections = 1'000'000;
+  constexpr std::uint64_t kMinBytes = 1024;
+  constexpr std::uint64_t kMaxHeaderBytes = 1U << 20;
+  constexpr std::uint64_t kMaxBodyBytes = 64U << 20;
+  constexpr std::uint64_t kMinIdleMs = 100;
+  constexpr std::uint64_t kMaxIdleMs = 3'600'000;
+  constexpr std::uint64_t kMaxGraceMs = 600'000;
+  // An endpoint may miss two renewals in a row.
+  constexpr int kRenewalsPerLease = 3;
+  GatewayOptions options;
+  options.m_vm = aChecker.Name(SettingId::Vm);
+  options.m_zone = aChecker.Name(SettingId::Zone);
+  options.m_listen = aChecker.Address(SettingId::Listen);
+  options.m_operatorKeyHash = aChecker.Hash(SettingId::OperatorKeyHash);
+  options.m_threads = aChecker.Number(SettingId::Threads, 1, kMaxThreads);
+  options.m_maxConnections =
+    aChecker.Number(SettingId::MaxConnections, 1, kMaxConnections);
+  options.m_maxHeaderBytes =
+    aChecker.Number(SettingId::MaxHeaderBytes, kMinBytes, kMaxHeaderBytes);
+  options.m_maxBodyBytes =
+    aChecker.Number(SettingId::MaxBodyBytes, kMinBytes, kMaxBodyBytes);
+  options.m_idleTimeout =
+    aChecker.Milliseconds(SettingId::IdleTimeoutMs, kMinIdleMs, kMaxIdleMs);
+  options.m_drainGrace =
+    aChecker.Milliseconds(SettingId::DrainGraceMs, 0, kMaxGraceMs);
+  options.m_renewInterval =
+    aChecker.Milliseconds(SettingId::EndpointLeaseMs, 1000, kMaxGraceMs) /
+    kRenewalsPerLease;
+  if (aReader.TextOf(SettingId::OperatorKeyHash).empty()) {
+    options.m_operatorKeyHash.clear();
+  }
+  return options;
+}
+
+std::vector<ReplicaSeed>
+CheckBootstrap(const SettingReader& aReader, SettingChecker& aChecker)
+{
+  std::vector<ReplicaSeed> seeds;
+  for (const std::string_view part :
+       Split(aReader.TextOf(SettingId::Bootstrap), ',')) {
+    if (auto seed = ParseReplicaSeed(part)) {
+      seeds.push_back(std::move(*seed));
+    } else {
+      aChecker.Fail(SettingId::Bootstrap);
+    }
+  }
+  return seeds;
+}
+
+std::optional<ReplicaServiceOptions>
+CheckReplica(const SettingReader& aReader, SettingChecker& aChecker)
+{
+  constexpr std::uint64_t kMaxLeaseMs = 600'000;
+  if (!aReader.IsGiven(SettingId::DataFolder)) {
+    for (const SettingId id : { SettingId::ControlListen,
+                                SettingId::ReplicaId,
+                                SettingId::Bootstrap }) {
+      if (aReader.IsGiven(id)) {
+        aChecker.FailWith("--" + std::string(RowOf(id).m_name) +
+                          " is given without --data-folder: expected both, "
+                          "or neither");
+      }
+    }
+    return std::nullopt;
+  }
+  ReplicaServiceOptions options;
+  options.m_dataFolder = aReader.TextOf(SettingId::DataFolder);
+  std::error_code ignored;
+  if (!std::filesystem::is_directory(options.m_dataFolder, ignored)) {
+    aChecker.Fail(SettingId::DataFolder);
+  }
+  options.m_vm = aReader.TextOf(SettingId::Vm);
+  options.m_zone = aReader.TextOf(SettingId::Zone);
+  options.m_replica = aChecker.Number(SettingId::ReplicaId, 1, UINT64_MAX);
+  options.m_cluster = aChecker.Number(SettingId::ClusterId, 1, UINT64_MAX);
+  options.m_listen = aChecker.Address(SettingId::ControlListen);
+  options.m_bootstrap = CheckBootstrap(aReader, aChecker);
+  options.m_endpointLease =
+    aChecker.Milliseconds(SettingId::EndpointLeaseMs, 1000, kMaxLeaseMs);
+  options.m_seed = options.m_replica;
+  return options;
+}
+
+ControlClientOptions
+CheckClient(const SettingReader& aReader,
+            const std::optional<ReplicaServiceOptions>& aReplica,
+            SettingChecker& aChecker)
+{
+  ControlClientOptions options;
+  for (const std::string_view part :
+       Split(aReader.TextOf(SettingId::Seeds), ',')) {
+    if (auto address = SocketAddress::Parse(part)) {
+      options.m_seeds.push_back(*address);
+    } else {
+      aChecker.Fail(SettingId::Seeds);
+    }
+  }
+  if (aReplica) {
+    options.m_seeds.push_back(aReplica->m_listen);
+    for (const ReplicaSeed& seed : aReplica->m_bootstrap) {
+      options.m_seeds.push_back(seed.m_address);
+    }
+  }
+  if (options.m_seeds.empty()) {
+    aChecker.FailWith("--seeds (PARSLEYCOVE_SEEDS) is not given: expected the "
+                      "address of a control replica, or --data-folder");
+  }
+  return options;
+}
+
+} // namespace
+
+std::optional<DaemonSettings>
+DaemonSettings::Check(const SettingReader& aReader,
+                      std::uint64_t aEpoch,
+                      SettingReason& aReason)
+{
+  SettingChecker checker(aReader);
+  DaemonSettings settings;
+  settings.m_gateway = CheckGateway(aReader, checker);
+  settings.m_gateway.m_epoch = aEpoch;
+  settings.m_replica = CheckReplica(aReader, checker);
+  settings.m_client = CheckClient(aReader, settings.m_replica, checker);
+  settings.m_client.m_vm = settings.m_gateway.m_vm;
+  settings.m_client.m_zone = settings.m_gateway.m_zone;
+  settings.m_client.m_epoch = aEpoch;
+  settings.m_client.m_seed = aEpoch;
+  if (auto level = ParseLogLevel(aReader.TextOf(SettingId::LogLevel))) {
+    settings.m_logLevel = *level;
+  } else {
+    checker.Fail(SettingId::LogLevel);
+  }
+  settings.m_logFile = aReader.TextOf(SettingId::LogFile);
+  settings.m_traceFile = aReader.TextOf(SettingId::TraceFile);
+  if (checker.HasFailed()) {
+    aReason = checker.LastReason();
+    return std::nullopt;
+  }
+  return settings;
+}
+
+} // namespace parsleycove
--- /dev/null
+++ b/Source/Daemon/DaemonSettings.h
@@ -0,0 +1,34 @@
+// The checked settings of one process.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "Control/ControlClient.h"
+#include "Control/ReplicaServiceOptions.h"
+#include "Daemon/SettingReader.h"
+#include "Gateway/GatewayOptions.h"
+#include "Telemetry/Logging.h"
+
+namespace parsleycove {
+
+struct DaemonSettings
+{
+  GatewayOptions m_gateway;
+  ControlClientOptions m_client;
+  // Only on a VM with a data folder.
+  std::optional<ReplicaServiceOptions> m_replica;
+  LogLevel m_logLevel = LogLevel::Info;
+  std::string m_logFile;
+  std::string m_traceFile;
+
+  // Checks all settings together. Nothing is opened before that; each error
+  // names the setting, its value and what was expected.
+  static std::optional<DaemonSettings> Check(const SettingReader& aReader,
+                                             std::uint64_t aEpoch,
+                                             SettingReason& aReason);
+};
+
+} // namespace parsleycove
