--- /dev/null
+++ b/Tests/Daemon/SettingsTest.cxx
@@ -0,0 +1,114 @@
+// Tests of reading and checking settings; the errors are in the folder Cases.
+#include "Daemon/DaemonSettings.h"
+
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <string>
+#include <vector>
+
+#include <boost/json.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace parsleycove;
+
+namespace {
+
+// A list of texts in the form that main() takes.
+class TextList
+{
+public:
+  explicit TextList(std::vector<std::string> aTexts)
+    : m_texts(std::move(aTexts))
+  {
+    for (std::string& text : m_texts) {
+      m_pointers.push_back(text.data());
+    }
+    m_pointers.push_back(nullptr);
+  }
+  int Count() const { return static_cast<int>(m_texts.size()); }
+  char** Data() { return m_pointers.data(); }
+
+private:
+  std::vector<std::string> m_texts;
+  std::vector<char*> m_pointers;
+};
+
+// Returns the error text, or an empty one when the settings are good.
+std::string
+FindError(std::vector<std::string> aArguments,
+          std::vector<std::string> aVariables)
+{
+  aArguments.insert(aArguments.begin(), "parsleycoved");
+  TextList arguments(std::move(aArguments));
+  TextList variables(std::move(aVariables));
+  SettingReader reader;
+  if (!reader.Read(arguments.Count(), arguments.Data(), variables.Data())) {
+    return reader.LastReason().m_text;
+  }
+  SettingReason reason;
+  DaemonSettings::Check(reader, 1, reason);
+  return reason.m_text;
+}
+
+std::vector<std::string>
+ReadList(const boost::json::object& aCase, const char* aKey)
+{
+  return boost::json::value_to<std::vector<std::string>>(aCase.at(aKey));
+}
+
+boost::json::object
+ReadCase(const std::filesystem::path& aPath)
+{
+  std::ifstream file(aPath);
+  const std::string text{ std::istreambuf_iterator<char>(file), {} };
+  return boost::json::parse(text).as_object();
+}
+
+} // namespace
+
+TEST_GROUP(Settings){};
+
+TEST(Settings, EveryErrorNamesSettingValueAndExpectation)
+{
+  int cases = 0;
+  for (const auto& entry : std::filesystem::directory_iterator(CASES_FOLDER)) {
+    const boost::json::object fields = ReadCase(entry.path());
+    const std::string expected =
+      boost::json::value_to<std::string>(fields.at("error"));
+    const std::string found =
+      FindError(ReadList(fields, "arguments"), ReadList(fields, "variables"));
+    STRCMP_EQUAL_TEXT(
+      expected.c_str(), found.c_str(), entry.path().filename().c_str());
+    ++cases;
+  }
+  CHECK(cases >= 10);
+}
+
+TEST(Settings, FlagGoesBeforeVariableAndVariableBeforeDefault)
+{
+  TextList arguments({ "parsleycoved", "--vm", "a", "--zone", "z" });
+  TextList variables({ "PARSLEYCOVE_VM=b",
+                       "PARSLEYCOVE_THREADS=7",
+                       "PARSLEYCOVE_SEEDS=127.0.0.1:1",
+                       "HOME=/" });
+  SettingReader reader;
+  CHECK(reader.Read(arguments.Count(), arguments.Data(), variables.Data()));
+  SettingReason reason;
+  const auto settings = DaemonSettings::Check(reader, 1, reason);
+  CHECK(settings.has_value());
+  STRCMP_EQUAL("a", settings->m_gateway.m_vm.c_str());
+  CHECK_EQUAL(7, settings->m_gateway.m_threads);
+  CHECK_EQUAL(16384, settings->m_gateway.m_maxHeaderBytes);
+  CHECK_FALSE(settings->m_replica.has_value());
+}
+
+TEST(Settings, HelpNamesEverySetting)
+{
+  const std::string help = PrintSettingsHelp();
+  for (const SettingRow& row : kSettings) {
+    CHECK(help.find("--" + std::string(row.m_name)) != std::string::npos);
+    CHECK(help.find(row.m_variable) != std::string::npos);
+  }
+}
