--- a/Source/Routing/ChainPlanner.cxx
+++ b/Source/Routing/ChainPlanner.cxx
@@ -3,22 +3,6 @@
 
 namespace parsleycove {
 
-namespace {
-
-const RunnerSet*
-LargestSet(const ModelRunners& aModel)
-{
-  const RunnerSet* best = nullptr;
-  for (const RunnerSet& set : aModel.m_versions) {
-    if (!best || set.m_runners.size() > best->m_runners.size()) {
-      best = &set;
-    }
-  }
-  return best;
-}
-
-} // namespace
-
 const RunnerSet*
 ChainPlanner::FindRunners(const RunnerTable& aTable,
                           const ChainRequest& aRequest,
@@ -32,15 +16,18 @@
     return nullptr;
   }
   aLayers = model->m_layers;
-  const std::string& version =
-    aRequest.m_version.empty() ? model->m_version : aRequest.m_version;
-  const RunnerSet* set =
-    version.empty() ? LargestSet(*model) : model->FindVersion(version);
-  if (!set && aRequest.m_version.empty()) {
-    FailAtLayer(aRequest, 0);
-  } else if (!set) {
+  if (aRequest.m_version.empty()) {
+    const RunnerSet* served = model->FindServedVersion();
+    if (!served) {
+      FailAtLayer(aRequest, 0);
+    }
+    return served;
+  }
+  const RunnerSet* set = model->FindVersion(aRequest.m_version);
+  if (!set) {
     m_reason.Set(ChainError::NoSuchVersion,
-                 "version " + version + " of model " + aRequest.m_model +
+                 "version " + aRequest.m_version + " of model " +
+                   aRequest.m_model +
                    ": expected a version that a ready runner holds");
   }
   return set;
--- a/Source/Routing/FlowNetwork.cxx
+++ b/Source/Routing/FlowNetwork.cxx
@@ -92,13 +92,12 @@
        ++next) {
     const std::size_t index = m_outgoing[aNode][next];
     const Edge edge = m_edges[index];
-    const bool descends = edge.m_left > kEpsilon &&
-                          m_levels[edge.m_to] == m_levels[aNode] + 1;
+    const bool descends =
+      edge.m_left > kEpsilon && m_levels[edge.m_to] == m_levels[aNode] + 1;
     if (!descends) {
       continue;
     }
-    const double pushed =
-      Push(edge.m_to, aSink, std::min(aLimit, edge.m_left));
+    const double pushed = Push(edge.m_to, aSink, std::min(aLimit, edge.m_left));
     if (pushed > kEpsilon) {
       m_edges[index].m_left -= pushed;
       m_edges[index ^ 1].m_left += pushed;
--- a/Source/Routing/RunnerTable.cxx
+++ b/Source/Routing/RunnerTable.cxx
@@ -98,6 +98,20 @@
   return nullptr;
 }
 
+const RunnerSet*
+ModelRunners::FindServedVersion() const
+{
+  if (!m_version.empty()) {
+    return FindVersion(m_version);
+  }
+  const auto hasFewer = [](const RunnerSet& aLeft, const RunnerSet& aRight) {
+    return aLeft.m_runners.size() < aRight.m_runners.size();
+  };
+  const auto largest =
+    std::max_element(m_versions.begin(), m_versions.end(), hasFewer);
+  return largest == m_versions.end() ? nullptr : &*largest;
+}
+
 boost::intrusive_ptr<const RunnerTable>
 RunnerTable::Build(const ClusterView& aView, const RunnerTable* aPrevious)
 {
--- a/Source/Routing/RunnerTable.h
+++ b/Source/Routing/RunnerTable.h
@@ -44,6 +44,8 @@
 
   // Returns null when no Ready runner holds that version.
   const RunnerSet* FindVersion(std::string_view aVersion) const;
+  // Returns the configured version's runners, or null.
+  const RunnerSet* FindServedVersion() const;
 };
 
 // Built once for each cluster view and published to all threads.
--- a/Source/Routing/StreamAction.h
+++ b/Source/Routing/StreamAction.h
@@ -1,13 +1,14 @@
 // What a generation asks its shell to do.
 #pragma once
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <string>
 #include <variant>
 #include <vector>
 
-#include "Base/Clock.h"
+#include "Base/EnumTable.h"
 #include "Routing/Runner.h"
 
 namespace parsleycove {
@@ -65,6 +66,15 @@
   TooManyAttempts,
 };
 
+inline constexpr std::array<EnumName<FinishReason>, 6> kFinishReasonNames{ {
+  { FinishReason::End, "end" },
+  { FinishReason::MaxTokens, "max_tokens" },
+  { FinishReason::Cancelled, "cancelled" },
+  { FinishReason::DeadlineExceeded, "deadline_exceeded" },
+  { FinishReason::NoChain, "no_chain" },
+  { FinishReason::TooManyAttempts, "too_many_attempts" },
+} };
+
 struct FinishStream
 {
   FinishReason m_reason = FinishReason::End;
