--- a/Source/Routing/StreamMachine.cxx
+++ b/Source/Routing/StreamMachine.cxx
@@ -11,7 +11,7 @@
 constexpr Duration kMinStepTimeout = std::chrono::milliseconds(100);
 constexpr Duration kMaxStepTimeout = std::chrono::seconds(30);
 constexpr int kTimeoutIntervals = 4;
-constexpr Duration kChainRetryInterval = std::chrono::milliseconds(100);
+constexpr Duration kRetryInterval = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -106,7 +106,7 @@
   // go back to a runner that failed it once.
   m_lastFailure = aWhy;
   m_excluded.clear();
-  AskForChain(aNow, aNow + kChainRetryInterval);
+  AskForChain(aNow, aNow + kRetryInterval);
 }
 
 std::uint32_t
@@ -279,29 +279,45 @@
   m_lastFailure = failed->m_id + ": " + aWhy;
   m_excluded.push_back(failed->m_id);
   ReleaseChain(true);
-  RetryDecision decision;
-  if (m_budget) {
-    // Steps are idempotent: an attempt's number keeps its results apart.
-    decision = m_budget->Decide(aNow,
-                                { .m_attempts = m_attempt,
-                                  .m_maxAttempts = m_settings.m_maxAttempts,
-                                  .m_idempotent = true,
-                                  .m_byteMayHaveLeft = true,
-                                  .m_expected = {},
-                                  .m_deadline = m_settings.m_deadline });
-  } else if (m_attempt >= m_settings.m_maxAttempts) {
-    decision.m_verdict = RetryVerdict::TooManyAttempts;
-  }
-  if (decision.m_verdict == RetryVerdict::TooLate) {
-    Finish(FinishReason::DeadlineExceeded, m_lastFailure);
-    return;
-  }
-  if (decision.m_verdict != RetryVerdict::Retry) {
-    Finish(FinishReason::TooManyAttempts, m_lastFailure);
-    return;
+  TryNextAttempt(aNow);
+}
+
+RetryDecision
+StreamMachine::DecideOnRetry(TimePoint aNow)
+{
+  if (!m_budget) {
+    const bool more = m_attempt < m_settings.m_maxAttempts;
+    return { more ? RetryVerdict::Retry : RetryVerdict::TooManyAttempts, {} };
+  }
+  RetryQuestion question;
+  question.m_attempts = m_attempt;
+  question.m_maxAttempts = m_settings.m_maxAttempts;
+  // Steps are idempotent: an attempt's number keeps its results apart.
+  question.m_idempotent = true;
+  question.m_deadline = m_settings.m_deadline;
+  return m_budget->Decide(aNow, question);
+}
+
+void
+StreamMachine::TryNextAttempt(TimePoint aNow)
+{
+  const RetryDecision decision = DecideOnRetry(aNow);
+  switch (decision.m_verdict) {
+    case RetryVerdict::Retry:
+      ++m_attempt;
+      AskForChain(aNow, aNow + decision.m_backoff);
+      return;
+    case RetryVerdict::BudgetSpent:
+      // Others' successes fill the budget; until then this stream waits.
+      m_phase = Phase::WaitingForBudget;
+      m_askAgainAt = aNow + kRetryInterval;
+      return;
+    case RetryVerdict::TooLate:
+      Finish(FinishReason::DeadlineExceeded, m_lastFailure);
+      return;
+    default:
+      Finish(FinishReason::TooManyAttempts, m_lastFailure);
   }
-  ++m_attempt;
-  AskForChain(aNow, aNow + decision.m_backoff);
 }
 
 void
@@ -342,6 +358,10 @@
     AskForChain(aNow, aNow);
     return;
   }
+  if (m_phase == Phase::WaitingForBudget && aNow >= m_askAgainAt) {
+    TryNextAttempt(aNow);
+    return;
+  }
   if (m_outstanding && aNow >= m_outstanding->m_timeoutAt) {
     OnStepSilent(aNow, m_attempt, m_outstanding->m_stage);
   }
--- a/Source/Routing/StreamMachine.h
+++ b/Source/Routing/StreamMachine.h
@@ -72,6 +72,8 @@
   {
     Tokenizing,
     WaitingForChain,
+    // The next attempt waits until the retry budget allows it.
+    WaitingForBudget,
     Running,
     // A token was emitted and the caller's buffer is full.
     Paused,
@@ -96,6 +98,8 @@
   void TakeOk(TimePoint aNow, StepResult aResult);
   void TakeToken(TimePoint aNow, const StepResult& aResult);
   void Restart(TimePoint aNow, const std::string& aWhy, bool aCountFailure);
+  RetryDecision DecideOnRetry(TimePoint aNow);
+  void TryNextAttempt(TimePoint aNow);
   void ReleaseStep();
   void ReleaseChain(bool aSendCancel);
   void Finish(FinishReason aReason, std::string aText);
@@ -114,7 +118,7 @@
   std::uint32_t m_done = 0;
   bool m_callerSlow = false;
   std::vector<std::string> m_excluded;
-  // When a chain is asked for again, or max while an answer is due.
+  // When a chain or the budget is asked again, or max while neither is due.
   TimePoint m_askAgainAt = TimePoint::max();
   std::string m_lastFailure;
   std::vector<StreamAction> m_actions;
