--- a/Tests/State/ActionLedgerTest.cxx
+++ b/Tests/State/ActionLedgerTest.cxx
@@ -1,10 +1,10 @@
 // Tests of the action ledger's traps, one by one.
 #include "State/ActionLedger.h"
 
-#include <CppUTest/TestHarness.h>
-
 #include "State/Commands.h"
 
+#include <CppUTest/TestHarness.h>
+
 using namespace parsleycove;
 using namespace parsleycove::test;
 using state::ActionState;
