--- a/Source/State/GatewayLeaseTable.cxx
+++ b/Source/State/GatewayLeaseTable.cxx
@@ -79,6 +79,9 @@
 GatewayLeaseTable::MinAppliedIndex(TimePoint aNow,
                                    std::uint64_t aOwnIndex) const
 {
+  if (!m_startedAt || aNow <= *m_startedAt + m_lease) {
+    return 0;
+  }
   std::uint64_t result = aOwnIndex;
   for (const auto& [vm, gateway] : m_gateways) {
     if (gateway.m_leaseEnd > aNow) {
@@ -91,6 +94,9 @@
 std::uint64_t
 GatewayLeaseTable::TakeReport(TimePoint aNow, std::uint64_t aOwnIndex)
 {
+  if (!m_startedAt) {
+    m_startedAt = aNow;
+  }
   const std::uint64_t result = MinAppliedIndex(aNow, aOwnIndex);
   m_floor = std::max(m_floor, result);
   return result;
--- a/Source/State/GatewayLeaseTable.h
+++ b/Source/State/GatewayLeaseTable.h
@@ -49,7 +49,8 @@
                                 const feed::PingT& aPing);
 
   // The least applied index among gateways with a running lease, aOwnIndex
-  // when there is none.
+  // when there is none; 0 until a lease after the first TakeReport, since
+  // leases of this replica's earlier process may run on until then.
   std::uint64_t MinAppliedIndex(TimePoint aNow, std::uint64_t aOwnIndex) const;
   // The same for a ReadIndex that is about to be sent: from now on no gateway
   // that has applied less gets a lease.
@@ -65,6 +66,7 @@
 private:
   Duration m_lease;
   Duration m_goneAfter;
+  std::optional<TimePoint> m_startedAt;   // the first TakeReport
   std::optional<TimePoint> m_confirmedAt; // sending time
   // Invariant: no lease is granted to a gateway that has applied less.
   std::uint64_t m_floor = 0;
