--- a/Source/Control/ClientNode.cxx
+++ b/Source/Control/ClientNode.cxx
@@ -17,6 +17,7 @@
 
 // Pings follow one another this fast while a change is not yet in force.
 constexpr std::chrono::milliseconds kBusyPingMs{ 200 };
+constexpr std::chrono::milliseconds kRefusedPingMs{ 20 };
 constexpr std::uint32_t kFeedVersion = 1;
 // Renewals kept while no feed is open; older ones are of no use.
 constexpr std::size_t kMaxRenewals = 4096;
@@ -292,6 +293,9 @@
   if (aPong.lease_ms != 0 && !m_wantsImage) {
     m_lastGrantAt = BootClock::now();
     m_view.ExtendLease(sentAt + std::chrono::milliseconds(aPong.lease_ms));
+  } else {
+    // The replica waits for a newer acknowledgement, or for its quorum.
+    SchedulePing(kRefusedPingMs);
   }
 }
 
--- a/Source/Control/FeedServer.cxx
+++ b/Source/Control/FeedServer.cxx
@@ -146,9 +146,15 @@
 }
 
 void
-FeedServer::ConfirmRead(TimePoint aRequestedAt)
+FeedServer::ConfirmRead(TimePoint aNow, const ReadState& aRead)
 {
-  m_gateways.ConfirmRead(aRequestedAt);
+  m_gateways.ConfirmRead(aNow, aRead.m_requestedAt, aRead.m_index);
+}
+
+std::uint64_t
+FeedServer::TakeReport(TimePoint aNow)
+{
+  return m_gateways.TakeReport(aNow, m_backend.AppliedIndex());
 }
 
 void
--- a/Source/Control/FeedServer.h
+++ b/Source/Control/FeedServer.h
@@ -10,6 +10,7 @@
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 
+#include "Consensus/Replica.h"
 #include "Control/DeltaRing.h"
 #include "Control/FeedBackend.h"
 #include "State/GatewayLeaseTable.h"
@@ -41,8 +42,10 @@
   void OnStateReplaced();
   void OnConfigChanged(std::uint64_t aIndex, const state::CommandT& aCommand);
   void OnGroupChanged();
-  // The state applied here was current at aRequestedAt; leases rest on this.
-  void ConfirmRead(TimePoint aRequestedAt);
+  // The state applied here is current as of this read; leases rest on it.
+  void ConfirmRead(TimePoint aNow, const ReadState& aRead);
+  // The least index that the gateways have, for a report that is sent now.
+  std::uint64_t TakeReport(TimePoint aNow);
 
   std::uint64_t MinAppliedIndex(TimePoint aNow) const;
   std::uint32_t CountLive(TimePoint aNow) const;
--- a/Source/Control/LeaderDuties.cxx
+++ b/Source/Control/LeaderDuties.cxx
@@ -11,16 +11,6 @@
 
 namespace {
 
-std::vector<std::uint64_t>
-ListReplicas(const consensus::MembershipT& aMembers)
-{
-  std::vector<std::uint64_t> replicas;
-  for (const auto& member : aMembers.members) {
-    replicas.push_back(member->replica);
-  }
-  return replicas;
-}
-
 template<typename Body>
 state::CommandT
 MakeCommand(Body aBody)
@@ -34,31 +24,17 @@
 
 LeaderDuties::LeaderDuties(const LeaderDutiesOptions& aOptions,
                            TimePoint aNow,
-                           const consensus::MembershipT& aMembers,
                            const state::ConfigImageT& aConfig)
   : m_options(aOptions)
   , m_startedAt(aNow)
   , m_endpoints(aOptions.m_endpointLease)
   , m_inForce(aOptions.m_configLease)
-  , m_members(ListReplicas(aMembers))
 {
   m_endpoints.Start(aNow, aConfig);
-  m_inForce.Start(aNow, m_members);
+  m_inForce.Start(aNow);
   FollowConfig(aNow, aConfig);
 }
 
-void
-LeaderDuties::FollowMembers(const consensus::MembershipT& aMembers)
-{
-  for (const std::uint64_t replica : ListReplicas(aMembers)) {
-    if (std::find(m_members.begin(), m_members.end(), replica) ==
-        m_members.end()) {
-      m_members.push_back(replica);
-      m_inForce.AddReplica(replica);
-    }
-  }
-}
-
 void
 LeaderDuties::FollowConfig(TimePoint aNow, const state::ConfigImageT& aConfig)
 {
@@ -103,7 +79,7 @@
 std::vector<state::CommandT>
 LeaderDuties::FindExpired(TimePoint aNow,
                           std::uint64_t aUnixMs,
-                          const ReplicatedState& aState) const
+                          const ReplicatedState& aState)
 {
   std::vector<state::CommandT> commands;
   state::DropEndpointsT dropped = m_endpoints.TakeExpired(aNow);
--- a/Source/Control/LeaderDuties.h
+++ b/Source/Control/LeaderDuties.h
@@ -28,10 +28,8 @@
 public:
   LeaderDuties(const LeaderDutiesOptions& aOptions,
                TimePoint aNow,
-               const consensus::MembershipT& aMembers,
                const state::ConfigImageT& aConfig);
 
-  void FollowMembers(const consensus::MembershipT& aMembers);
   void FollowConfig(TimePoint aNow, const state::ConfigImageT& aConfig);
   // A replica's report, the leader's own among them.
   void NoteReport(TimePoint aNow,
@@ -42,7 +40,7 @@
   // Commands for leases that ran out. Each comes again until it was applied.
   std::vector<state::CommandT> FindExpired(TimePoint aNow,
                                            std::uint64_t aUnixMs,
-                                           const ReplicatedState& aState) const;
+                                           const ReplicatedState& aState);
   // The membership with one learner promoted that has caught up and synced.
   std::optional<consensus::MembershipT> FindPromotion(
     const Replica& aReplica) const;
@@ -58,7 +56,6 @@
   const TimePoint m_startedAt;
   EndpointLeaseTable m_endpoints;
   InForceTracker m_inForce;
-  std::vector<std::uint64_t> m_members;
   // Endpoints of the registry by their hash.
   std::unordered_map<std::uint64_t, state::EndpointRefT> m_endpointOfKey;
   // When each gateway process was last reported by a replica.
--- a/Source/Control/ReadTable.cxx
+++ b/Source/Control/ReadTable.cxx
@@ -22,11 +22,10 @@
   Handler handler = std::move(found->second);
   m_asked.erase(found);
   if (!aRead.m_ok) {
-    handler(false, aRead.m_requestedAt);
+    handler(aRead);
     return;
   }
-  m_confirmed.emplace(aRead.m_index,
-                      Confirmed{ aRead.m_requestedAt, std::move(handler) });
+  m_confirmed.emplace(aRead.m_index, Confirmed{ aRead, std::move(handler) });
 }
 
 void
@@ -35,18 +34,7 @@
   while (!m_confirmed.empty() && m_confirmed.begin()->first <= aAppliedIndex) {
     const Confirmed read = std::move(m_confirmed.begin()->second);
     m_confirmed.erase(m_confirmed.begin());
-    read.m_handler(true, read.m_requestedAt);
-  }
-}
-
-void
-ReadTable::FailAll()
-{
-  for (const auto& [id, handler] : std::exchange(m_asked, {})) {
-    handler(false, TimePoint{});
-  }
-  for (const auto& [index, read] : std::exchange(m_confirmed, {})) {
-    read.m_handler(false, read.m_requestedAt);
+    read.m_handler(read.m_read);
   }
 }
 
--- a/Source/Control/ReadTable.h
+++ b/Source/Control/ReadTable.h
@@ -6,7 +6,6 @@
 #include <map>
 #include <unordered_map>
 
-#include "Base/Clock.h"
 #include "Consensus/Replica.h"
 
 namespace parsleycove {
@@ -16,20 +15,19 @@
 class ReadTable
 {
 public:
-  // aRequestedAt: leases that rest on the read count from here.
-  using Handler = std::function<void(bool aOk, TimePoint aRequestedAt)>;
+  // The answer; with m_ok set the state is current as of the request.
+  using Handler = std::function<void(const ReadState&)>;
 
   // Returns the id to ask the log with.
   std::uint64_t Add(Handler aHandler);
   void Answer(const ReadState& aRead);
   // Calls the handlers of the reads up to the applied index.
   void Advance(std::uint64_t aAppliedIndex);
-  void FailAll();
 
 private:
   struct Confirmed
   {
-    TimePoint m_requestedAt{};
+    ReadState m_read;
     Handler m_handler;
   };
 
--- a/Source/Control/ReplicaNode.cxx
+++ b/Source/Control/ReplicaNode.cxx
@@ -180,10 +180,8 @@
     m_duties.reset();
     if (leads) {
       Log(ControlLogLevel::Info, "leads in term " + std::to_string(term));
-      m_duties.emplace(MakeLeaderDutiesOptions(m_options),
-                       BootClock::now(),
-                       log.Members(),
-                       State().Config());
+      m_duties.emplace(
+        MakeLeaderDutiesOptions(m_options), BootClock::now(), State().Config());
     }
   }
   m_leads = leads && log.HasLeaderLease(BootClock::now());
@@ -199,9 +197,6 @@
   if (changed) {
     m_peerAddresses = std::move(peers);
     m_peers.SetPeers(m_peerAddresses);
-    if (m_duties) {
-      m_duties->FollowMembers(log.Members());
-    }
   }
   if (changed || log.Leader() != m_knownLeader) {
     m_knownLeader = log.Leader();
@@ -301,8 +296,10 @@
     m_inForce = std::max(
       m_inForce, m_duties->InForceIndex(now, m_core->Log().CommitIndex()));
   }
-  m_core->Read(now, std::move(report), [this](bool aOk, TimePoint aAt) {
-    EndRound(aOk, aAt);
+  m_core->Read(now, std::move(report), [this](const ReadState& aRead) {
+    if (aRead.m_ok) {
+      m_feeds.ConfirmRead(BootClock::now(), aRead);
+    }
   });
   RequestDrive();
   const Duration pause = m_inForce < m_configIndex
@@ -311,20 +308,12 @@
   ScheduleRound(std::min(pause, m_options.m_configLease / 3));
 }
 
-void
-ReplicaNode::EndRound(bool aOk, TimePoint aRequestedAt)
-{
-  if (aOk) {
-    m_feeds.ConfirmRead(aRequestedAt);
-  }
-}
-
 consensus::ReadIndexT
-ReplicaNode::MakeBriefReport() const
+ReplicaNode::MakeBriefReport()
 {
   const TimePoint now = BootClock::now();
   consensus::ReadIndexT report;
-  report.report_min_index = m_feeds.MinAppliedIndex(now);
+  report.report_min_index = m_feeds.TakeReport(now);
   report.report_feeds = m_feeds.CountLive(now);
   return report;
 }
--- a/Source/Control/ReplicaNode.h
+++ b/Source/Control/ReplicaNode.h
@@ -81,8 +81,7 @@
   void ScheduleTick();
   void ScheduleRound(Duration aAfter);
   void StartRound();
-  void EndRound(bool aOk, TimePoint aRequestedAt);
-  consensus::ReadIndexT MakeBriefReport() const;
+  consensus::ReadIndexT MakeBriefReport();
   // Takes the renewals along; they count as passed on.
   consensus::ReadIndexT MakeReport();
   void ScheduleDuties();
--- a/Source/Control/ReplicaNodeGroup.cxx
+++ b/Source/Control/ReplicaNodeGroup.cxx
@@ -47,8 +47,8 @@
 {
   m_core->Read(BootClock::now(),
                MakeBriefReport(),
-               [handler = std::move(aHandler)](bool aOk, TimePoint /*aAt*/) {
-                 handler(aOk);
+               [handler = std::move(aHandler)](const ReadState& aRead) {
+                 handler(aRead.m_ok);
                });
   RequestDrive();
 }
--- a/Source/Wire/FrameLink.cxx
+++ b/Source/Wire/FrameLink.cxx
@@ -218,6 +218,7 @@
 void
 FrameLink::ScheduleHeartbeat()
 {
+  m_heartbeatAt = BootClock::now() + m_options.m_heartbeatInterval;
   m_channel->m_timer.expires_after(
     std::chrono::duration_cast<asio::steady_timer::duration>(
       m_options.m_heartbeatInterval));
@@ -235,7 +236,10 @@
   if (m_shut) {
     return;
   }
-  if (BootClock::now() - m_lastReceived >= m_options.m_silenceLimit) {
+  const TimePoint now = BootClock::now();
+  // After a pause of this process the peer's words may wait in the socket.
+  const bool paused = now > m_heartbeatAt + m_options.m_heartbeatInterval;
+  if (!paused && now - m_lastReceived >= m_options.m_silenceLimit) {
     Fail(WireError::Silent, m_peerName + ": nothing received for too long");
     return;
   }
--- a/Source/Wire/FrameLink.h
+++ b/Source/Wire/FrameLink.h
@@ -90,6 +90,7 @@
   bool m_shut = false;
   bool m_sentSinceHeartbeat = false;
   TimePoint m_lastReceived{};
+  TimePoint m_heartbeatAt{}; // when the timer is due
   std::string m_peerName;
 };
 
--- a/Source/Wire/MessageCodec.cxx
+++ b/Source/Wire/MessageCodec.cxx
@@ -1,6 +1,8 @@
 // Turns typed messages into frames and verified payloads into messages.
 #include "Wire/MessageCodec.h"
 
+#include <vector>
+
 namespace parsleycove {
 
 namespace {
@@ -15,6 +17,29 @@
                      { aBuilder.GetBufferPointer(), aBuilder.GetSize() }) };
 }
 
+// A payload inside of a received stream starts anywhere; the tables' numbers
+// are read in place and need their alignment.
+class AlignedPayload
+{
+public:
+  explicit AlignedPayload(std::span<const std::uint8_t> aPayload)
+    : m_payload(aPayload)
+  {
+    if (reinterpret_cast<std::uintptr_t>(aPayload.data()) %
+          alignof(std::uint64_t) !=
+        0) {
+      m_copy.assign(aPayload.begin(), aPayload.end());
+      m_payload = m_copy;
+    }
+  }
+
+  std::span<const std::uint8_t> Bytes() const { return m_payload; }
+
+private:
+  std::vector<std::uint8_t> m_copy;
+  std::span<const std::uint8_t> m_payload;
+};
+
 } // namespace
 
 Frame::Pointer
@@ -36,26 +61,30 @@
 std::optional<consensus::PeerMessageT>
 DecodePeerMessage(std::span<const std::uint8_t> aPayload)
 {
+  const AlignedPayload aligned(aPayload);
+  const auto bytes = aligned.Bytes();
   flatbuffers::Verifier verifier(
-    aPayload.data(), aPayload.size(), kMaxDepth, kMaxTables);
+    bytes.data(), bytes.size(), kMaxDepth, kMaxTables);
   if (!consensus::VerifyPeerMessageBuffer(verifier)) {
     return std::nullopt;
   }
   consensus::PeerMessageT message;
-  consensus::GetPeerMessage(aPayload.data())->UnPackTo(&message);
+  consensus::GetPeerMessage(bytes.data())->UnPackTo(&message);
   return message;
 }
 
 std::optional<feed::FeedMessageT>
 DecodeFeedMessage(std::span<const std::uint8_t> aPayload)
 {
+  const AlignedPayload aligned(aPayload);
+  const auto bytes = aligned.Bytes();
   flatbuffers::Verifier verifier(
-    aPayload.data(), aPayload.size(), kMaxDepth, kMaxTables);
+    bytes.data(), bytes.size(), kMaxDepth, kMaxTables);
   if (!feed::VerifyFeedMessageBuffer(verifier)) {
     return std::nullopt;
   }
   feed::FeedMessageT message;
-  feed::GetFeedMessage(aPayload.data())->UnPackTo(&message);
+  feed::GetFeedMessage(bytes.data())->UnPackTo(&message);
   return message;
 }
 
--- a/Tests/Wire/FrameLinkTest.cxx
+++ b/Tests/Wire/FrameLinkTest.cxx
@@ -3,7 +3,6 @@
 
 #include <array>
 
-#include <CppUTest/TestHarness.h>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
@@ -11,6 +10,9 @@
 #include "Wire/LinkFixture.h"
 #include "Wire/PeerLinks.h"
 
+// Last, since its leak macros redefine new.
+#include <CppUTest/TestHarness.h>
+
 using namespace parsleycove;
 namespace asio = boost::asio;
 
--- a/Tests/Wire/MessageCodecTest.cxx
+++ b/Tests/Wire/MessageCodecTest.cxx
@@ -16,7 +16,8 @@
   hello.vm = "vm-1";
   hello.zone = "zone-a";
   hello.epoch = 3;
-  const auto& bytes = EncodeFeedBody(std::move(hello))->Bytes();
+  const Frame::Pointer frame = EncodeFeedBody(std::move(hello));
+  const auto& bytes = frame->Bytes();
   return { bytes.begin() + kFrameHeaderBytes, bytes.end() };
 }
 
