--- a/Source/Consensus/ReadIndexQueue.cxx
+++ b/Source/Consensus/ReadIndexQueue.cxx
@@ -58,10 +58,10 @@
 }
 
 std::vector<WaitingRead>
-ReadIndexQueue::TakeWaiting(TimePoint aRequestedBefore)
+ReadIndexQueue::TakeWaitingUntil(TimePoint aRequestedUntil)
 {
   return TakeIf(m_waiting, [=](const WaitingRead& aRead) {
-    return aRead.m_requestedAt < aRequestedBefore;
+    return aRead.m_requestedAt <= aRequestedUntil;
   });
 }
 
@@ -83,10 +83,10 @@
 }
 
 std::vector<ForwardedRead>
-ReadIndexQueue::TakeForwardedBefore(TimePoint aRequestedBefore)
+ReadIndexQueue::TakeForwardedUntil(TimePoint aRequestedUntil)
 {
   return TakeIf(m_forwarded, [=](const ForwardedRead& aRead) {
-    return aRead.m_requestedAt < aRequestedBefore;
+    return aRead.m_requestedAt <= aRequestedUntil;
   });
 }
 
--- a/Source/Consensus/ReadIndexQueue.h
+++ b/Source/Consensus/ReadIndexQueue.h
@@ -46,12 +46,12 @@
   // Returns whether there were any.
   bool StartProbe(std::uint64_t aProbe);
   std::vector<WaitingRead> TakeConfirmed(std::uint64_t aQuorumProbe);
-  std::vector<WaitingRead> TakeWaiting(TimePoint aRequestedBefore);
+  std::vector<WaitingRead> TakeWaitingUntil(TimePoint aRequestedUntil);
 
   // Returns the id to send.
   std::uint64_t Forward(std::uint64_t aId, TimePoint aNow);
   std::optional<ForwardedRead> TakeForwarded(std::uint64_t aWireId);
-  std::vector<ForwardedRead> TakeForwardedBefore(TimePoint aRequestedBefore);
+  std::vector<ForwardedRead> TakeForwardedUntil(TimePoint aRequestedUntil);
 
 private:
   std::uint64_t m_nextWireId;
--- a/Source/Consensus/ReplicaState.cxx
+++ b/Source/Consensus/ReplicaState.cxx
@@ -136,12 +136,12 @@
 }
 
 void
-ReplicaState::FailReads(TimePoint aRequestedBefore)
+ReplicaState::FailReads(TimePoint aRequestedUntil)
 {
-  for (const WaitingRead& read : m_reads.TakeWaiting(aRequestedBefore)) {
+  for (const WaitingRead& read : m_reads.TakeWaitingUntil(aRequestedUntil)) {
     AnswerRead(read, false);
   }
-  for (const auto& read : m_reads.TakeForwardedBefore(aRequestedBefore)) {
+  for (const auto& read : m_reads.TakeForwardedUntil(aRequestedUntil)) {
     m_out.m_reads.push_back({ read.m_id, 0, false, read.m_requestedAt });
   }
 }
--- a/Source/Consensus/ReplicaState.h
+++ b/Source/Consensus/ReplicaState.h
@@ -54,8 +54,8 @@
   }
 
   void AnswerRead(const WaitingRead& aRead, bool aOk);
-  // Fails every read that began before this.
-  void FailReads(TimePoint aRequestedBefore);
+  // Fails every read that began then or before.
+  void FailReads(TimePoint aRequestedUntil);
 
   const ReplicaOptions m_options;
   RaftLog m_log;
