--- a/Source/Gateway/AdmissionGate.h
+++ b/Source/Gateway/AdmissionGate.h
@@ -9,6 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "Gateway/AsyncSlot.h"
+#include "Gateway/Http.h"
 #include "Routing/AdmissionController.h"
 
 namespace parsleycove {
--- a/Source/Gateway/ChatHandler.cxx
+++ b/Source/Gateway/ChatHandler.cxx
@@ -30,6 +30,28 @@
   return { code, aEnd.m_text, CallOutcome::NotApplicable, kRetryNoRunner };
 }
 
+ApiError
+ErrorOf(const AdmissionAnswer& aAnswer)
+{
+  switch (aAnswer.m_refusal) {
+    case AdmissionRefusal::AccountShare:
+      return { ApiErrorCode::Overloaded,
+               "the client account's own requests use up its share",
+               CallOutcome::NotApplicable,
+               aAnswer.m_retryAfter };
+    case AdmissionRefusal::NoCapacity:
+      return { ApiErrorCode::NoRunner,
+               "no runner serves the model at present",
+               CallOutcome::NotApplicable,
+               aAnswer.m_retryAfter };
+    default:
+      return { ApiErrorCode::Overloaded,
+               "the request would not be answered within its class's target",
+               CallOutcome::NotApplicable,
+               aAnswer.m_retryAfter };
+  }
+}
+
 bool
 IsWhole(const GenerationEnd& aEnd)
 {
@@ -110,28 +132,63 @@
     co_await aResponder.SendError(refusal);
     co_return;
   }
+  // An estimate of the tokens to compute, good enough to share by.
+  constexpr std::size_t kBytesPerToken = 4;
+  AdmissionGate& gate = aContext.m_worker.Admission();
+  AdmissionRequest request;
+  request.m_id = gate.NewId();
+  request.m_account = caller->m_account->name;
+  request.m_resource = chat->m_model;
+  request.m_targets = MakeTargets(*caller->m_class);
+  request.m_cost = static_cast<double>(chat->m_prompt.size() / kBytesPerToken +
+                                       chat->m_maxTokens);
+  request.m_deadline = caller->m_deadline;
+  const std::uint64_t id = request.m_id;
+  const OpenSpan span = aContext.m_trace.StartSpan("admission");
+  const AdmissionAnswer answer = co_await gate.Enter(std::move(request));
+  const bool isAdmitted = answer.m_verdict == AdmissionVerdict::Admitted;
+  aContext.m_trace.EndSpan(span, !isAdmitted);
+  if (!isAdmitted) {
+    co_await aResponder.SendError(ErrorOf(answer));
+    co_return;
+  }
+  const AdmissionOutcome outcome =
+    co_await Run(aContext, aResponder, *caller, *chat);
+  gate.Leave(id, outcome);
+}
+
+asio::awaitable<AdmissionOutcome>
+ChatHandler::Run(const RequestContext& aContext,
+                 Responder& aResponder,
+                 const Caller& aCaller,
+                 const ChatRequest& aChat)
+{
   GenerationRequest request;
-  request.m_model = chat->m_model;
-  request.m_prompt = chat->m_prompt;
-  request.m_maxTokens = chat->m_maxTokens;
-  request.m_seed = chat->m_seed;
+  request.m_model = aChat.m_model;
+  request.m_prompt = aChat.m_prompt;
+  request.m_maxTokens = aChat.m_maxTokens;
+  request.m_seed = aChat.m_seed;
   auto generation = std::make_shared<Generation>(m_services,
                                                  aContext.m_worker,
                                                  aContext.m_trace,
-                                                 *caller,
+                                                 aCaller,
                                                  std::move(request));
   const ChatNames names{ "chatcmpl-" + aContext.m_trace.Root().m_traceId,
-                         chat->m_model,
+                         aChat.m_model,
                          m_services.m_clock.UnixMs() / kMsPerSecond };
-  TargetWatch watch(MakeTargets(*caller->m_class), aContext.m_arrival);
+  TargetWatch watch(MakeTargets(*aCaller.m_class), aContext.m_arrival);
   GenerationEnd end;
-  if (chat->m_isStream) {
+  if (aChat.m_isStream) {
     co_await AnswerEvents(*generation, watch, names, end, aResponder);
   } else {
     co_await AnswerWhole(*generation, watch, names, end, aResponder);
   }
   aContext.m_trace.AddRootAttribute("attempts", std::to_string(end.m_attempts));
   aContext.m_trace.AddRootAttribute("tokens", std::to_string(end.m_emitted));
+  AdmissionOutcome outcome;
+  outcome.m_inTime = IsWhole(end) && watch.IsFirstInTime();
+  outcome.m_tokens = end.m_emitted + end.m_promptTokens;
+  co_return outcome;
 }
 
 } // namespace parsleycove
--- a/Source/Gateway/ChatHandler.h
+++ b/Source/Gateway/ChatHandler.h
@@ -2,9 +2,12 @@
 #pragma once
 
 #include "Gateway/Handler.h"
+#include "Routing/AdmissionController.h"
 
 namespace parsleycove {
 
+struct Caller;
+struct ChatRequest;
 struct GatewayServices;
 
 // Answers a chat completion whole, or as server-sent events token by token.
@@ -17,6 +20,11 @@
                                Responder& aResponder) override;
 
 private:
+  asio::awaitable<AdmissionOutcome> Run(const RequestContext& aContext,
+                                        Responder& aResponder,
+                                        const Caller& aCaller,
+                                        const ChatRequest& aChat);
+
   const GatewayServices& m_services;
 };
 
--- a/Source/Gateway/GatewayServer.cxx
+++ b/Source/Gateway/GatewayServer.cxx
@@ -6,6 +6,7 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -18,6 +19,7 @@
 #include "Gateway/Listener.h"
 #include "Gateway/ServiceHandler.h"
 #include "Gateway/Worker.h"
+#include "Routing/FlowBound.h"
 #include "State/ControlPort.h"
 #include "Telemetry/MetricRegistry.h"
 
@@ -28,17 +30,37 @@
 // How soon a new view of the cluster reaches the planners.
 constexpr Duration kTableInterval = std::chrono::milliseconds(10);
 
+using Workers = std::vector<std::unique_ptr<Worker>>;
+
+// Tells every worker its share of what the runners of each model carry.
+void
+SpreadCapacities(const RunnerTable& aTable, const Workers& aWorkers)
+{
+  const double share = 1.0 / static_cast<double>(aWorkers.size());
+  for (const ModelRunners& model : aTable.Models()) {
+    const double capacity = ComputeFlowBound(aTable, model.m_name) * share;
+    for (const auto& worker : aWorkers) {
+      asio::post(worker->Context(),
+                 [gate = &worker->Admission(), name = model.m_name, capacity] {
+                   gate->SetCapacity(name, capacity);
+                 });
+    }
+  }
+}
+
 // Publishes a new table of runners whenever the cluster's view has changed.
 asio::awaitable<void>
-KeepTableCurrent(const GatewayServices& aServices, asio::io_context& aContext)
+KeepTableCurrent(const GatewayServices& aServices, const Workers& aWorkers)
 {
-  asio::steady_timer timer(aContext);
+  asio::steady_timer timer(aWorkers.front()->Context());
   boost::intrusive_ptr<const ClusterView> known;
   for (;;) {
     const auto view = aServices.m_control.View();
     if (view != known) {
       const auto previous = aServices.m_runners.Read();
-      aServices.m_runners.Publish(RunnerTable::Build(*view, previous.get()));
+      const auto next = RunnerTable::Build(*view, previous.get());
+      aServices.m_runners.Publish(next);
+      SpreadCapacities(*next, aWorkers);
       known = view;
     }
     timer.expires_after(kTableInterval);
@@ -84,7 +106,8 @@
     return false;
   }
   asio::io_context& first = m_workers.front()->Context();
-  asio::co_spawn(first, KeepTableCurrent(m_services, first), asio::detached);
+  asio::co_spawn(
+    first, KeepTableCurrent(m_services, m_workers), asio::detached);
   asio::co_spawn(first, m_listener->Run(), asio::detached);
   for (const auto& worker : m_workers) {
     worker->Start();
--- a/Source/Gateway/Worker.cxx
+++ b/Source/Gateway/Worker.cxx
@@ -37,6 +37,7 @@
   , m_retries(kRetryShare,
               kRetryReserve,
               MakeSeed(aServices.m_options, aIndex) + 2)
+  , m_admission(m_context.get_executor())
   , m_latency(
       aServices.m_metrics.AddHistogram("parsleycove_request_seconds", ""))
 {
--- a/Source/Gateway/Worker.h
+++ b/Source/Gateway/Worker.h
@@ -11,6 +11,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "Base/Clock.h"
+#include "Gateway/AdmissionGate.h"
 #include "Gateway/EndpointClient.h"
 #include "Routing/RetryBudget.h"
 #include "Routing/ServicePicker.h"
@@ -46,6 +47,7 @@
   ChainPlanner& Planner() { return *m_planner; }
   ServicePicker& Picker() { return m_picker; }
   RetryBudget& Retries() { return m_retries; }
+  AdmissionGate& Admission() { return m_admission; }
 
   void CountAnswer(unsigned aStatus, Duration aSpent);
 
@@ -59,6 +61,7 @@
   std::unique_ptr<ChainPlanner> m_planner;
   ServicePicker m_picker;
   RetryBudget m_retries;
+  AdmissionGate m_admission;
   std::array<Counter*, kStatusClasses> m_answers{};
   LatencyHistogram& m_latency;
   std::thread m_thread;
--- a/Utilities/run.sh
+++ b/Utilities/run.sh
@@ -39,7 +39,7 @@
   start_stand_in "engine$stage" parsleycove-engine --listen 127.0.0.1:0 \
     --gateways "$(gateways)" --id "engine-$stage" --zone "zone$((stage + 1))" \
     --model ice --version 1 --layers "$((stage * 4))..$((stage * 4 + 3))" \
-    --model-layers 12 --rate 20000
+    --model-layers 12 --rate 20000 --accelerator small
 done
 start_stand_in service parsleycove-service --listen 127.0.0.1:0 \
   --gateways "$(gateways)" --id escort-1 --zone zone1 --service escort
