--- a/Source/Routing/AdmissionQueue.cxx
+++ b/Source/Routing/AdmissionQueue.cxx
@@ -47,16 +47,22 @@
 }
 
 std::size_t
-AdmissionQueue::ClassOf(const ClassTargets& aTargets)
+AdmissionQueue::ClassOf(TimePoint aNow, const AdmissionRequest& aRequest)
 {
+  const ClassTargets& targets = aRequest.m_targets;
+  // A class without a target of its own is bound by its requests' deadlines.
+  const Duration completion = targets.m_completion > Duration::zero()
+                                ? targets.m_completion
+                                : aRequest.m_deadline - aNow;
+  const double allowedLate = 1.0 - targets.m_successPerMille / 1000.0;
   for (std::size_t i = 0; i < m_classes.size(); ++i) {
-    if (m_classes[i].m_name == aTargets.m_name) {
+    if (m_classes[i].m_name == targets.m_name) {
+      m_classes[i].m_completion = completion;
+      m_classes[i].m_allowedLate = allowedLate;
       return i;
     }
   }
-  const double allowedLate = 1.0 - aTargets.m_successPerMille / 1000.0;
-  m_classes.push_back(
-    { aTargets.m_name, aTargets.m_completion, allowedLate, 0 });
+  m_classes.push_back({ targets.m_name, completion, allowedLate, 0 });
   return m_classes.size() - 1;
 }
 
@@ -112,12 +118,13 @@
     return Refuse(AdmissionRefusal::NoCapacity, kNoCapacityRetry);
   }
   AccountShare& account = AccountOf(aRequest.m_account);
-  const std::size_t classIndex = ClassOf(aRequest.m_targets);
   const Duration budget = aRequest.m_deadline - aNow;
   const Duration slack = budget - m_capacity.ServiceTime(aRequest.m_cost);
   if (budget <= Duration::zero()) {
     return Refuse(AdmissionRefusal::CannotBeInTime, kMinRetryAfter);
   }
+  const std::size_t classIndex = ClassOf(aNow, aRequest);
+  m_capacity.NoteTarget(m_classes[classIndex].m_completion);
   m_largestCost = std::max(m_largestCost, aRequest.m_cost);
   if (m_waiting.empty() && HasRoomFor(aRequest.m_cost)) {
     Start(aNow, aRequest.m_id, account, aRequest.m_cost, classIndex);
@@ -170,7 +177,8 @@
 {
   aAccount.m_virtualTime += aCost;
   m_outstandingCost += aCost;
-  m_started[aId] = { aCost, aNow, m_classes[aClass].m_allowedLate };
+  const ClassQueue& queue = m_classes[aClass];
+  m_started[aId] = { aCost, aNow, queue.m_completion, queue.m_allowedLate };
 }
 
 void
@@ -205,6 +213,18 @@
   }
 }
 
+void
+AdmissionQueue::RefuseAll(AdmissionBatch& aBatch)
+{
+  while (!m_waiting.empty()) {
+    WaitingRequest& request = *m_waiting.begin();
+    Unlink(request);
+    aBatch.m_refused.push_back(
+      { request.m_id, AdmissionRefusal::NoCapacity, kNoCapacityRetry });
+    m_requests.erase(request.m_id);
+  }
+}
+
 WaitingRequest&
 AdmissionQueue::ChooseNext()
 {
@@ -229,6 +249,10 @@
 void
 AdmissionQueue::TakeReady(TimePoint aNow, AdmissionBatch& aBatch)
 {
+  if (!m_capacity.IsConfigured()) {
+    RefuseAll(aBatch);
+    return;
+  }
   RefuseHopeless(aNow, aBatch);
   while (!m_waiting.empty()) {
     WaitingRequest& request = ChooseNext();
@@ -267,8 +291,8 @@
   }
   m_capacity.NoteFinished(aNow,
                           { started.m_cost,
-                            aOutcome.m_tokens,
                             aNow - started.m_startedAt,
+                            started.m_completion,
                             aOutcome.m_inTime,
                             started.m_allowedLate });
 }
--- a/Source/Routing/AdmissionQueue.h
+++ b/Source/Routing/AdmissionQueue.h
@@ -39,6 +39,7 @@
   {
     double m_cost = 0;
     TimePoint m_startedAt;
+    Duration m_completion{};
     double m_allowedLate = 0;
   };
   // Waiting cost of one class.
@@ -50,7 +51,7 @@
     double m_waitingCost = 0;
   };
 
-  std::size_t ClassOf(const ClassTargets& aTargets);
+  std::size_t ClassOf(TimePoint aNow, const AdmissionRequest& aRequest);
   AccountShare& AccountOf(const std::string& aName);
   bool HasRoomFor(double aCost) const;
   AdmissionAnswer Refuse(AdmissionRefusal aRefusal, Duration aRetryAfter) const;
@@ -69,6 +70,8 @@
   // Returns the request to start next; something must wait.
   WaitingRequest& ChooseNext();
   void Unlink(WaitingRequest& aRequest);
+  // Nothing serves the resource any more.
+  void RefuseAll(AdmissionBatch& aBatch);
   void RefuseHopeless(TimePoint aNow, AdmissionBatch& aBatch);
 
   CapacityEstimate m_capacity;
--- a/Source/Routing/CapacityEstimate.cxx
+++ b/Source/Routing/CapacityEstimate.cxx
@@ -8,16 +8,20 @@
 
 namespace {
 
-constexpr double kFirstLimitSeconds = 0.5;
+// Before anything was measured, work may take this share of its target.
+constexpr double kFirstLimitShare = 0.25;
 constexpr double kMaxLimitSeconds = 30.0;
 constexpr double kAverageWeight = 0.1;
 constexpr double kDeviations = 2.0;
 constexpr double kIncreaseShare = 0.05;
 constexpr double kLeastDecrease = 0.1;
 constexpr double kMostDecrease = 0.5;
-constexpr double kSlowdownBound = 2.0;
-// The least time seen is let rise, so that a changed service is noticed.
-constexpr double kLeastRise = 1.005;
+constexpr double kSlowdownToIncrease = 1.5;
+constexpr double kSlowdownToDecrease = 2.0;
+// Share of answers that take most of their class's time.
+constexpr double kStrainToIncrease = 0.01;
+constexpr double kStrainToDecrease = 0.05;
+constexpr double kStrainedShare = 0.6;
 constexpr double kRateWeight = 0.3;
 constexpr double kMinRateShare = 0.05;
 constexpr double kMaxRateShare = 2.0;
@@ -43,7 +47,7 @@
     m_limit *= change;
     m_rate *= change;
   } else {
-    m_limit = aCostPerSecond * kFirstLimitSeconds;
+    m_limit = aCostPerSecond * kFirstLimitShare * ToSeconds(m_tightest);
     m_rate = aCostPerSecond;
     m_windowStart = aNow;
   }
@@ -51,6 +55,17 @@
   Clamp();
 }
 
+void
+CapacityEstimate::NoteTarget(Duration aCompletion)
+{
+  if (m_least > 0 || aCompletion >= m_tightest) {
+    return;
+  }
+  m_tightest = aCompletion;
+  m_limit = m_configured * kFirstLimitShare * ToSeconds(m_tightest);
+  Clamp();
+}
+
 Duration
 CapacityEstimate::ServiceTime(double aCost) const
 {
@@ -65,7 +80,6 @@
   const double perCost = ToSeconds(aWork.m_taken) / cost;
   if (m_perCost == 0) {
     m_perCost = perCost;
-    m_least = perCost;
     m_meanCost = cost;
   }
   const double error = perCost - m_perCost;
@@ -76,6 +90,9 @@
   m_late += aWork.m_inTime ? 0 : 1;
   m_allowedLate += aWork.m_allowedLate;
   m_served += cost;
+  m_seconds += ToSeconds(aWork.m_taken);
+  const double most = kStrainedShare * ToSeconds(aWork.m_completion);
+  m_strained += ToSeconds(aWork.m_taken) > most ? 1 : 0;
   const double window = ToSeconds(aNow - m_windowStart);
   const double least = std::max(kMinWindowSeconds, m_perCost * m_meanCost);
   if (m_finished >= kWindowRequests && window >= least) {
@@ -94,6 +111,8 @@
   m_late = 0;
   m_allowedLate = 0;
   m_served = 0;
+  m_seconds = 0;
+  m_strained = 0;
   m_saturated = false;
 }
 
@@ -107,17 +126,42 @@
   }
 }
 
+void
+CapacityEstimate::LearnLeast()
+{
+  const double perCost = m_seconds / m_served;
+  if (m_least == 0) {
+    m_least = perCost;
+  }
+  // What an unloaded resource of this capacity holds at a time. At a limit
+  // this low, and without saturation, the time seen is the unloaded one.
+  const bool unloaded =
+    !m_saturated || m_limit <= m_configured * m_least * m_meanCost;
+  if (unloaded || perCost < m_least) {
+    m_least += kAverageWeight * (perCost - m_least);
+  }
+}
+
 void
 CapacityEstimate::AdaptLimit()
 {
-  m_least = std::min(m_least * kLeastRise, m_perCost);
-  const double late = m_late;
-  if (late > m_allowedLate / 2.0) {
-    const double share = late / m_finished;
-    m_limit *= 1.0 - std::clamp(share, kLeastDecrease, kMostDecrease);
+  LearnLeast();
+  const double late = static_cast<double>(m_late) / m_finished;
+  const double strained = static_cast<double>(m_strained) / m_finished;
+  const double slowdown = m_perCost / m_least;
+  if (late > m_allowedLate / m_finished / 2.0) {
+    m_limit *= 1.0 - std::clamp(late, kLeastDecrease, kMostDecrease);
+    return;
+  }
+  if (slowdown > kSlowdownToDecrease || strained > kStrainToDecrease) {
+    const double held = m_configured * m_least * m_meanCost;
+    const double lower = m_limit * (1.0 - kLeastDecrease);
+    m_limit = std::min(m_limit, std::max(lower, held));
     return;
   }
-  if (m_saturated && m_perCost <= kSlowdownBound * m_least) {
+  const bool roomy =
+    slowdown <= kSlowdownToIncrease && strained <= kStrainToIncrease;
+  if (m_saturated && roomy) {
     m_limit += kIncreaseShare * m_limit + m_meanCost;
   }
 }
--- a/Source/Routing/CapacityEstimate.h
+++ b/Source/Routing/CapacityEstimate.h
@@ -11,21 +11,25 @@
 struct FinishedWork
 {
   double m_cost = 0;
-  double m_tokens = 0;
   Duration m_taken{};
+  // The class's target for the whole answer.
+  Duration m_completion{};
   bool m_inTime = true;
   // Share of late answers that the class's target allows.
   double m_allowedLate = 0.05;
 };
 
-// Bounds the outstanding cost: additive increase while the bound is reached
-// and answers are in time and not slower than twice the fastest seen,
-// multiplicative decrease when more are late than the target allows.
+// Bounds the outstanding cost. The bound grows by a step while it is reached
+// and work takes little longer than on an unloaded resource, shrinks slowly
+// once work takes twice as long or most of its class's time, and shrinks at
+// once by the share of late answers when more are late than targets allow.
 class CapacityEstimate
 {
 public:
   // Sets the capacity that follows from the runners' rates.
   void Configure(TimePoint aNow, double aCostPerSecond);
+  // Tells a class's target; the tightest sets the limit to begin with.
+  void NoteTarget(Duration aCompletion);
   bool IsConfigured() const { return m_configured > 0; }
 
   // Cost that may be outstanding at once.
@@ -41,6 +45,7 @@
 
 private:
   void EndWindow(TimePoint aNow);
+  void LearnLeast();
   void AdaptLimit();
   void AdaptRate(double aSeconds);
   void Clamp();
@@ -48,11 +53,13 @@
   double m_configured = 0;
   double m_limit = 0;
   double m_rate = 0;
-  // Seconds for each unit of cost: mean, mean deviation, least.
+  // Seconds for each unit of cost: mean, mean deviation, and the mean of an
+  // unloaded resource.
   double m_perCost = 0;
   double m_deviation = 0;
   double m_least = 0;
   double m_meanCost = 1;
+  Duration m_tightest = std::chrono::seconds(10);
 
   // The present window.
   TimePoint m_windowStart;
@@ -60,6 +67,8 @@
   std::uint32_t m_late = 0;
   double m_allowedLate = 0;
   double m_served = 0;
+  double m_seconds = 0;
+  std::uint32_t m_strained = 0;
   bool m_saturated = false;
 };
 
