Routing: Give idle accounts no credit in admission

While nothing waited, the virtual time of the accounts that were admitted grew and the common one stood still, so an account that came back after a quiet time went before all others. Shown by AbsenceEarnsNoCredit.

--- a/Source/Routing/AdmissionQueue.cxx
+++ b/Source/Routing/AdmissionQueue.cxx
@@ -127,6 +127,8 @@
   m_capacity.NoteTarget(m_classes[classIndex].m_completion);
   m_largestCost = std::max(m_largestCost, aRequest.m_cost);
   if (m_waiting.empty() && HasRoomFor(aRequest.m_cost)) {
+    // Without contention nobody earns credit by staying away.
+    m_virtualNow = std::max(m_virtualNow, account.m_virtualTime);
     Start(aNow, aRequest.m_id, account, aRequest.m_cost, classIndex);
     return { AdmissionVerdict::Admitted, AdmissionRefusal::None, {} };
   }
--- a/Tests/Routing/AdmissionControllerTest.cxx
+++ b/Tests/Routing/AdmissionControllerTest.cxx
@@ -183,3 +183,27 @@
   CHECK_EQUAL(1, batch.m_start.size());
   CHECK_EQUAL(7, batch.m_start[0]);
 }
+
+TEST(AdmissionController, AbsenceEarnsNoCredit)
+{
+  m_controller.SetCapacity(kTestStart, "m", 100);
+  std::uint64_t id = 0;
+  for (int i = 0; i < 1000; ++i) {
+    Submit(++id, "regular");
+    m_controller.Finish(kTestStart, id, { true, 10 });
+  }
+  for (std::uint64_t other = 1; other <= 5; ++other) {
+    Submit(10000 + other, "other");
+  }
+  for (int i = 0; i < 8; ++i) {
+    Submit(20000 + i, "newcomer", std::chrono::seconds(2), 1);
+    Submit(30000 + i, "regular", std::chrono::seconds(3), 1);
+  }
+  m_controller.Withdraw(kTestStart, 10001);
+  std::size_t regular = 0;
+  for (const std::uint64_t started :
+       m_controller.TakeReady(kTestStart).m_start) {
+    regular += started >= 30000 ? 1 : 0;
+  }
+  CHECK(regular >= 2);
+}
