--- a/Tests/Control/Cluster.cxx
+++ b/Tests/Control/Cluster.cxx
@@ -281,4 +281,12 @@
   });
 }
 
+bool
+ChangeGroup(const std::function<void(ControlPort::AdminHandler)>& aCall)
+{
+  const auto answer = WaitForAnswer<feed::AdminReplyT>(
+    [&](auto aHandler) { aCall(std::move(aHandler)); });
+  return answer.m_value && answer.m_value->ok;
+}
+
 } // namespace parsleycove
--- a/Tests/Control/Cluster.h
+++ b/Tests/Control/Cluster.h
@@ -114,4 +114,8 @@
 Answer<feed::StatusReplyT>
 ReadStatus(ControlPort& aPort);
 
+// Calls for a change of the group; true when it was made.
+bool
+ChangeGroup(const std::function<void(ControlPort::AdminHandler)>& aCall);
+
 } // namespace parsleycove
--- a/Tests/Control/EndToEndTest.cxx
+++ b/Tests/Control/EndToEndTest.cxx
@@ -61,3 +61,191 @@
     CHECK(client->View()->FindClass("urgent") != nullptr);
   }
 }
+
+TEST(EndToEnd, AnotherReplicaLeadsOnAndAResendGetsTheFirstAnswer)
+{
+  const std::size_t leader = m_cluster.WaitForLeader();
+  const std::size_t other = (leader + 1) % 3;
+  m_client = Connect("gateway", other);
+  const auto first = Propose(*m_client, MakeChange("c1", 0, "urgent"));
+  CHECK(IsOk(first));
+  m_cluster.Stop(leader);
+  CHECK(IsOk(Propose(*m_client, MakeChange("c2", 1, "counter"))));
+  // The same change id through another replica, after the leader has changed.
+  const auto late = Connect("late", 3 - leader - other);
+  const auto again = Propose(*late, MakeChange("c1", 0, "urgent"));
+  CHECK(again.m_value.has_value());
+  CHECK(again.m_value->code == state::ResultCode::Duplicate);
+  CHECK_EQUAL(first.m_value->index, again.m_value->index);
+  CHECK_EQUAL(1, again.m_value->revision);
+  // Of two racing operators with equal numbers one loses.
+  const auto loser = Propose(*late, MakeChange("c3", 1, "booking"));
+  CHECK(loser.m_value.has_value());
+  CHECK(loser.m_value->code == state::ResultCode::RevisionConflict);
+  CHECK_EQUAL(2, loser.m_value->revision);
+}
+
+TEST(EndToEnd, ReadsTheLedgerThroughAnyReplica)
+{
+  m_cluster.WaitForLeader();
+  m_client = Connect("gateway", 0);
+  const auto reserved = Propose(*m_client, MakeReserve("k1", "gateway"));
+  CHECK(IsOk(reserved));
+  CHECK(reserved.m_value->owner);
+  for (std::size_t zone = 0; zone < 3; ++zone) {
+    const auto reader = Connect("reader", zone);
+    const auto record = ReadAction(*reader, "k1");
+    CHECK(record.m_value.has_value());
+    CHECK(record.m_value->gateway == "gateway");
+    const auto none = ReadAction(*reader, "k2");
+    CHECK_FALSE(none.m_value.has_value());
+    CHECK(none.m_reason.m_code == ControlError::None);
+  }
+}
+
+TEST(EndToEnd, WithoutAQuorumNothingIsAcceptedAndLeasesEnd)
+{
+  const std::size_t leader = m_cluster.WaitForLeader();
+  m_client = Connect("gateway", leader);
+  CHECK(IsOk(Propose(*m_client, MakeChange("c1", 0, "urgent"))));
+  CHECK(WaitUntil([&] { return m_client->HasLease(BootClock::now()); }));
+  m_cluster.Stop((leader + 1) % 3);
+  m_cluster.Stop((leader + 2) % 3);
+  // The leader still runs and answers, but nobody confirms it.
+  CHECK(WaitUntil([&] { return !m_client->HasLease(BootClock::now()); }));
+  CHECK(WaitUntil([&] { return !m_cluster.Replica(leader).IsLeader(); }));
+  const auto refused =
+    ProposeUntil(*m_client,
+                 MakeChange("c2", 1, "counter"),
+                 BootClock::now() + std::chrono::milliseconds(300));
+  CHECK_FALSE(refused.m_value.has_value());
+  CHECK(refused.m_reason.m_code == ControlError::NotAccepted);
+  CHECK_FALSE(m_client->HasLease(BootClock::now()));
+  CHECK(m_client->View()->FindClass("urgent") != nullptr);
+  // With the quorum back the client goes on by itself.
+  m_cluster.Start((leader + 1) % 3);
+  CHECK(IsOk(Propose(*m_client, MakeChange("c2", 1, "counter"))));
+  CHECK(WaitUntil([&] { return m_client->HasLease(BootClock::now()); }));
+}
+
+TEST(EndToEnd, AReplicaComesBackFromItsFolder)
+{
+  m_cluster.WaitForLeader();
+  for (std::size_t i = 0; i < 3; ++i) {
+    m_cluster.Options(i).m_snapshotEntries = 50;
+    m_cluster.Stop(i);
+  }
+  for (std::size_t i = 0; i < 3; ++i) {
+    m_cluster.Start(i);
+  }
+  m_client = Connect("gateway", 0);
+  constexpr int kChanges = 200;
+  for (int i = 0; i < kChanges; ++i) {
+    const std::string number = std::to_string(i);
+    CHECK(IsOk(Propose(*m_client, MakeChange("c" + number, i, "w" + number))));
+  }
+  for (std::size_t i = 0; i < 3; ++i) {
+    m_cluster.Stop(i);
+  }
+  m_client.reset();
+  for (std::size_t i = 0; i < 3; ++i) {
+    m_cluster.Start(i);
+  }
+  m_client = Connect("late", 1);
+  CHECK(WaitUntil([&] { return m_client->HasLease(BootClock::now()); }));
+  CHECK_EQUAL(kChanges, m_client->View()->Revision());
+  const auto again = Propose(*m_client, MakeChange("c7", 7, "w7"));
+  CHECK(again.m_value->code == state::ResultCode::Duplicate);
+  CHECK_EQUAL(8, again.m_value->revision);
+}
+
+TEST(EndToEnd, ViewsOnlyMoveForwardWhileReplicasComeAndGo)
+{
+  m_cluster.WaitForLeader();
+  m_client = Connect("writer", 0);
+  const auto reader = Connect("reader", 1);
+  std::uint64_t seen = 0;
+  for (int i = 0; i < 12; ++i) {
+    if (i % 4 == 1) {
+      m_cluster.Stop((i / 4) % 3);
+    }
+    const std::string number = std::to_string(i);
+    const auto answer =
+      Propose(*m_client, MakeChange("c" + number, i, "w" + number));
+    CHECK(answer.m_value.has_value());
+    CHECK_EQUAL(i + 1, answer.m_value->revision);
+    CHECK(WaitUntil([&] {
+      const std::uint64_t index = reader->View()->Index();
+      CHECK(index >= seen);
+      seen = index;
+      return index >= answer.m_value->index;
+    }));
+    if (i % 4 == 3) {
+      m_cluster.Start((i / 4) % 3);
+    }
+  }
+  CHECK_EQUAL(12, reader->View()->Revision());
+}
+
+TEST(EndToEnd, AnEndpointThatIsNotRenewedLeavesTheRegistry)
+{
+  for (std::size_t i = 0; i < 3; ++i) {
+    m_cluster.Stop(i);
+    m_cluster.Options(i).m_endpointLease = std::chrono::milliseconds(1500);
+  }
+  for (std::size_t i = 0; i < 3; ++i) {
+    m_cluster.Start(i);
+  }
+  m_client = Connect("gateway", 0);
+  CHECK(IsOk(Propose(*m_client, MakeAnnounce("kept", 1))));
+  CHECK(IsOk(Propose(*m_client, MakeAnnounce("lost", 1))));
+  CHECK(WaitUntil([&] {
+    m_client->RenewEndpoint("kept", 1);
+    const auto view = m_client->View();
+    return view->FindEndpoint("kept") != nullptr &&
+           view->FindEndpoint("lost") == nullptr;
+  }));
+}
+
+TEST(EndToEnd, ALearnerCatchesUpBecomesAVoterAndReplacesALostMember)
+{
+  const std::size_t leader = m_cluster.WaitForLeader();
+  const std::size_t lost = (leader + 1) % 3;
+  m_client = Connect("gateway", leader);
+  for (int i = 0; i < 20; ++i) {
+    const std::string number = std::to_string(i);
+    CHECK(IsOk(Propose(*m_client, MakeChange("c" + number, i, "w" + number))));
+  }
+  m_cluster.Stop(lost);
+  const std::size_t spare = m_cluster.AddSpare(4, ZoneOf(lost));
+  m_cluster.Start(spare);
+  feed::AddReplicaT add;
+  add.replica = 4;
+  add.vm = "vm-4";
+  add.zone = ZoneOf(lost);
+  add.address = m_cluster.Address(spare).m_address;
+  add.port = m_cluster.Address(spare).m_port;
+  CHECK(ChangeGroup([&](auto aHandler) {
+    m_client->AddReplica(add, TestDeadline(), aHandler);
+  }));
+  CHECK(WaitUntil([&] {
+    const auto status = ReadStatus(*m_client);
+    for (const auto& member : status.m_value->replicas) {
+      if (member->replica == 4 && member->voter) {
+        return true;
+      }
+    }
+    return false;
+  }));
+  CHECK(ChangeGroup([&](auto aHandler) {
+    m_client->RemoveReplica(lost + 1, TestDeadline(), aHandler);
+  }));
+  // Right after the repair a second one is lost; the learner makes the quorum.
+  m_cluster.Stop((leader + 2) % 3);
+  const auto after = Propose(*m_client, MakeChange("c20", 20, "w20"));
+  CHECK(IsOk(after));
+  CHECK_EQUAL(21, after.m_value->revision);
+  CHECK(WaitUntil([&] {
+    return m_cluster.Replica(spare).AppliedIndex() >= after.m_value->index;
+  }));
+}
