--- a/Source/Consensus/LeaderDuty.cxx
+++ b/Source/Consensus/LeaderDuty.cxx
@@ -10,6 +10,7 @@
 
 LeaderDuty::LeaderDuty(ReplicaState& aState)
   : m_state(aState)
+  , m_snapshots(aState)
   , m_tracker(aState.Self())
 {
 }
@@ -181,12 +182,7 @@
     Replicate(aNow, *progress);
     return;
   }
-  if (progress->m_state != ProgressState::Snapshot) {
-    return;
-  }
-  progress->m_snapshotIndex = aBody.index;
-  progress->m_snapshotOffset = aBody.next_offset;
-  AskForChunk(aNow, *progress);
+  m_snapshots.Continue(aNow, *progress, aBody.index, aBody.next_offset);
 }
 
 void
@@ -237,10 +233,7 @@
   heartbeat.probe = ++m_probe;
   aProgress.NoteSent(m_probe, aNow, false);
   m_state.SendEarly(aProgress.m_replica, std::move(heartbeat));
-  const Duration waited = aNow - aProgress.m_snapshotAskedAt;
-  if (waited > m_state.m_options.m_electionTimeout) {
-    AskForChunk(aNow, aProgress);
-  }
+  m_snapshots.RetryIfLate(aNow, aProgress);
 }
 
 void
@@ -259,14 +252,13 @@
   }
   const auto previousTerm = log.TermAt(aProgress.m_next - 1);
   if (!previousTerm) {
-    StartSnapshot(aNow, aProgress);
+    m_snapshots.Start(aNow, aProgress);
     return false;
   }
   consensus::AppendT append;
   const bool full =
     aProgress.CountInflight() >= m_state.m_options.m_maxInflightAppends;
   if (!full) {
-    append.entries.reserve(1);
     for (auto& entry :
          log.Slice(aProgress.m_next, m_state.m_options.m_maxAppendBytes)) {
       append.entries.push_back(
@@ -294,24 +286,6 @@
   return count > 0;
 }
 
-void
-LeaderDuty::StartSnapshot(TimePoint aNow, Progress& aProgress)
-{
-  aProgress.m_state = ProgressState::Snapshot;
-  aProgress.m_snapshotIndex = m_state.m_log.SnapshotIndex();
-  aProgress.m_snapshotOffset = 0;
-  AskForChunk(aNow, aProgress);
-}
-
-void
-LeaderDuty::AskForChunk(TimePoint aNow, Progress& aProgress)
-{
-  aProgress.m_snapshotAskedAt = aNow;
-  m_state.m_out.m_chunkRequests.push_back({ aProgress.m_replica,
-                                            aProgress.m_snapshotIndex,
-                                            aProgress.m_snapshotOffset });
-}
-
 void
 LeaderDuty::AdvanceCommit(TimePoint aNow)
 {
--- a/Source/Consensus/LeaderDuty.h
+++ b/Source/Consensus/LeaderDuty.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 
 #include "Consensus/ReplicationTracker.h"
+#include "Consensus/SnapshotSender.h"
 #include "ConsensusGenerated.h"
 
 namespace parsleycove {
@@ -49,14 +50,13 @@
   void Replicate(TimePoint aNow, Progress& aProgress);
   bool SendAppend(TimePoint aNow, Progress& aProgress, bool aEvenEmpty);
   void SendHeartbeat(TimePoint aNow, Progress& aProgress);
-  void AskForChunk(TimePoint aNow, Progress& aProgress);
-  void StartSnapshot(TimePoint aNow, Progress& aProgress);
   void Reject(TimePoint aNow, Progress& aProgress, std::uint64_t aHint);
   void Accept(Progress& aProgress, std::uint64_t aMatch);
   void AdvanceCommit(TimePoint aNow);
   void ConfirmReads(TimePoint aNow);
 
   ReplicaState& m_state;
+  SnapshotSender m_snapshots;
   ReplicationTracker m_tracker;
   TimePoint m_startedAt{};
   TimePoint m_nextHeartbeat{};
--- a/Source/Consensus/Replica.cxx
+++ b/Source/Consensus/Replica.cxx
@@ -4,56 +4,11 @@
 #include <algorithm>
 #include <utility>
 
-#include "Consensus/Election.h"
-#include "Consensus/FollowerDuty.h"
-#include "Consensus/LeaderDuty.h"
 #include "Consensus/MembershipRules.h"
-#include "Consensus/ReplicaState.h"
+#include "Consensus/ReplicaParts.h"
 
 namespace parsleycove {
 
-struct Replica::Parts
-{
-  Parts(const ReplicaOptions& aOptions, RestoredLog aRestored, TimePoint aNow)
-    : m_state(aOptions, std::move(aRestored), aNow)
-  {
-  }
-
-  // A frozen process may wake long after its time; so every call looks first.
-  void CheckQuorum(TimePoint aNow)
-  {
-    if (m_state.IsLeader()) {
-      m_leader.CheckQuorum(aNow);
-    }
-  }
-
-  void StartLeadingIfWon(TimePoint aNow)
-  {
-    if (m_election.IsWon()) {
-      m_leader.Start(aNow);
-    }
-  }
-
-  void OnReadIndex(TimePoint aNow,
-                   std::uint64_t aFrom,
-                   const consensus::ReadIndexT& aBody)
-  {
-    if (!m_state.IsLeader() || !FindMember(m_state.m_members.Latest(), aFrom)) {
-      consensus::ReadIndexReplyT refusal;
-      refusal.id = aBody.id;
-      m_state.SendEarly(aFrom, std::move(refusal));
-      return;
-    }
-    m_state.m_out.m_reports.push_back({ aFrom, aBody });
-    m_leader.Read(aNow, aFrom, aBody.id, aNow);
-  }
-
-  ReplicaState m_state;
-  Election m_election{ m_state };
-  FollowerDuty m_follower{ m_state };
-  LeaderDuty m_leader{ m_state };
-};
-
 bool
 Ready::IsEmpty() const
 {
@@ -114,39 +69,14 @@
 void
 Replica::Step(TimePoint aNow, const consensus::PeerMessageT& aMessage)
 {
-  ReplicaState& state = m_parts->m_state;
+  const ReplicaState& state = m_parts->m_state;
   const bool forMe = aMessage.cluster == state.m_options.m_cluster &&
                      aMessage.to == state.Self();
   if (!forMe) {
     return;
   }
   m_parts->CheckQuorum(aNow);
-  const std::uint64_t from = aMessage.from;
-  const consensus::PeerBodyUnion& body = aMessage.body;
-  if (const auto* append = body.AsAppend()) {
-    m_parts->m_follower.OnAppend(aNow, from, *append);
-  } else if (const auto* piece = body.AsInstallSnapshot()) {
-    m_parts->m_follower.OnInstallSnapshot(aNow, from, *piece);
-  } else if (const auto* readReply = body.AsReadIndexReply()) {
-    m_parts->m_follower.OnReadIndexReply(from, *readReply);
-  } else if (const auto* preVote = body.AsPreVote()) {
-    m_parts->m_election.OnPreVote(aNow, from, *preVote);
-  } else if (const auto* preVoteReply = body.AsPreVoteReply()) {
-    m_parts->m_election.OnPreVoteReply(aNow, from, *preVoteReply);
-  } else if (const auto* vote = body.AsVote()) {
-    m_parts->m_election.OnVote(aNow, from, *vote);
-  } else if (const auto* voteReply = body.AsVoteReply()) {
-    m_parts->m_election.OnVoteReply(aNow, from, *voteReply);
-    m_parts->StartLeadingIfWon(aNow);
-  } else if (const auto* read = body.AsReadIndex()) {
-    m_parts->OnReadIndex(aNow, from, *read);
-  } else if (!state.IsLeader()) {
-    return;
-  } else if (const auto* appendReply = body.AsAppendReply()) {
-    m_parts->m_leader.OnAppendReply(aNow, from, *appendReply);
-  } else if (const auto* pieceReply = body.AsInstallSnapshotReply()) {
-    m_parts->m_leader.OnInstallSnapshotReply(aNow, from, *pieceReply);
-  }
+  m_parts->Dispatch(aNow, aMessage.from, aMessage.body);
 }
 
 std::optional<std::uint64_t>
@@ -165,40 +95,11 @@
 Replica::ProposeMembership(TimePoint aNow, consensus::MembershipT aNext)
 {
   m_parts->CheckQuorum(aNow);
-  const ReplicaState& state = m_parts->m_state;
-  LeaderDuty& leader = m_parts->m_leader;
-  const consensus::MembershipT& current = state.m_members.Latest();
-  if (!state.IsLeader()) {
-    m_reason.Set(ReplicaError::NotLeader, "this replica is not the leader");
+  if (auto obstacle = m_parts->FindObstacle(aNow, aNext)) {
+    m_reason = std::move(*obstacle);
     return std::nullopt;
   }
-  if (!leader.HasCommittedOwnTerm()) {
-    m_reason.Set(ReplicaError::NotNow,
-                 "membership: no entry of this term is committed yet");
-    return std::nullopt;
-  }
-  if (state.m_members.LatestIndex() > state.m_log.CommitIndex()) {
-    m_reason.Set(ReplicaError::NotNow,
-                 "membership: another change is under way");
-    return std::nullopt;
-  }
-  if (auto fault = FindChangeFault(current, aNext)) {
-    m_reason.Set(ReplicaError::Invalid, std::move(*fault));
-    return std::nullopt;
-  }
-  const std::uint64_t promoted = FindPromoted(current, aNext);
-  if (promoted != 0 && MatchIndex(promoted) < state.m_log.CommitIndex()) {
-    m_reason.Set(ReplicaError::NotNow,
-                 "membership: replica " + std::to_string(promoted) +
-                   " has not stored all that is committed");
-    return std::nullopt;
-  }
-  if (!leader.HasLiveQuorum(aNow, aNext)) {
-    m_reason.Set(ReplicaError::NotNow,
-                 "membership: too few of the voters that would remain answer");
-    return std::nullopt;
-  }
-  return leader.Propose(
+  return m_parts->m_leader.Propose(
     aNow, consensus::EntryKind::Membership, EncodeMembership(aNext));
 }
 
@@ -350,15 +251,7 @@
 std::uint64_t
 Replica::MatchIndex(std::uint64_t aReplica) const
 {
-  const ReplicaState& state = m_parts->m_state;
-  if (!state.IsLeader()) {
-    return 0;
-  }
-  if (aReplica == state.Self()) {
-    return state.m_log.PersistedIndex();
-  }
-  const Progress* progress = m_parts->m_leader.Find(aReplica);
-  return progress ? progress->m_match : 0;
+  return m_parts->MatchIndex(aReplica);
 }
 
 bool
--- /dev/null
+++ b/Source/Consensus/SnapshotSender.cxx
@@ -0,0 +1,48 @@
+// Pieces of a snapshot for members that need entries dropped here.
+#include "Consensus/SnapshotSender.h"
+
+#include "Consensus/Progress.h"
+#include "Consensus/ReplicaState.h"
+
+namespace parsleycove {
+
+void
+SnapshotSender::Start(TimePoint aNow, Progress& aProgress)
+{
+  aProgress.m_state = ProgressState::Snapshot;
+  Continue(aNow, aProgress, m_state.m_log.SnapshotIndex(), 0);
+}
+
+void
+SnapshotSender::Continue(TimePoint aNow,
+                         Progress& aProgress,
+                         std::uint64_t aIndex,
+                         std::uint64_t aOffset)
+{
+  if (aProgress.m_state != ProgressState::Snapshot) {
+    return;
+  }
+  aProgress.m_snapshotIndex = aIndex;
+  aProgress.m_snapshotOffset = aOffset;
+  Ask(aNow, aProgress);
+}
+
+void
+SnapshotSender::RetryIfLate(TimePoint aNow, Progress& aProgress)
+{
+  const Duration waited = aNow - aProgress.m_snapshotAskedAt;
+  if (waited > m_state.m_options.m_electionTimeout) {
+    Ask(aNow, aProgress);
+  }
+}
+
+void
+SnapshotSender::Ask(TimePoint aNow, Progress& aProgress)
+{
+  aProgress.m_snapshotAskedAt = aNow;
+  m_state.m_out.m_chunkRequests.push_back({ aProgress.m_replica,
+                                            aProgress.m_snapshotIndex,
+                                            aProgress.m_snapshotOffset });
+}
+
+} // namespace parsleycove
--- a/Tests/Bench/Store/RestartBench.cxx
+++ b/Tests/Bench/Store/RestartBench.cxx
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr std::size_t kSnapshotBytes = 1024 * 1024;
+constexpr std::uint64_t kEntriesPerSync = 100;
 
 bool
 Fill(LogStore& aStore, std::uint64_t aEntries, std::uint64_t aSnapshotAt)
@@ -18,6 +19,7 @@
   bool done = aStore.SaveHardState(MakeHardState());
   for (std::uint64_t index = 1; index <= aEntries; ++index) {
     done = done && aStore.Append({ MakeEntry(index) });
+    done = done && (index % kEntriesPerSync != 0 || aStore.Sync());
   }
   done = done && aStore.Sync();
   if (aSnapshotAt == 0) {
--- a/Tests/Consensus/ReplicaTrapTest.cxx
+++ b/Tests/Consensus/ReplicaTrapTest.cxx
@@ -70,10 +70,73 @@
   return 0;
 }
 
+// Takes what the replica wants stored or sent, and tells it that it is.
+void
+Flush(Replica& aReplica, TimePoint aNow)
+{
+  while (aReplica.HasReady()) {
+    aReplica.TakeReady();
+    aReplica.Persisted(aNow);
+  }
+}
+
+// Makes a replica leader with the vote of replica 2; returns the time.
+TimePoint
+Elect(Replica& aReplica, TimePoint aStart)
+{
+  const TimePoint now = aStart + seconds(2);
+  aReplica.Tick(now);
+  consensus::PreVoteReplyT preVote;
+  preVote.term = aReplica.Term() + 1;
+  preVote.granted = true;
+  aReplica.Step(now, MakeMessage(2, 1, preVote));
+  Flush(aReplica, now);
+  consensus::VoteReplyT vote;
+  vote.term = aReplica.Term();
+  vote.granted = true;
+  aReplica.Step(now, MakeMessage(2, 1, vote));
+  Flush(aReplica, now);
+  CHECK(aReplica.Role() == ReplicaRole::Leader);
+  return now;
+}
+
+// The answer of replica 2 to an append.
+consensus::PeerMessageT
+MakeAppendReply(const Replica& aLeader, std::uint64_t aMatch)
+{
+  consensus::AppendReplyT reply;
+  reply.term = aLeader.Term();
+  reply.success = true;
+  reply.match_index = aMatch;
+  return MakeMessage(2, 1, reply);
+}
+
 } // namespace
 
 TEST_GROUP(ReplicaTrap){};
 
+TEST(ReplicaTrap, EntryOfAnOlderTermCommitsOnlyWithOneOfTheOwn)
+{
+  TestCluster cluster(3, 1);
+  RestoredLog log = cluster.At(1).m_disk.Restore();
+  log.m_hardState.term = 2;
+  log.m_entries.push_back(log.m_entries.back());
+  log.m_entries.back().index = 2;
+  log.m_entries.back().term = 2;
+  log.m_entries.back().kind = consensus::EntryKind::Command;
+  Replica leader(cluster.Options(1), log, cluster.Now());
+  const TimePoint now = Elect(leader, cluster.Now());
+  CHECK_EQUAL(3, leader.LastIndex());
+  leader.Step(now, MakeAppendReply(leader, 2));
+  CHECK_EQUAL(0, leader.CommitIndex());
+  consensus::ReadIndexT read;
+  read.id = 1;
+  leader.ReadIndex(now, read);
+  CHECK_EQUAL(0, leader.TakeReady().m_reads.size());
+  leader.Step(now, MakeAppendReply(leader, 3));
+  CHECK_EQUAL(3, leader.CommitIndex());
+}
+
 TEST(ReplicaTrap, SecondLossRightAfterARepairLosesNothing)
 {
   for (std::uint64_t first = 1; first <= 3; ++first) {
@@ -260,12 +323,10 @@
   CHECK(ready.NeedsSync());
   const std::uint64_t last = leader.LastIndex();
   // One follower has it; with the leader's own copy unsynced that is no quorum.
-  consensus::AppendReplyT reply;
-  reply.term = leader.Term();
-  reply.success = true;
-  reply.match_index = last;
-  const std::uint64_t follower = OtherThan(cluster, cluster.Leader());
-  leader.Step(cluster.Now(), MakeMessage(follower, cluster.Leader(), reply));
+  auto reply = MakeAppendReply(leader, last);
+  reply.from = OtherThan(cluster, cluster.Leader());
+  reply.to = cluster.Leader();
+  leader.Step(cluster.Now(), reply);
   CHECK_EQUAL(commit, leader.CommitIndex());
   leader.Persisted(cluster.Now());
   CHECK_EQUAL(last, leader.CommitIndex());
--- a/Tests/Consensus/TestCluster.h
+++ b/Tests/Consensus/TestCluster.h
@@ -113,6 +113,7 @@
   void CheckApplied(Node& aNode, const consensus::EntryT& aEntry);
   void CheckInvariants();
   void CheckLogs(const MemoryDisk& aLeft, const MemoryDisk& aRight);
+  bool IsCaughtUp() const;
   void Expect(bool aHolds, const std::string& aWhat);
   bool IsRunning(const Node& aNode) const;
 
--- a/Tests/Consensus/TestClusterActions.cxx
+++ b/Tests/Consensus/TestClusterActions.cxx
@@ -216,8 +216,11 @@
     node.m_deafUntil = m_now;
     node.m_muteUntil = m_now;
     node.m_frozenUntil = std::min(node.m_frozenUntil, m_now);
+    node.m_downUntil = std::min(node.m_downUntil, m_now);
+  }
+  if (!Commit(0xFE)) {
+    return false;
   }
-  Run(seconds(3));
   std::vector<std::uint64_t> wiped;
   for (const auto& [id, node] : m_nodes) {
     if (node.m_wiped && FindMember(Members(), id)) {
@@ -232,16 +235,26 @@
   if (!Commit(0xFF)) {
     return false;
   }
-  Run(seconds(1));
+  const TimePoint end = m_now + kPatience;
+  while (!IsCaughtUp() && m_now < end && m_broken.empty()) {
+    Run(kTryLength);
+  }
+  return IsCaughtUp();
+}
+
+bool
+TestCluster::IsCaughtUp() const
+{
   const std::uint64_t leader = Leader();
-  for (const auto& [id, node] : m_nodes) {
-    const bool isMember = FindMember(Members(), id) != nullptr;
-    const std::uint64_t target = m_nodes.at(leader).m_applied;
-    if (isMember && node.m_applied != target) {
-      return false;
-    }
+  if (leader == 0 || m_acknowledged > m_nodes.at(leader).m_applied) {
+    return false;
   }
-  return leader != 0 && m_acknowledged <= m_nodes.at(leader).m_applied;
+  const consensus::MembershipT members = Members();
+  const std::uint64_t target = m_nodes.at(leader).m_applied;
+  return std::all_of(
+    members.members.begin(), members.members.end(), [&](const auto& aMember) {
+      return m_nodes.at(aMember->replica).m_applied == target;
+    });
 }
 
 } // namespace parsleycove::test
