--- a/Tests/Support/ToyModel.cxx
+++ b/Tests/Support/ToyModel.cxx
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr std::uint64_t kHiddenMask = (1ULL << 48) - 1;
-constexpr std::uint64_t kEndTokenOneIn = 48;
+constexpr std::uint64_t kEndTokenOneIn = 64;
 constexpr TokenId kPromptVocabulary = 50'000;
 constexpr std::uint64_t kFnvOffset = 0xcbf29ce484222325ULL;
 constexpr std::uint64_t kFnvPrime = 0x100000001b3ULL;
