State: Make not run final for its key

Cause: a resend of a key that had ended as not run started the next attempt. A call that was delayed on its way to another VM could so run after its caller had been told that it did not. GatewayTests Action (key-6: dispatch committed, its answer lost) and the ledger model, with the invariant taken per key in place of per attempt, both showed it: reserve 0/0; abandon 0/1; reserve 1/0; dispatch 1/2; send 1; run 2. Ruled out: counting attempts in what the caller is told; a caller cannot know which of its delayed calls is still on its way. Change: Reserve on a key that was not run reports it and owns nothing. The test ALateResolutionSparesTheNextAttempt used a next attempt after not run, which can no longer be; it is replaced by one on an attempt that was taken over.

--- a/Source/Gateway/ActionExchange.cxx
+++ b/Source/Gateway/ActionExchange.cxx
@@ -25,6 +25,8 @@
 constexpr Duration kAnswerSlack = std::chrono::milliseconds(300);
 constexpr Duration kJoinPollInterval = std::chrono::milliseconds(50);
 constexpr Duration kRetrySoon = std::chrono::seconds(1);
+constexpr const char* kNewKeyAdvice =
+  "; it will not run under this key, try again with a new one";
 constexpr unsigned kHttp11 = 11;
 constexpr unsigned kConflict = 409;
 
@@ -251,7 +253,7 @@
   }
   ActionAnswer answer;
   answer.m_error =
-    ApiError{ aCode, std::move(aWhy), CallOutcome::NotRun, kRetrySoon };
+    ApiError{ aCode, aWhy + kNewKeyAdvice, CallOutcome::NotRun, kRetrySoon };
   co_return answer;
 }
 
@@ -314,7 +316,7 @@
   }
   if (aRecord.state == state::ActionState::NotRun) {
     answer.m_error = ApiError{ ApiErrorCode::EndpointFailed,
-                               aRecord.reason,
+                               aRecord.reason + kNewKeyAdvice,
                                CallOutcome::NotRun,
                                kRetrySoon };
     return answer;
--- a/Source/State/ActionLedger.cxx
+++ b/Source/State/ActionLedger.cxx
@@ -275,9 +275,8 @@
                            std::uint64_t aNow)
 {
   const state::ActionRecordT& record = aEntry.m_record;
-  if (record.state == ActionState::NotRun) {
-    return TakeOver(aEntry, aCommand, aNow);
-  }
+  // Not run is final for its key: a call that was delayed on its way could
+  // otherwise still run after the caller was told. A new try has a new key.
   if (record.state != ActionState::Reserved) {
     return ReportEntry(aEntry);
   }
--- a/Tests/State/ActionLedgerTest.cxx
+++ b/Tests/State/ActionLedgerTest.cxx
@@ -146,12 +146,20 @@
   STRCMP_EQUAL("resolved by operator olga", record->reason.c_str());
 }
 
-TEST(ActionLedger, ALateResolutionSparesTheNextAttempt)
+TEST(ActionLedger, NotRunIsFinalForItsKey)
+{
+  m_ledger.Reserve(MakeReserve("A", 1), kNow);
+  m_ledger.Abandon(MakeAbandon(1, true, false), kNow);
+  const auto resent = m_ledger.Reserve(MakeReserve("B", 1), kNow);
+  CHECK_FALSE(resent.owner);
+  CHECK_TRUE(ActionState::NotRun == resent.action_state);
+  CheckCode(ResultCode::StaleAttempt, m_ledger.Dispatch(MakeDispatch(1), kNow));
+  CheckCode(ResultCode::StaleAttempt, m_ledger.Dispatch(MakeDispatch(2), kNow));
+}
+
+TEST(ActionLedger, AResolutionOfATakenOverAttemptIsRefused)
 {
   m_ledger.Reserve(MakeReserve("A", 1), kNow);
-  m_ledger.Dispatch(MakeDispatch(1), kNow);
-  m_ledger.Doubt(MakeDoubt(1), kNow);
-  m_ledger.Resolve(MakeResolve(false, "olga", 1), kNow);
   m_ledger.Reserve(MakeReserve("B", 1), kNow);
   m_ledger.Dispatch(MakeDispatch(2), kNow);
   m_ledger.Doubt(MakeDoubt(2), kNow);
--- a/Tests/State/LedgerModel.cxx
+++ b/Tests/State/LedgerModel.cxx
@@ -359,11 +359,14 @@
 std::string
 ModelWorld::FindFault() const
 {
-  if (std::accumulate(m_runs.begin(), m_runs.end(), 0) > 1) {
+  const int runs = std::accumulate(m_runs.begin(), m_runs.end(), 0);
+  if (runs > 1) {
     return "ran twice: " + m_trace;
   }
-  for (std::size_t attempt = 0; attempt < kMaxAttempts; ++attempt) {
-    if (m_toldNotRun[attempt] && m_runs[attempt] > 0) {
+  // Not run holds for the key, not just for the attempt: a call that was
+  // delayed on its way may still arrive after the caller was told.
+  for (const bool told : m_toldNotRun) {
+    if (told && runs > 0) {
       return "ran, but not run was told: " + m_trace;
     }
   }
