--- a/Source/Consensus/Replica.h
+++ b/Source/Consensus/Replica.h
@@ -41,9 +41,9 @@
   // A leader acts as one for this long after a quorum's round trip began;
   // shorter than the election time-out.
   Duration m_leaderLease = std::chrono::milliseconds(500);
-  std::size_t m_maxAppendBytes = 256 * 1024;
+  std::size_t m_maxAppendBytes = 256UL * 1024;
   std::size_t m_maxInflightAppends = 16;
-  std::size_t m_snapshotChunkBytes = 256 * 1024;
+  std::size_t m_snapshotChunkBytes = 256UL * 1024;
   // Entries kept in memory behind a snapshot for members that lag.
   std::uint64_t m_compactionTailEntries = 1024;
   // A read that nobody answered fails after this long.
--- a/Source/Store/SegmentWriter.cxx
+++ b/Source/Store/SegmentWriter.cxx
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::uint64_t kMaxSegmentBytes = 8 * 1024 * 1024;
+constexpr std::uint64_t kMaxSegmentBytes = 8UL * 1024 * 1024;
 
 } // namespace
 
--- a/Tests/Bench/Store/RestartBench.cxx
+++ b/Tests/Bench/Store/RestartBench.cxx
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr std::size_t kSnapshotBytes = 1024 * 1024;
+constexpr std::size_t kSnapshotBytes = 1024UL * 1024;
 constexpr std::uint64_t kEntriesPerSync = 100;
 
 bool
