--- a/Source/Consensus/Election.cxx
+++ b/Source/Consensus/Election.cxx
@@ -64,7 +64,7 @@
                   aBody.term > m_state.m_hard.term &&
                   m_state.m_log.IsUpToDate(aBody.last_index, aBody.last_term);
   reply.term = reply.granted ? aBody.term : m_state.m_hard.term;
-  m_state.SendStored(aFrom, std::move(reply));
+  m_state.SendStored(aFrom, reply);
 }
 
 void
@@ -114,7 +114,7 @@
   if (reply.granted) {
     m_state.RestartElectionTimer(aNow);
   }
-  m_state.SendStored(aFrom, std::move(reply));
+  m_state.SendStored(aFrom, reply);
 }
 
 void
--- a/Source/Consensus/FollowerDuty.cxx
+++ b/Source/Consensus/FollowerDuty.cxx
@@ -39,7 +39,7 @@
   if (m_receiver.IsInstalling()) {
     // The log is about to be replaced; nothing may be promised on it.
     reply.success = true;
-    m_state.SendStored(aFrom, std::move(reply));
+    m_state.SendStored(aFrom, reply);
     return;
   }
   if (const auto matched = TakeEntries(aBody)) {
@@ -49,7 +49,7 @@
   } else {
     reply.hint_index = m_state.m_log.ConflictHint(aBody.previous_index);
   }
-  m_state.SendStored(aFrom, std::move(reply));
+  m_state.SendStored(aFrom, reply);
 }
 
 bool
@@ -72,7 +72,7 @@
   consensus::AppendReplyT reply;
   reply.term = m_state.m_hard.term;
   reply.hint_index = m_state.m_log.LastIndex();
-  m_state.SendStored(aTo, std::move(reply));
+  m_state.SendStored(aTo, reply);
 }
 
 std::optional<std::uint64_t>
@@ -193,7 +193,7 @@
   reply.index = aIndex;
   reply.next_offset = aNextOffset;
   reply.done = aDone;
-  m_state.SendStored(aTo, std::move(reply));
+  m_state.SendStored(aTo, reply);
 }
 
 } // namespace parsleycove
--- a/Source/Consensus/SnapshotSender.cxx
+++ b/Source/Consensus/SnapshotSender.cxx
@@ -22,9 +22,12 @@
   if (aProgress.m_state != ProgressState::Snapshot) {
     return;
   }
-  aProgress.m_snapshotIndex = aIndex;
-  aProgress.m_snapshotOffset = aOffset;
-  Ask(aNow, aProgress);
+  const std::uint64_t newest = m_state.m_log.SnapshotIndex();
+  aProgress.m_snapshotIndex = newest;
+  aProgress.m_snapshotOffset = aIndex == newest ? aOffset : 0;
+  aProgress.m_snapshotAskedAt = aNow;
+  m_state.m_out.m_chunkRequests.push_back(
+    { aProgress.m_replica, newest, aProgress.m_snapshotOffset });
 }
 
 void
@@ -32,17 +35,9 @@
 {
   const Duration waited = aNow - aProgress.m_snapshotAskedAt;
   if (waited > m_state.m_options.m_electionTimeout) {
-    Ask(aNow, aProgress);
+    Continue(
+      aNow, aProgress, aProgress.m_snapshotIndex, aProgress.m_snapshotOffset);
   }
 }
 
-void
-SnapshotSender::Ask(TimePoint aNow, Progress& aProgress)
-{
-  aProgress.m_snapshotAskedAt = aNow;
-  m_state.m_out.m_chunkRequests.push_back({ aProgress.m_replica,
-                                            aProgress.m_snapshotIndex,
-                                            aProgress.m_snapshotOffset });
-}
-
 } // namespace parsleycove
--- a/Source/Consensus/SnapshotSender.h
+++ b/Source/Consensus/SnapshotSender.h
@@ -19,7 +19,8 @@
   }
 
   void Start(TimePoint aNow, Progress& aProgress);
-  // Goes on with the piece that the member awaits.
+  // Goes on with the piece that the member awaits; starts over if a newer
+  // snapshot has replaced the one under way.
   void Continue(TimePoint aNow,
                 Progress& aProgress,
                 std::uint64_t aIndex,
@@ -28,8 +29,6 @@
   void RetryIfLate(TimePoint aNow, Progress& aProgress);
 
 private:
-  void Ask(TimePoint aNow, Progress& aProgress);
-
   ReplicaState& m_state;
 };
 
--- a/Tests/Consensus/ReplicaFaultTest.cxx
+++ b/Tests/Consensus/ReplicaFaultTest.cxx
@@ -8,6 +8,7 @@
 
 using namespace parsleycove;
 using namespace parsleycove::test;
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 namespace {
@@ -136,11 +137,14 @@
         aCluster.At(leader).m_replica->Propose(aCluster.Now(), { value });
       }
     }
-    done = done && aCluster.Commit(24);
-    for (auto& [id, node] : aCluster.Nodes()) {
-      aCluster.Compact(id);
+    // The snapshot is replaced while its pieces may be on their way.
+    for (std::uint8_t value = 24; value < 28; ++value) {
+      done = done && aCluster.Commit(value);
+      for (auto& [id, node] : aCluster.Nodes()) {
+        aCluster.Compact(id);
+      }
     }
-    aCluster.Run(seconds(2));
+    aCluster.Run(milliseconds(500));
     return done;
   });
 }
--- a/Tests/Consensus/TestCluster.cxx
+++ b/Tests/Consensus/TestCluster.cxx
@@ -267,6 +267,9 @@
 {
   Node& node = m_nodes.at(aId);
   const MemoryDisk& disk = node.m_disk;
+  if (aRequest.m_index != disk.BaseIndex()) {
+    return;
+  }
   consensus::InstallSnapshotT piece;
   piece.meta = std::make_unique<consensus::SnapshotMetaT>(*disk.m_snapshot);
   piece.offset =
