--- a/Source/State/StateImage.cxx
+++ b/Source/State/StateImage.cxx
@@ -15,7 +15,7 @@
 // The library's own bound of a million tables is below the ledger's size.
 constexpr std::uint32_t kMaxDepth = 16;
 constexpr std::uint32_t kMaxTables = 64'000'000;
-constexpr std::size_t kFirstBufferBytes = 64 * 1024;
+constexpr std::size_t kFirstBufferBytes = 64UL * 1024;
 
 bool
 IsSound(const state::ConfigImageT& aConfig)
