State: Test late answers of earlier attempts and that done stays done

Cause: the guards of Complete's attempt and of Abandon after Done could be taken out without a test failing. Shown by: StateTests -g ActionLedger.

--- a/Tests/State/ActionLedgerTest.cxx
+++ b/Tests/State/ActionLedgerTest.cxx
@@ -160,6 +160,30 @@
   CHECK_TRUE(ActionState::InDoubt == m_ledger.Find("acme", "k")->state);
 }
 
+TEST(ActionLedger, ALateAnswerOfAnEarlierAttemptIsRefused)
+{
+  m_ledger.Reserve(MakeReserve("A", 1), kNow);
+  m_ledger.Dispatch(MakeDispatch(1), kNow);
+  m_ledger.Doubt(MakeDoubt(1), kNow);
+  m_ledger.Resolve(MakeResolve(false, "olga", 1), kNow);
+  m_ledger.Reserve(MakeReserve("B", 1), kNow);
+  m_ledger.Dispatch(MakeDispatch(2), kNow);
+  CheckCode(ResultCode::StaleAttempt,
+            m_ledger.Complete(MakeComplete(1, "x"), kNow));
+  CHECK_TRUE(ActionState::Dispatched == m_ledger.Find("acme", "k")->state);
+}
+
+TEST(ActionLedger, ADoneActionStaysDone)
+{
+  RunToDone("k", kNow);
+  CheckCode(ResultCode::StaleAttempt,
+            m_ledger.Abandon(MakeAbandon(1, true, true), kNow));
+  CheckCode(ResultCode::StaleAttempt, m_ledger.Doubt(MakeDoubt(1), kNow));
+  CheckCode(ResultCode::StaleAttempt, m_ledger.Dispatch(MakeDispatch(1), kNow));
+  m_ledger.LoseGateway(MakeGone("A", 1), kNow);
+  CHECK_TRUE(ActionState::Done == m_ledger.Find("acme", "k")->state);
+}
+
 TEST(ActionLedger, FullOfKeptEntriesRefusesAndLaterEvictsFinishedOnes)
 {
   RunToDone("one", kNow);
