--- a/Source/State/EntityChecks.cxx
+++ b/Source/State/EntityChecks.cxx
@@ -61,6 +61,11 @@
   if (auto fault = CheckName(aWhere + "version", aEndpoint.version)) {
     return fault;
   }
+  if (aEndpoint.accelerator.size() > kMaxNameLength) {
+    return aWhere + "accelerator has " +
+           std::to_string(aEndpoint.accelerator.size()) +
+           " characters, expected at most " + std::to_string(kMaxNameLength);
+  }
   if (auto fault = CheckRange(
         aWhere + "last_layer", aEndpoint.last_layer, 0, kMaxLayers - 1)) {
     return fault;
--- a/Source/State/GatewayLeaseTable.h
+++ b/Source/State/GatewayLeaseTable.h
@@ -42,7 +42,9 @@
   void ConfirmRead(TimePoint aNow, TimePoint aSentAt, std::uint64_t aIndex);
   void Greet(TimePoint aNow, const feed::HelloT& aHello);
   // Notes a Ping. Returns the length of the lease to grant, counted from the
-  // gateway's sending time, or nothing while none may be granted.
+  // gateway's sending time, or nothing while none may be granted. A gateway
+  // that got none should ping again at once: while no lease runs, each report
+  // takes what must be applied forward.
   std::optional<Duration> Grant(TimePoint aNow,
                                 const std::string& aVm,
                                 std::uint64_t aEpoch,
--- a/Source/State/ReplicatedState.cxx
+++ b/Source/State/ReplicatedState.cxx
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "State/CommandTime.h"
 #include "State/StateImage.h"
 
 namespace parsleycove {
@@ -12,32 +13,6 @@
 
 constexpr std::size_t kMaxChangeIdLength = 128;
 
-// The proposer's time, 0 for commands without one.
-std::uint64_t
-ReadUnixMs(const state::CommandBodyUnion& aBody)
-{
-  switch (aBody.type) {
-    case state::CommandBody::ApplyChange:
-      return aBody.AsApplyChange()->unix_ms;
-    case state::CommandBody::ReserveAction:
-      return aBody.AsReserveAction()->unix_ms;
-    case state::CommandBody::DispatchAction:
-      return aBody.AsDispatchAction()->unix_ms;
-    case state::CommandBody::CompleteAction:
-      return aBody.AsCompleteAction()->unix_ms;
-    case state::CommandBody::AbandonAction:
-      return aBody.AsAbandonAction()->unix_ms;
-    case state::CommandBody::DoubtAction:
-      return aBody.AsDoubtAction()->unix_ms;
-    case state::CommandBody::ResolveAction:
-      return aBody.AsResolveAction()->unix_ms;
-    case state::CommandBody::GatewayGone:
-      return aBody.AsGatewayGone()->unix_ms;
-    default:
-      return 0;
-  }
-}
-
 state::CommandResultT
 Refuse(std::string aText)
 {
@@ -68,7 +43,7 @@
     m_config.AdvanceIndex(aIndex);
     return result;
   }
-  m_lastUnixMs = std::max(m_lastUnixMs, ReadUnixMs(aCommand.body));
+  m_lastUnixMs = std::max(m_lastUnixMs, ReadCommandTime(aCommand));
   state::CommandResultT result = Route(aIndex, aTerm, aCommand);
   m_config.AdvanceIndex(aIndex);
   return result;
--- a/Tests/State/ConfigStateTest.cxx
+++ b/Tests/State/ConfigStateTest.cxx
@@ -111,6 +111,9 @@
   endpoint = MakeEngine("e", 1);
   endpoint.kind = static_cast<state::EndpointKind>(9);
   CheckCode(ResultCode::Invalid, MakeAnnounce(endpoint));
+  endpoint = MakeEngine("e", 1);
+  endpoint.accelerator.assign(65, 'x');
+  CheckCode(ResultCode::Invalid, MakeAnnounce(endpoint));
   CheckCode(ResultCode::Invalid, MakeAnnounce(MakeEngine("e", 0)));
   CheckCode(ResultCode::Invalid, MakeCommand(state::AnnounceEndpointT()));
 }
--- a/Tests/State/ReplicatedStateTest.cxx
+++ b/Tests/State/ReplicatedStateTest.cxx
@@ -4,6 +4,7 @@
 #include <random>
 
 #include "State/CommandCodec.h"
+#include "State/CommandTime.h"
 #include "State/Commands.h"
 
 #include <CppUTest/TestHarness.h>
@@ -147,6 +148,18 @@
               "past", 0, R"({"settings":{"shutdown_unix_ms":4500}})", 4000)));
 }
 
+TEST(ReplicatedState, TheLeaderReplacesAProposersTime)
+{
+  state::CommandT command = MakeCommand(MakeReserve("A", 1, "one", 5000));
+  StampCommand(command, 3000);
+  Apply(command);
+  CHECK_EQUAL(3000, m_state.LastUnixMs());
+  state::CommandT announce = MakeAnnounce(MakeEngine("e", 1));
+  StampCommand(announce, 4000);
+  Apply(announce);
+  CHECK_EQUAL(3000, m_state.LastUnixMs());
+}
+
 TEST(ReplicatedState, AnOrderCarriesTheTermOfItsEntry)
 {
   Apply(MakeAnnounce(MakeEngine("e", 1)));
