State: Test that eviction marks outlive an image

Cause: the marks could be left out of the image without a test failing; the random sequences evicted too little. Change: a test of both marks; random commands whose time goes on and whose keys carry times. Shown by: ctest -R StateTests.

--- a/Tests/State/ReplicatedStateTest.cxx
+++ b/Tests/State/ReplicatedStateTest.cxx
@@ -30,13 +30,16 @@
 
 // Commands on few names, so that they collide often.
 state::CommandT
-MakeRandomCommand(std::mt19937_64& aRandom, std::uint64_t aRevision)
+MakeRandomCommand(std::mt19937_64& aRandom,
+                  std::uint64_t aRevision,
+                  std::uint64_t aIndex)
 {
   auto pick = [&](std::uint64_t aCount) { return aRandom() % aCount; };
-  const std::string key = "k" + std::to_string(pick(40));
+  const std::uint64_t now = 1000 + aIndex * 5 + pick(40);
+  const std::string key = pick(2) == 0 ? "k" + std::to_string(pick(30))
+                                       : MakeTimedKey(now / 100 * 100, pick(3));
   const std::string vm = "gateway-" + std::to_string(pick(3));
   const std::string endpoint = "engine-" + std::to_string(pick(4));
-  const std::uint64_t now = 1000 + pick(4000);
   const std::uint64_t attempt = 1 + pick(3);
   switch (pick(12)) {
     case 0:
@@ -138,6 +141,33 @@
   STRCMP_EQUAL("slot 7", resent.answer->body.c_str());
 }
 
+TEST(ReplicatedState, EvictedKeysOutliveAnImage)
+{
+  ReplicatedState state(MakeTightLimits());
+  const std::string key = MakeTimedKey(1000, 1);
+  state.Apply(1, kTerm, MakeCommand(MakeReserve("A", 1, key, 1000)));
+  state.Apply(2, kTerm, MakeCommand(MakeReserve("B", 1, key, 1000)));
+  state.Apply(3, kTerm, MakeCommand(MakeDispatch(2, key)));
+  state.Apply(4, kTerm, MakeCommand(MakeComplete(2, "x", key)));
+  for (std::uint64_t index = 5; index < 30; ++index) {
+    state.Apply(
+      index,
+      kTerm,
+      MakeCommand(MakeReserve("B", 1, "k" + std::to_string(index), 1060)));
+  }
+  CHECK_TRUE(state.FindAction("acme", key) == nullptr);
+  ReplicatedState restored(MakeTightLimits());
+  CHECK_TRUE(restored.Restore(state.TakeImage()));
+  CheckCode(
+    ResultCode::KeyExpired,
+    restored.Apply(30, kTerm, MakeCommand(MakeReserve("A", 1, key, 1060))));
+  restored.Apply(31, kTerm, MakeCommand(MakeGone("B", 1)));
+  const auto fresh =
+    restored.Apply(32, kTerm, MakeCommand(MakeReserve("A", 1, "fresh", 2000)));
+  CheckCode(ResultCode::Ok, fresh);
+  CHECK_EQUAL(3, fresh.attempt);
+}
+
 TEST(ReplicatedState, TimeNeverGoesBack)
 {
   Apply(MakeCommand(MakeReserve("A", 1, "one", 5000)));
@@ -221,7 +251,8 @@
     ReplicatedState second(MakeTightLimits());
     ConfigState gateway;
     for (std::uint64_t index = 1; index <= 3000; ++index) {
-      const auto command = MakeRandomCommand(random, first.Config().revision);
+      const auto command =
+        MakeRandomCommand(random, first.Config().revision, index);
       const auto result = first.Apply(index, kTerm, command);
       const auto encoded = EncodeCommand(command);
       StateReason reason;
