Routing: Keep goodput flat where requests last long

Causes: before the first answer the service time was taken as nothing, so requests waited until they could only be late; late answers shrank the limit several times before one that was started under it ended, also when the wait and not the service had made them late; and the limit began at a quarter of the target and grew by 5%. Now half the target is assumed first, the limit is held for one service time after each decrease, only work that was slow itself counts against it, it grows by half until it was first too high, and waiting is bounded by the time to the first token too.

--- a/Source/Routing/AdmissionQueue.cxx
+++ b/Source/Routing/AdmissionQueue.cxx
@@ -9,6 +9,8 @@
 
 // Share of the time before the latest start that may be planned as waiting.
 constexpr double kPlannedWaitShare = 0.8;
+// Share of the time to the first token that may be spent waiting.
+constexpr double kFirstTokenShare = 0.7;
 // Accounts this many requests ahead of the least served still compete.
 constexpr double kEligibleRequests = 2.0;
 constexpr std::size_t kMaxCompeting = 32;
@@ -111,6 +113,19 @@
   return FromSeconds(std::min(ahead + aCost, fair) / m_capacity.Rate());
 }
 
+Duration
+AdmissionQueue::LongestWait(TimePoint aNow,
+                            const AdmissionRequest& aRequest) const
+{
+  const Duration slack =
+    aRequest.m_deadline - aNow - m_capacity.ServiceTime(aRequest.m_cost);
+  const Duration firstToken = aRequest.m_targets.m_firstToken;
+  if (firstToken == Duration::zero()) {
+    return slack;
+  }
+  return std::min(slack, FromSeconds(ToSeconds(firstToken) * kFirstTokenShare));
+}
+
 AdmissionAnswer
 AdmissionQueue::Submit(TimePoint aNow, const AdmissionRequest& aRequest)
 {
@@ -119,7 +134,6 @@
   }
   AccountShare& account = AccountOf(aRequest.m_account);
   const Duration budget = aRequest.m_deadline - aNow;
-  const Duration slack = budget - m_capacity.ServiceTime(aRequest.m_cost);
   if (budget <= Duration::zero()) {
     return Refuse(AdmissionRefusal::CannotBeInTime, kMinRetryAfter);
   }
@@ -134,7 +148,8 @@
   }
   m_capacity.NoteSaturated();
   const Duration wait = ExpectedWait(account, aRequest.m_cost, budget);
-  const Duration planned = FromSeconds(ToSeconds(slack) * kPlannedWaitShare);
+  const Duration longest = LongestWait(aNow, aRequest);
+  const Duration planned = FromSeconds(ToSeconds(longest) * kPlannedWaitShare);
   if (wait > planned) {
     const bool ownBacklog =
       account.m_waitingCost * static_cast<double>(m_active.size()) >
@@ -143,12 +158,13 @@
                              : AdmissionRefusal::CannotBeInTime,
                   wait - std::max(planned, Duration::zero()));
   }
-  Enqueue(aRequest, account, classIndex);
+  Enqueue(aNow, aRequest, account, classIndex);
   return { AdmissionVerdict::Queued, AdmissionRefusal::None, {} };
 }
 
 void
-AdmissionQueue::Enqueue(const AdmissionRequest& aRequest,
+AdmissionQueue::Enqueue(TimePoint aNow,
+                        const AdmissionRequest& aRequest,
                         AccountShare& aAccount,
                         std::size_t aClass)
 {
@@ -158,8 +174,7 @@
   request.m_class = aClass;
   request.m_cost = aRequest.m_cost;
   request.m_deadline = aRequest.m_deadline;
-  request.m_latestStart =
-    aRequest.m_deadline - m_capacity.ServiceTime(aRequest.m_cost);
+  request.m_latestStart = aNow + LongestWait(aNow, aRequest);
   if (aAccount.m_waiting.empty()) {
     m_active.insert(aAccount);
   }
--- a/Source/Routing/AdmissionQueue.h
+++ b/Source/Routing/AdmissionQueue.h
@@ -59,7 +59,10 @@
   Duration ExpectedWait(const AccountShare& aAccount,
                         double aCost,
                         Duration aBudget) const;
-  void Enqueue(const AdmissionRequest& aRequest,
+  // Time after which a start would most likely miss a target.
+  Duration LongestWait(TimePoint aNow, const AdmissionRequest& aRequest) const;
+  void Enqueue(TimePoint aNow,
+               const AdmissionRequest& aRequest,
                AccountShare& aAccount,
                std::size_t aClass);
   void Start(TimePoint aNow,
--- a/Source/Routing/CapacityEstimate.cxx
+++ b/Source/Routing/CapacityEstimate.cxx
@@ -14,11 +14,14 @@
 constexpr double kAverageWeight = 0.1;
 constexpr double kDeviations = 2.0;
 constexpr double kIncreaseShare = 0.05;
+// Until the limit was first found too high.
+constexpr double kFirstIncreaseShare = 0.5;
 constexpr double kLeastDecrease = 0.1;
 constexpr double kMostDecrease = 0.5;
 constexpr double kSlowdownToIncrease = 1.5;
 constexpr double kSlowdownToDecrease = 2.0;
-// Share of answers that take most of their class's time.
+// Share of answers that take most of the time between the unloaded one and
+// their class's target.
 constexpr double kStrainToIncrease = 0.01;
 constexpr double kStrainToDecrease = 0.05;
 constexpr double kStrainedShare = 0.6;
@@ -69,6 +72,9 @@
 Duration
 CapacityEstimate::ServiceTime(double aCost) const
 {
+  if (m_perCost == 0) {
+    return m_tightest / 2;
+  }
   const double seconds = aCost * (m_perCost + kDeviations * m_deviation);
   return Duration(static_cast<std::int64_t>(seconds * 1e9));
 }
@@ -87,12 +93,10 @@
   m_deviation += kAverageWeight * (std::abs(error) - m_deviation);
   m_meanCost += kAverageWeight * (cost - m_meanCost);
   ++m_finished;
-  m_late += aWork.m_inTime ? 0 : 1;
   m_allowedLate += aWork.m_allowedLate;
   m_served += cost;
   m_seconds += ToSeconds(aWork.m_taken);
-  const double most = kStrainedShare * ToSeconds(aWork.m_completion);
-  m_strained += ToSeconds(aWork.m_taken) > most ? 1 : 0;
+  NoteStrain(aWork, cost);
   const double window = ToSeconds(aNow - m_windowStart);
   const double least = std::max(kMinWindowSeconds, m_perCost * m_meanCost);
   if (m_finished >= kWindowRequests && window >= least) {
@@ -100,11 +104,26 @@
   }
 }
 
+void
+CapacityEstimate::NoteStrain(const FinishedWork& aWork, double aCost)
+{
+  const double completion = ToSeconds(aWork.m_completion);
+  const double unloaded = std::min(m_least * aCost, completion);
+  const double most = unloaded + kStrainedShare * (completion - unloaded);
+  if (ToSeconds(aWork.m_taken) <= most) {
+    // If it is late all the same, it waited too long before it was started;
+    // a lower limit would make that worse.
+    return;
+  }
+  ++m_strained;
+  m_late += aWork.m_inTime ? 0 : 1;
+}
+
 void
 CapacityEstimate::EndWindow(TimePoint aNow)
 {
   AdaptRate(ToSeconds(aNow - m_windowStart));
-  AdaptLimit();
+  AdaptLimit(aNow);
   Clamp();
   m_windowStart = aNow;
   m_finished = 0;
@@ -143,29 +162,44 @@
 }
 
 void
-CapacityEstimate::AdaptLimit()
+CapacityEstimate::AdaptLimit(TimePoint aNow)
 {
   LearnLeast();
   const double late = static_cast<double>(m_late) / m_finished;
   const double strained = static_cast<double>(m_strained) / m_finished;
   const double slowdown = m_perCost / m_least;
+  if (aNow < m_holdUntil) {
+    // What ends now was started under the limit before the last decrease.
+    return;
+  }
   if (late > m_allowedLate / m_finished / 2.0) {
     m_limit *= 1.0 - std::clamp(late, kLeastDecrease, kMostDecrease);
+    HoldLimit(aNow);
     return;
   }
   if (slowdown > kSlowdownToDecrease || strained > kStrainToDecrease) {
     const double held = m_configured * m_least * m_meanCost;
     const double lower = m_limit * (1.0 - kLeastDecrease);
     m_limit = std::min(m_limit, std::max(lower, held));
+    HoldLimit(aNow);
     return;
   }
   const bool roomy =
     slowdown <= kSlowdownToIncrease && strained <= kStrainToIncrease;
   if (m_saturated && roomy) {
-    m_limit += kIncreaseShare * m_limit + m_meanCost;
+    const double share = m_hasDecreased ? kIncreaseShare : kFirstIncreaseShare;
+    m_limit += share * m_limit + m_meanCost;
   }
 }
 
+void
+CapacityEstimate::HoldLimit(TimePoint aNow)
+{
+  m_hasDecreased = true;
+  m_holdUntil =
+    aNow + Duration(static_cast<std::int64_t>(m_perCost * m_meanCost * 1e9));
+}
+
 void
 CapacityEstimate::Clamp()
 {
--- a/Source/Routing/CapacityEstimate.h
+++ b/Source/Routing/CapacityEstimate.h
@@ -46,7 +46,9 @@
 private:
   void EndWindow(TimePoint aNow);
   void LearnLeast();
-  void AdaptLimit();
+  void AdaptLimit(TimePoint aNow);
+  void HoldLimit(TimePoint aNow);
+  void NoteStrain(const FinishedWork& aWork, double aCost);
   void AdaptRate(double aSeconds);
   void Clamp();
 
@@ -60,6 +62,10 @@
   double m_least = 0;
   double m_meanCost = 1;
   Duration m_tightest = std::chrono::seconds(10);
+  // The limit was found too high at least once.
+  bool m_hasDecreased = false;
+  // No further change of the limit before work that was started under it ends.
+  TimePoint m_holdUntil;
 
   // The present window.
   TimePoint m_windowStart;
--- a/Tests/Bench/Decision/DecisionBench.cxx
+++ b/Tests/Bench/Decision/DecisionBench.cxx
@@ -187,7 +187,7 @@
   PipelineSettings settings;
   settings.m_load = 0.6;
   settings.m_seed = aSeed;
-  settings.m_zoneLostAt = std::chrono::seconds(4);
+  settings.m_zoneLostAt = std::chrono::seconds(15);
   const PipelineResult result = RunPipelineModel(settings);
   const auto failed = static_cast<double>(result.m_failed);
   const std::string at = " when 1 of 6 zones falls silent at 0.6x";
--- a/Tests/Bench/Decision/PipelineModel.cxx
+++ b/Tests/Bench/Decision/PipelineModel.cxx
@@ -32,9 +32,9 @@
 constexpr Duration kFirstToken = std::chrono::milliseconds(1500);
 constexpr Duration kInterval = std::chrono::milliseconds(40);
 constexpr Duration kCompletion = kFirstToken + kTokens * kInterval;
-constexpr Duration kArrivalsEnd = std::chrono::seconds(8);
+constexpr Duration kArrivalsEnd = std::chrono::seconds(30);
 // Requests before this are left out while the estimates settle.
-constexpr Duration kMeasureFrom = std::chrono::seconds(2);
+constexpr Duration kMeasureFrom = std::chrono::seconds(10);
 constexpr Duration kScanInterval = std::chrono::milliseconds(10);
 
 double
