--- a/Source/Gateway/EndpointClient.cxx
+++ b/Source/Gateway/EndpointClient.cxx
@@ -17,7 +17,7 @@
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(700);
 constexpr std::size_t kMaxIdlePerAddress = 64;
-constexpr std::size_t kMaxAnswerBytes = 8 * 1024 * 1024;
+constexpr std::size_t kMaxAnswerBytes = 8ULL * 1024 * 1024;
 constexpr unsigned kHttp11 = 11;
 
 CallResult
--- a/Source/Gateway/EndpointHandlers.cxx
+++ b/Source/Gateway/EndpointHandlers.cxx
@@ -11,6 +11,7 @@
 #include "Gateway/GatewayServices.h"
 #include "Gateway/RequestContext.h"
 #include "Gateway/Responder.h"
+#include "Routing/RunnerTable.h"
 #include "State/ConfigJson.h"
 
 namespace parsleycove {
@@ -50,6 +51,27 @@
   return reference;
 }
 
+struct ReportedLoad
+{
+  std::uint32_t m_queued = 0;
+  std::uint32_t m_running = 0;
+};
+
+// Returns the report's load, or nothing when it has none that can be read.
+std::optional<ReportedLoad>
+ParseLoad(const std::string& aBody)
+{
+  try {
+    const json::value document =
+      json::parse(json::string_view(aBody.data(), aBody.size()));
+    const json::object& load = document.at("load").as_object();
+    return ReportedLoad{ load.at("queued").to_number<std::uint32_t>(),
+                         load.at("running").to_number<std::uint32_t>() };
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
 ApiError
 ErrorOf(const ProposeOutcome& aOutcome)
 {
@@ -140,4 +162,26 @@
   co_await aResponder.SendJson(200, "{}");
 }
 
+asio::awaitable<void>
+EventsHandler::Handle(const RequestContext& aContext, Responder& aResponder)
+{
+  ApiError refusal;
+  const std::string& body = aContext.m_request.body();
+  const auto reference = ParseReference(body, refusal);
+  if (!reference) {
+    co_await aResponder.SendError(refusal);
+    co_return;
+  }
+  const auto load = ParseLoad(body);
+  const auto table = m_services.m_runners.Read();
+  const Runner* runner = table->FindRunner(reference->id);
+  const bool isKnown =
+    runner && runner->m_incarnation == reference->incarnation;
+  if (load && isKnown) {
+    runner->m_load->RecordReport(
+      m_services.m_clock.Now(), load->m_queued, load->m_running);
+  }
+  co_await aResponder.SendJson(200, "{}");
+}
+
 } // namespace parsleycove
--- a/Source/Gateway/EndpointHandlers.h
+++ b/Source/Gateway/EndpointHandlers.h
@@ -52,4 +52,19 @@
   const GatewayServices& m_services;
 };
 
+// POST /v1/endpoints/events: load reports and cache events, both only hints.
+class EventsHandler final : public Handler
+{
+public:
+  explicit EventsHandler(const GatewayServices& aServices)
+    : m_services(aServices)
+  {
+  }
+  asio::awaitable<void> Handle(const RequestContext& aContext,
+                               Responder& aResponder) override;
+
+private:
+  const GatewayServices& m_services;
+};
+
 } // namespace parsleycove
--- a/Source/Gateway/GatewayOptions.h
+++ b/Source/Gateway/GatewayOptions.h
@@ -23,8 +23,8 @@
   std::string m_operatorKeyHash;
   std::size_t m_threads = 2;
   std::size_t m_maxConnections = 20000;
-  std::size_t m_maxHeaderBytes = 16 * 1024;
-  std::size_t m_maxBodyBytes = 1024 * 1024;
+  std::size_t m_maxHeaderBytes = 16ULL * 1024;
+  std::size_t m_maxBodyBytes = 1024ULL * 1024;
   Duration m_idleTimeout = std::chrono::seconds(60);
   // How long callers may still arrive after /readyz has turned: the check
   // interval of the platform's balancer, with some room.
--- a/Source/Gateway/GatewayServer.cxx
+++ b/Source/Gateway/GatewayServer.cxx
@@ -161,6 +161,10 @@
                exact,
                "/v1/endpoints/leave",
                std::make_unique<LeaveHandler>(m_services));
+  m_router.Add(http::verb::post,
+               exact,
+               "/v1/endpoints/events",
+               std::make_unique<EventsHandler>(m_services));
   m_router.Add(
     http::verb::get, exact, "/healthz", std::make_unique<HealthHandler>());
   m_router.Add(http::verb::get,
--- a/Tests/Fakes/EngineStandIn.h
+++ b/Tests/Fakes/EngineStandIn.h
@@ -20,6 +20,7 @@
 
   // Listens, prints "ready ADDRESS" and announces itself.
   void Start();
+  SocketAddress LocalAddress() const { return m_server.LocalAddress(); }
   // Leaves, lets running streams end and stops the context.
   Awaitable<void> Drain();
 
--- a/Tests/Gateway/ActionTest.cxx
+++ b/Tests/Gateway/ActionTest.cxx
@@ -1,5 +1,5 @@
 // Tests of calls that may not be repeated, with faults at every step.
-#include "Gateway/GatewayFixture.h"
+#include "Support/GatewayFixture.h"
 
 #include <array>
 
--- a/Tests/Gateway/InputTest.cxx
+++ b/Tests/Gateway/InputTest.cxx
@@ -1,6 +1,6 @@
 // Tests of bad input: each case is a file with the request, the expected
 // status and code, and a part of the expected message.
-#include "Gateway/GatewayFixture.h"
+#include "Support/GatewayFixture.h"
 
 #include <filesystem>
 #include <fstream>
--- a/Tests/Gateway/GatewayFixture.cxx
+++ b/Tests/Support/GatewayFixture.cxx
@@ -1,5 +1,5 @@
 // A gateway with a fake replicated state and a scripted service.
-#include "Gateway/GatewayFixture.h"
+#include "Support/GatewayFixture.h"
 
 #include <boost/json.hpp>
 
