--- a/Tests/State/ActionLedgerTest.cxx
+++ b/Tests/State/ActionLedgerTest.cxx
@@ -171,9 +171,6 @@
 TEST(ActionLedger, ALateAnswerOfAnEarlierAttemptIsRefused)
 {
   m_ledger.Reserve(MakeReserve("A", 1), kNow);
-  m_ledger.Dispatch(MakeDispatch(1), kNow);
-  m_ledger.Doubt(MakeDoubt(1), kNow);
-  m_ledger.Resolve(MakeResolve(false, "olga", 1), kNow);
   m_ledger.Reserve(MakeReserve("B", 1), kNow);
   m_ledger.Dispatch(MakeDispatch(2), kNow);
   CheckCode(ResultCode::StaleAttempt,
