--- a/Source/State/StateLimits.h
+++ b/Source/State/StateLimits.h
@@ -16,7 +16,7 @@
   // A key that carries its time may be ahead of the state's time by this.
   std::uint64_t m_maxKeyLeadMs = 5ULL * 60 * 1000;
   std::size_t m_maxActions = 1'000'000;
-  std::size_t m_maxActionBytes = 768ULL * 1024 * 1024;
+  std::size_t m_maxActionBytes = 1024ULL * 1024 * 1024;
   // The body of a longer answer is not stored, only that the action ran.
   std::size_t m_maxAnswerBytes = 64ULL * 1024;
   // First answers to change ids: two days at 4,500 changes a day.
