--- a/Source/Control/ClientNode.cxx
+++ b/Source/Control/ClientNode.cxx
@@ -72,6 +72,7 @@
   options.m_maxQueueBytes = m_options.m_maxQueueBytes;
   options.m_heartbeatInterval = m_options.m_linkHeartbeat;
   options.m_silenceLimit = m_options.m_silenceLimit;
+  options.m_traffic = m_options.m_traffic;
   return options;
 }
 
--- a/Source/Control/ControlClient.h
+++ b/Source/Control/ControlClient.h
@@ -9,6 +9,7 @@
 
 #include "Base/SocketAddress.h"
 #include "State/ControlPort.h"
+#include "Wire/LinkTraffic.h"
 
 namespace parsleycove {
 
@@ -31,6 +32,8 @@
   std::size_t m_maxFrameBytes = 64UL * 1024 * 1024;
   std::size_t m_maxQueueBytes = 16UL * 1024 * 1024;
   std::uint64_t m_seed = 1;
+  // Counts the bytes of this client's links, unless null; outlives it.
+  LinkTraffic* m_traffic = nullptr;
 };
 
 // Keeps a feed to a replica, preferably of the own zone, and sends proposals
--- a/Source/Control/FeedServer.cxx
+++ b/Source/Control/FeedServer.cxx
@@ -96,12 +96,12 @@
 Frame::Pointer
 FeedServer::ImageFrame()
 {
-  if (!m_image || m_imageIndex != m_backend.AppliedIndex()) {
+  const state::ConfigImageT& config = m_backend.State().Config();
+  if (!m_image || m_imageIndex != config.index) {
     feed::ImageT body;
-    body.image =
-      std::make_unique<state::ConfigImageT>(m_backend.State().Config());
+    body.image = std::make_unique<state::ConfigImageT>(config);
     m_image = EncodeFeedBody(std::move(body));
-    m_imageIndex = m_backend.AppliedIndex();
+    m_imageIndex = config.index;
   }
   return m_image;
 }
--- a/Source/Wire/FrameLink.cxx
+++ b/Source/Wire/FrameLink.cxx
@@ -125,6 +125,9 @@
     return;
   }
   m_lastReceived = BootClock::now();
+  if (m_options.m_traffic != nullptr) {
+    m_options.m_traffic->m_receivedBytes += aSize;
+  }
   m_channel->m_reader.Append({ m_channel->m_received.data(), aSize });
   DeliverFrames();
   if (!m_shut) {
@@ -212,6 +215,9 @@
                 static_cast<std::ptrdiff_t>(m_channel->m_writing));
   m_channel->m_writing = 0;
   m_channel->m_queuedBytes -= aSize;
+  if (m_options.m_traffic != nullptr) {
+    m_options.m_traffic->m_sentBytes += aSize;
+  }
   Write();
 }
 
--- a/Source/Wire/FrameLink.h
+++ b/Source/Wire/FrameLink.h
@@ -11,6 +11,7 @@
 #include "Base/Clock.h"
 #include "Base/SocketAddress.h"
 #include "Wire/FrameReader.h"
+#include "Wire/LinkTraffic.h"
 
 namespace boost::asio {
 class io_context;
@@ -28,6 +29,8 @@
   Duration m_heartbeatInterval = std::chrono::milliseconds(500);
   // A link that receives nothing for this long is dead.
   Duration m_silenceLimit = std::chrono::seconds(2);
+  // Counts this link's bytes too, unless null; outlives the link.
+  LinkTraffic* m_traffic = nullptr;
 };
 
 // Receives what happens on a link, on the thread of its io_context.
--- /dev/null
+++ b/Tests/Control/ClientPartsTest.cxx
@@ -0,0 +1,186 @@
+// Tests of the parts of the control client that do no input or output.
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "Control/PendingCalls.h"
+#include "Control/ReplicaDirectory.h"
+#include "Control/ViewKeeper.h"
+
+// Last, since its leak macros redefine new.
+#include <CppUTest/TestHarness.h>
+
+using namespace parsleycove;
+
+namespace {
+
+TimePoint
+At(int aMs)
+{
+  return TimePoint(std::chrono::milliseconds(1000 + aMs));
+}
+
+feed::WelcomeT
+MakeWelcome(std::size_t aReplicas)
+{
+  feed::WelcomeT welcome;
+  for (std::size_t i = 0; i < aReplicas; ++i) {
+    auto peer = std::make_unique<feed::ReplicaAddressT>();
+    peer->replica = i + 1;
+    peer->zone = std::string("zone-") + static_cast<char>('a' + i);
+    peer->address = "10.0.0." + std::to_string(i + 1);
+    peer->port = 7000;
+    welcome.peers.push_back(std::move(peer));
+  }
+  return welcome;
+}
+
+state::CommandT
+MakeClass(const std::string& aName, std::uint64_t aBase)
+{
+  auto workClass = std::make_unique<state::WorkClassT>();
+  workClass->name = aName;
+  workClass->first_token_ms = 1000;
+  workClass->completion_ms = 2000;
+  workClass->success_per_mille = 900;
+  state::ApplyChangeT change;
+  change.change_id = aName;
+  change.base_revision = aBase;
+  change.operator_name = "tester";
+  change.unix_ms = 1;
+  change.change = std::make_unique<state::ConfigChangeT>();
+  change.change->put_classes.push_back(std::move(workClass));
+  state::CommandT command;
+  command.body.Set(std::move(change));
+  return command;
+}
+
+} // namespace
+
+// clang-format off
+TEST_GROUP(PendingCalls)
+{
+  PendingCalls m_calls;
+  std::vector<ControlError> m_errors;
+  int m_answers = 0;
+
+  void Add(std::uint64_t aId, TimePoint aDeadline)
+  {
+    PendingCall call;
+    call.m_id = aId;
+    call.m_deadline = aDeadline;
+    call.m_handler = [this](const feed::FeedBodyUnion* aAnswer,
+                            const ControlReason& aReason) {
+      if (aAnswer != nullptr) {
+        ++m_answers;
+      } else {
+        m_errors.push_back(aReason.m_code);
+      }
+    };
+    m_calls.Add(std::move(call));
+  }
+};
+// clang-format on
+
+TEST(PendingCalls, NeverSentOrOnlyRefusedIsNotAccepted)
+{
+  Add(1, At(10));
+  Add(2, At(10));
+  m_calls.Find(2)->m_unresolved = 1;
+  m_calls.NoteRefused(2);
+  m_calls.TakeDue(At(10));
+  CHECK_EQUAL(2, m_errors.size());
+  CHECK(m_errors[0] == ControlError::NotAccepted);
+  CHECK(m_errors[1] == ControlError::NotAccepted);
+}
+
+TEST(PendingCalls, OneSendingWithoutAnAnswerMakesItUnknown)
+{
+  Add(1, At(10));
+  m_calls.Find(1)->m_unresolved = 2;
+  m_calls.NoteRefused(1);
+  m_calls.TakeDue(At(10));
+  CHECK_EQUAL(1, m_errors.size());
+  CHECK(m_errors[0] == ControlError::Unknown);
+}
+
+TEST(PendingCalls, LateAndDuplicateAnswersCallNobody)
+{
+  Add(1, At(10));
+  const feed::FeedBodyUnion answer;
+  m_calls.Complete(1, answer);
+  m_calls.Complete(1, answer);
+  Add(2, At(10));
+  m_calls.TakeDue(At(11));
+  m_calls.Complete(2, answer);
+  m_calls.NoteRefused(2);
+  CHECK_EQUAL(1, m_answers);
+  CHECK_EQUAL(1, m_errors.size());
+}
+
+TEST_GROUP(ReplicaDirectory){};
+
+TEST(ReplicaDirectory, PrefersTheOwnZoneAndAvoidsWhatFailedLately)
+{
+  ReplicaDirectory directory({ { "10.0.0.9", 7000 } }, "zone-b", 1);
+  CHECK(directory.Pick(At(0))->m_address == "10.0.0.9");
+  directory.Learn(MakeWelcome(3));
+  CHECK(directory.Pick(At(0))->m_address == "10.0.0.2");
+  CHECK(directory.HasNearer(At(0), { "10.0.0.1", 7000 }));
+  directory.NoteFailure(At(0), { "10.0.0.2", 7000 });
+  CHECK_FALSE(directory.HasNearer(At(1), { "10.0.0.1", 7000 }));
+  const auto next = directory.Pick(At(1))->m_address;
+  CHECK(next == "10.0.0.1" || next == "10.0.0.3");
+  directory.NoteFailure(At(2), { "10.0.0.1", 7000 });
+  directory.NoteFailure(At(3), { "10.0.0.3", 7000 });
+  directory.NoteFailure(At(4), { "10.0.0.9", 7000 });
+  // All have failed: the own zone again, never nothing.
+  CHECK(directory.Pick(At(5))->m_address == "10.0.0.2");
+}
+
+// clang-format off
+TEST_GROUP(ViewKeeper)
+{
+  ViewKeeper m_keeper;
+
+  state::ConfigImageT ImageAt(std::uint64_t aIndex)
+  {
+    state::ConfigImageT image;
+    image.index = aIndex;
+    image.revision = aIndex;
+    return image;
+  }
+};
+// clang-format on
+
+TEST(ViewKeeper, NeverGoesBackToAnOlderImageOrDelta)
+{
+  m_keeper.TakeImage(ImageAt(10));
+  CHECK(m_keeper.TakeDelta(12, MakeClass("a", 10)));
+  m_keeper.Publish();
+  CHECK_EQUAL(12, m_keeper.Read()->Index());
+  // A replica that lags sends what it has.
+  m_keeper.TakeImage(ImageAt(11));
+  CHECK(m_keeper.TakeDelta(11, MakeClass("b", 10)));
+  m_keeper.Publish();
+  CHECK_EQUAL(12, m_keeper.Read()->Index());
+  CHECK(m_keeper.Read()->FindClass("a") != nullptr);
+  CHECK(m_keeper.Read()->FindClass("b") == nullptr);
+}
+
+TEST(ViewKeeper, HasNoLeaseBeforeTheFirstImage)
+{
+  m_keeper.ExtendLease(At(100));
+  CHECK_FALSE(m_keeper.HasLease(At(0)));
+  m_keeper.TakeImage(ImageAt(1));
+  m_keeper.ExtendLease(At(100));
+  CHECK(m_keeper.HasLease(At(99)));
+  CHECK_FALSE(m_keeper.HasLease(At(100)));
+  CHECK_EQUAL(1, m_keeper.Read()->Index());
+}
+
+TEST(ViewKeeper, ADeltaThatDoesNotFitIsReported)
+{
+  m_keeper.TakeImage(ImageAt(10));
+  CHECK_FALSE(m_keeper.TakeDelta(12, MakeClass("a", 9)));
+}
--- /dev/null
+++ b/Tests/Control/ReplicaPartsTest.cxx
@@ -0,0 +1,170 @@
+// Tests of the parts of the replica service that do no input or output.
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "Control/DeltaRing.h"
+#include "Control/LeaderDuties.h"
+#include "Control/LeaseKey.h"
+#include "Control/ProposalTable.h"
+#include "Control/ReadTable.h"
+#include "Control/SnapshotAssembler.h"
+
+// Last, since its leak macros redefine new.
+#include <CppUTest/TestHarness.h>
+
+using namespace parsleycove;
+
+namespace {
+
+TimePoint
+At(int aMs)
+{
+  return TimePoint(std::chrono::milliseconds(1000 + aMs));
+}
+
+Frame::Pointer
+MakeFrame(std::size_t aSize)
+{
+  return { new Frame(FrameKind::Feed, std::vector<std::uint8_t>(aSize)) };
+}
+
+consensus::InstallSnapshotT
+MakePiece(std::uint64_t aIndex,
+          std::uint64_t aOffset,
+          const std::vector<std::uint8_t>& aData,
+          bool aLast)
+{
+  consensus::InstallSnapshotT piece;
+  piece.meta = std::make_unique<consensus::SnapshotMetaT>();
+  piece.meta->index = aIndex;
+  piece.meta->term = 1;
+  piece.offset = aOffset;
+  piece.data = aData;
+  piece.last = aLast;
+  return piece;
+}
+
+} // namespace
+
+TEST_GROUP(DeltaRing){};
+
+TEST(DeltaRing, GivesAllLaterDeltasOrNone)
+{
+  const std::size_t frameBytes = 100 + kFrameHeaderBytes;
+  DeltaRing ring(3 * frameBytes);
+  ring.Reset(10);
+  for (std::uint64_t index = 11; index <= 13; ++index) {
+    ring.Add(index, MakeFrame(100));
+  }
+  CHECK_EQUAL(3, ring.After(10)->size());
+  CHECK_EQUAL(1, ring.After(12)->size());
+  CHECK_FALSE(ring.After(9).has_value());
+  // A gateway that is ahead of this replica needs nothing.
+  CHECK(ring.After(20)->empty());
+  ring.Add(14, MakeFrame(100));
+  CHECK_FALSE(ring.After(10).has_value());
+  CHECK_EQUAL(3, ring.After(11)->size());
+}
+
+TEST_GROUP(ProposalTable){};
+
+TEST(ProposalTable, AnEntryOfAnotherTermIsNotTheProposal)
+{
+  ProposalTable table;
+  std::vector<bool> known;
+  const auto note = [&](const std::optional<state::CommandResultT>& aResult) {
+    known.push_back(aResult.has_value());
+  };
+  table.Add(5, 1, note);
+  table.Add(6, 1, note);
+  table.Add(7, 1, note);
+  table.Resolve(4, 1, {});
+  CHECK(known.empty());
+  table.Resolve(5, 1, {});
+  table.Resolve(6, 2, {});
+  table.FailAll();
+  table.Resolve(7, 1, {});
+  CHECK((known == std::vector<bool>{ true, false, false }));
+}
+
+TEST_GROUP(ReadTable){};
+
+TEST(ReadTable, WaitsForTheStateAfterTheQuorum)
+{
+  ReadTable table;
+  std::vector<bool> answers;
+  const auto note = [&](const ReadState& aRead) {
+    answers.push_back(aRead.m_ok);
+  };
+  const auto first = table.Add(note);
+  const auto second = table.Add(note);
+  table.Answer({ first, 8, true, At(0) });
+  table.Advance(7);
+  CHECK(answers.empty());
+  table.Advance(8);
+  table.Answer({ second, 9, false, At(0) });
+  CHECK((answers == std::vector<bool>{ true, false }));
+}
+
+TEST_GROUP(SnapshotAssembler){};
+
+TEST(SnapshotAssembler, TakesPiecesInOrderOfOneSnapshotOnly)
+{
+  SnapshotAssembler assembler;
+  CHECK_FALSE(assembler.Add(MakePiece(5, 0, { 1, 2 }, false)).has_value());
+  // Lost, repeated and foreign pieces never make a whole.
+  CHECK_FALSE(assembler.Add(MakePiece(5, 4, { 5 }, true)).has_value());
+  CHECK_FALSE(assembler.Add(MakePiece(6, 2, { 3 }, true)).has_value());
+  CHECK_FALSE(assembler.Add(MakePiece(5, 0, { 1, 2 }, false)).has_value());
+  CHECK_FALSE(assembler.Add(MakePiece(5, 0, { 1, 2 }, false)).has_value());
+  const auto whole = assembler.Add(MakePiece(5, 2, { 3 }, true));
+  CHECK(whole.has_value());
+  CHECK((whole->m_state == std::vector<std::uint8_t>{ 1, 2, 3 }));
+}
+
+// clang-format off
+TEST_GROUP(LeaderDuties)
+{
+  LeaderDutiesOptions m_options;
+  ReplicatedState m_state;
+
+  // Reserves an action held by this process of the gateway.
+  void Reserve(const std::string& aGateway, std::uint64_t aEpoch)
+  {
+    state::ReserveActionT reserve;
+    reserve.account = "account";
+    reserve.key = aGateway + std::to_string(aEpoch);
+    reserve.fingerprint = "f";
+    reserve.gateway = aGateway;
+    reserve.gateway_epoch = aEpoch;
+    reserve.unix_ms = 1;
+    state::CommandT command;
+    command.body.Set(std::move(reserve));
+    m_state.Apply(++m_index, 1, command);
+  }
+  std::uint64_t m_index = 0;
+};
+// clang-format on
+
+TEST(LeaderDuties, OnlyGatewaysThatNoReplicaReportsAreGone)
+{
+  m_options.m_gatewayLease = std::chrono::milliseconds(100);
+  Reserve("alive", 1);
+  Reserve("dead", 7);
+  LeaderDuties duties(m_options, At(0), m_state.Config());
+  // Until the lease is over they may have been reported to the last leader.
+  CHECK(duties.FindExpired(At(99), 5, m_state).empty());
+  consensus::ReadIndexT report;
+  report.renewed.push_back(HashGateway("alive", 1));
+  // A new process of the VM doesn't keep the old one alive.
+  report.renewed.push_back(HashGateway("dead", 8));
+  duties.NoteReport(At(90), 2, report);
+  const auto commands = duties.FindExpired(At(100), 5, m_state);
+  CHECK_EQUAL(1, commands.size());
+  const auto* gone = commands[0].body.AsGatewayGone();
+  CHECK(gone != nullptr);
+  STRCMP_EQUAL("dead", gone->gateway.c_str());
+  CHECK_EQUAL(7, gone->gateway_epoch);
+  CHECK_EQUAL(2, duties.FindExpired(At(190), 5, m_state).size());
+}
