--- a/Source/Control/ReplicaCore.cxx
+++ b/Source/Control/ReplicaCore.cxx
@@ -99,7 +99,7 @@
 }
 
 bool
-ReplicaCore::Drive()
+ReplicaCore::Drive(TimePoint aNow)
 {
   while (!m_failed && m_replica.HasReady()) {
     Ready ready = m_replica.TakeReady();
@@ -108,7 +108,7 @@
       if (!Store(ready)) {
         return FailStore();
       }
-      m_replica.Persisted(BootClock::now());
+      m_replica.Persisted(aNow);
     }
     Send(ready.m_messages);
     for (const consensus::EntryT& entry : ready.m_committed) {
@@ -124,7 +124,7 @@
       SendChunk(request);
     }
     for (SnapshotChunk& chunk : ready.m_chunks) {
-      if (!InstallChunk(chunk)) {
+      if (!InstallChunk(aNow, chunk)) {
         return FailStore();
       }
     }
@@ -194,23 +194,22 @@
 }
 
 bool
-ReplicaCore::InstallChunk(SnapshotChunk& aChunk)
+ReplicaCore::InstallChunk(TimePoint aNow, SnapshotChunk& aChunk)
 {
   auto snapshot = m_assembler.Add(std::move(aChunk.m_piece));
-  return !snapshot || InstallState(std::move(*snapshot));
+  return !snapshot || InstallState(aNow, std::move(*snapshot));
 }
 
 bool
-ReplicaCore::InstallState(ReceivedSnapshot aSnapshot)
+ReplicaCore::InstallState(TimePoint aNow, ReceivedSnapshot aSnapshot)
 {
-  const TimePoint now = BootClock::now();
   if (aSnapshot.m_meta.index <= m_applied) {
-    m_replica.SnapshotInstalled(now, std::move(aSnapshot.m_meta));
+    m_replica.SnapshotInstalled(aNow, std::move(aSnapshot.m_meta));
     return true;
   }
   const bool whole = aSnapshot.m_meta.size == aSnapshot.m_state.size();
   if (!whole || !m_state.Restore(aSnapshot.m_state)) {
-    m_replica.SnapshotRejected(now);
+    m_replica.SnapshotRejected(aNow);
     return true;
   }
   if (!m_store->InstallSnapshot(
@@ -220,7 +219,7 @@
   m_snapshotIndex = aSnapshot.m_meta.index;
   m_applied = m_snapshotIndex;
   m_proposals.FailAll();
-  m_replica.SnapshotInstalled(now, std::move(aSnapshot.m_meta));
+  m_replica.SnapshotInstalled(aNow, std::move(aSnapshot.m_meta));
   m_listener.OnStateReplaced();
   return true;
 }
--- a/Source/Control/ReplicaCore.h
+++ b/Source/Control/ReplicaCore.h
@@ -43,7 +43,8 @@
 };
 
 // Drives a Replica: stores and syncs what it has ready as one group, sends,
-// applies and answers. Blocks for the sync; makes no other wait.
+// applies and answers. Blocks for the sync; makes no other wait. The time of a
+// call is taken before its sync, so leases are only ever judged too short.
 class ReplicaCore
 {
 public:
@@ -63,7 +64,7 @@
     m_replica.Step(aNow, aMessage);
   }
   // Works off everything that is ready. False once the store has failed.
-  bool Drive();
+  bool Drive(TimePoint aNow);
 
   // False when this replica does not lead; the handler is dropped then.
   bool Propose(TimePoint aNow,
@@ -97,8 +98,8 @@
   void Send(std::vector<consensus::PeerMessageT>& aMessages);
   void Apply(const consensus::EntryT& aEntry);
   bool ApplyCommand(const consensus::EntryT& aEntry);
-  bool InstallChunk(SnapshotChunk& aChunk);
-  bool InstallState(ReceivedSnapshot aSnapshot);
+  bool InstallChunk(TimePoint aNow, SnapshotChunk& aChunk);
+  bool InstallState(TimePoint aNow, ReceivedSnapshot aSnapshot);
   void SendChunk(const SnapshotChunkRequest& aRequest);
   bool TakeSnapshotIfDue();
   bool FailStore();
--- a/Source/Control/ReplicaNode.cxx
+++ b/Source/Control/ReplicaNode.cxx
@@ -159,7 +159,7 @@
 ReplicaNode::Drive()
 {
   m_driveRequested = false;
-  if (m_closed || !m_core->Drive()) {
+  if (m_closed || !m_core->Drive(BootClock::now())) {
     return;
   }
   m_publishedApplied = m_core->AppliedIndex();
