--- a/Source/Wire/FrameLinkChannel.h
+++ b/Source/Wire/FrameLinkChannel.h
@@ -16,7 +16,7 @@
 
 struct FrameLink::Channel
 {
-  static constexpr std::size_t kReadBytes = 64 * 1024;
+  static constexpr std::size_t kReadBytes = 64UL * 1024;
 
   Channel(boost::asio::ip::tcp::socket aSocket, std::size_t aMaxFrameBytes)
     : m_socket(std::move(aSocket))
--- a/Tests/Control/SilenceTest.cxx
+++ b/Tests/Control/SilenceTest.cxx
@@ -84,6 +84,28 @@
   CHECK_EQUAL(3, third.m_value->revision);
 }
 
+TEST(Silence, AClientLeavesAReplicaThatAnswersWithoutAQuorum)
+{
+  FreezableRelay& relay = m_cluster.AddRelay(0);
+  StartAll();
+  // Reaches the replica past the relay that its peers use.
+  ControlClientOptions options = m_cluster.ClientOptions("gateway", "zone-x");
+  options.m_seeds = { m_cluster.Options(0).m_listen };
+  m_client = std::make_unique<ControlClient>(options);
+  const auto writer = Connect("writer", 1);
+  CHECK(IsOk(Propose(*writer, MakeChange("c1", 0, "w1"))));
+  CHECK(WaitUntil([&] {
+    return m_client->View()->Revision() == 1 &&
+           m_client->HasLease(BootClock::now());
+  }));
+  relay.Freeze();
+  CHECK(Propose(*writer, MakeChange("c2", 1, "w2")).m_value.has_value());
+  CHECK(WaitUntil([&] {
+    return m_client->View()->Revision() == 2 &&
+           m_client->HasLease(BootClock::now());
+  }));
+}
+
 TEST(Silence, ALeaderThatHearsNobodyGivesWayAndRejoinsByNewConnections)
 {
   std::vector<FreezableRelay*> relays;
