--- a/Tests/Control/EndToEndTest.cxx
+++ b/Tests/Control/EndToEndTest.cxx
@@ -183,7 +183,7 @@
     const auto answer =
       Propose(*m_client, MakeChange("c" + number, i, "w" + number));
     CHECK(answer.m_value.has_value());
-    CHECK_EQUAL(i + 1, answer.m_value->revision);
+    CHECK_EQUAL(static_cast<std::uint64_t>(i) + 1, answer.m_value->revision);
     CHECK(WaitUntil([&] {
       const std::uint64_t index = reader->View()->Index();
       CHECK(index >= seen);
--- a/Tests/Control/FreezableRelay.cxx
+++ b/Tests/Control/FreezableRelay.cxx
@@ -66,7 +66,7 @@
   std::shared_ptr<tcp::socket> m_from;
   std::shared_ptr<tcp::socket> m_to;
   std::shared_ptr<bool> m_frozen; // of this connection, for good
-  std::array<char, 16 * 1024> m_bytes{};
+  std::array<char, 16UL * 1024> m_bytes{};
 };
 
 } // namespace
--- a/Tests/Control/SilenceTest.cxx
+++ b/Tests/Control/SilenceTest.cxx
@@ -131,7 +131,7 @@
 
 TEST(Silence, AFeedThatIsReadTooSlowlyIsCutOffAndComesBackByImage)
 {
-  constexpr std::size_t kQueueBytes = 256 * 1024;
+  constexpr std::size_t kQueueBytes = 256UL * 1024;
   for (std::size_t i = 0; i < 3; ++i) {
     m_cluster.Options(i).m_maxFeedQueueBytes = kQueueBytes;
     m_cluster.Options(i).m_maxRingBytes = kQueueBytes;
@@ -161,7 +161,8 @@
     const std::string id = "c" + std::to_string(changes);
     const auto answer = Propose(*m_client, MakeLongChange(id, changes, 300));
     CHECK(answer.m_value.has_value());
-    CHECK_EQUAL(changes + 1, answer.m_value->revision);
+    CHECK_EQUAL(static_cast<std::uint64_t>(changes) + 1,
+                answer.m_value->revision);
     asio::write(slow, asio::buffer(heartbeat->Bytes()), error);
   }
   CHECK(error.failed());
--- a/Tests/Wire/FrameLinkTest.cxx
+++ b/Tests/Wire/FrameLinkTest.cxx
@@ -24,8 +24,8 @@
   FrameLinkOptions options;
   options.m_heartbeatInterval = std::chrono::milliseconds(20);
   options.m_silenceLimit = std::chrono::milliseconds(400);
-  options.m_maxQueueBytes = 1024 * 1024;
-  options.m_maxFrameBytes = 64 * 1024;
+  options.m_maxQueueBytes = 1024UL * 1024;
+  options.m_maxFrameBytes = 64UL * 1024;
   return options;
 }
 
@@ -88,7 +88,7 @@
   const auto quick =
     FrameLink::Connect(m_context, m_server.Address(), ShortOptions(), m_client);
   CHECK(RunUntil(m_context, [&] { return m_server.m_links.size() == 2; }));
-  const std::string text(32 * 1024, 'x');
+  const std::string text(32UL * 1024, 'x');
   std::size_t sent = 0;
   // The system's own buffers take some; the link's queue bounds the rest.
   while (m_server.m_listener.m_closed.empty() && sent < 4096) {
--- a/Tests/Wire/LinkFixture.h
+++ b/Tests/Wire/LinkFixture.h
@@ -40,7 +40,7 @@
 public:
   LinkServer(boost::asio::io_context& aContext,
              const FrameLinkOptions& aOptions)
-    : m_acceptor(aContext, aOptions, [this](FrameLink::Pointer aLink) {
+    : m_acceptor(aContext, aOptions, [this](const FrameLink::Pointer& aLink) {
       m_links.push_back(aLink);
       aLink->Start(m_listener);
     })
