--- a/Tests/Control/SilenceTest.cxx
+++ b/Tests/Control/SilenceTest.cxx
@@ -84,6 +84,28 @@
   CHECK_EQUAL(3, third.m_value->revision);
 }
 
+TEST(Silence, AClientLeavesAReplicaThatAnswersWithoutAQuorum)
+{
+  FreezableRelay& relay = m_cluster.AddRelay(0);
+  StartAll();
+  // Reaches the replica past the relay that its peers use.
+  ControlClientOptions options = m_cluster.ClientOptions("gateway", "zone-x");
+  options.m_seeds = { m_cluster.Options(0).m_listen };
+  m_client = std::make_unique<ControlClient>(options);
+  const auto writer = Connect("writer", 1);
+  CHECK(IsOk(Propose(*writer, MakeChange("c1", 0, "w1"))));
+  CHECK(WaitUntil([&] {
+    return m_client->View()->Revision() == 1 &&
+           m_client->HasLease(BootClock::now());
+  }));
+  relay.Freeze();
+  CHECK(Propose(*writer, MakeChange("c2", 1, "w2")).m_value.has_value());
+  CHECK(WaitUntil([&] {
+    return m_client->View()->Revision() == 2 &&
+           m_client->HasLease(BootClock::now());
+  }));
+}
+
 TEST(Silence, ALeaderThatHearsNobodyGivesWayAndRejoinsByNewConnections)
 {
   std::vector<FreezableRelay*> relays;
@@ -109,7 +131,7 @@
 
 TEST(Silence, AFeedThatIsReadTooSlowlyIsCutOffAndComesBackByImage)
 {
-  constexpr std::size_t kQueueBytes = 256 * 1024;
+  constexpr std::size_t kQueueBytes = 256UL * 1024;
   for (std::size_t i = 0; i < 3; ++i) {
     m_cluster.Options(i).m_maxFeedQueueBytes = kQueueBytes;
     m_cluster.Options(i).m_maxRingBytes = kQueueBytes;
@@ -139,7 +161,8 @@
     const std::string id = "c" + std::to_string(changes);
     const auto answer = Propose(*m_client, MakeLongChange(id, changes, 300));
     CHECK(answer.m_value.has_value());
-    CHECK_EQUAL(changes + 1, answer.m_value->revision);
+    CHECK_EQUAL(static_cast<std::uint64_t>(changes) + 1,
+                answer.m_value->revision);
     asio::write(slow, asio::buffer(heartbeat->Bytes()), error);
   }
   CHECK(error.failed());
