Consensus: Test reads without a lease and changes before a commit

Memberships are encoded in the order of their ids, so that founding members that were given them in another order still hold the same entry. Shown by ConsensusTests and StoreTests.

--- a/Source/Consensus/FollowerDuty.cxx
+++ b/Source/Consensus/FollowerDuty.cxx
@@ -137,7 +137,7 @@
 }
 
 void
-FollowerDuty::SnapshotInstalled(const consensus::SnapshotMetaT& aMeta)
+FollowerDuty::SnapshotInstalled(consensus::SnapshotMetaT aMeta)
 {
   m_receiver.Forget();
   if (aMeta.index <= m_state.m_log.CommitIndex()) {
@@ -145,7 +145,7 @@
   }
   m_state.m_log.Reset(aMeta.index, aMeta.term);
   m_state.m_members.Reset(aMeta.index,
-                          aMeta.membership ? *aMeta.membership
+                          aMeta.membership ? std::move(*aMeta.membership)
                                            : consensus::MembershipT{});
   if (m_state.m_leader != 0) {
     ReplySnapshot(m_state.m_leader, aMeta.index, 0, true);
--- a/Source/Consensus/FollowerDuty.h
+++ b/Source/Consensus/FollowerDuty.h
@@ -26,7 +26,7 @@
   void OnInstallSnapshot(TimePoint aNow,
                          std::uint64_t aFrom,
                          const consensus::InstallSnapshotT& aBody);
-  void SnapshotInstalled(const consensus::SnapshotMetaT& aMeta);
+  void SnapshotInstalled(consensus::SnapshotMetaT aMeta);
   void SnapshotRejected();
 
   void Read(TimePoint aNow, consensus::ReadIndexT aRequest);
--- a/Source/Consensus/MembershipRules.cxx
+++ b/Source/Consensus/MembershipRules.cxx
@@ -22,10 +22,11 @@
 std::size_t
 CountVotersOfZone(const MembershipT& aMembership, const std::string& aZone)
 {
-  return std::count_if(
-    aMembership.members.begin(),
-    aMembership.members.end(),
-    [&](const auto& member) { return member->voter && member->zone == aZone; });
+  return std::count_if(aMembership.members.begin(),
+                       aMembership.members.end(),
+                       [&](const auto& aMember) {
+                         return aMember->voter && aMember->zone == aZone;
+                       });
 }
 
 bool
@@ -60,7 +61,7 @@
 {
   return std::count_if(aMembership.members.begin(),
                        aMembership.members.end(),
-                       [](const auto& member) { return member->voter; });
+                       [](const auto& aMember) { return aMember->voter; });
 }
 
 std::size_t
@@ -136,6 +137,16 @@
   return 0;
 }
 
+void
+SortMembers(MembershipT& aMembership)
+{
+  std::sort(aMembership.members.begin(),
+            aMembership.members.end(),
+            [](const auto& aLeft, const auto& aRight) {
+              return aLeft->replica < aRight->replica;
+            });
+}
+
 std::vector<std::uint8_t>
 EncodeMembership(const MembershipT& aMembership)
 {
--- a/Source/Consensus/MembershipRules.h
+++ b/Source/Consensus/MembershipRules.h
@@ -43,6 +43,11 @@
 FindPromoted(const consensus::MembershipT& aCurrent,
              const consensus::MembershipT& aNext);
 
+// Brings the members into the order of their ids, so that equal memberships
+// are equal byte for byte.
+void
+SortMembers(consensus::MembershipT& aMembership);
+
 std::vector<std::uint8_t>
 EncodeMembership(const consensus::MembershipT& aMembership);
 
--- a/Source/Consensus/Replica.cxx
+++ b/Source/Consensus/Replica.cxx
@@ -44,6 +44,7 @@
     m_reason.Set(ReplicaError::Invalid, std::move(*fault));
     return false;
   }
+  SortMembers(aMembership);
   state.SetTerm(1, 0);
   consensus::EntryT entry;
   entry.term = 1;
@@ -99,6 +100,7 @@
     m_reason = std::move(*obstacle);
     return std::nullopt;
   }
+  SortMembers(aNext);
   return m_parts->m_leader.Propose(
     aNow, consensus::EntryKind::Membership, EncodeMembership(aNext));
 }
@@ -162,7 +164,7 @@
 }
 
 void
-Replica::Compact(consensus::SnapshotMetaT aMeta)
+Replica::Compact(const consensus::SnapshotMetaT& aMeta)
 {
   ReplicaState& state = m_parts->m_state;
   if (aMeta.index > state.m_log.AppliedIndex()) {
@@ -191,7 +193,7 @@
 void
 Replica::SnapshotInstalled(TimePoint, consensus::SnapshotMetaT aMeta)
 {
-  m_parts->m_follower.SnapshotInstalled(aMeta);
+  m_parts->m_follower.SnapshotInstalled(std::move(aMeta));
 }
 
 void
--- a/Source/Consensus/Replica.h
+++ b/Source/Consensus/Replica.h
@@ -131,7 +131,8 @@
   Replica(const Replica&) = delete;
   Replica& operator=(const Replica&) = delete;
 
-  // First membership of a new cluster. Only on an empty log, once.
+  // First membership of a new cluster. Only on an empty log, once. Every
+  // founding member must be given the same one.
   bool Bootstrap(consensus::MembershipT aMembership);
 
   void Tick(TimePoint aNow);
@@ -153,7 +154,7 @@
   void Persisted(TimePoint aNow);
   // The state covers the log up to here in a stored snapshot; drops the log
   // before it but for a tail that slow members may need.
-  void Compact(consensus::SnapshotMetaT aMeta);
+  void Compact(const consensus::SnapshotMetaT& aMeta);
   // Index, term and membership of a snapshot of the state at an applied index;
   // nothing for an index that is not in the log. The shell adds the size and
   // the checksum.
--- a/Source/Consensus/ReplicaParts.cxx
+++ b/Source/Consensus/ReplicaParts.cxx
@@ -82,7 +82,7 @@
   if (!m_state.IsLeader() || !FindMember(m_state.m_members.Latest(), aFrom)) {
     consensus::ReadIndexReplyT refusal;
     refusal.id = aBody.id;
-    m_state.SendEarly(aFrom, std::move(refusal));
+    m_state.SendEarly(aFrom, refusal);
     return;
   }
   m_state.m_out.m_reports.push_back({ aFrom, aBody });
--- a/Source/Consensus/ReplicaState.cxx
+++ b/Source/Consensus/ReplicaState.cxx
@@ -132,7 +132,7 @@
   reply.id = aRead.m_id;
   reply.index = m_log.CommitIndex();
   reply.ok = aOk;
-  SendEarly(aRead.m_from, std::move(reply));
+  SendEarly(aRead.m_from, reply);
 }
 
 void
--- a/Source/Consensus/ReplicationTracker.cxx
+++ b/Source/Consensus/ReplicationTracker.cxx
@@ -37,8 +37,8 @@
 ReplicationTracker::Follow(const consensus::MembershipT& aMembership,
                            std::uint64_t aNext)
 {
-  std::erase_if(m_members, [&](const Progress& progress) {
-    return !FindMember(aMembership, progress.m_replica);
+  std::erase_if(m_members, [&](const Progress& aProgress) {
+    return !FindMember(aMembership, aProgress.m_replica);
   });
   for (const auto& member : aMembership.members) {
     if (member->replica != m_self && !Find(member->replica)) {
--- a/Tests/Consensus/ReplicaTrapTest.cxx
+++ b/Tests/Consensus/ReplicaTrapTest.cxx
@@ -100,17 +100,59 @@
   return now;
 }
 
-// The answer of replica 2 to an append.
+// The answer of replica 2 to an append or a heartbeat.
 consensus::PeerMessageT
-MakeAppendReply(const Replica& aLeader, std::uint64_t aMatch)
+MakeAppendReply(const Replica& aLeader,
+                std::uint64_t aMatch,
+                std::uint64_t aProbe)
 {
   consensus::AppendReplyT reply;
   reply.term = aLeader.Term();
   reply.success = true;
   reply.match_index = aMatch;
+  reply.probe = aProbe;
   return MakeMessage(2, 1, reply);
 }
 
+// A log with a committed membership and an entry of term 2 that is not.
+RestoredLog
+MakeLog(TestCluster& aCluster)
+{
+  RestoredLog log = aCluster.At(1).m_disk.Restore();
+  log.m_hardState.term = 2;
+  log.m_snapshot.emplace();
+  log.m_snapshot->index = 1;
+  log.m_snapshot->term = 1;
+  log.m_snapshot->membership = std::make_unique<consensus::MembershipT>(
+    aCluster.At(1).m_replica->Members());
+  log.m_entries.resize(1);
+  log.m_entries.front().index = 2;
+  log.m_entries.front().term = 2;
+  log.m_entries.front().kind = consensus::EntryKind::Command;
+  log.m_entries.front().data.clear();
+  return log;
+}
+
+// The number of the last message to replica 2 among the early ones.
+std::uint64_t
+FindProbe(const Ready& aReady)
+{
+  std::uint64_t probe = 0;
+  for (const auto& message : aReady.m_earlyMessages) {
+    const auto* append = message.body.AsAppend();
+    probe = append && message.to == 2 ? append->probe : probe;
+  }
+  return probe;
+}
+
+consensus::ReadIndexT
+MakeRead(std::uint64_t aId)
+{
+  consensus::ReadIndexT read;
+  read.id = aId;
+  return read;
+}
+
 } // namespace
 
 TEST_GROUP(ReplicaTrap){};
@@ -118,23 +160,61 @@
 TEST(ReplicaTrap, EntryOfAnOlderTermCommitsOnlyWithOneOfTheOwn)
 {
   TestCluster cluster(3, 1);
-  RestoredLog log = cluster.At(1).m_disk.Restore();
-  log.m_hardState.term = 2;
-  log.m_entries.push_back(log.m_entries.back());
-  log.m_entries.back().index = 2;
-  log.m_entries.back().term = 2;
-  log.m_entries.back().kind = consensus::EntryKind::Command;
-  Replica leader(cluster.Options(1), log, cluster.Now());
+  Replica leader(cluster.Options(1), MakeLog(cluster), cluster.Now());
   const TimePoint now = Elect(leader, cluster.Now());
   CHECK_EQUAL(3, leader.LastIndex());
-  leader.Step(now, MakeAppendReply(leader, 2));
-  CHECK_EQUAL(0, leader.CommitIndex());
-  consensus::ReadIndexT read;
-  read.id = 1;
-  leader.ReadIndex(now, read);
+  leader.Step(now, MakeAppendReply(leader, 2, 1));
+  CHECK_EQUAL(1, leader.CommitIndex());
+  // A quorum answers, but until then neither reads nor members may change.
+  CHECK(leader.HasLeaderLease(now));
+  leader.ReadIndex(now, MakeRead(1));
   CHECK_EQUAL(0, leader.TakeReady().m_reads.size());
-  leader.Step(now, MakeAppendReply(leader, 3));
+  auto members = leader.Members();
+  members.members.pop_back();
+  CHECK_FALSE(leader.ProposeMembership(now, members).has_value());
+  STRCMP_CONTAINS("no entry of this term", leader.LastReason().m_text.c_str());
+  leader.Step(now, MakeAppendReply(leader, 3, 1));
   CHECK_EQUAL(3, leader.CommitIndex());
+  CHECK_EQUAL(1, leader.TakeReady().m_reads.size());
+}
+
+TEST(ReplicaTrap, ReadWithoutALeaseWaitsForAQuorumAskedAfterIt)
+{
+  TestCluster cluster(3, 1);
+  Replica leader(cluster.Options(1), MakeLog(cluster), cluster.Now());
+  const TimePoint start = Elect(leader, cluster.Now());
+  leader.Step(start, MakeAppendReply(leader, 3, 1));
+  leader.Tick(start + milliseconds(100));
+  const std::uint64_t before = FindProbe(leader.TakeReady());
+  const TimePoint late = start + milliseconds(600);
+  CHECK_FALSE(leader.HasLeaderLease(late));
+  leader.ReadIndex(late, MakeRead(1));
+  const Ready ready = leader.TakeReady();
+  CHECK_EQUAL(0, ready.m_reads.size());
+  const std::uint64_t after = FindProbe(ready);
+  CHECK(before != 0 && after > before);
+  // It went out before the read came, and gives no lease at this time.
+  leader.Step(late, MakeAppendReply(leader, 3, before));
+  CHECK_EQUAL(0, leader.TakeReady().m_reads.size());
+  leader.Step(late, MakeAppendReply(leader, 3, after));
+  const Ready answered = leader.TakeReady();
+  CHECK_EQUAL(1, answered.m_reads.size());
+  CHECK(answered.m_reads.front().m_ok);
+}
+
+TEST(ReplicaTrap, ReadsFailAtOnceWhenTheLeaderStepsDown)
+{
+  TestCluster cluster(3, 1);
+  Replica leader(cluster.Options(1), MakeLog(cluster), cluster.Now());
+  const TimePoint now = Elect(leader, cluster.Now());
+  leader.ReadIndex(now, MakeRead(1));
+  auto reply = MakeAppendReply(leader, 0, 1);
+  reply.body.AsAppendReply()->term = leader.Term() + 1;
+  leader.Step(now, reply);
+  CHECK(leader.Role() == ReplicaRole::Follower);
+  const Ready ready = leader.TakeReady();
+  CHECK_EQUAL(1, ready.m_reads.size());
+  CHECK_FALSE(ready.m_reads.front().m_ok);
 }
 
 TEST(ReplicaTrap, SecondLossRightAfterARepairLosesNothing)
@@ -283,9 +363,7 @@
   Replica& leader = *cluster.At(cluster.Leader()).m_replica;
   const TimePoint woken = cluster.Now() + seconds(10);
   CHECK_FALSE(leader.HasLeaderLease(woken));
-  consensus::ReadIndexT request;
-  request.id = 1000;
-  leader.ReadIndex(woken, request);
+  leader.ReadIndex(woken, MakeRead(1));
   const Ready ready = leader.TakeReady();
   CHECK_EQUAL(1, ready.m_reads.size());
   CHECK_FALSE(ready.m_reads.front().m_ok);
@@ -300,10 +378,8 @@
   const std::uint64_t lost = cluster.Leader();
   Replica& other = *cluster.At(OtherThan(cluster, lost)).m_replica;
   cluster.Crash(lost);
-  consensus::ReadIndexT request;
-  request.id = 1000;
   const TimePoint asked = cluster.Now();
-  other.ReadIndex(asked, request);
+  other.ReadIndex(asked, MakeRead(1));
   CHECK_EQUAL(0, other.TakeReady().m_reads.size());
   other.Tick(asked + cluster.Options(1).m_readTimeout);
   const Ready ready = other.TakeReady();
@@ -323,7 +399,7 @@
   CHECK(ready.NeedsSync());
   const std::uint64_t last = leader.LastIndex();
   // One follower has it; with the leader's own copy unsynced that is no quorum.
-  auto reply = MakeAppendReply(leader, last);
+  auto reply = MakeAppendReply(leader, last, 0);
   reply.from = OtherThan(cluster, cluster.Leader());
   reply.to = cluster.Leader();
   leader.Step(cluster.Now(), reply);
--- a/Tests/Consensus/TestClusterActions.cxx
+++ b/Tests/Consensus/TestClusterActions.cxx
@@ -117,6 +117,7 @@
 bool
 TestCluster::ChangeMembership(consensus::MembershipT aNext)
 {
+  SortMembers(aNext);
   const TimePoint end = m_now + kPatience;
   while (m_now < end && m_broken.empty()) {
     const std::uint64_t leader = Leader();
--- a/Tests/Store/LogStoreFaultTest.cxx
+++ b/Tests/Store/LogStoreFaultTest.cxx
@@ -5,6 +5,11 @@
 
 #include "MemoryFiles.h"
 
+#include "Store/FolderScan.h"
+#include "Store/Record.h"
+#include "Store/RecordTable.h"
+#include "Store/SnapshotFile.h"
+
 #include <CppUTest/TestHarness.h>
 
 using namespace parsleycove;
@@ -131,6 +136,18 @@
   return promise;
 }
 
+// Goes on behind what was restored; returns the new entry's index.
+std::uint64_t
+AppendOne(LogStore& aStore)
+{
+  const RestoredLog& log = aStore.Restored();
+  const std::uint64_t base = log.m_snapshot ? log.m_snapshot->index : 0;
+  const std::uint64_t next = base + log.m_entries.size() + 1;
+  CHECK(aStore.SaveHardState(MakeHardState(9, 1)));
+  CHECK(aStore.Append(MakeEntries(next, next, 9)) && aStore.Sync());
+  return next;
+}
+
 void
 CheckDamaged(MemoryFiles& aFiles)
 {
@@ -166,9 +183,14 @@
                                   ? StoreError::DiskFull
                                   : StoreError::Io));
         files.LosePower(kept);
-        const auto store = LogStore::Open(files, kFolder, reason);
+        auto store = LogStore::Open(files, kFolder, reason);
         CHECK_TEXT(store != nullptr, reason.m_text.c_str());
         CHECK_TEXT(Keeps(store->Restored(), promise), "a promise is broken");
+        const std::uint64_t next = AppendOne(*store);
+        store.reset();
+        store = LogStore::Open(files, kFolder, reason);
+        CHECK_TEXT(store != nullptr, reason.m_text.c_str());
+        CHECK_EQUAL(next, store->Restored().m_entries.back().index);
       }
     }
   }
@@ -205,6 +227,8 @@
       StoreReason reason;
       const auto store = LogStore::Open(copy, kFolder, reason);
       if (store) {
+        const std::vector<std::uint8_t> state{ 4, 5 };
+        CHECK_TEXT(store->ReadSnapshot(reason) == state, path.c_str());
         CHECK_TEXT(Keeps(store->Restored(), promise), path.c_str());
       } else {
         CHECK_TEXT(reason.m_code == StoreError::Damage, path.c_str());
@@ -238,6 +262,44 @@
   }
 }
 
+TEST(LogStoreFault, RefusesALogWithoutASegmentOfItsMiddle)
+{
+  MemoryFiles files;
+  StoreReason reason;
+  auto store = LogStore::Open(files, kFolder, reason);
+  CHECK(store->SaveHardState(MakeHardState(1, 0)));
+  CHECK(store->Append(MakeEntries(1, 8, 1)) && store->Sync());
+  CHECK(store->InstallSnapshot(MakeMeta(2, 1), { 1 }, true));
+  CHECK(store->SaveHardState(MakeHardState(2, 4)) && store->Sync());
+  CHECK(store->InstallSnapshot(MakeMeta(3, 1), { 1 }, true));
+  store.reset();
+  files.Erase(std::string(kFolder) + "/" + NameSegment(2));
+  CheckDamaged(files);
+}
+
+TEST(LogStoreFault, RefusesALogThatBeginsBehindItsSnapshot)
+{
+  MemoryFiles files;
+  FillStore(files);
+  StoreReason reason;
+  const auto older =
+    SnapshotFile::Write(files, kFolder, MakeMeta(10, 2), { 1 }, reason);
+  CHECK(older.has_value());
+  files.Erase(std::string(kFolder) + "/" + NameSnapshot(20));
+  CheckDamaged(files);
+}
+
+TEST(LogStoreFault, RefusesAnEntryOfATermThatIsNotStored)
+{
+  MemoryFiles files;
+  FillStore(files);
+  constexpr std::uint64_t kLastSegment = 3;
+  const auto entry = EncodeTable(MakeEntries(24, 24, 99).front());
+  auto& bytes = files.Bytes(std::string(kFolder) + "/" + NameSegment(3));
+  AppendRecord(bytes, RecordKind::Entry, kLastSegment, entry);
+  CheckDamaged(files);
+}
+
 TEST(LogStoreFault, CutsATornTailAndGoesOn)
 {
   MemoryFiles files;
@@ -258,3 +320,20 @@
   store = LogStore::Open(files, kFolder, reason);
   CHECK_EQUAL(6, store->Restored().m_entries.back().index);
 }
+
+TEST(LogStoreFault, ClearsWhatACrashLeftHalfDone)
+{
+  MemoryFiles files;
+  StoreReason reason;
+  auto store = LogStore::Open(files, kFolder, reason);
+  CHECK(store->SaveHardState(MakeHardState(1, 0)));
+  CHECK(store->Append(MakeEntries(1, 8, 1)) && store->Sync());
+  const std::uint64_t renaming = files.Operations() + 4;
+  files.FailAt(renaming, DiskFault::Io);
+  CHECK_FALSE(store->InstallSnapshot(MakeMeta(6, 1), { 1, 2, 3 }, true));
+  store = LogStore::Open(files, kFolder, reason);
+  CHECK(store->InstallSnapshot(MakeMeta(6, 1), { 7 }, true));
+  store = LogStore::Open(files, kFolder, reason);
+  CHECK_TEXT(store != nullptr, reason.m_text.c_str());
+  CHECK(store->ReadSnapshot(reason) == std::vector<std::uint8_t>{ 7 });
+}
