--- a/Tests/Store/LogStoreFaultTest.cxx
+++ b/Tests/Store/LogStoreFaultTest.cxx
@@ -32,6 +32,12 @@
   return state;
 }
 
+std::vector<std::uint8_t>
+MakeData(std::uint64_t aIndex)
+{
+  return std::vector<std::uint8_t>(20, static_cast<std::uint8_t>(aIndex));
+}
+
 std::vector<consensus::EntryT>
 MakeEntries(std::uint64_t aFirst, std::uint64_t aLast, std::uint64_t aTerm)
 {
@@ -41,7 +47,7 @@
     entry.index = index;
     entry.term = aTerm;
     entry.kind = consensus::EntryKind::Command;
-    entry.data.assign(20, static_cast<std::uint8_t>(index));
+    entry.data = MakeData(index);
     entries.push_back(entry);
   }
   return entries;
@@ -57,6 +63,15 @@
   return meta;
 }
 
+std::unique_ptr<LogStore>
+OpenStore(MemoryFiles& aFiles)
+{
+  StoreReason reason;
+  auto store = LogStore::Open(aFiles, kFolder, reason);
+  CHECK_TEXT(store != nullptr, reason.m_text.c_str());
+  return store;
+}
+
 // What was promised, and what may have been replaced since.
 struct Promise
 {
@@ -120,7 +135,8 @@
     const std::size_t at = index - base - 1;
     entries = entries && at < aLog.m_entries.size() &&
               aLog.m_entries[at].index == index &&
-              aLog.m_entries[at].term == term;
+              aLog.m_entries[at].term == term &&
+              aLog.m_entries[at].data == MakeData(index);
   }
   return votes && entries;
 }
@@ -183,13 +199,11 @@
                                   ? StoreError::DiskFull
                                   : StoreError::Io));
         files.LosePower(kept);
-        auto store = LogStore::Open(files, kFolder, reason);
-        CHECK_TEXT(store != nullptr, reason.m_text.c_str());
+        auto store = OpenStore(files);
         CHECK_TEXT(Keeps(store->Restored(), promise), "a promise is broken");
         const std::uint64_t next = AppendOne(*store);
         store.reset();
-        store = LogStore::Open(files, kFolder, reason);
-        CHECK_TEXT(store != nullptr, reason.m_text.c_str());
+        store = OpenStore(files);
         CHECK_EQUAL(next, store->Restored().m_entries.back().index);
       }
     }
@@ -199,19 +213,18 @@
 TEST(LogStoreFault, NeverTakesUnsyncedBytesForStoredAfterARestart)
 {
   MemoryFiles files;
-  StoreReason reason;
-  auto store = LogStore::Open(files, kFolder, reason);
+  auto store = OpenStore(files);
   CHECK(store->SaveHardState(MakeHardState(1, 0)) && store->Sync());
   CHECK(store->Append(MakeEntries(1, 3, 1)));
   files.FailAt(files.Operations() + 2, DiskFault::FalseSync);
   CHECK_FALSE(store->Sync());
   store.reset();
-  store = LogStore::Open(files, kFolder, reason);
+  store = OpenStore(files);
   const std::size_t restored = store->Restored().m_entries.size();
   CHECK_EQUAL(3, restored);
   store.reset();
   files.LosePower(0);
-  store = LogStore::Open(files, kFolder, reason);
+  store = OpenStore(files);
   CHECK_EQUAL(restored, store->Restored().m_entries.size());
 }
 
@@ -265,8 +278,7 @@
 TEST(LogStoreFault, RefusesALogWithoutASegmentOfItsMiddle)
 {
   MemoryFiles files;
-  StoreReason reason;
-  auto store = LogStore::Open(files, kFolder, reason);
+  auto store = OpenStore(files);
   CHECK(store->SaveHardState(MakeHardState(1, 0)));
   CHECK(store->Append(MakeEntries(1, 8, 1)) && store->Sync());
   CHECK(store->InstallSnapshot(MakeMeta(2, 1), { 1 }, true));
@@ -303,8 +315,7 @@
 TEST(LogStoreFault, CutsATornTailAndGoesOn)
 {
   MemoryFiles files;
-  StoreReason reason;
-  auto store = LogStore::Open(files, kFolder, reason);
+  auto store = OpenStore(files);
   CHECK(store->SaveHardState(MakeHardState(1, 0)));
   CHECK(store->Append(MakeEntries(1, 3, 1)) && store->Sync());
   CHECK(store->Append(MakeEntries(4, 6, 1)));
@@ -312,12 +323,12 @@
   CHECK_FALSE(store->Sync());
   CHECK_FALSE(store->Append(MakeEntries(4, 4, 1)));
   STRCMP_CONTAINS("free space", store->LastReason().m_text.c_str());
-  store = LogStore::Open(files, kFolder, reason);
+  store = OpenStore(files);
   const std::uint64_t last = store->Restored().m_entries.back().index;
   CHECK(last >= 3 && last < 6);
   CHECK(store->Append(MakeEntries(last + 1, 6, 1)) && store->Sync());
   files.LosePower(0);
-  store = LogStore::Open(files, kFolder, reason);
+  store = OpenStore(files);
   CHECK_EQUAL(6, store->Restored().m_entries.back().index);
 }
 
@@ -325,15 +336,14 @@
 {
   MemoryFiles files;
   StoreReason reason;
-  auto store = LogStore::Open(files, kFolder, reason);
+  auto store = OpenStore(files);
   CHECK(store->SaveHardState(MakeHardState(1, 0)));
   CHECK(store->Append(MakeEntries(1, 8, 1)) && store->Sync());
   const std::uint64_t renaming = files.Operations() + 4;
   files.FailAt(renaming, DiskFault::Io);
   CHECK_FALSE(store->InstallSnapshot(MakeMeta(6, 1), { 1, 2, 3 }, true));
-  store = LogStore::Open(files, kFolder, reason);
+  store = OpenStore(files);
   CHECK(store->InstallSnapshot(MakeMeta(6, 1), { 7 }, true));
-  store = LogStore::Open(files, kFolder, reason);
-  CHECK_TEXT(store != nullptr, reason.m_text.c_str());
+  store = OpenStore(files);
   CHECK(store->ReadSnapshot(reason) == std::vector<std::uint8_t>{ 7 });
 }
