Consensus: Grant no vote on an empty log

A replica that is started under its old id over an empty folder granted a vote to a candidate that lacks what it had promised to store. Shown by ConsensusTests.

--- a/Source/Consensus/ReplicaState.cxx
+++ b/Source/Consensus/ReplicaState.cxx
@@ -58,7 +58,7 @@
 bool
 ReplicaState::MustDenyVotes(TimePoint aNow) const
 {
-  return IsLeader() || aNow < m_denyVotesUntil;
+  return IsLeader() || aNow < m_denyVotesUntil || m_log.LastIndex() == 0;
 }
 
 void
--- a/Source/Consensus/ReplicaState.h
+++ b/Source/Consensus/ReplicaState.h
@@ -25,7 +25,8 @@
   bool IsOwnVoter() const;
   // True while a live leader may hold a lease that rests on this replica: it
   // leads itself, has heard from a leader within the minimum election time-out
-  // or has not run for that long.
+  // or has not run for that long. Also true for an empty log: no voter of a
+  // group has one, unless it lost its disk.
   bool MustDenyVotes(TimePoint aNow) const;
 
   void SetTerm(std::uint64_t aTerm, std::uint64_t aVote);
--- a/Tests/Consensus/ReplicaTrapTest.cxx
+++ b/Tests/Consensus/ReplicaTrapTest.cxx
@@ -306,6 +306,9 @@
   foreign.cluster = 78;
   CHECK_FALSE(Grants(fresh, later, foreign));
   CHECK_EQUAL(0, fresh.Term());
+  // Settings that name the old identity again, over an empty folder.
+  Replica again(cluster.Options(2), {}, start);
+  CHECK_FALSE(Grants(again, later, MakeMessage(1, 2, MakeVote(9))));
 }
 
 TEST(ReplicaTrap, NoVoteWithinAnElectionTimeoutOfTheStart)
