Consensus: Test votes for older logs, the own vote and installing

Trials without these three guards were seen by no test: pre-votes hid the first, synchronous test disks the others. Shown by ConsensusTests -sg ReplicaTrap.

--- a/Tests/Consensus/ReplicaTrapTest.cxx
+++ b/Tests/Consensus/ReplicaTrapTest.cxx
@@ -217,6 +217,67 @@
   CHECK_FALSE(ready.m_reads.front().m_ok);
 }
 
+TEST(ReplicaTrap, VoteGoesOnlyToALogThatIsUpToDate)
+{
+  TestCluster cluster(3, 1);
+  Replica voter(cluster.Options(1), MakeLog(cluster), cluster.Now());
+  const TimePoint now = cluster.Now() + seconds(5);
+  consensus::VoteT vote;
+  vote.term = 9;
+  vote.last_term = 2;
+  vote.last_index = 1;
+  CHECK_FALSE(Grants(voter, now, MakeMessage(2, 1, vote)));
+  vote.last_term = 1;
+  vote.last_index = 5;
+  CHECK_FALSE(Grants(voter, now, MakeMessage(2, 1, vote)));
+  vote.last_term = 2;
+  vote.last_index = 2;
+  CHECK(Grants(voter, now, MakeMessage(2, 1, vote)));
+}
+
+TEST(ReplicaTrap, OwnVoteCountsOnceItIsStored)
+{
+  TestCluster cluster(1, 1);
+  const TimePoint start = cluster.Now();
+  Replica alone(
+    cluster.Options(1), cluster.At(1).m_disk.Restore(), cluster.Now());
+  alone.Tick(start + seconds(2));
+  CHECK(alone.Role() == ReplicaRole::Candidate);
+  CHECK(alone.TakeReady().m_hardState.has_value());
+  CHECK(alone.Role() == ReplicaRole::Candidate);
+  alone.Persisted(start + seconds(2));
+  CHECK(alone.Role() == ReplicaRole::Leader);
+}
+
+TEST(ReplicaTrap, PromisesNothingWhileASnapshotIsInstalled)
+{
+  TestCluster cluster(3, 1);
+  const TimePoint now = cluster.Now();
+  Replica follower(cluster.Options(1), MakeLog(cluster), now);
+  consensus::InstallSnapshotT piece;
+  piece.term = 3;
+  piece.meta = std::make_unique<consensus::SnapshotMetaT>();
+  piece.meta->index = 50;
+  piece.meta->term = 3;
+  piece.last = true;
+  follower.Step(now, MakeMessage(2, 1, piece));
+  CHECK_EQUAL(1, follower.TakeReady().m_chunks.size());
+  follower.Persisted(now);
+  consensus::AppendT append;
+  append.term = 3;
+  append.previous_index = 2;
+  append.previous_term = 2;
+  append.entries.push_back(std::make_unique<consensus::EntryT>());
+  append.entries.back()->index = 3;
+  append.entries.back()->term = 3;
+  follower.Step(now, MakeMessage(2, 1, append));
+  const Ready ready = follower.TakeReady();
+  CHECK_EQUAL(0, ready.m_entries.size());
+  CHECK_EQUAL(0, ready.m_messages.back().body.AsAppendReply()->match_index);
+  follower.SnapshotInstalled(now, *piece.meta);
+  CHECK_EQUAL(50, follower.LastIndex());
+}
+
 TEST(ReplicaTrap, SecondLossRightAfterARepairLosesNothing)
 {
   for (std::uint64_t first = 1; first <= 3; ++first) {
