--- a/Source/Consensus/ReplicaState.cxx
+++ b/Source/Consensus/ReplicaState.cxx
@@ -58,7 +58,7 @@
 bool
 ReplicaState::MustDenyVotes(TimePoint aNow) const
 {
-  return IsLeader() || aNow < m_denyVotesUntil;
+  return IsLeader() || aNow < m_denyVotesUntil || m_log.LastIndex() == 0;
 }
 
 void
@@ -132,7 +132,7 @@
   reply.id = aRead.m_id;
   reply.index = m_log.CommitIndex();
   reply.ok = aOk;
-  SendEarly(aRead.m_from, std::move(reply));
+  SendEarly(aRead.m_from, reply);
 }
 
 void
