--- a/Source/Gateway/AdmissionGate.cxx
+++ b/Source/Gateway/AdmissionGate.cxx
@@ -58,10 +58,9 @@
     Resolve(id, { AdmissionVerdict::Admitted });
   }
   for (const AdmissionRefused& refused : batch.m_refused) {
-    Resolve(refused.m_id,
-            { AdmissionVerdict::Refused,
-              refused.m_refusal,
-              refused.m_retryAfter });
+    Resolve(
+      refused.m_id,
+      { AdmissionVerdict::Refused, refused.m_refusal, refused.m_retryAfter });
   }
   ScheduleTimer();
 }
--- a/Tests/Fakes/Announcer.cxx
+++ b/Tests/Fakes/Announcer.cxx
@@ -1,6 +1,8 @@
 // Keeps an endpoint announced to the gateways.
 #include "Fakes/Announcer.h"
 
+#include <cstdio>
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -148,6 +150,10 @@
     const auto answer = co_await PostJson(gateway, aTarget, text, kCallTimeout);
     if (answer && answer->result_int() < 500) {
       m_renewWithin = ReadRenewWithin(answer->body(), m_renewWithin);
+      if (answer->result_int() >= 400 && answer->result_int() != kNotFound) {
+        std::fprintf(
+          stderr, "%s refused: %s\n", aTarget.c_str(), answer->body().c_str());
+      }
       co_return answer->result_int();
     }
   }
