--- a/Source/Ctl/CommandLine.cxx
+++ b/Source/Ctl/CommandLine.cxx
@@ -170,7 +170,6 @@
   optind = 0; // also resets the scanner of getopt_long
   opterr = 0;
   for (;;) {
-    const int place = optind == 0 ? 1 : optind;
     const int flag =
       getopt_long(count, pointers.data(), ":", kOptions, nullptr);
     if (flag == -1) {
@@ -178,7 +177,8 @@
     }
     if (flag == ':' || flag == '?') {
       const char* fault = flag == ':' ? "a value is missing" : "unknown flag";
-      aReason.Set(ExitCode::Usage, std::string(pointers[place]) + ": " + fault);
+      aReason.Set(ExitCode::Usage,
+                  std::string(pointers[optind - 1]) + ": " + fault);
       return std::nullopt;
     }
     if (!TakeFlag(flag, optarg, invocation, aReason)) {
