--- a/Utilities/lib/cluster.sh
+++ b/Utilities/lib/cluster.sh
@@ -3,6 +3,8 @@
 
 build=${PARSLEYCOVE_BUILD:-$top/build/normal}
 base_port=${PARSLEYCOVE_BASE_PORT:-17800}
+# The daemon refuses variables of its prefix that it does not know.
+unset PARSLEYCOVE_BUILD PARSLEYCOVE_BASE_PORT PARSLEYCOVE_JOBS
 operator_key=operator-secret
 account_key=account-secret
 pids=""
