Routing: Keep work off runners that stopped answering

A runner with steps out and no answer for three round trips now gets no new work, a time-out without any other answer since opens its circuit at once, and a resumed prompt no longer waits for half of the first token's target. The counts of a chain in use move to ChainHold.

--- a/Source/Routing/Chain.h
+++ b/Source/Routing/Chain.h
@@ -19,6 +19,8 @@
   std::uint32_t m_firstLayer = 0;
   // Inclusive.
   std::uint32_t m_lastLayer = 0;
+  // What the planner expects a step of one token to take; zero: not known.
+  Duration m_expectedStep{};
 };
 
 // Invariant: the first stage begins at layer 0, each next one begins one
--- a/Source/Routing/ExpectedCompletionPlanner.cxx
+++ b/Source/Routing/ExpectedCompletionPlanner.cxx
@@ -113,7 +113,9 @@
   m_costs.assign(aSet.m_runners.size(), {});
   for (std::size_t i = 0; i < aSet.m_runners.size(); ++i) {
     const Runner& runner = *aSet.m_runners[i];
-    const bool suspect = runner.m_load->Circuit(aNow) == CircuitState::Suspect;
+    const RunnerLoad& load = *runner.m_load;
+    const bool suspect =
+      load.Circuit(aNow) == CircuitState::Suspect || load.IsUnanswering(aNow);
     const bool usable = !IsExcluded(runner) && (aTakeSuspects || !suspect);
     if (usable) {
       m_costs[i] = ComputeCost(aNow, runner, aRequest);
@@ -311,7 +313,10 @@
     const RunnerPtr& runner = aSet.m_runners[*chosen];
     runner->m_load->ClaimProbe(aNow);
     chain.m_stages.push_back(
-      { runner, runner->m_firstLayer, runner->m_lastLayer });
+      { runner,
+        runner->m_firstLayer,
+        runner->m_lastLayer,
+        Duration(static_cast<std::int64_t>(m_costs[*chosen].m_interval)) });
     const bool handsOn =
       next && m_settings.m_transport == ChainTransport::HandedOn;
     const double link =
--- a/Source/Routing/RunnerLoad.cxx
+++ b/Source/Routing/RunnerLoad.cxx
@@ -15,6 +15,9 @@
 constexpr double kReportHalfLifeSeconds = 0.5;
 // Steps below this many positions measure the round trip, others the rate.
 constexpr std::uint32_t kPrefillPositions = 8;
+// Without an answer for so long, an endpoint gets no further work.
+constexpr std::int64_t kUnansweringRoundTrips = 3;
+constexpr std::int64_t kMinUnansweringNs = 50'000'000;
 constexpr std::uint32_t kFailuresToSuspect = 2;
 constexpr std::int64_t kFirstSuspicionNs = 500'000'000;
 constexpr std::uint32_t kMaxSuspicionDoublings = 6;
@@ -76,16 +79,43 @@
   } else {
     Average(m_positionNs, taken / aPositions);
   }
-  const double expected = std::max<double>(aExpected.count(), 1.0);
-  const double sample =
-    std::clamp(static_cast<double>(taken) / expected, 0.0, kMaxSlowness);
+  if (aPositions < kPrefillPositions && aExpected > Duration::zero()) {
+    RecordSlowness(aNow, static_cast<double>(taken) / aExpected.count());
+  }
+  m_waitingSinceNs.store(ToNs(aNow), std::memory_order_relaxed);
+  m_failures.store(0, std::memory_order_relaxed);
+  m_suspectUntilNs.store(0, std::memory_order_relaxed);
+}
+
+void
+RunnerLoad::RecordSlowness(TimePoint aNow, double aSample)
+{
   const double old = Slowness(aNow);
+  const double sample = std::min(aSample, kMaxSlowness);
   const double next = old + kAverageWeight * (sample - old);
   m_slowness.store(std::clamp(next, kMinSlowness, kMaxSlowness),
                    std::memory_order_relaxed);
   m_slownessAtNs.store(ToNs(aNow), std::memory_order_relaxed);
-  m_failures.store(0, std::memory_order_relaxed);
-  m_suspectUntilNs.store(0, std::memory_order_relaxed);
+}
+
+void
+RunnerLoad::NoteSent(TimePoint aNow)
+{
+  if (Load(m_steps) == 0) {
+    m_waitingSinceNs.store(ToNs(aNow), std::memory_order_relaxed);
+  }
+}
+
+bool
+RunnerLoad::IsUnanswering(TimePoint aNow) const
+{
+  const std::int64_t since = Load(m_waitingSinceNs);
+  if (Load(m_steps) == 0 || since == 0) {
+    return false;
+  }
+  const std::int64_t patience =
+    std::max(kUnansweringRoundTrips * Load(m_roundTripNs), kMinUnansweringNs);
+  return ToNs(aNow) - since > patience;
 }
 
 void
@@ -115,6 +145,16 @@
                          std::memory_order_relaxed);
 }
 
+void
+RunnerLoad::RecordSilence(TimePoint aNow, TimePoint aSentAt)
+{
+  const bool answeredSince = Load(m_waitingSinceNs) > ToNs(aSentAt);
+  if (!answeredSince && Load(m_failures) + 1 < kFailuresToSuspect) {
+    m_failures.store(kFailuresToSuspect - 1, std::memory_order_relaxed);
+  }
+  RecordFailure(aNow);
+}
+
 CircuitState
 RunnerLoad::Circuit(TimePoint aNow) const
 {
--- a/Source/Routing/RunnerLoad.h
+++ b/Source/Routing/RunnerLoad.h
@@ -38,6 +38,11 @@
                   Duration aExpected);
   void AbandonStep(std::uint32_t aPositions);
 
+  // Tells that a step leaves now; called before its StartStep.
+  void NoteSent(TimePoint aNow);
+  // True while steps are out and no answer came for several round trips.
+  bool IsUnanswering(TimePoint aNow) const;
+
   // Takes the load that a reply or a report carried.
   void RecordReport(TimePoint aNow,
                     std::uint32_t aQueued,
@@ -45,6 +50,10 @@
   // Counts a failure; repeated ones keep work away for a growing time.
   void RecordFailure(TimePoint aNow);
 
+  // Counts a step sent at aSentAt that stayed unanswered. When nothing else
+  // was answered since, the endpoint is kept away at once.
+  void RecordSilence(TimePoint aNow, TimePoint aSentAt);
+
   CircuitState Circuit(TimePoint aNow) const;
   // Takes the one probe of a half-open circuit; true when the caller has it.
   bool ClaimProbe(TimePoint aNow);
@@ -62,6 +71,7 @@
   Duration ServicePerPosition() const { return Duration(Load(m_positionNs)); }
 
 private:
+  void RecordSlowness(TimePoint aNow, double aSample);
   template<typename Value>
   static Value Load(const std::atomic<Value>& aValue)
   {
@@ -76,6 +86,8 @@
   std::atomic<std::int64_t> m_positionNs{ 0 };
   std::atomic<double> m_slowness{ 1.0 };
   std::atomic<std::int64_t> m_slownessAtNs{ 0 };
+  // Since when nothing was answered while steps were out.
+  std::atomic<std::int64_t> m_waitingSinceNs{ 0 };
   // Reported work that is not this process's own.
   std::atomic<std::int32_t> m_reportedOthers{ 0 };
   // Zero: never reported.
--- a/Source/Routing/StreamMachine.cxx
+++ b/Source/Routing/StreamMachine.cxx
@@ -21,10 +21,7 @@
 {
 }
 
-StreamMachine::~StreamMachine()
-{
-  ReleaseChain(false);
-}
+StreamMachine::~StreamMachine() = default;
 
 std::vector<StreamAction>
 StreamMachine::TakeActions()
@@ -39,8 +36,8 @@
     return TimePoint::max();
   }
   TimePoint next = std::min(m_settings.m_deadline, m_askAgainAt);
-  if (m_outstanding) {
-    next = std::min(next, m_outstanding->m_timeoutAt);
+  if (m_chain.Step()) {
+    next = std::min(next, m_chain.Step()->m_timeoutAt);
   }
   return next;
 }
@@ -81,10 +78,7 @@
     Finish(FinishReason::End, "prompt: expected at least one token");
     return;
   }
-  m_chain = std::move(aChain);
-  for (const ChainStage& stage : m_chain.m_stages) {
-    stage.m_runner->m_load->AddStream();
-  }
+  m_chain.Take(std::move(aChain));
   m_askAgainAt = TimePoint::max();
   m_phase = Phase::Running;
   m_done = 0;
@@ -136,48 +130,44 @@
 void
 StreamMachine::Send(TimePoint aNow, EngineStep aStep, std::size_t aStage)
 {
-  const RunnerPtr& runner = m_chain.m_stages[aStage].m_runner;
-  Outstanding outstanding;
-  outstanding.m_stage = aStage;
-  outstanding.m_position = aStep.m_position;
-  outstanding.m_count = aStep.m_count;
-  outstanding.m_sentAt = aNow;
-  outstanding.m_timeoutAt = aNow + StepTimeout(*runner, aStep.m_count);
-  const auto stages = static_cast<std::int64_t>(m_chain.m_stages.size());
-  outstanding.m_expected = m_chain.m_expectedInterval / stages;
-  m_outstanding = outstanding;
-  runner->m_load->StartStep(aStep.m_count);
+  const RunnerPtr& runner = m_chain.RunnerAt(aStage);
+  const Duration timeout = StepTimeout(*runner, aStep);
+  m_chain.StartStep(
+    { aStage, aStep.m_position, aStep.m_count, aNow, aNow + timeout });
   m_actions.emplace_back(SendStep{ aStage, runner, std::move(aStep) });
 }
 
 Duration
-StreamMachine::StepTimeout(const Runner& aRunner, std::uint32_t aCount) const
+StreamMachine::StepTimeout(const Runner& aRunner, const EngineStep& aStep) const
 {
   const RunnerLoad& load = *aRunner.m_load;
-  const Duration usual =
-    std::max(m_settings.m_targets.m_tokenInterval, load.RoundTrip());
-  Duration perPosition = load.ServicePerPosition();
-  if (perPosition == Duration::zero() && aRunner.m_tokensPerSecond > 0) {
-    perPosition =
-      Duration(static_cast<std::int64_t>(1e9 / aRunner.m_tokensPerSecond));
+  const ClassTargets& targets = m_settings.m_targets;
+  Duration timeout =
+    kTimeoutIntervals * std::max(targets.m_tokenInterval, load.RoundTrip());
+  if (aStep.m_position == 0 || aStep.m_count > 1) {
+    const double rate = std::max(1.0, aRunner.m_tokensPerSecond);
+    const auto nominal = Duration(static_cast<std::int64_t>(1e9 / rate));
+    const Duration perPosition = std::max(nominal, load.ServicePerPosition());
+    timeout += kTimeoutIntervals * perPosition * aStep.m_count;
+  }
+  if (m_emitted.empty()) {
+    timeout = std::max(timeout, targets.m_firstToken / 2);
   }
-  const Duration timeout =
-    kTimeoutIntervals * (usual + perPosition * (aCount - 1));
   return std::clamp(timeout, kMinStepTimeout, kMaxStepTimeout);
 }
 
 bool
 StreamMachine::IsOutstanding(std::uint32_t aAttempt, std::size_t aStage) const
 {
-  return m_phase == Phase::Running && m_outstanding && aAttempt == m_attempt &&
-         aStage == m_outstanding->m_stage;
+  return m_phase == Phase::Running && m_chain.Step() && aAttempt == m_attempt &&
+         aStage == m_chain.Step()->m_stage;
 }
 
 void
 StreamMachine::OnResult(TimePoint aNow, StepResult aResult)
 {
   const bool expected = IsOutstanding(aResult.m_attempt, aResult.m_stage) &&
-                        aResult.m_position == m_outstanding->m_position;
+                        aResult.m_position == m_chain.Step()->m_position;
   if (!expected) {
     return;
   }
@@ -186,13 +176,13 @@
       TakeOk(aNow, std::move(aResult));
       return;
     case StepStatus::Gap:
-      Restart(aNow, "a stage lacked earlier positions", false);
+      Restart(aNow, "a stage lacked earlier positions", StageFault::Answered);
       return;
     case StepStatus::Cancelled:
-      Restart(aNow, "a stage had cancelled the stream", false);
+      Restart(aNow, "a stage had cancelled the stream", StageFault::Answered);
       return;
     case StepStatus::Refused:
-      Restart(aNow, "a stage refused the step", false);
+      Restart(aNow, "a stage refused the step", StageFault::Answered);
       return;
   }
 }
@@ -200,13 +190,10 @@
 void
 StreamMachine::TakeOk(TimePoint aNow, StepResult aResult)
 {
-  const Outstanding sent = *m_outstanding;
-  m_outstanding.reset();
-  const RunnerPtr& runner = m_chain.m_stages[sent.m_stage].m_runner;
-  runner->m_load->FinishStep(
-    aNow, sent.m_count, aNow - sent.m_sentAt, sent.m_expected);
+  const OutstandingStep sent = *m_chain.Step();
+  m_chain.FinishStep(aNow);
   const std::size_t next = sent.m_stage + 1;
-  if (next < m_chain.m_stages.size()) {
+  if (next < m_chain.Stages()) {
     EngineStep step;
     step.m_attempt = m_attempt;
     step.m_position = sent.m_position;
@@ -252,7 +239,7 @@
                             std::size_t aStage)
 {
   if (IsOutstanding(aAttempt, aStage)) {
-    Restart(aNow, "the connection to a stage failed", true);
+    Restart(aNow, "the connection to a stage failed", StageFault::Failed);
   }
 }
 
@@ -262,23 +249,25 @@
                             std::size_t aStage)
 {
   if (IsOutstanding(aAttempt, aStage)) {
-    Restart(aNow, "a stage stayed silent", true);
+    Restart(aNow, "a stage stayed silent", StageFault::Silent);
   }
 }
 
 void
 StreamMachine::Restart(TimePoint aNow,
                        const std::string& aWhy,
-                       bool aCountFailure)
+                       StageFault aFault)
 {
-  const Outstanding sent = *m_outstanding;
-  const RunnerPtr failed = m_chain.m_stages[sent.m_stage].m_runner;
-  if (aCountFailure) {
+  const OutstandingStep sent = *m_chain.Step();
+  const RunnerPtr failed = m_chain.RunnerAt(sent.m_stage);
+  if (aFault == StageFault::Failed) {
     failed->m_load->RecordFailure(aNow);
+  } else if (aFault == StageFault::Silent) {
+    failed->m_load->RecordSilence(aNow, sent.m_sentAt);
   }
   m_lastFailure = failed->m_id + ": " + aWhy;
   m_excluded.push_back(failed->m_id);
-  ReleaseChain(true);
+  ReleaseChain();
   TryNextAttempt(aNow);
 }
 
@@ -362,40 +351,25 @@
     TryNextAttempt(aNow);
     return;
   }
-  if (m_outstanding && aNow >= m_outstanding->m_timeoutAt) {
-    OnStepSilent(aNow, m_attempt, m_outstanding->m_stage);
-  }
-}
-
-void
-StreamMachine::ReleaseStep()
-{
-  if (m_outstanding) {
-    const ChainStage& stage = m_chain.m_stages[m_outstanding->m_stage];
-    stage.m_runner->m_load->AbandonStep(m_outstanding->m_count);
-    m_outstanding.reset();
+  if (m_chain.Step() && aNow >= m_chain.Step()->m_timeoutAt) {
+    OnStepSilent(aNow, m_attempt, m_chain.Step()->m_stage);
   }
 }
 
 void
-StreamMachine::ReleaseChain(bool aSendCancel)
+StreamMachine::ReleaseChain()
 {
-  ReleaseStep();
-  for (std::size_t i = 0; i < m_chain.m_stages.size(); ++i) {
-    const RunnerPtr& runner = m_chain.m_stages[i].m_runner;
-    runner->m_load->RemoveStream();
-    if (aSendCancel) {
-      m_actions.emplace_back(SendCancel{ i, runner, m_attempt });
-    }
+  // Engines keep a stream's KV cache until they are told that it is over.
+  for (std::size_t i = 0; i < m_chain.Stages(); ++i) {
+    m_actions.emplace_back(SendCancel{ i, m_chain.RunnerAt(i), m_attempt });
   }
-  m_chain = {};
+  m_chain.Release();
 }
 
 void
 StreamMachine::Finish(FinishReason aReason, std::string aText)
 {
-  // Engines keep a stream's KV cache until they are told that it is over.
-  ReleaseChain(true);
+  ReleaseChain();
   m_phase = Phase::Finished;
   m_askAgainAt = TimePoint::max();
   m_actions.emplace_back(FinishStream{ aReason, std::move(aText) });
--- a/Source/Routing/StreamMachine.h
+++ b/Source/Routing/StreamMachine.h
@@ -2,12 +2,11 @@
 #pragma once
 
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <vector>
 
 #include "Base/Clock.h"
-#include "Routing/Chain.h"
+#include "Routing/ChainHold.h"
 #include "Routing/RetryBudget.h"
 #include "Routing/StepResult.h"
 #include "Routing/StreamAction.h"
@@ -31,9 +30,6 @@
 // position are those of the outstanding step. A failed, silent or refusing
 // stage starts the next attempt on a new chain, with the prompt and all tokens
 // already emitted as its input; so the caller sees each token once.
-//
-// Invariant: the runners of m_chain count one stream for this machine and the
-// outstanding step until it ends, on every way out.
 class StreamMachine
 {
 public:
@@ -79,14 +75,12 @@
     Paused,
     Finished,
   };
-  struct Outstanding
+  // What a stage did instead of a good answer.
+  enum class StageFault
   {
-    std::size_t m_stage = 0;
-    std::uint32_t m_position = 0;
-    std::uint32_t m_count = 0;
-    TimePoint m_sentAt;
-    TimePoint m_timeoutAt;
-    Duration m_expected{};
+    Answered,
+    Failed,
+    Silent,
   };
 
   bool IsOutstanding(std::uint32_t aAttempt, std::size_t aStage) const;
@@ -97,13 +91,13 @@
   void Send(TimePoint aNow, EngineStep aStep, std::size_t aStage);
   void TakeOk(TimePoint aNow, StepResult aResult);
   void TakeToken(TimePoint aNow, const StepResult& aResult);
-  void Restart(TimePoint aNow, const std::string& aWhy, bool aCountFailure);
+  void Restart(TimePoint aNow, const std::string& aWhy, StageFault aFault);
   RetryDecision DecideOnRetry(TimePoint aNow);
   void TryNextAttempt(TimePoint aNow);
-  void ReleaseStep();
-  void ReleaseChain(bool aSendCancel);
+  // Tells the stages that the attempt is over.
+  void ReleaseChain();
   void Finish(FinishReason aReason, std::string aText);
-  Duration StepTimeout(const Runner& aRunner, std::uint32_t aCount) const;
+  Duration StepTimeout(const Runner& aRunner, const EngineStep& aStep) const;
 
   const StreamSettings m_settings;
   RetryBudget* const m_budget;
@@ -112,8 +106,7 @@
   std::vector<std::uint32_t> m_prompt;
   // Tokens the caller was given, in order; never changed once there.
   std::vector<std::uint32_t> m_emitted;
-  Chain m_chain;
-  std::optional<Outstanding> m_outstanding;
+  ChainHold m_chain;
   // Inputs of this attempt that have passed the last stage.
   std::uint32_t m_done = 0;
   bool m_callerSlow = false;
--- a/Tests/Routing/ChainPlannerTest.cxx
+++ b/Tests/Routing/ChainPlannerTest.cxx
@@ -137,6 +137,23 @@
   STRCMP_CONTAINS("layer 2", planner.LastReason().m_text.c_str());
 }
 
+TEST(ChainPlanner, TakesNoRunnerFromWhichTheEndCannotBeReached)
+{
+  TestCluster cluster;
+  cluster.AddModel("m", 6);
+  cluster.AddEngine("e0", "m", 0, 2);
+  cluster.AddEngine("e1", "m", 3, 5);
+  for (int i = 0; i < 8; ++i) {
+    cluster.AddEngine("dead-end" + std::to_string(i), "m", 0, 3, 100000);
+  }
+  const auto table = cluster.Build();
+  for (const PlannerPtr& planner : MakeAllPlanners()) {
+    const auto chain = planner->Plan(kTestStart, *table, RequestFor("m"));
+    CHECK(chain.has_value());
+    STRCMP_EQUAL("e0", chain->m_stages[0].m_runner->m_id.c_str());
+  }
+}
+
 TEST_GROUP(ExpectedCompletionPlanner)
 {
   static constexpr std::uint32_t kStages = 4;
@@ -269,6 +286,21 @@
   CHECK(chain->m_stages[2].m_runner.get() == suspect);
 }
 
+TEST(ExpectedCompletionPlanner, AvoidsARunnerThatStoppedAnswering)
+{
+  AddStages(2);
+  const auto table = m_cluster.Build();
+  RunnerLoad& silent = *table->FindRunner("2-0")->m_load;
+  silent.NoteSent(kTestStart);
+  silent.StartStep(1);
+  const TimePoint now = kTestStart + std::chrono::milliseconds(60);
+  ExpectedCompletionPlanner planner(PlannerSettings{}, 1);
+  for (int i = 0; i < 30; ++i) {
+    const auto chain = planner.Plan(now, *table, RequestFor("m"));
+    STRCMP_EQUAL("2-1", chain->m_stages[2].m_runner->m_id.c_str());
+  }
+}
+
 TEST(ExpectedCompletionPlanner, PrefixAffinityEndsWhereLoadBegins)
 {
   AddStages(6);
--- a/Tests/Routing/RunnerTableTest.cxx
+++ b/Tests/Routing/RunnerTableTest.cxx
@@ -67,6 +67,33 @@
   CHECK(m_load.Circuit(later) == CircuitState::Ok);
 }
 
+TEST(RunnerLoad, SilenceOfAllKeepsWorkAwayAtOnce)
+{
+  m_load.NoteSent(kTestStart);
+  m_load.StartStep(1);
+  m_load.StartStep(1);
+  const TimePoint soon = kTestStart + std::chrono::milliseconds(40);
+  const TimePoint later = kTestStart + std::chrono::milliseconds(60);
+  CHECK_FALSE(m_load.IsUnanswering(soon));
+  CHECK(m_load.IsUnanswering(later));
+  m_load.AbandonStep(1);
+  m_load.RecordSilence(later, kTestStart);
+  CHECK(m_load.Circuit(later) == CircuitState::Suspect);
+}
+
+TEST(RunnerLoad, SilenceOfOneConnectionDoesNot)
+{
+  m_load.NoteSent(kTestStart);
+  m_load.StartStep(1);
+  m_load.StartStep(1);
+  const TimePoint soon = kTestStart + std::chrono::milliseconds(40);
+  const TimePoint later = kTestStart + std::chrono::milliseconds(60);
+  m_load.FinishStep(soon, 1, soon - kTestStart, Duration::zero());
+  CHECK_FALSE(m_load.IsUnanswering(later));
+  m_load.RecordSilence(later, kTestStart);
+  CHECK(m_load.Circuit(later) == CircuitState::Ok);
+}
+
 TEST(RunnerLoad, SlownessFollowsSlowAnswersAndIsForgotten)
 {
   for (int i = 0; i < 50; ++i) {
