--- a/Tests/Routing/AdmissionControllerTest.cxx
+++ b/Tests/Routing/AdmissionControllerTest.cxx
@@ -207,3 +207,35 @@
   }
   CHECK(regular >= 2);
 }
+
+TEST(AdmissionController, EarliestDeadlineFirstAmongEquallyServedAccounts)
+{
+  m_controller.SetCapacity(kTestStart, "m", 100);
+  for (std::uint64_t id = 1; id <= 5; ++id) {
+    Submit(id, "other");
+  }
+  Submit(6, "patient", std::chrono::seconds(4));
+  Submit(7, "hasty", std::chrono::seconds(3));
+  Submit(8, "calm", std::chrono::seconds(5));
+  m_controller.Withdraw(kTestStart, 1);
+  const AdmissionBatch batch = m_controller.TakeReady(kTestStart);
+  CHECK_EQUAL(1, batch.m_start.size());
+  CHECK_EQUAL(7, batch.m_start[0]);
+}
+
+TEST(AdmissionController, AnAccountMayUseWhatTheOthersLeave)
+{
+  m_controller.SetCapacity(kTestStart, "m", 100);
+  for (std::uint64_t id = 1; id <= 5; ++id) {
+    Submit(id, "a");
+  }
+  for (std::uint64_t id = 11; id <= 15; ++id) {
+    Submit(id, "small" + std::to_string(id), std::chrono::seconds(2), 1);
+  }
+  // 80 may wait: 5 of the small accounts and 7 requests of 10.
+  std::uint64_t id = 20;
+  while (Submit(id, "a").m_verdict == AdmissionVerdict::Queued) {
+    ++id;
+  }
+  CHECK_EQUAL(20 + 7, id);
+}
