Routing: Stop the growth of the admission limit earlier

In the pipeline model with one region at 2x, the limit grew until work took 1.5 times its unloaded time and then overshot: 1,933 in time, 474 late.

--- a/Source/Routing/CapacityEstimate.cxx
+++ b/Source/Routing/CapacityEstimate.cxx
@@ -18,8 +18,8 @@
 constexpr double kFirstIncreaseShare = 0.5;
 constexpr double kLeastDecrease = 0.1;
 constexpr double kMostDecrease = 0.5;
-constexpr double kSlowdownToIncrease = 1.5;
-constexpr double kSlowdownToDecrease = 2.0;
+constexpr double kSlowdownToIncrease = 1.25;
+constexpr double kSlowdownToDecrease = 1.5;
 // Share of answers that take most of the time between the unloaded one and
 // their class's target.
 constexpr double kStrainToIncrease = 0.01;
