Utilities: End left-over processes also on a broken pipe

Cause: run.sh was refused with a revision conflict: VMs of an earlier script, whose output pipe had been closed, still held the ports, and their readiness was taken for that of the new ones. Change: traps for HUP and PIPE; a VM counts as ready only while its process runs.

--- a/Tests/Faults/FleetFaults.sh
+++ b/Tests/Faults/FleetFaults.sh
@@ -13,7 +13,7 @@
 passed=0
 failed=0
 trap 'kill_all; rm -rf "$work"' EXIT
-trap 'exit 130' INT TERM
+trap 'exit 130' INT TERM HUP PIPE
 
 check() {
   name=$1; shift
--- a/Utilities/bench.sh
+++ b/Utilities/bench.sh
@@ -25,7 +25,7 @@
 . Utilities/lib/cluster.sh
 work=$(mktemp -d)
 trap 'kill_all; rm -rf "$work"' EXIT
-trap 'exit 130' INT TERM
+trap 'exit 130' INT TERM HUP PIPE
 result="$top/build/bench.jsonl"
 : >"$result"
 commit=$(git rev-parse --short HEAD)
--- a/Utilities/lib/cluster.sh
+++ b/Utilities/lib/cluster.sh
@@ -65,8 +65,11 @@
 
 gateways() { echo "$(http_of 1),$(http_of 2),$(http_of 3)"; }
 
+# A process that ended at its start, for example since another one holds its
+# port, is never taken for ready.
 ready_vms() {
   for i in 1 2 3; do
+    kill -0 "$(eval echo "\$vm${i}_pid")" || return 1
     curl -fsS "http://$(http_of $i)/readyz" || return 1
   done
 }
--- a/Utilities/run.sh
+++ b/Utilities/run.sh
@@ -21,11 +21,11 @@
 . Utilities/lib/cluster.sh
 work=$(mktemp -d)
 trap 'kill_all; rm -rf "$work"' EXIT
-trap 'exit 130' INT TERM
+trap 'exit 130' INT TERM HUP PIPE
 
 say "== three VMs, each an availability zone and a control replica"
 for i in 1 2 3; do start_vm $i; done
-wait_until 20 ready_vms || die "the VMs are not ready; see $work"
+wait_until 20 ready_vms || die "the VMs are not ready: $(cat "$work"/vm*.err)"
 for i in 1 2 3; do say "vm$i http://$(http_of $i) pid $(eval echo "\$vm${i}_pid")"; done
 
 say "== configuration"
