--- a/Source/Control/ReplicaNodeGroup.cxx
+++ b/Source/Control/ReplicaNodeGroup.cxx
@@ -5,6 +5,7 @@
 
 #include "Consensus/MembershipRules.h"
 #include "Control/ReplicaNodeOptions.h"
+#include "State/CommandTime.h"
 
 namespace parsleycove {
 
@@ -36,8 +37,11 @@
 ReplicaNode::ProposeCommand(const state::CommandT& aCommand,
                             ProposalTable::Handler aHandler)
 {
+  // The leader's clock counts, not the proposer's.
+  state::CommandT stamped = aCommand;
+  StampCommand(stamped, SystemClock().UnixMs());
   const bool taken =
-    m_core->Propose(BootClock::now(), aCommand, std::move(aHandler));
+    m_core->Propose(BootClock::now(), stamped, std::move(aHandler));
   RequestDrive();
   return taken;
 }
--- a/Source/Daemon/Daemon.cxx
+++ b/Source/Daemon/Daemon.cxx
@@ -120,7 +120,7 @@
     Log(ToLogLevel(aLevel), "control", { { "text", aText } });
   };
   ControlServiceReason reason;
-  auto replica = ReplicaService::Start(std::move(options), reason);
+  auto replica = ReplicaService::Start(options, reason);
   if (!replica) {
     Log(LogLevel::Error, "cannot start", { { "why", reason.m_text } });
     std::cerr << "parsleycoved: " << reason.m_text << "\n";
--- a/Source/Gateway/ChatHandler.cxx
+++ b/Source/Gateway/ChatHandler.cxx
@@ -133,15 +133,15 @@
     co_return;
   }
   // An estimate of the tokens to compute, good enough to share by.
-  constexpr std::size_t kBytesPerToken = 4;
+  constexpr double kBytesPerToken = 4;
   AdmissionGate& gate = aContext.m_worker.Admission();
   AdmissionRequest request;
   request.m_id = gate.NewId();
   request.m_account = caller->m_account->name;
   request.m_resource = chat->m_model;
   request.m_targets = MakeTargets(*caller->m_class);
-  request.m_cost = static_cast<double>(chat->m_prompt.size() / kBytesPerToken +
-                                       chat->m_maxTokens);
+  request.m_cost = static_cast<double>(chat->m_prompt.size()) / kBytesPerToken +
+                   chat->m_maxTokens;
   request.m_deadline = caller->m_deadline;
   const std::uint64_t id = request.m_id;
   const OpenSpan span = aContext.m_trace.StartSpan("admission");
--- a/Tests/Control/EndToEndTest.cxx
+++ b/Tests/Control/EndToEndTest.cxx
@@ -105,6 +105,20 @@
   }
 }
 
+TEST(EndToEnd, AGatewayWhoseClockIsAheadMovesNoRetention)
+{
+  constexpr std::uint64_t kDayMs = 24ULL * 60 * 60 * 1000;
+  m_cluster.WaitForLeader();
+  m_client = Connect("gateway", 0);
+  state::CommandT reserve = MakeReserve("k1", "gateway");
+  const std::uint64_t now = SystemClock().UnixMs();
+  reserve.body.AsReserveAction()->unix_ms = now + kDayMs;
+  CHECK(IsOk(Propose(*m_client, std::move(reserve))));
+  const auto record = ReadAction(*m_client, "k1");
+  CHECK(record.m_value.has_value());
+  CHECK(record.m_value->unix_ms < now + kDayMs / 2);
+}
+
 TEST(EndToEnd, WithoutAQuorumNothingIsAcceptedAndLeasesEnd)
 {
   const std::size_t leader = m_cluster.WaitForLeader();
