--- a/Source/Daemon/SettingReader.cxx
+++ b/Source/Daemon/SettingReader.cxx
@@ -127,12 +127,12 @@
     "Every setting is a flag or the environment variable behind it; the flag\n"
     "goes first.\n\n";
   for (const SettingRow& row : kSettings) {
-    help += "  --" + std::string(row.m_name) + "  (" +
-            std::string(row.m_variable) + ")\n      " +
-            std::string(row.m_help) +
-            "\n      expected: " + std::string(row.m_expected);
+    help.append("  --").append(row.m_name);
+    help.append("  (").append(row.m_variable).append(")\n      ");
+    help.append(row.m_help).append("\n      expected: ");
+    help.append(row.m_expected);
     if (!row.m_default.empty()) {
-      help += "; default " + std::string(row.m_default);
+      help.append("; default ").append(row.m_default);
     }
     help += "\n";
   }
--- a/Source/Gateway/Listener.cxx
+++ b/Source/Gateway/Listener.cxx
@@ -84,7 +84,7 @@
   beast::error_code ignored;
   aSocket.set_option(Tcp::no_delay(true), ignored);
   ++m_connections;
-  const auto finish = [this](std::exception_ptr) { --m_connections; };
+  const auto finish = [this](const std::exception_ptr&) { --m_connections; };
   asio::co_spawn(
     aWorker.Context(),
     RunHttpSession(std::move(aSocket), m_router, m_services, aWorker),
--- a/Source/Telemetry/LatencyHistogram.cxx
+++ b/Source/Telemetry/LatencyHistogram.cxx
@@ -25,6 +25,19 @@
     Axis(kBins, kLowestSeconds, kHighestSeconds));
 }
 
+// Appends one line; the labels end with a comma, or are empty.
+void
+AppendBucket(std::string& aOut,
+             const std::string& aName,
+             const std::string& aLabels,
+             const std::string& aUpper,
+             std::uint64_t aCount)
+{
+  aOut.append(aName).append("_bucket{").append(aLabels);
+  aOut.append("le=\"").append(aUpper).append("\"} ");
+  aOut.append(std::to_string(aCount)).append("\n");
+}
+
 } // namespace
 
 struct LatencyHistogram::Bins
@@ -54,19 +67,17 @@
 {
   const auto& bins = m_bins->m_histogram;
   const auto& axis = bins.axis();
-  const std::string comma = aLabels.empty() ? "" : ",";
+  const std::string labels = aLabels.empty() ? "" : aLabels + ",";
   std::uint64_t cumulative = bins.at(-1).value();
   for (int i = 0; i < axis.size(); ++i) {
     cumulative += bins.at(i).value();
-    aOut += aName + "_bucket{" + aLabels + comma + "le=\"" +
-            std::to_string(axis.bin(i).upper()) + "\"} " +
-            std::to_string(cumulative) + "\n";
+    AppendBucket(
+      aOut, aName, labels, std::to_string(axis.bin(i).upper()), cumulative);
   }
   cumulative += bins.at(axis.size()).value();
   const std::string braces = aLabels.empty() ? "" : "{" + aLabels + "}";
   const double sum = static_cast<double>(m_sumNs) / kNanosecondsPerSecond;
-  aOut += aName + "_bucket{" + aLabels + comma + "le=\"+Inf\"} " +
-          std::to_string(cumulative) + "\n";
+  AppendBucket(aOut, aName, labels, "+Inf", cumulative);
   aOut += aName + "_sum" + braces + " " + std::to_string(sum) + "\n";
   aOut += aName + "_count" + braces + " " + std::to_string(cumulative) + "\n";
 }
--- a/Source/Telemetry/MetricRegistry.cxx
+++ b/Source/Telemetry/MetricRegistry.cxx
@@ -31,10 +31,15 @@
   }
 }
 
-std::string
-WithBraces(const std::string& aLabels)
+template<typename Named>
+void
+AppendLine(std::string& aOut, const Named& aNamed, const std::string& aValue)
 {
-  return aLabels.empty() ? "" : "{" + aLabels + "}";
+  aOut.append(aNamed.m_name);
+  if (!aNamed.m_labels.empty()) {
+    aOut.append("{").append(aNamed.m_labels).append("}");
+  }
+  aOut.append(" ").append(aValue).append("\n");
 }
 
 } // namespace
@@ -86,13 +91,11 @@
   std::set<std::string> seen;
   for (const auto& named : m_counters) {
     PrintType(out, seen, named.m_name, "counter");
-    out += named.m_name + WithBraces(named.m_labels) + " " +
-           std::to_string(named.m_metric.load()) + "\n";
+    AppendLine(out, named, std::to_string(named.m_metric.load()));
   }
   for (const auto& named : m_gauges) {
     PrintType(out, seen, named.m_name, "gauge");
-    out += named.m_name + WithBraces(named.m_labels) + " " +
-           std::to_string(named.m_metric()) + "\n";
+    AppendLine(out, named, std::to_string(named.m_metric()));
   }
   for (const auto& named : m_histograms) {
     PrintType(out, seen, named.m_name, "histogram");
--- a/Utilities/capacity.sh
+++ b/Utilities/capacity.sh
@@ -14,3 +14,6 @@
   echo "capacity: ${bench}Bench" >&2
   "build/normal/Tests/Bench/$bench/${bench}Bench" | tee -a "$out"
 done
+cmake --build --preset normal --target parsleycoved parsleycovectl \
+  parsleycove-engine >&2
+sh Utilities/measure-relay.sh | tee -a "$out"
