--- a/Tests/Docs/FaultMatrixTest.cxx
+++ b/Tests/Docs/FaultMatrixTest.cxx
@@ -18,7 +18,7 @@
   CHECK(!named.empty());
   for (const std::string& name : named) {
     CHECK_TEXT(tests.count(name) == 1,
-               (aPage + " names a test that does not exist: " + name).c_str());
+               Describe(aPage, "names no test:", name).c_str());
   }
 }
 
@@ -37,7 +37,7 @@
   const std::string page = ReadRepositoryFile("docs/FAULT-MATRIX.md");
   for (const std::string& name : ListTests("Tests/Faults")) {
     CHECK_TEXT(page.find("`" + name + "`") != std::string::npos,
-               ("docs/FAULT-MATRIX.md lacks " + name).c_str());
+               Describe("docs/FAULT-MATRIX.md", "lacks", name).c_str());
   }
 }
 
--- a/Tests/Docs/LinkTest.cxx
+++ b/Tests/Docs/LinkTest.cxx
@@ -35,7 +35,8 @@
     const auto folder = std::filesystem::path(page).parent_path();
     const auto links = FindAll(ReadRepositoryFile(page), R"(\]\(([^)#:]+)\))");
     for (const std::string& link : links) {
-      CHECK_TEXT(Exists(folder / link), (page + " links to " + link).c_str());
+      CHECK_TEXT(Exists(folder / link),
+                 Describe(page, "links to", link).c_str());
     }
   }
 }
@@ -46,7 +47,7 @@
     const auto scripts =
       FindAll(ReadRepositoryFile(page), R"(\bsh (Utilities/[\w./-]+\.sh))");
     for (const std::string& script : scripts) {
-      CHECK_TEXT(Exists(script), (page + " names " + script).c_str());
+      CHECK_TEXT(Exists(script), Describe(page, "names", script).c_str());
     }
   }
 }
--- a/Tests/Docs/RepositoryText.cxx
+++ b/Tests/Docs/RepositoryText.cxx
@@ -5,6 +5,7 @@
 #include <fstream>
 #include <iterator>
 #include <regex>
+#include <utility>
 
 namespace parsleycove {
 
@@ -48,6 +49,14 @@
   return found;
 }
 
+std::string
+Describe(const std::string& aPage,
+         const std::string& aWhat,
+         const std::string& aName)
+{
+  return aPage + " " + aWhat + " " + aName;
+}
+
 std::set<std::string>
 ListTests(const std::string& aFolder)
 {
@@ -58,7 +67,9 @@
     for (std::sregex_iterator match(text.begin(), text.end(), kTest), end;
          match != end;
          ++match) {
-      tests.insert((*match)[1].str() + "." + (*match)[2].str());
+      std::string name = (*match)[1];
+      name.append(".").append((*match)[2].str());
+      tests.insert(std::move(name));
     }
   }
   for (const std::string& path : ListRepositoryFiles(aFolder, ".sh")) {
--- a/Tests/Docs/RepositoryText.h
+++ b/Tests/Docs/RepositoryText.h
@@ -19,6 +19,12 @@
 std::vector<std::string>
 FindAll(const std::string& aText, const std::string& aExpression);
 
+// Joins what a failed check says about a page.
+std::string
+Describe(const std::string& aPage,
+         const std::string& aWhat,
+         const std::string& aName);
+
 // Returns "Group.Name" of every CppUTest test below a folder, and the names of
 // its scripts.
 std::set<std::string>
--- a/Tests/Docs/SettingsPageTest.cxx
+++ b/Tests/Docs/SettingsPageTest.cxx
@@ -28,9 +28,8 @@
 {
   const std::string page = ReadRepositoryFile("docs/operate/install.md");
   for (const SettingRow& row : kSettings) {
-    CHECK_TEXT(
-      page.find(MakeRow(row)) != std::string::npos,
-      ("docs/operate/install.md lacks the row: " + MakeRow(row)).c_str());
+    CHECK_TEXT(page.find(MakeRow(row)) != std::string::npos,
+               Describe("install.md", "lacks", MakeRow(row)).c_str());
   }
   CHECK_EQUAL(kSettings.size(), FindAll(page, R"(\n(\| `--))").size());
 }
--- a/Tests/Faults/StreamFaultTest.cxx
+++ b/Tests/Faults/StreamFaultTest.cxx
@@ -27,7 +27,7 @@
 const std::array<StreamFault, 8>&
 Faults()
 {
-  static const std::array<StreamFault, 8> s_faults{ {
+  static const std::array<StreamFault, 8> kFaults{ {
     { "kill", [](EngineHost& aHost) { aHost.Kill(); } },
     MakeSwitch("freeze", R"({"freeze":true})"),
     MakeSwitch("silent connections", R"({"silent_connections":true})"),
@@ -37,7 +37,7 @@
     MakeSwitch("slow", R"({"delay_ms":300})"),
     MakeSwitch("refuses", R"({"refuse_work":true})"),
   } };
-  return s_faults;
+  return kFaults;
 }
 
 // Reads a whole stream and strikes after a number of tokens.
