Routing: Prefer runners that answered after a silent stage

A dead runner with no step out looked idle, so the slowest resumed streams met one after the other: four attempts. NeedChain now says when the lost step was sent, and the planner first takes runners that have answered since.

--- a/Source/Routing/Chain.h
+++ b/Source/Routing/Chain.h
@@ -50,6 +50,9 @@
   // Endpoint ids that must not be part of the chain.
   std::vector<std::string> m_excluded;
   std::string m_ownZone;
+  // After a silent stage: runners that answered since then come first, for
+  // others may have fallen silent with it. The epoch: no such wish.
+  TimePoint m_answeredSince;
 };
 
 } // namespace parsleycove
--- a/Source/Routing/ExpectedCompletionPlanner.cxx
+++ b/Source/Routing/ExpectedCompletionPlanner.cxx
@@ -50,9 +50,10 @@
   PrepareLinks(aTable, aRequest.m_ownZone);
   PrepareExcluded(aRequest);
   m_linkWeight = std::max(1U, aRequest.m_expectedTokens);
-  // Suspect runners are taken only when no chain exists without them.
-  for (const bool takeSuspects : { false, true }) {
-    ComputeCosts(aNow, *set, aRequest, takeSuspects);
+  // Doubtful runners are taken only when no chain exists without them.
+  for (const Trust trust :
+       { Trust::Answered, Trust::Unsuspected, Trust::Any }) {
+    ComputeCosts(aNow, *set, aRequest, trust);
     if (RunForward(*set, layers)) {
       return WalkBack(aNow, *set, layers);
     }
@@ -104,19 +105,35 @@
          m_excluded.end();
 }
 
+bool
+ExpectedCompletionPlanner::IsTrusted(TimePoint aNow,
+                                     const Runner& aRunner,
+                                     const ChainRequest& aRequest,
+                                     Trust aTrust)
+{
+  const RunnerLoad& load = *aRunner.m_load;
+  if (aTrust == Trust::Any) {
+    return true;
+  }
+  const bool suspect =
+    load.Circuit(aNow) == CircuitState::Suspect || load.IsUnanswering(aNow);
+  const bool answered = aTrust == Trust::Unsuspected ||
+                        aRequest.m_answeredSince == TimePoint{} ||
+                        load.HasAnsweredSince(aRequest.m_answeredSince);
+  return !suspect && answered;
+}
+
 void
 ExpectedCompletionPlanner::ComputeCosts(TimePoint aNow,
                                         const RunnerSet& aSet,
                                         const ChainRequest& aRequest,
-                                        bool aTakeSuspects)
+                                        Trust aTrust)
 {
   m_costs.assign(aSet.m_runners.size(), {});
   for (std::size_t i = 0; i < aSet.m_runners.size(); ++i) {
     const Runner& runner = *aSet.m_runners[i];
-    const RunnerLoad& load = *runner.m_load;
-    const bool suspect =
-      load.Circuit(aNow) == CircuitState::Suspect || load.IsUnanswering(aNow);
-    const bool usable = !IsExcluded(runner) && (aTakeSuspects || !suspect);
+    const bool usable =
+      !IsExcluded(runner) && IsTrusted(aNow, runner, aRequest, aTrust);
     if (usable) {
       m_costs[i] = ComputeCost(aNow, runner, aRequest);
     }
--- a/Source/Routing/ExpectedCompletionPlanner.h
+++ b/Source/Routing/ExpectedCompletionPlanner.h
@@ -47,12 +47,25 @@
     bool m_usable = false;
   };
 
+  // Which runners a pass takes.
+  enum class Trust
+  {
+    // Those that answered since the time that the request asks for.
+    Answered,
+    Unsuspected,
+    Any,
+  };
+
+  static bool IsTrusted(TimePoint aNow,
+                        const Runner& aRunner,
+                        const ChainRequest& aRequest,
+                        Trust aTrust);
   void PrepareLinks(const RunnerTable& aTable, const std::string& aOwnZone);
   void PrepareExcluded(const ChainRequest& aRequest);
   void ComputeCosts(TimePoint aNow,
                     const RunnerSet& aSet,
                     const ChainRequest& aRequest,
-                    bool aTakeSuspects);
+                    Trust aTrust);
   StageCost ComputeCost(TimePoint aNow,
                         const Runner& aRunner,
                         const ChainRequest& aRequest) const;
--- a/Source/Routing/RunnerLoad.cxx
+++ b/Source/Routing/RunnerLoad.cxx
@@ -83,6 +83,7 @@
     RecordSlowness(aNow, static_cast<double>(taken) / aExpected.count());
   }
   m_waitingSinceNs.store(ToNs(aNow), std::memory_order_relaxed);
+  m_answeredAtNs.store(ToNs(aNow), std::memory_order_relaxed);
   m_failures.store(0, std::memory_order_relaxed);
   m_suspectUntilNs.store(0, std::memory_order_relaxed);
 }
@@ -118,6 +119,12 @@
   return ToNs(aNow) - since > patience;
 }
 
+bool
+RunnerLoad::HasAnsweredSince(TimePoint aTime) const
+{
+  return Load(m_answeredAtNs) > ToNs(aTime);
+}
+
 void
 RunnerLoad::RecordReport(TimePoint aNow,
                          std::uint32_t aQueued,
--- a/Source/Routing/RunnerLoad.h
+++ b/Source/Routing/RunnerLoad.h
@@ -42,6 +42,8 @@
   void NoteSent(TimePoint aNow);
   // True while steps are out and no answer came for several round trips.
   bool IsUnanswering(TimePoint aNow) const;
+  // True when a step was answered well after that time.
+  bool HasAnsweredSince(TimePoint aTime) const;
 
   // Takes the load that a reply or a report carried.
   void RecordReport(TimePoint aNow,
@@ -86,6 +88,8 @@
   std::atomic<std::int64_t> m_positionNs{ 0 };
   std::atomic<double> m_slowness{ 1.0 };
   std::atomic<std::int64_t> m_slownessAtNs{ 0 };
+  // When a step was last answered well; zero: never.
+  std::atomic<std::int64_t> m_answeredAtNs{ 0 };
   // Since when nothing was answered while steps were out.
   std::atomic<std::int64_t> m_waitingSinceNs{ 0 };
   // Reported work that is not this process's own.
--- a/Source/Routing/StreamAction.h
+++ b/Source/Routing/StreamAction.h
@@ -8,6 +8,7 @@
 #include <variant>
 #include <vector>
 
+#include "Base/Clock.h"
 #include "Base/EnumTable.h"
 #include "Routing/Runner.h"
 
@@ -53,6 +54,8 @@
   std::uint32_t m_promptTokens = 0;
   std::uint32_t m_expectedTokens = 0;
   std::vector<std::string> m_excluded;
+  // For ChainRequest::m_answeredSince.
+  TimePoint m_answeredSince;
 };
 
 enum class FinishReason
--- a/Source/Routing/StreamMachine.cxx
+++ b/Source/Routing/StreamMachine.cxx
@@ -64,7 +64,7 @@
   const std::uint32_t missing =
     m_settings.m_maxTokens > emitted ? m_settings.m_maxTokens - emitted : 0;
   m_actions.emplace_back(
-    NeedChain{ m_attempt, InputCount(), missing, m_excluded });
+    NeedChain{ m_attempt, InputCount(), missing, m_excluded, m_silentSince });
 }
 
 void
@@ -245,6 +245,7 @@
     failed->m_load->RecordFailure(aNow);
   } else if (aFault == StageFault::Silent) {
     failed->m_load->RecordSilence(aNow, sent.m_sentAt);
+    m_silentSince = sent.m_sentAt;
   }
   m_lastFailure = failed->m_id + ": " + aWhy;
   m_excluded.push_back(failed->m_id);
--- a/Source/Routing/StreamMachine.h
+++ b/Source/Routing/StreamMachine.h
@@ -110,6 +110,8 @@
   std::uint32_t m_done = 0;
   bool m_callerSlow = false;
   std::vector<std::string> m_excluded;
+  // When the step was sent that last stayed unanswered.
+  TimePoint m_silentSince;
   // When a chain or the budget is asked again, or max while neither is due.
   TimePoint m_askAgainAt = TimePoint::max();
   std::string m_lastFailure;
--- a/Tests/Bench/Decision/PipelineModel.cxx
+++ b/Tests/Bench/Decision/PipelineModel.cxx
@@ -254,6 +254,7 @@
     request.m_expectedTokens = aNeed.m_expectedTokens;
     request.m_excluded = aNeed.m_excluded;
     request.m_ownZone = gateway.m_zone;
+    request.m_answeredSince = aNeed.m_answeredSince;
     auto chain = gateway.m_planner->Plan(m_now, *gateway.m_table, request);
     if (chain) {
       aStream.m_machine->OnChain(m_now, std::move(*chain));
--- a/Tests/Routing/ChainPlannerTest.cxx
+++ b/Tests/Routing/ChainPlannerTest.cxx
@@ -204,7 +204,7 @@
   // An even share is 48; taking the least loaded of a report would give all
   // of the first plans of every gateway to one runner.
   CHECK(most <= 2 * kGateways * kPlans / kWidth);
-  CHECK_EQUAL(kWidth * kStages, counts.size());
+  CHECK_EQUAL(std::size_t{ kWidth } * kStages, counts.size());
 }
 
 TEST(ExpectedCompletionPlanner, FirstPlansOfTwelveGatewaysSpread)
@@ -305,6 +305,33 @@
   }
 }
 
+TEST(ExpectedCompletionPlanner, AfterSilencePrefersRunnersThatAnsweredSince)
+{
+  AddStages(3);
+  const auto table = m_cluster.Build();
+  const TimePoint now = kTestStart + std::chrono::milliseconds(200);
+  for (const RunnerPtr& runner : table->Runners()) {
+    // In stage 3 nobody answered; elsewhere only the second runner.
+    if (runner->m_id.back() == '1' && runner->m_firstLayer != 3) {
+      runner->m_load->StartStep(1);
+      runner->m_load->FinishStep(now, 1, Duration(1000), Duration::zero());
+    }
+  }
+  ChainRequest request = RequestFor("m");
+  request.m_excluded = { "0-0" };
+  request.m_answeredSince = kTestStart;
+  ExpectedCompletionPlanner planner(PlannerSettings{}, 1);
+  CHECK(planner.Plan(now, *table, request).has_value());
+  table->FindRunner("3-2")->m_load->StartStep(1);
+  table->FindRunner("3-2")->m_load->FinishStep(
+    now, 1, Duration(1000), Duration::zero());
+  for (int i = 0; i < 20; ++i) {
+    const auto chain = planner.Plan(now, *table, request);
+    STRCMP_EQUAL("0-1", chain->m_stages[0].m_runner->m_id.c_str());
+    STRCMP_EQUAL("3-2", chain->m_stages[3].m_runner->m_id.c_str());
+  }
+}
+
 TEST(ExpectedCompletionPlanner, PrefixAffinityEndsWhereLoadBegins)
 {
   AddStages(6);
