Gateway: Tell the planner since when runners must have answered

Cause: after a stage fell silent, the next plan could choose a runner that had died with it and only looked idle. Change: the time of the lost step goes from the stream to the planner.

--- a/Source/Gateway/Generation.cxx
+++ b/Source/Gateway/Generation.cxx
@@ -221,6 +221,7 @@
   request.m_promptTokens = aNeed.m_promptTokens;
   request.m_expectedTokens = aNeed.m_expectedTokens;
   request.m_excluded = aNeed.m_excluded;
+  request.m_answeredSince = aNeed.m_answeredSince;
   const auto table = m_services.m_runners.Read();
   const TimePoint now = m_services.m_clock.Now();
   std::optional<Chain> chain = m_worker.Planner().Plan(now, *table, request);
