Gateway: Give each step of an action a span of its own

Cause: the trace of a booking showed one span; on call one wants to see which of ledger and service took the time. Change: the exchange keeps a trace of its own, since it may outlive its request; a span for each proposal and for the service, whose call carries it on.

--- a/Source/Gateway/ActionExchange.cxx
+++ b/Source/Gateway/ActionExchange.cxx
@@ -56,8 +56,10 @@
   : m_services(aServices)
   , m_worker(aWorker)
   , m_call(std::move(aCall))
+  , m_trace(aServices.m_spans, m_call.m_traceParent)
   , m_answer(aWorker.Context().get_executor())
 {
+  m_trace.RenameRoot("exchange");
 }
 
 asio::awaitable<ActionAnswer>
@@ -159,13 +161,14 @@
 }
 
 HttpRequest
-ActionExchange::MakeRequest(const Runner& aTarget) const
+ActionExchange::MakeRequest(const Runner& aTarget,
+                            const std::string& aTraceParent) const
 {
   HttpRequest request(
     http::string_to_verb(m_call.m_method), m_call.m_path, kHttp11);
   request.set(http::field::host, aTarget.m_address.ToString());
   request.set("Idempotency-Key", m_call.m_key);
-  request.set("traceparent", m_call.m_traceParent);
+  request.set("traceparent", aTraceParent);
   if (!m_call.m_contentType.empty()) {
     request.set(http::field::content_type, m_call.m_contentType);
   }
@@ -178,11 +181,13 @@
 asio::awaitable<ActionAnswer>
 ActionExchange::SendAndSettle(std::uint64_t aAttempt, const Runner& aTarget)
 {
-  HttpRequest request = MakeRequest(aTarget);
+  const OpenSpan span = m_trace.StartSpan("service");
+  HttpRequest request = MakeRequest(aTarget, span.m_context.ToHeader());
   // An answer after the caller's deadline still settles the ledger.
   const Duration timeout = m_call.m_deadline + kSettleTime - Now();
   const CallResult result = co_await m_worker.Endpoints().Call(
     aTarget.m_address, std::move(request), timeout, ConnectionChoice::Fresh);
+  m_trace.EndSpan(span, !result.m_response, { { "endpoint", aTarget.m_id } });
   if (result.m_response) {
     co_return co_await SettleResponse(aAttempt, *result.m_response);
   }
@@ -301,8 +306,12 @@
 asio::awaitable<ProposeOutcome>
 ActionExchange::ProposeUntil(state::CommandT aCommand, TimePoint aDeadline)
 {
-  co_return co_await Propose(
+  const OpenSpan span = m_trace.StartSpan(
+    std::string("ledger ") + state::EnumNameCommandBody(aCommand.body.type));
+  ProposeOutcome outcome = co_await Propose(
     m_services.m_control, m_worker, std::move(aCommand), aDeadline);
+  m_trace.EndSpan(span, !outcome.m_result);
+  co_return outcome;
 }
 
 ActionAnswer
--- a/Source/Gateway/ActionExchange.h
+++ b/Source/Gateway/ActionExchange.h
@@ -10,6 +10,7 @@
 #include "Gateway/ControlCalls.h"
 #include "Gateway/EndpointClient.h"
 #include "Gateway/GatewayServices.h"
+#include "Gateway/RequestTrace.h"
 #include "Routing/Runner.h"
 
 namespace parsleycove {
@@ -67,6 +68,7 @@
   asio::awaitable<ActionAnswer> Join();
 
   RunnerPtr ChooseServiceEndpoint();
+  // Proposes with a span of its own.
   asio::awaitable<ProposeOutcome> ProposeUntil(state::CommandT aCommand,
                                                TimePoint aDeadline);
   // Commits that the attempt did not run and says so, or says unknown.
@@ -79,13 +81,16 @@
   ActionAnswer AnswerFromRecord(const state::ActionRecordT& aRecord) const;
   ActionAnswer AnswerFromRefusal(const state::CommandResultT& aResult) const;
   ActionAnswer Unknown(std::string aWhy) const;
-  HttpRequest MakeRequest(const Runner& aTarget) const;
+  HttpRequest MakeRequest(const Runner& aTarget,
+                          const std::string& aTraceParent) const;
   std::uint64_t UnixMs() const { return m_services.m_clock.UnixMs(); }
   TimePoint Now() const { return m_services.m_clock.Now(); }
 
   const GatewayServices& m_services;
   Worker& m_worker;
   const ActionCall m_call;
+  // The exchange may outlive its request, so its spans are kept apart.
+  RequestTrace m_trace;
   AsyncSlot<ActionAnswer> m_answer;
 };
 
--- a/Tests/Gateway/ActionTest.cxx
+++ b/Tests/Gateway/ActionTest.cxx
@@ -173,3 +173,27 @@
   CHECK_EQUAL(200, response.m_status);
   CHECK(response.m_body.find("\"outcome\":\"done\"") != std::string::npos);
 }
+
+TEST(Action, HasASpanForEachStepOfTheLedgerAndForTheService)
+{
+  const TestResponse response = m_fixture.Book(m_fixture.m_first, "k1");
+  const std::string parent = response.Header("traceparent");
+  const std::string trace = parent.substr(3, 32);
+  // The spans are kept once the exchange has ended, just after its answer.
+  std::string spans;
+  while (spans.find("exchange") == std::string::npos) {
+    spans = SendHttp(m_fixture.m_first.Port(),
+                     "GET",
+                     "/v1/admin/traces/" + trace,
+                     { { "Authorization", "Bearer operator" } },
+                     "")
+              .m_body;
+  }
+  for (const char* name : { "ledger ReserveAction",
+                            "ledger DispatchAction",
+                            "service",
+                            "ledger CompleteAction",
+                            "action" }) {
+    STRCMP_CONTAINS(name, spans.c_str());
+  }
+}
