--- a/Source/Control/ClientNode.cxx
+++ b/Source/Control/ClientNode.cxx
@@ -18,6 +18,8 @@
 // Pings follow one another this fast while a change is not yet in force.
 constexpr std::chrono::milliseconds kBusyPingMs{ 200 };
 constexpr std::chrono::milliseconds kRefusedPingMs{ 20 };
+// A feed that was just opened must show a fresh copy within this.
+constexpr std::chrono::milliseconds kFirstAnswerMs{ 350 };
 constexpr std::uint32_t kFeedVersion = 1;
 // Renewals kept while no feed is open; older ones are of no use.
 constexpr std::size_t kMaxRenewals = 4096;
@@ -122,6 +124,8 @@
     return;
   }
   m_lastGrantAt = now;
+  // A new feed has less time: its replica answers at once.
+  m_confirmedAt = now - m_options.m_staleLimit + kFirstAnswerMs;
   Greet();
   SendPing();
   m_calls.Hasten(CallTarget::Feed, now);
@@ -149,7 +153,9 @@
     return;
   }
   // The replica answers, but no quorum answers it.
-  if (BootClock::now() - m_lastGrantAt > m_options.m_silenceLimit) {
+  const TimePoint now = BootClock::now();
+  if (now - m_lastGrantAt > m_options.m_silenceLimit ||
+      now - m_confirmedAt > m_options.m_staleLimit) {
     ReplaceFeed(/*aFailed=*/true);
     return;
   }
@@ -282,6 +288,9 @@
   // Answers come in order; earlier ones are not to be expected any more.
   std::erase_if(m_pings,
                 [&](const auto& aPing) { return aPing.first <= aPong.id; });
+  m_confirmedAt =
+    std::max(m_confirmedAt,
+             sentAt - std::chrono::milliseconds(aPong.confirmed_ago_ms));
   m_view.Advance(aPong.index);
   m_view.NoteInForce(aPong.in_force_index);
   m_view.NoteGatewayCount(aPong.gateways);
--- a/Source/Control/ClientNode.h
+++ b/Source/Control/ClientNode.h
@@ -107,6 +107,8 @@
   std::unordered_map<std::uint64_t, TimePoint> m_pings;
   // When the present feed was opened or last granted a lease.
   TimePoint m_lastGrantAt{};
+  // As of when a quorum has confirmed what the present feed sends.
+  TimePoint m_confirmedAt{};
   std::vector<state::EndpointRefT> m_renewals;
   bool m_stopping = false;
   bool m_wantsImage = false;
--- a/Source/Control/ControlClient.h
+++ b/Source/Control/ControlClient.h
@@ -26,6 +26,9 @@
   Duration m_silenceLimit = std::chrono::seconds(2);
   Duration m_linkHeartbeat = std::chrono::milliseconds(500);
   Duration m_pingInterval = std::chrono::seconds(1);
+  // A replica whose copy no quorum has confirmed for this long is left for
+  // another one.
+  Duration m_staleLimit = std::chrono::seconds(4);
   // A proposal without an answer is sent again after this long.
   Duration m_resendInterval = std::chrono::milliseconds(1500);
   Duration m_reconnectInterval = std::chrono::milliseconds(100);
--- a/Source/Control/FeedServer.cxx
+++ b/Source/Control/FeedServer.cxx
@@ -11,6 +11,9 @@
 
 namespace {
 
+// Tells a gateway no more than that its replica has lost the quorum.
+constexpr Duration kLongAgo = std::chrono::hours(1);
+
 std::uint32_t
 ToMs(Duration aDuration)
 {
@@ -180,6 +183,7 @@
   pong.in_force_index = m_backend.InForceIndex();
   pong.gateways = m_backend.GatewayCount();
   pong.lease_ms = lease ? ToMs(*lease) : 0;
+  pong.confirmed_ago_ms = ToMs(std::min(m_gateways.ConfirmedAgo(aNow), kLongAgo));
   aSession.m_link->Send(EncodeFeedBody(pong));
 }
 
--- a/Source/Control/ReplicaNode.cxx
+++ b/Source/Control/ReplicaNode.cxx
@@ -319,7 +319,7 @@
   RequestDrive();
   const Duration pause = m_inForce < m_configIndex
                            ? Duration(kBusyRoundMs)
-                           : m_options.m_configLease / 3;
+                           : m_options.m_confirmInterval;
   ScheduleRound(std::min(pause, m_options.m_configLease / 3));
 }
 
--- a/Source/Control/ReplicaServiceOptions.h
+++ b/Source/Control/ReplicaServiceOptions.h
@@ -65,6 +65,8 @@
   Duration m_leaderLease = std::chrono::milliseconds(500);
   // Longest time that a gateway works on a copy that no quorum confirmed.
   Duration m_configLease = std::chrono::milliseconds(3000);
+  // How often a replica has its copy confirmed by a quorum.
+  Duration m_confirmInterval = std::chrono::milliseconds(1000);
   // An endpoint that is not renewed for this long leaves the registry.
   Duration m_endpointLease = std::chrono::seconds(10);
   // A gateway that is not heard of for this long counts as gone.
--- a/Source/Daemon/DaemonSettings.cxx
+++ b/Source/Daemon/DaemonSettings.cxx
@@ -291,6 +291,12 @@
   return options;
 }
 
+// A change is in force on a VM that reaches the group within 2 s, also on one
+// whose replica has lost the others: it must notice and turn to another one.
+constexpr Duration kConfirmInterval = std::chrono::milliseconds(300);
+constexpr Duration kPingInterval = std::chrono::milliseconds(300);
+constexpr Duration kStaleLimit = std::chrono::milliseconds(900);
+
 constexpr std::array<EnumName<DaemonRole>, 3> kRoleNames{ {
   { DaemonRole::Gateway, "gateway" },
   { DaemonRole::Entry, "entry" },
@@ -342,6 +348,12 @@
   replica.m_minDocumentVoters = voters;
   replica.m_configLease =
     aChecker.Milliseconds(SettingId::ConfigLeaseMs, kMinLeaseMs, kMaxLeaseMs);
+  // Zones are about a millisecond apart and a sync takes half of one; a VM
+  // with a tenth of a second's quota may pause that long.
+  replica.m_heartbeatInterval = std::chrono::milliseconds(70);
+  replica.m_electionTimeout = std::chrono::milliseconds(450);
+  replica.m_leaderLease = std::chrono::milliseconds(320);
+  replica.m_confirmInterval = kConfirmInterval;
   ReplicaStart& start = aSettings.m_start;
   start.m_folder = replica.m_dataFolder;
   start.m_own = replica.m_listen;
@@ -382,6 +394,10 @@
   } else {
     checker.Fail(SettingId::Role);
   }
+  if (settings.m_role != DaemonRole::Gateway) {
+    settings.m_client.m_pingInterval = kPingInterval;
+    settings.m_client.m_staleLimit = kStaleLimit;
+  }
   if (settings.m_role == DaemonRole::Entry) {
     settings.m_forward = CheckForward(aReader, checker, aEpoch);
   } else if (settings.m_role == DaemonRole::Control) {
--- a/Source/Forwarding/ForwardCall.cxx
+++ b/Source/Forwarding/ForwardCall.cxx
@@ -99,6 +99,7 @@
     Tcp::endpoint(ip, m_runner->m_address.m_port), kAwait);
   ClearDeadline();
   if (error || invalid || m_end != CallEnd::None) {
+    m_connectTimedOut = m_end == CallEnd::Overdue;
     if (m_end != CallEnd::CallerGone) {
       m_end = CallEnd::NotConnected;
     }
--- a/Source/Forwarding/ForwardCall.h
+++ b/Source/Forwarding/ForwardCall.h
@@ -74,6 +74,8 @@
   CallEnd End() const { return m_end; }
   bool MayHaveArrived() const { return m_sent; }
   bool IsNewConnection() const { return m_isNew; }
+  // No answer to the connection's opening packet, which may have been lost.
+  bool HasConnectTimedOut() const { return m_connectTimedOut; }
   const RunnerPtr& Target() const { return m_runner; }
   const StagePathPtr& Path() const { return m_path; }
 
@@ -115,6 +117,7 @@
   bool m_sent = false;
   bool m_written = false;
   bool m_isNew = false;
+  bool m_connectTimedOut = false;
   std::function<bool()> m_claim;
   Duration m_usualGap{};
   bool m_atEnd = false;
--- a/Source/Forwarding/PathDoctor.cxx
+++ b/Source/Forwarding/PathDoctor.cxx
@@ -64,47 +64,101 @@
     const ForwardCallPtr stream = aStream.lock();
     return !stream || stream->End() != CallEnd::None;
   });
+  m_traffic.clear();
   for (const auto& weak : m_streams) {
     if (const ForwardCallPtr stream = weak.lock()) {
-      Examine(aNow, *stream);
+      Gather(*stream);
+      MoveIfSilent(aNow, *stream);
     }
   }
+  for (const auto& [key, traffic] : m_traffic) {
+    Examine(aNow, traffic);
+  }
   AskReturning(aNow);
 }
 
 void
-PathDoctor::Examine(TimePoint aNow, ForwardCall& aStream)
-{
-  const TimePoint since = std::max(aStream.ProgressAt(), m_judgeFrom);
-  const Duration silent = aNow - since;
-  const bool hasBegun = aStream.HasProgress();
-  const Duration usual = aStream.UsualGap();
-  const Duration askAfter =
-    hasBegun ? std::max(m_settings.m_askAfter, usual * m_settings.m_askGaps)
-             : m_settings.m_askAfterSending;
-  if (silent < askAfter) {
-    return;
-  }
+PathDoctor::Gather(ForwardCall& aStream)
+{
   for (const PathStage& stage : aStream.Path()->m_stages) {
-    // Another stream may have shown since that the engine is alive.
-    if (!stage.m_runner->m_load->HasAnsweredSince(since + askAfter / 2)) {
-      Ask(aNow, stage.m_runner);
+    Traffic& traffic = m_traffic[KeyOf(*stage.m_runner)];
+    traffic.m_runner = stage.m_runner;
+    if (aStream.HasProgress()) {
+      traffic.m_hasBegun = true;
+      traffic.m_usualGap = std::max(traffic.m_usualGap, aStream.UsualGap());
+      traffic.m_isSlow =
+        traffic.m_isSlow || aStream.UsualGap() > m_settings.m_slowGap;
+    } else {
+      traffic.m_waitingSince =
+        std::min(traffic.m_waitingSince, aStream.SentAt());
     }
   }
+}
+
+void
+PathDoctor::Examine(TimePoint aNow, const Traffic& aTraffic)
+{
+  const TimePoint movedAt =
+    std::max(aTraffic.m_runner->m_load->AnsweredAt(), m_judgeFrom);
+  const auto askAfter =
+    std::max(m_settings.m_askAfter,
+             std::chrono::duration_cast<Duration>(aTraffic.m_usualGap *
+                                                  m_settings.m_askGaps));
+  const bool isSilent =
+    aTraffic.m_hasBegun && aNow - movedAt > askAfter;
+  const TimePoint waitingSince =
+    std::max(aTraffic.m_waitingSince, m_judgeFrom);
+  const bool isWaiting =
+    aNow - waitingSince > m_settings.m_askAfterSending &&
+    movedAt < waitingSince;
+  if (isSilent || isWaiting) {
+    Ask(aNow, aTraffic.m_runner, m_settings.m_askAgain);
+  } else if (aTraffic.m_isSlow) {
+    Ask(aNow, aTraffic.m_runner, m_settings.m_askSlowAgain);
+  }
+}
+
+void
+PathDoctor::MoveIfSilent(TimePoint aNow, ForwardCall& aStream)
+{
+  const Duration silent =
+    aNow - std::max(aStream.ProgressAt(), m_judgeFrom);
   const Duration moveAfter =
-    hasBegun ? std::max(m_settings.m_moveAfter, usual * m_settings.m_moveGaps)
-             : m_settings.m_moveAfterSending;
-  if (silent >= moveAfter && aStream.ClaimMove()) {
+    aStream.HasProgress()
+      ? std::max(m_settings.m_moveAfter,
+                 aStream.UsualGap() * m_settings.m_moveGaps)
+      : m_settings.m_moveAfterSending;
+  if (silent >= m_settings.m_leaveDeadAfter && HasDeadStage(aNow, aStream)) {
+    if (aStream.ClaimMove()) {
+      aStream.Abort(CallEnd::StageLost);
+    }
+  } else if (silent >= moveAfter && aStream.ClaimMove()) {
     aStream.Abort(CallEnd::Stalled);
   }
 }
 
+bool
+PathDoctor::HasDeadStage(TimePoint aNow, const ForwardCall& aStream)
+{
+  const auto& stages = aStream.Path()->m_stages;
+  return std::any_of(
+    stages.begin(), stages.end(), [&](const PathStage& aStage) {
+      return aStage.m_runner->m_load->Circuit(aNow) == CircuitState::Suspect;
+    });
+}
+
 void
-PathDoctor::Ask(TimePoint aNow, const RunnerPtr& aRunner)
+PathDoctor::Doubt(TimePoint aNow, const RunnerPtr& aRunner)
+{
+  Ask(aNow, aRunner, m_settings.m_askAgain);
+}
+
+void
+PathDoctor::Ask(TimePoint aNow, const RunnerPtr& aRunner, Duration aNotWithin)
 {
   Patient& patient = m_patients[KeyOf(*aRunner)];
   patient.m_runner = aRunner;
-  if (patient.m_isAsked || aNow - patient.m_askedAt < m_settings.m_askAgain) {
+  if (patient.m_isAsked || aNow - patient.m_askedAt < aNotWithin) {
     return;
   }
   patient.m_isAsked = true;
@@ -128,7 +182,7 @@
       continue;
     }
     if (patient.m_runner->m_load->Circuit(aNow) == CircuitState::HalfOpen) {
-      Ask(aNow, patient.m_runner);
+      Ask(aNow, patient.m_runner, Duration::zero());
     }
     ++place;
   }
@@ -200,6 +254,7 @@
     patient.m_avoid * 2, m_settings.m_avoid, m_settings.m_longestAvoid);
   aRunner->m_load->Suspect(aNow, patient.m_avoid);
   m_board->InvalidatePaths();
+  m_board->ReportDead(*aRunner);
   m_log.Write(DecisionEvent::EndpointSuspected, [&](DecisionLine& aLine) {
     aLine.Add("endpoint", aRunner->m_id)
       .Add("address", aRunner->m_address.ToString())
@@ -207,11 +262,8 @@
       .AddMs("avoid_ms", patient.m_avoid);
   });
   for (const auto& weak : m_streams) {
-    const ForwardCallPtr stream = weak.lock();
-    const bool isStuck = stream && stream->End() == CallEnd::None &&
-                         stream->Path()->Uses(aRunner->m_id);
-    if (isStuck && stream->ClaimMove()) {
-      stream->Abort(CallEnd::StageLost);
+    if (const ForwardCallPtr stream = weak.lock()) {
+      MoveIfSilent(aNow, *stream);
     }
   }
 }
--- a/Source/Forwarding/PathDoctor.h
+++ b/Source/Forwarding/PathDoctor.h
@@ -18,23 +18,30 @@
 
 struct PathDoctorSettings
 {
-  // Silence of a stream, in usual gaps and at least, after which the engines
-  // of its path are asked.
-  int m_askGaps = 3;
-  Duration m_askAfter = std::chrono::milliseconds(60);
+  // An engine is asked when no stream through it has moved for this many usual
+  // gaps, and at least this long. Streams of one batch move together, so a
+  // single gap says nothing.
+  double m_askGaps = 1.7;
+  Duration m_askAfter = std::chrono::milliseconds(40);
   // The same before a stream's first event, when its prompt is read.
-  Duration m_askAfterSending = std::chrono::milliseconds(200);
+  Duration m_askAfterSending = std::chrono::milliseconds(150);
+  // Streams with gaps beyond this have a slow engine on their path: the
+  // shortest pause target is 200 ms.
+  Duration m_slowGap = std::chrono::milliseconds(90);
+  Duration m_askSlowAgain = std::chrono::seconds(2);
   // Silence after which a stream goes elsewhere though all engines answered:
   // the connection itself must be silent. Under load a stream that waits would
   // only wait again elsewhere.
   int m_moveGaps = 12;
   Duration m_moveAfter = std::chrono::milliseconds(700);
   Duration m_moveAfterSending = std::chrono::milliseconds(1500);
+  // A stream with a dead engine on its path goes elsewhere after this silence.
+  Duration m_leaveDeadAfter = std::chrono::milliseconds(25);
   // An engine that does not answer in this time is dead; it answers without
   // a slot, and zones are about a millisecond apart.
-  Duration m_answerTimeout = std::chrono::milliseconds(70);
+  Duration m_answerTimeout = std::chrono::milliseconds(40);
   // An engine that answered is not asked again for this long.
-  Duration m_askAgain = std::chrono::milliseconds(400);
+  Duration m_askAgain = std::chrono::milliseconds(250);
   // How long a dead engine is avoided before it is asked again, doubled each
   // time up to the last figure.
   Duration m_avoid = std::chrono::milliseconds(500);
@@ -63,6 +70,8 @@
   void Check(TimePoint aNow);
   // An answer named this engine as the one at fault.
   void Accuse(TimePoint aNow, const RunnerPtr& aRunner, std::string_view aWhy);
+  // It did not answer once; asks it.
+  void Doubt(TimePoint aNow, const RunnerPtr& aRunner);
   RunnerPtr FindByAddress(std::string_view aAddress) const;
 
 private:
@@ -74,8 +83,23 @@
     Duration m_avoid{};
   };
 
-  void Examine(TimePoint aNow, ForwardCall& aStream);
-  void Ask(TimePoint aNow, const RunnerPtr& aRunner);
+  // What the streams through one engine show.
+  struct Traffic
+  {
+    RunnerPtr m_runner;
+    // Of streams that have begun.
+    Duration m_usualGap{};
+    bool m_hasBegun = false;
+    // The oldest sending of a stream that has not begun.
+    TimePoint m_waitingSince = TimePoint::max();
+    bool m_isSlow = false;
+  };
+
+  void Gather(ForwardCall& aStream);
+  void Examine(TimePoint aNow, const Traffic& aTraffic);
+  void MoveIfSilent(TimePoint aNow, ForwardCall& aStream);
+  static bool HasDeadStage(TimePoint aNow, const ForwardCall& aStream);
+  void Ask(TimePoint aNow, const RunnerPtr& aRunner, Duration aNotWithin);
   void AskReturning(TimePoint aNow);
   asio::awaitable<void> Question(RunnerPtr aRunner);
   void NoteAlive(const RunnerPtr& aRunner, const EngineState& aState);
@@ -94,6 +118,8 @@
   std::vector<std::weak_ptr<ForwardCall>> m_streams;
   // By hash of the runner's id and its incarnation.
   std::unordered_map<std::uint64_t, Patient> m_patients;
+  // By the same; made anew at every check.
+  std::unordered_map<std::uint64_t, Traffic> m_traffic;
   // Silence before this time may be our own.
   TimePoint m_judgeFrom{};
 };
--- a/Source/Forwarding/RoutingBoard.cxx
+++ b/Source/Forwarding/RoutingBoard.cxx
@@ -7,6 +7,12 @@
 
 namespace parsleycove {
 
+namespace {
+
+constexpr Duration kReportTimeout = std::chrono::milliseconds(800);
+
+} // namespace
+
 RoutingBoard::RoutingBoard(const ForwardOptions& aOptions,
                            ControlPort& aControl,
                            const RoutingConfigCodec& aCodec,
@@ -136,6 +142,27 @@
   return aRoute.m_services.back().m_service;
 }
 
+void
+RoutingBoard::ReportDead(const Runner& aRunner)
+{
+  const Runner* listed =
+    m_runners ? m_runners->FindRunner(aRunner.m_id) : nullptr;
+  if (listed == nullptr || listed->m_incarnation != aRunner.m_incarnation ||
+      listed->m_isSuspected) {
+    return;
+  }
+  state::SuspectEndpointT suspect;
+  suspect.endpoint = std::make_unique<state::EndpointRefT>();
+  suspect.endpoint->id = aRunner.m_id;
+  suspect.endpoint->incarnation = aRunner.m_incarnation;
+  state::CommandT command;
+  command.body.Set(std::move(suspect));
+  // Other gateways find out by themselves; a lost report is made again.
+  m_control.Propose(std::move(command),
+                    BootClock::now() + kReportTimeout,
+                    [](const auto&, const auto&) {});
+}
+
 void
 RoutingBoard::InvalidatePaths()
 {
--- a/Source/Forwarding/RoutingBoard.h
+++ b/Source/Forwarding/RoutingBoard.h
@@ -65,6 +65,8 @@
   const std::string& ChooseService(const RouteRule& aRoute);
   // In [0, 1).
   double DrawFraction() { return m_random.Fraction(); }
+  // Tells the control group that an endpoint was found dead.
+  void ReportDead(const Runner& aRunner);
   // The circuit of an engine has changed.
   void InvalidatePaths();
 
--- a/Source/Forwarding/StreamForwarder.cxx
+++ b/Source/Forwarding/StreamForwarder.cxx
@@ -174,7 +174,7 @@
     if (!call) {
       m_job.m_excluded.push_back(first->m_id);
       if (!m_job.m_caller->IsGone()) {
-        m_services.m_doctor.Accuse(BootClock::now(), first, "not_connected");
+        NoteUnreachable(first);
       }
       co_return RunVerdict::NotRun;
     }
@@ -196,6 +196,16 @@
     co_return verdict;
   }
 
+  void NoteUnreachable(const RunnerPtr& aFirst)
+  {
+    const TimePoint now = BootClock::now();
+    if (m_job.m_call->HasConnectTimedOut()) {
+      m_services.m_doctor.Doubt(now, aFirst);
+    } else {
+      m_services.m_doctor.Accuse(now, aFirst, "connection_refused");
+    }
+  }
+
   asio::awaitable<RunVerdict> Receive(ForwardCall& aCall)
   {
     if (!co_await aCall.ReadHeader()) {
--- a/Source/Placement/PlacementDesk.cxx
+++ b/Source/Placement/PlacementDesk.cxx
@@ -44,6 +44,17 @@
   return m_settled;
 }
 
+bool
+PlacementDesk::IsLost(TimePoint aNow, const Runner& aEngine)
+{
+  if (!aEngine.m_isSuspected) {
+    m_suspectedAt.erase(aEngine.m_id);
+    return false;
+  }
+  const auto [place, isNew] = m_suspectedAt.emplace(aEngine.m_id, aNow);
+  return aNow - place->second >= m_settings.m_lostAfter;
+}
+
 std::vector<DueOrder>
 PlacementDesk::FindDue(TimePoint aNow,
                        const LayeredModel& aModel,
@@ -55,6 +66,9 @@
   }
   std::vector<LayoutHost> hosts;
   for (const RunnerPtr& engine : aEngines) {
+    if (IsLost(aNow, *engine)) {
+      continue;
+    }
     LayoutHost host{ engine->m_id,
                      engine->m_incarnation,
                      engine->m_accelerator,
@@ -63,7 +77,7 @@
     const auto known = m_assigned.find(engine->m_id);
     const bool isOrdered = known != m_assigned.end() &&
                            known->second.m_incarnation == engine->m_incarnation;
-    if (host.m_holds.IsEmpty() && isOrdered) {
+    if (isOrdered && host.m_holds != known->second.m_span) {
       host.m_holds = known->second.m_span;
       if (known->second.m_repeatAt <= aNow) {
         known->second.m_repeatAt = aNow + m_settings.m_repeat;
--- a/Source/Placement/PlacementDesk.h
+++ b/Source/Placement/PlacementDesk.h
@@ -27,6 +27,9 @@
   // The same after no answer: the order may still be carried out.
   Duration m_repeatUnanswered = std::chrono::seconds(4);
   Duration m_repeatRefused = std::chrono::milliseconds(1500);
+  // An engine that was reported dead and has not announced itself for this
+  // long is lost; engines announce themselves every 1.2 s.
+  Duration m_lostAfter = std::chrono::milliseconds(1600);
 };
 
 // An order to give now.
@@ -61,11 +64,14 @@
     TimePoint m_repeatAt{};
   };
 
+  bool IsLost(TimePoint aNow, const Runner& aEngine);
   bool HasSettled(TimePoint aNow, std::size_t aEngines);
 
   const PlacementDeskSettings m_settings;
   const LayerLayout m_layout;
   std::map<std::string, Assignment> m_assigned;
+  // Since when engines are under suspicion, by id.
+  std::map<std::string, TimePoint> m_suspectedAt;
   std::size_t m_seen = 0;
   TimePoint m_firstAt{};
   TimePoint m_lastNewAt{};
--- a/Source/Routing/LayerLayout.cxx
+++ b/Source/Routing/LayerLayout.cxx
@@ -75,10 +75,89 @@
              static_cast<std::uint32_t>(end - m_counts.begin()) };
   }
 
+  std::uint32_t LeastOf(const LayerSpan& aSpan) const
+  {
+    std::uint32_t least = UINT32_MAX;
+    for (std::uint32_t i = aSpan.m_first;
+         i < aSpan.m_end && i < m_counts.size();
+         ++i) {
+      least = std::min(least, m_counts[i]);
+    }
+    return least;
+  }
+
 private:
   std::vector<std::uint32_t> m_counts;
 };
 
+Coverage
+CountCoverage(const LayeredModel& aModel, const std::vector<LayoutHost>& aHosts)
+{
+  Coverage coverage(aModel.m_layers);
+  for (const LayoutHost& host : aHosts) {
+    coverage.Add(host.m_holds);
+  }
+  return coverage;
+}
+
+std::uint32_t
+Overlap(const LayerSpan& aLeft, const LayerSpan& aRight)
+{
+  const std::uint32_t first = std::max(aLeft.m_first, aRight.m_first);
+  const std::uint32_t end = std::min(aLeft.m_end, aRight.m_end);
+  return end > first ? end - first : 0;
+}
+
+// What an engine can do about layers that nobody holds.
+struct Offer
+{
+  LayerSpan m_span;
+  // It gives up what it holds.
+  bool m_isMove = false;
+
+  // Growing goes before moving, which breaks off what passes through; the
+  // later of two movers is of a slower kind.
+  bool IsBetter(const Offer& aOther, const LayerSpan& aGap) const
+  {
+    if (aOther.m_span.IsEmpty()) {
+      return true;
+    }
+    if (m_isMove != aOther.m_isMove) {
+      return aOther.m_isMove;
+    }
+    const std::uint32_t own = Overlap(m_span, aGap);
+    const std::uint32_t other = Overlap(aOther.m_span, aGap);
+    return own > other || (own == other && m_isMove);
+  }
+};
+
+Offer
+MakeOffer(const LayoutHost& aHost,
+          std::uint32_t aMost,
+          const LayerSpan& aGap,
+          const Coverage& aCoverage)
+{
+  const LayerSpan& holds = aHost.m_holds;
+  if (holds.IsEmpty() || aMost == 0) {
+    return {};
+  }
+  const std::uint32_t more =
+    aMost > holds.Length() ? aMost - holds.Length() : 0;
+  if (holds.m_end == aGap.m_first && more != 0) {
+    return { { holds.m_first, std::min(aGap.m_end, holds.m_end + more) },
+             false };
+  }
+  if (holds.m_first == aGap.m_end && more != 0) {
+    return { { holds.m_first - std::min(more, aGap.Length()), holds.m_end },
+             false };
+  }
+  if (aCoverage.LeastOf(holds) > 1) {
+    return { { aGap.m_first, std::min(aGap.m_end, aGap.m_first + aMost) },
+             true };
+  }
+  return {};
+}
+
 } // namespace
 
 LayerLayout::LayerLayout(LayoutSettings aSettings)
@@ -132,15 +211,12 @@
 
 void
 LayerLayout::PlanGroup(const LayeredModel& aModel,
-                       const std::vector<LayoutHost>& aHosts,
+                       std::vector<LayoutHost> aHosts,
                        std::vector<LayoutOrder>& aOrders) const
 {
   const double room = ChooseRoom(aModel, aHosts);
-  Coverage coverage(aModel.m_layers);
-  for (const LayoutHost& host : aHosts) {
-    coverage.Add(host.m_holds);
-  }
-  for (const LayoutHost& host : aHosts) {
+  Coverage coverage = CountCoverage(aModel, aHosts);
+  for (LayoutHost& host : aHosts) {
     const std::uint32_t most = CountLayers(aModel, host, room);
     if (!host.m_holds.IsEmpty() || most == 0) {
       continue;
@@ -148,8 +224,40 @@
     LayerSpan span = coverage.FindLeast();
     span.m_end = std::min(span.m_end, span.m_first + most);
     coverage.Add(span);
+    host.m_holds = span;
     aOrders.push_back({ host.m_id, host.m_incarnation, span });
   }
+  CloseGap(aModel, aHosts, aOrders);
+}
+
+void
+LayerLayout::CloseGap(const LayeredModel& aModel,
+                      std::vector<LayoutHost>& aHosts,
+                      std::vector<LayoutOrder>& aOrders) const
+{
+  for (std::size_t i = 0; i < aHosts.size(); ++i) {
+    const Coverage coverage = CountCoverage(aModel, aHosts);
+    const LayerSpan gap = coverage.FindLeast();
+    if (coverage.LeastOf(gap) != 0) {
+      return;
+    }
+    LayoutHost* helper = nullptr;
+    Offer best;
+    for (LayoutHost& host : aHosts) {
+      const std::uint32_t most =
+        CountLayers(aModel, host, m_settings.m_leastTokens);
+      const Offer offer = MakeOffer(host, most, gap, coverage);
+      if (!offer.m_span.IsEmpty() && offer.IsBetter(best, gap)) {
+        helper = &host;
+        best = offer;
+      }
+    }
+    if (helper == nullptr) {
+      return;
+    }
+    helper->m_holds = best.m_span;
+    aOrders.push_back({ helper->m_id, helper->m_incarnation, best.m_span });
+  }
 }
 
 std::vector<LayoutOrder>
--- a/Source/Routing/LayerLayout.h
+++ b/Source/Routing/LayerLayout.h
@@ -45,8 +45,10 @@
 struct LayoutSettings
 {
   // Room for requests that an engine keeps beside its layers where the zone
-  // has the memory, in tokens: its 192 slots with requests of 900 tokens.
-  double m_roomTokens = 170'000;
+  // has the memory, in tokens: 120 requests of 900 tokens. A zone's chain has
+  // about 65 in progress at the daily rate, and half as many more when another
+  // zone's chain is broken. What is left holds layers a second time.
+  double m_roomTokens = 110'000;
   // The least room; zones that could not keep it are put together.
   double m_leastTokens = 40'000;
 };
@@ -55,9 +57,13 @@
 // passes between zones is a thousand times the size of a request's text, and
 // its links are shared by all chains.
 //
+// Layers that nobody holds any more go to an engine whose own are held twice,
+// or to the neighbours of the gap.
+//
 // An engine without layers takes the first run of layers that the fewest
 // engines of its zone hold; so the first engines complete a chain, and later
-// ones another. Fast kinds come first. Engines that hold something keep it.
+// ones another. Fast kinds come first. Engines that hold something keep it
+// otherwise.
 // There is no order for a kind that the model does not know or that cannot
 // hold a layer.
 class LayerLayout
@@ -75,8 +81,11 @@
   Groups GroupByZone(const LayeredModel& aModel,
                      const std::vector<LayoutHost>& aHosts) const;
   void PlanGroup(const LayeredModel& aModel,
-                 const std::vector<LayoutHost>& aHosts,
+                 std::vector<LayoutHost> aHosts,
                  std::vector<LayoutOrder>& aOrders) const;
+  void CloseGap(const LayeredModel& aModel,
+                std::vector<LayoutHost>& aHosts,
+                std::vector<LayoutOrder>& aOrders) const;
   // Most room at which the engines hold the whole model.
   double ChooseRoom(const LayeredModel& aModel,
                     const std::vector<LayoutHost>& aHosts) const;
--- a/Source/Routing/PathBook.cxx
+++ b/Source/Routing/PathBook.cxx
@@ -102,15 +102,22 @@
 }
 
 double
-PathBook::Fill(const StagePath& aPath, const PathRequest& aRequest)
+PathBook::Fill(TimePoint aNow,
+               const StagePath& aPath,
+               const PathRequest& aRequest)
 {
+  // The first engine tells how many requests it has of all gateways.
   const RunnerLoad& first = *aPath.First().m_load;
-  const double gateways = std::max(1U, aRequest.m_gateways);
-  double fill = (first.Streams() * gateways + 1) /
-                std::max(1.0, static_cast<double>(aPath.First().m_slots));
+  const double streams = first.EstimateStreams(aNow);
+  const double share = std::clamp(streams / std::max(1, first.Streams()),
+                                  1.0,
+                                  2.0 * std::max(1U, aRequest.m_gateways));
+  double fill =
+    (streams + 1) /
+    std::max(1.0, static_cast<double>(aPath.First().m_slots));
   for (const PathStage& stage : aPath.m_stages) {
     const double held =
-      stage.m_runner->m_load->HeldTokens() * gateways + aRequest.m_tokens;
+      stage.m_runner->m_load->HeldTokens() * share + aRequest.m_tokens;
     fill = std::max(fill, held / std::max(1.0, stage.m_tokenRoom));
   }
   return fill;
@@ -133,7 +140,7 @@
     if (isExcluded) {
       continue;
     }
-    const double fill = Fill(*path, aRequest);
+    const double fill = Fill(aNow, *path, aRequest);
     if (path->First().m_zone == m_zone && fill <= m_settings.m_ownZoneFill) {
       return { path, false };
     }
--- a/Source/Routing/PathBook.h
+++ b/Source/Routing/PathBook.h
@@ -69,7 +69,7 @@
   double m_ownZoneFill = 0.6;
   // Part of the room and of the slots that new requests may fill; answers grow
   // beyond their expected length.
-  double m_fillLimit = 0.92;
+  double m_fillLimit = 1.1;
   // Paths are planned again this often while circuits may have changed.
   Duration m_refresh = std::chrono::milliseconds(200);
   PathCosts m_costs;
@@ -96,7 +96,9 @@
                         const std::vector<PathPart>& aParts) const;
   // Share of the tightest stage's room, or of the first engine's slots, that
   // is taken with the request.
-  static double Fill(const StagePath& aPath, const PathRequest& aRequest);
+  static double Fill(TimePoint aNow,
+                     const StagePath& aPath,
+                     const PathRequest& aRequest);
 
   const std::string m_zone;
   const PathBookSettings m_settings;
--- a/Source/Routing/Runner.h
+++ b/Source/Routing/Runner.h
@@ -35,6 +35,8 @@
   std::uint32_t m_firstLayer = 0;
   // Inclusive.
   std::uint32_t m_lastLayer = 0;
+  // Some gateway found it dead, and it has not announced itself since.
+  bool m_isSuspected = false;
   // Managed engines: layers held from m_firstLayer on.
   std::uint32_t m_layerCount = 0;
   double m_tokensPerSecond = 0;
--- a/Source/Routing/RunnerLoad.h
+++ b/Source/Routing/RunnerLoad.h
@@ -45,6 +45,12 @@
   // True when a step was answered well after that time.
   bool HasAnsweredSince(TimePoint aTime) const;
 
+  // When it last answered; the clock's epoch: never.
+  TimePoint AnsweredAt() const
+  {
+    return TimePoint(Duration(Load(m_answeredAtNs)));
+  }
+
   // Takes the load that a reply or a report carried.
   void RecordReport(TimePoint aNow,
                     std::uint32_t aQueued,
--- a/Source/Routing/RunnerTable.cxx
+++ b/Source/Routing/RunnerTable.cxx
@@ -27,6 +27,7 @@
   runner->m_firstLayer = aEndpoint.first_layer;
   runner->m_lastLayer = aEndpoint.last_layer;
   runner->m_layerCount = aEndpoint.layer_count;
+  runner->m_isSuspected = aEndpoint.suspected;
   runner->m_tokensPerSecond = aEndpoint.tokens_per_second;
   runner->m_slots = aEndpoint.slots;
   runner->m_idHash = HashId(aEndpoint.id);
--- a/Source/State/ConfigState.cxx
+++ b/Source/State/ConfigState.cxx
@@ -41,6 +41,7 @@
     case state::CommandBody::IssueOrder:
     case state::CommandBody::FinishOrder:
     case state::CommandBody::PutDocument:
+    case state::CommandBody::SuspectEndpoint:
       return aCommand.body.value != nullptr;
     default:
       return false;
@@ -105,6 +106,9 @@
     case state::CommandBody::FinishOrder:
       ApplyFinish(m_image, *aCommand.body.AsFinishOrder(), result);
       break;
+    case state::CommandBody::SuspectEndpoint:
+      ApplySuspect(m_image, *aCommand.body.AsSuspectEndpoint(), result);
+      break;
     case state::CommandBody::PutDocument:
       PutDocument(*aCommand.body.AsPutDocument(), result);
       break;
--- a/Source/State/EndpointRegistry.cxx
+++ b/Source/State/EndpointRegistry.cxx
@@ -189,6 +189,33 @@
   }
 }
 
+void
+ApplySuspect(state::ConfigImageT& aImage,
+             const state::SuspectEndpointT& aCommand,
+             state::CommandResultT& aResult)
+{
+  using state::ResultCode;
+  state::EndpointT* listed =
+    aCommand.endpoint ? FindEntity(aImage.endpoints, aCommand.endpoint->id)
+                      : nullptr;
+  if (listed == nullptr) {
+    Refuse(aResult, ResultCode::NotFound, "suspected endpoint is not listed");
+    return;
+  }
+  if (listed->incarnation != aCommand.endpoint->incarnation) {
+    Refuse(aResult,
+           ResultCode::StaleIncarnation,
+           DescribeStale(
+             listed->id, aCommand.endpoint->incarnation, listed->incarnation));
+    return;
+  }
+  if (listed->suspected) {
+    aResult.code = ResultCode::Duplicate;
+    return;
+  }
+  listed->suspected = true;
+}
+
 void
 ApplyDrop(state::ConfigImageT& aImage,
           const state::DropEndpointsT& aCommand,
--- a/Source/State/EndpointRegistry.h
+++ b/Source/State/EndpointRegistry.h
@@ -18,6 +18,12 @@
 ApplyLeave(state::ConfigImageT& aImage,
            const state::LeaveEndpointT& aCommand,
            state::CommandResultT& aResult);
+// Marks the listed one of this incarnation. It stays listed: only its lease, or
+// its leaving, ends it.
+void
+ApplySuspect(state::ConfigImageT& aImage,
+             const state::SuspectEndpointT& aCommand,
+             state::CommandResultT& aResult);
 // Drops the listed ones of the given incarnations, with their orders.
 void
 ApplyDrop(state::ConfigImageT& aImage,
--- a/Source/State/GatewayLeaseTable.cxx
+++ b/Source/State/GatewayLeaseTable.cxx
@@ -81,6 +81,12 @@
   return gateway.m_leaseEnd - aNow;
 }
 
+Duration
+GatewayLeaseTable::ConfirmedAgo(TimePoint aNow) const
+{
+  return m_confirmedAt ? aNow - *m_confirmedAt : Duration::max();
+}
+
 std::uint64_t
 GatewayLeaseTable::MinAppliedIndex(TimePoint aNow,
                                    std::uint64_t aOwnIndex) const
--- a/Source/State/GatewayLeaseTable.h
+++ b/Source/State/GatewayLeaseTable.h
@@ -51,6 +51,10 @@
                                 std::uint64_t aEpoch,
                                 const feed::PingT& aPing);
 
+  // How long ago a quorum confirmed this replica's copy, as of the sending of
+  // the question; Duration::max() for never.
+  Duration ConfirmedAgo(TimePoint aNow) const;
+
   // The least applied index among gateways with a running lease, aOwnIndex
   // when there is none; 0 until a lease after the first TakeReport, since
   // leases of this replica's earlier process may run on until then.
--- a/Source/State/ReplicatedState.cxx
+++ b/Source/State/ReplicatedState.cxx
@@ -136,6 +136,7 @@
     case state::CommandBody::DropEndpoints:
     case state::CommandBody::FinishOrder:
     case state::CommandBody::PutDocument:
+    case state::CommandBody::SuspectEndpoint:
       return m_config.Apply(aIndex, aCommand, m_lastUnixMs);
     default:
       break;
--- a/Source/Wire/Generated/FeedGenerated.h
+++ b/Source/Wire/Generated/FeedGenerated.h
@@ -1142,6 +1142,7 @@
   uint64_t in_force_index = 0;
   uint32_t lease_ms = 0;
   uint32_t gateways = 0;
+  uint32_t confirmed_ago_ms = 0;
 };
 
 struct Pong FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1153,7 +1154,8 @@
     VT_INDEX = 6,
     VT_IN_FORCE_INDEX = 8,
     VT_LEASE_MS = 10,
-    VT_GATEWAYS = 12
+    VT_GATEWAYS = 12,
+    VT_CONFIRMED_AGO_MS = 14
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -1170,6 +1172,9 @@
   uint32_t gateways() const {
     return GetField<uint32_t>(VT_GATEWAYS, 0);
   }
+  uint32_t confirmed_ago_ms() const {
+    return GetField<uint32_t>(VT_CONFIRMED_AGO_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -1177,6 +1182,7 @@
            VerifyField<uint64_t>(verifier, VT_IN_FORCE_INDEX, 8) &&
            VerifyField<uint32_t>(verifier, VT_LEASE_MS, 4) &&
            VerifyField<uint32_t>(verifier, VT_GATEWAYS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_CONFIRMED_AGO_MS, 4) &&
            verifier.EndTable();
   }
   PongT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1203,6 +1209,9 @@
   void add_gateways(uint32_t gateways) {
     fbb_.AddElement<uint32_t>(Pong::VT_GATEWAYS, gateways, 0);
   }
+  void add_confirmed_ago_ms(uint32_t confirmed_ago_ms) {
+    fbb_.AddElement<uint32_t>(Pong::VT_CONFIRMED_AGO_MS, confirmed_ago_ms, 0);
+  }
   explicit PongBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1220,11 +1229,13 @@
     uint64_t index = 0,
     uint64_t in_force_index = 0,
     uint32_t lease_ms = 0,
-    uint32_t gateways = 0) {
+    uint32_t gateways = 0,
+    uint32_t confirmed_ago_ms = 0) {
   PongBuilder builder_(_fbb);
   builder_.add_in_force_index(in_force_index);
   builder_.add_index(index);
   builder_.add_id(id);
+  builder_.add_confirmed_ago_ms(confirmed_ago_ms);
   builder_.add_gateways(gateways);
   builder_.add_lease_ms(lease_ms);
   return builder_.Finish();
@@ -3023,6 +3034,7 @@
   { auto _e = in_force_index(); _o->in_force_index = _e; }
   { auto _e = lease_ms(); _o->lease_ms = _e; }
   { auto _e = gateways(); _o->gateways = _e; }
+  { auto _e = confirmed_ago_ms(); _o->confirmed_ago_ms = _e; }
 }
 
 inline flatbuffers::Offset<Pong> Pong::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PongT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3038,13 +3050,15 @@
   auto _in_force_index = _o->in_force_index;
   auto _lease_ms = _o->lease_ms;
   auto _gateways = _o->gateways;
+  auto _confirmed_ago_ms = _o->confirmed_ago_ms;
   return parsleycove::feed::CreatePong(
       _fbb,
       _id,
       _index,
       _in_force_index,
       _lease_ms,
-      _gateways);
+      _gateways,
+      _confirmed_ago_ms);
 }
 
 inline ProposeT::ProposeT(const ProposeT &o)
--- a/Source/Wire/Generated/StateGenerated.h
+++ b/Source/Wire/Generated/StateGenerated.h
@@ -64,6 +64,10 @@
 struct LeaveEndpointBuilder;
 struct LeaveEndpointT;
 
+struct SuspectEndpoint;
+struct SuspectEndpointBuilder;
+struct SuspectEndpointT;
+
 struct DropEndpoints;
 struct DropEndpointsBuilder;
 struct DropEndpointsT;
@@ -291,11 +295,12 @@
   IssueOrder = 12,
   FinishOrder = 13,
   PutDocument = 14,
+  SuspectEndpoint = 15,
   MIN = NONE,
-  MAX = PutDocument
+  MAX = SuspectEndpoint
 };
 
-inline const CommandBody (&EnumValuesCommandBody())[15] {
+inline const CommandBody (&EnumValuesCommandBody())[16] {
   static const CommandBody values[] = {
     CommandBody::NONE,
     CommandBody::ApplyChange,
@@ -311,13 +316,14 @@
     CommandBody::GatewayGone,
     CommandBody::IssueOrder,
     CommandBody::FinishOrder,
-    CommandBody::PutDocument
+    CommandBody::PutDocument,
+    CommandBody::SuspectEndpoint
   };
   return values;
 }
 
 inline const char * const *EnumNamesCommandBody() {
-  static const char * const names[16] = {
+  static const char * const names[17] = {
     "NONE",
     "ApplyChange",
     "AnnounceEndpoint",
@@ -333,13 +339,14 @@
     "IssueOrder",
     "FinishOrder",
     "PutDocument",
+    "SuspectEndpoint",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameCommandBody(CommandBody e) {
-  if (flatbuffers::IsOutRange(e, CommandBody::NONE, CommandBody::PutDocument)) return "";
+  if (flatbuffers::IsOutRange(e, CommandBody::NONE, CommandBody::SuspectEndpoint)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesCommandBody()[index];
 }
@@ -404,6 +411,10 @@
   static const CommandBody enum_value = CommandBody::PutDocument;
 };
 
+template<> struct CommandBodyTraits<parsleycove::state::SuspectEndpoint> {
+  static const CommandBody enum_value = CommandBody::SuspectEndpoint;
+};
+
 template<typename T> struct CommandBodyUnionTraits {
   static const CommandBody enum_value = CommandBody::NONE;
 };
@@ -464,6 +475,10 @@
   static const CommandBody enum_value = CommandBody::PutDocument;
 };
 
+template<> struct CommandBodyUnionTraits<parsleycove::state::SuspectEndpointT> {
+  static const CommandBody enum_value = CommandBody::SuspectEndpoint;
+};
+
 struct CommandBodyUnion {
   CommandBody type;
   void *value;
@@ -606,6 +621,14 @@
     return type == CommandBody::PutDocument ?
       reinterpret_cast<const parsleycove::state::PutDocumentT *>(value) : nullptr;
   }
+  parsleycove::state::SuspectEndpointT *AsSuspectEndpoint() {
+    return type == CommandBody::SuspectEndpoint ?
+      reinterpret_cast<parsleycove::state::SuspectEndpointT *>(value) : nullptr;
+  }
+  const parsleycove::state::SuspectEndpointT *AsSuspectEndpoint() const {
+    return type == CommandBody::SuspectEndpoint ?
+      reinterpret_cast<const parsleycove::state::SuspectEndpointT *>(value) : nullptr;
+  }
 };
 
 bool VerifyCommandBody(flatbuffers::Verifier &verifier, const void *obj, CommandBody type);
@@ -1095,6 +1118,7 @@
   uint32_t slots = 0;
   bool checks_fencing = false;
   uint32_t layer_count = 0;
+  bool suspected = false;
   uint64_t report = 0;
 };
 
@@ -1120,7 +1144,8 @@
     VT_SLOTS = 32,
     VT_CHECKS_FENCING = 34,
     VT_LAYER_COUNT = 36,
-    VT_REPORT = 38
+    VT_SUSPECTED = 38,
+    VT_REPORT = 40
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -1173,6 +1198,9 @@
   uint32_t layer_count() const {
     return GetField<uint32_t>(VT_LAYER_COUNT, 0);
   }
+  bool suspected() const {
+    return GetField<uint8_t>(VT_SUSPECTED, 0) != 0;
+  }
   uint64_t report() const {
     return GetField<uint64_t>(VT_REPORT, 0);
   }
@@ -1202,6 +1230,7 @@
            VerifyField<uint32_t>(verifier, VT_SLOTS, 4) &&
            VerifyField<uint8_t>(verifier, VT_CHECKS_FENCING, 1) &&
            VerifyField<uint32_t>(verifier, VT_LAYER_COUNT, 4) &&
+           VerifyField<uint8_t>(verifier, VT_SUSPECTED, 1) &&
            VerifyField<uint64_t>(verifier, VT_REPORT, 8) &&
            verifier.EndTable();
   }
@@ -1265,6 +1294,9 @@
   void add_layer_count(uint32_t layer_count) {
     fbb_.AddElement<uint32_t>(Endpoint::VT_LAYER_COUNT, layer_count, 0);
   }
+  void add_suspected(bool suspected) {
+    fbb_.AddElement<uint8_t>(Endpoint::VT_SUSPECTED, static_cast<uint8_t>(suspected), 0);
+  }
   void add_report(uint64_t report) {
     fbb_.AddElement<uint64_t>(Endpoint::VT_REPORT, report, 0);
   }
@@ -1298,6 +1330,7 @@
     uint32_t slots = 0,
     bool checks_fencing = false,
     uint32_t layer_count = 0,
+    bool suspected = false,
     uint64_t report = 0) {
   EndpointBuilder builder_(_fbb);
   builder_.add_report(report);
@@ -1315,6 +1348,7 @@
   builder_.add_address(address);
   builder_.add_id(id);
   builder_.add_port(port);
+  builder_.add_suspected(suspected);
   builder_.add_checks_fencing(checks_fencing);
   builder_.add_phase(phase);
   builder_.add_kind(kind);
@@ -1345,6 +1379,7 @@
     uint32_t slots = 0,
     bool checks_fencing = false,
     uint32_t layer_count = 0,
+    bool suspected = false,
     uint64_t report = 0) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
@@ -1372,6 +1407,7 @@
       slots,
       checks_fencing,
       layer_count,
+      suspected,
       report);
 }
 
@@ -2049,6 +2085,69 @@
 
 flatbuffers::Offset<LeaveEndpoint> CreateLeaveEndpoint(flatbuffers::FlatBufferBuilder &_fbb, const LeaveEndpointT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct SuspectEndpointT : public flatbuffers::NativeTable {
+  typedef SuspectEndpoint TableType;
+  std::unique_ptr<parsleycove::state::EndpointRefT> endpoint{};
+  SuspectEndpointT() = default;
+  SuspectEndpointT(const SuspectEndpointT &o);
+  SuspectEndpointT(SuspectEndpointT&&) FLATBUFFERS_NOEXCEPT = default;
+  SuspectEndpointT &operator=(SuspectEndpointT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct SuspectEndpoint FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef SuspectEndpointT NativeTableType;
+  typedef SuspectEndpointBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ENDPOINT = 4
+  };
+  const parsleycove::state::EndpointRef *endpoint() const {
+    return GetPointer<const parsleycove::state::EndpointRef *>(VT_ENDPOINT);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ENDPOINT) &&
+           verifier.VerifyTable(endpoint()) &&
+           verifier.EndTable();
+  }
+  SuspectEndpointT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(SuspectEndpointT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<SuspectEndpoint> Pack(flatbuffers::FlatBufferBuilder &_fbb, const SuspectEndpointT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct SuspectEndpointBuilder {
+  typedef SuspectEndpoint Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_endpoint(flatbuffers::Offset<parsleycove::state::EndpointRef> endpoint) {
+    fbb_.AddOffset(SuspectEndpoint::VT_ENDPOINT, endpoint);
+  }
+  explicit SuspectEndpointBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<SuspectEndpoint> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<SuspectEndpoint>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<SuspectEndpoint> CreateSuspectEndpoint(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<parsleycove::state::EndpointRef> endpoint = 0) {
+  SuspectEndpointBuilder builder_(_fbb);
+  builder_.add_endpoint(endpoint);
+  return builder_.Finish();
+}
+
+struct SuspectEndpoint::Traits {
+  using type = SuspectEndpoint;
+  static auto constexpr Create = CreateSuspectEndpoint;
+};
+
+flatbuffers::Offset<SuspectEndpoint> CreateSuspectEndpoint(flatbuffers::FlatBufferBuilder &_fbb, const SuspectEndpointT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct DropEndpointsT : public flatbuffers::NativeTable {
   typedef DropEndpoints TableType;
   std::vector<std::unique_ptr<parsleycove::state::EndpointRefT>> endpoints{};
@@ -3612,6 +3711,9 @@
   const parsleycove::state::PutDocument *body_as_PutDocument() const {
     return body_type() == parsleycove::state::CommandBody::PutDocument ? static_cast<const parsleycove::state::PutDocument *>(body()) : nullptr;
   }
+  const parsleycove::state::SuspectEndpoint *body_as_SuspectEndpoint() const {
+    return body_type() == parsleycove::state::CommandBody::SuspectEndpoint ? static_cast<const parsleycove::state::SuspectEndpoint *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -3680,6 +3782,10 @@
   return body_as_PutDocument();
 }
 
+template<> inline const parsleycove::state::SuspectEndpoint *Command::body_as<parsleycove::state::SuspectEndpoint>() const {
+  return body_as_SuspectEndpoint();
+}
+
 struct CommandBuilder {
   typedef Command Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -4719,6 +4825,7 @@
   { auto _e = slots(); _o->slots = _e; }
   { auto _e = checks_fencing(); _o->checks_fencing = _e; }
   { auto _e = layer_count(); _o->layer_count = _e; }
+  { auto _e = suspected(); _o->suspected = _e; }
   { auto _e = report(); _o->report = _e; }
 }
 
@@ -4747,6 +4854,7 @@
   auto _slots = _o->slots;
   auto _checks_fencing = _o->checks_fencing;
   auto _layer_count = _o->layer_count;
+  auto _suspected = _o->suspected;
   auto _report = _o->report;
   return parsleycove::state::CreateEndpoint(
       _fbb,
@@ -4767,6 +4875,7 @@
       _slots,
       _checks_fencing,
       _layer_count,
+      _suspected,
       _report);
 }
 
@@ -5058,6 +5167,41 @@
       _endpoint);
 }
 
+inline SuspectEndpointT::SuspectEndpointT(const SuspectEndpointT &o)
+      : endpoint((o.endpoint) ? new parsleycove::state::EndpointRefT(*o.endpoint) : nullptr) {
+}
+
+inline SuspectEndpointT &SuspectEndpointT::operator=(SuspectEndpointT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(endpoint, o.endpoint);
+  return *this;
+}
+
+inline SuspectEndpointT *SuspectEndpoint::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<SuspectEndpointT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void SuspectEndpoint::UnPackTo(SuspectEndpointT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = endpoint(); if (_e) _o->endpoint = std::unique_ptr<parsleycove::state::EndpointRefT>(_e->UnPack(_resolver)); }
+}
+
+inline flatbuffers::Offset<SuspectEndpoint> SuspectEndpoint::Pack(flatbuffers::FlatBufferBuilder &_fbb, const SuspectEndpointT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateSuspectEndpoint(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<SuspectEndpoint> CreateSuspectEndpoint(flatbuffers::FlatBufferBuilder &_fbb, const SuspectEndpointT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const SuspectEndpointT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _endpoint = _o->endpoint ? CreateEndpointRef(_fbb, _o->endpoint.get(), _rehasher) : 0;
+  return parsleycove::state::CreateSuspectEndpoint(
+      _fbb,
+      _endpoint);
+}
+
 inline DropEndpointsT::DropEndpointsT(const DropEndpointsT &o) {
   endpoints.reserve(o.endpoints.size());
   for (const auto &endpoints_ : o.endpoints) { endpoints.emplace_back((endpoints_) ? new parsleycove::state::EndpointRefT(*endpoints_) : nullptr); }
@@ -6085,6 +6229,10 @@
       auto ptr = reinterpret_cast<const parsleycove::state::PutDocument *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case CommandBody::SuspectEndpoint: {
+      auto ptr = reinterpret_cast<const parsleycove::state::SuspectEndpoint *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -6160,6 +6308,10 @@
       auto ptr = reinterpret_cast<const parsleycove::state::PutDocument *>(obj);
       return ptr->UnPack(resolver);
     }
+    case CommandBody::SuspectEndpoint: {
+      auto ptr = reinterpret_cast<const parsleycove::state::SuspectEndpoint *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -6223,6 +6375,10 @@
       auto ptr = reinterpret_cast<const parsleycove::state::PutDocumentT *>(value);
       return CreatePutDocument(_fbb, ptr, _rehasher).Union();
     }
+    case CommandBody::SuspectEndpoint: {
+      auto ptr = reinterpret_cast<const parsleycove::state::SuspectEndpointT *>(value);
+      return CreateSuspectEndpoint(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -6285,6 +6441,10 @@
       value = new parsleycove::state::PutDocumentT(*reinterpret_cast<parsleycove::state::PutDocumentT *>(u.value));
       break;
     }
+    case CommandBody::SuspectEndpoint: {
+      value = new parsleycove::state::SuspectEndpointT(*reinterpret_cast<parsleycove::state::SuspectEndpointT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -6362,6 +6522,11 @@
       delete ptr;
       break;
     }
+    case CommandBody::SuspectEndpoint: {
+      auto ptr = reinterpret_cast<parsleycove::state::SuspectEndpointT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
