Forwarding: Leave the streams of a stage that only refuses new work

Change: a refusing stage is shunned for new requests (150 ms, 1.3 s where it no longer holds its part) and asked; only silence to the question ends streams.

--- a/Source/Forwarding/ForwardDialect.h
+++ b/Source/Forwarding/ForwardDialect.h
@@ -62,6 +62,8 @@
   bool m_isSigned = false;
   // The request has not run and never will.
   bool m_isNotRun = false;
+  // Another endpoint has the address, or a stage does not hold its layers.
+  bool m_isOtherEndpoint = false;
   std::optional<EndpointLoad> m_load;
   // Address of the stage that failed, where it was another one.
   std::string_view m_faultAddress;
--- a/Source/Forwarding/StreamForwarder.cxx
+++ b/Source/Forwarding/StreamForwarder.cxx
@@ -27,6 +27,11 @@
 // A new stream's gap, in steps through an idle path: two tokens an event, and
 // engines that are busy.
 constexpr double kGapSteps = 5;
+// An engine that refuses for want of memory or of time gets no new request for
+// so long; some streams end within it.
+constexpr Duration kFullShun = std::chrono::milliseconds(150);
+// One that no longer holds its part, until it has announced what it holds.
+constexpr Duration kMovedShun = std::chrono::milliseconds(1300);
 constexpr std::string_view kLastChunk = "0\r\n\r\n";
 
 void
@@ -238,14 +243,21 @@
   {
     --m_runs;
     const TimePoint now = BootClock::now();
-    const RunnerPtr faulty =
+    // Dead, leaving, giving up its layers or short of memory: only the first
+    // concerns the streams that it has.
+    RunnerPtr faulty =
       m_services.m_doctor.FindByAddress(aMarks.m_faultAddress);
-    if (faulty && faulty->m_id != aCall.Target()->m_id) {
-      m_services.m_doctor.Accuse(now, faulty, "named by another stage");
-    } else {
-      m_job.m_excluded.push_back(aCall.Target()->m_id);
-    }
-    LogRepeat(m_job, DecisionEvent::RequestSentAgain, "endpoint_refused");
+    if (!faulty) {
+      faulty = aCall.Target();
+    }
+    const bool isElsewhere = aMarks.m_isOtherEndpoint;
+    faulty->m_load->Shun(now, isElsewhere ? kMovedShun : kFullShun);
+    m_desk.m_paths.Invalidate();
+    m_services.m_doctor.Doubt(now, faulty);
+    m_job.m_excluded.push_back(faulty->m_id);
+    LogRepeat(m_job,
+              DecisionEvent::RequestSentAgain,
+              isElsewhere ? "stage_moved" : "endpoint_refused");
     return RunVerdict::NotRun;
   }
 
--- a/Source/Routing/PathBook.cxx
+++ b/Source/Routing/PathBook.cxx
@@ -83,6 +83,7 @@
     host.m_stepMs =
       m_model.m_stepMs * pace * std::max(1.0, runner->m_load->Slowness(aNow));
     const bool isUsable = kind != nullptr && runner->m_layerCount != 0 &&
+                          !runner->m_load->IsShunned(aNow) &&
                           runner->m_load->Circuit(aNow) == CircuitState::Ok;
     host.m_penalty = isUsable ? 1 : 0;
     hosts.push_back(host);
@@ -101,6 +102,16 @@
   }
 }
 
+bool
+PathBook::IsShunned(TimePoint aNow, const StagePath& aPath)
+{
+  return std::any_of(aPath.m_stages.begin(),
+                     aPath.m_stages.end(),
+                     [&](const PathStage& aStage) {
+                       return aStage.m_runner->m_load->IsShunned(aNow);
+                     });
+}
+
 double
 PathBook::Fill(TimePoint aNow,
                const StagePath& aPath,
@@ -137,7 +148,7 @@
       std::any_of(aRequest.m_excluded.begin(),
                   aRequest.m_excluded.end(),
                   [&](const std::string& aId) { return path->Uses(aId); });
-    if (isExcluded) {
+    if (isExcluded || IsShunned(aNow, *path)) {
       continue;
     }
     const double fill = Fill(aNow, *path, aRequest);
--- a/Source/Routing/PathBook.h
+++ b/Source/Routing/PathBook.h
@@ -69,7 +69,7 @@
   double m_ownZoneFill = 0.6;
   // Part of the room and of the slots that new requests may fill; answers grow
   // beyond their expected length.
-  double m_fillLimit = 1.1;
+  double m_fillLimit = 0.95;
   // Paths are planned again this often while circuits may have changed.
   Duration m_refresh = std::chrono::milliseconds(200);
   PathCosts m_costs;
@@ -94,6 +94,8 @@
   void Plan(TimePoint aNow);
   StagePathPtr MakePath(const std::vector<PathHost>& aHosts,
                         const std::vector<PathPart>& aParts) const;
+  // Some engine of the path refuses new work.
+  static bool IsShunned(TimePoint aNow, const StagePath& aPath);
   // Share of the tightest stage's room, or of the first engine's slots, that
   // is taken with the request.
   static double Fill(TimePoint aNow,
