Routing: Keep paths in their zone and wait for what comes back within a second

Change: paths that leave their zone come last. A request waits up to 2.5 s after the loss for the copy of the configuration, 1.6 s for a path, half its target for room. A VM that has been cut off longer refuses at once. Elections within 0.35 to 0.7 s.

--- a/Source/Daemon/DaemonSettings.cxx
+++ b/Source/Daemon/DaemonSettings.cxx
@@ -350,9 +350,9 @@
     aChecker.Milliseconds(SettingId::ConfigLeaseMs, kMinLeaseMs, kMaxLeaseMs);
   // Zones are about a millisecond apart and a sync takes half of one; a VM
   // with a tenth of a second's quota may pause that long.
-  replica.m_heartbeatInterval = std::chrono::milliseconds(70);
-  replica.m_electionTimeout = std::chrono::milliseconds(450);
-  replica.m_leaderLease = std::chrono::milliseconds(320);
+  replica.m_heartbeatInterval = std::chrono::milliseconds(60);
+  replica.m_electionTimeout = std::chrono::milliseconds(350);
+  replica.m_leaderLease = std::chrono::milliseconds(250);
   replica.m_confirmInterval = kConfirmInterval;
   ReplicaStart& start = aSettings.m_start;
   start.m_folder = replica.m_dataFolder;
--- a/Source/Forwarding/ForwardDialect.h
+++ b/Source/Forwarding/ForwardDialect.h
@@ -43,6 +43,8 @@
   const StagePath* m_path = nullptr;
   // Empty: none.
   std::string_view m_account;
+  // The caller has had a part of the answer and waits for the next event.
+  bool m_isResumed = false;
   // Go on after this event.
   std::optional<std::uint64_t> m_lastEventId;
 };
--- a/Source/Forwarding/ForwardSession.cxx
+++ b/Source/Forwarding/ForwardSession.cxx
@@ -5,6 +5,10 @@
 #include <cctype>
 #include <utility>
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include "Forwarding/PlainForwarder.h"
 #include "Forwarding/RequestJob.h"
 #include "Forwarding/StreamForwarder.h"
@@ -20,6 +24,9 @@
 constexpr unsigned kBodyTooLarge = 413;
 constexpr unsigned kHeaderTooLarge = 431;
 constexpr Duration kDefaultPatience = std::chrono::seconds(30);
+// An election and the first confirmation take about a second after a start.
+constexpr Duration kControlWait = std::chrono::milliseconds(2500);
+constexpr Duration kControlLook = std::chrono::milliseconds(15);
 
 // Host without its port, in lower case.
 std::string
@@ -144,18 +151,18 @@
   asio::awaitable<bool> Prepare(RequestJob& aJob)
   {
     RoutingBoard& board = m_services.m_board;
-    board.Refresh(aJob.m_arrival);
-    aJob.m_config = board.HoldConfig();
     aJob.m_marks = m_services.m_dialect.ReadCaller(aJob.Request());
     aJob.m_deadline =
       aJob.m_arrival + aJob.m_marks.m_patience.value_or(kDefaultPatience);
+    co_await WaitForControl(aJob);
+    aJob.m_config = board.HoldConfig();
     if (!aJob.m_config) {
       co_await Refuse(aJob, RefusalCause::NoConfiguration);
       co_return false;
     }
     aJob.m_route = aJob.m_config->FindRoute(ReadHost(aJob.Request()),
                                             PathOf(aJob.Request()));
-    const bool hasLease = board.HasLease(aJob.m_arrival);
+    const bool hasLease = board.HasLease(BootClock::now());
     if (aJob.m_route == nullptr) {
       // An older copy cannot tell that a route does not exist.
       if (hasLease) {
@@ -174,6 +181,30 @@
     co_return true;
   }
 
+  // Pattern: all VMs start again at once, or the group elects a leader. The
+  // copy comes within about a second; a caller who is sent away instead comes
+  // back too early, or not at all.
+  asio::awaitable<void> WaitForControl(RequestJob& aJob)
+  {
+    RoutingBoard& board = m_services.m_board;
+    const TimePoint patience =
+      aJob.m_arrival + (aJob.m_deadline - aJob.m_arrival) / 3;
+    asio::steady_timer timer(m_services.m_context);
+    for (;;) {
+      const TimePoint now = BootClock::now();
+      board.Refresh(now);
+      const bool isReady = board.Config() != nullptr && board.HasLease(now);
+      // A VM that has been cut off for longer will be so for some time.
+      const TimePoint until =
+        std::min(patience, board.LeaseLostAt() + kControlWait);
+      if (isReady || now >= until || aJob.m_caller->IsGone()) {
+        co_return;
+      }
+      timer.expires_after(kControlLook);
+      co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+  }
+
   asio::awaitable<bool> FindAccount(RequestJob& aJob, bool aHasLease)
   {
     if (!aJob.m_config->HasAccounts()) {
--- a/Source/Forwarding/RoutingBoard.cxx
+++ b/Source/Forwarding/RoutingBoard.cxx
@@ -54,6 +54,9 @@
     return;
   }
   m_hadLease = hasLease;
+  if (!hasLease) {
+    m_leaseLostAt = aNow;
+  }
   m_log.Write(hasLease ? DecisionEvent::DependencyRegained
                        : DecisionEvent::DependencyLost,
               [&](DecisionLine& aLine) {
--- a/Source/Forwarding/RoutingBoard.h
+++ b/Source/Forwarding/RoutingBoard.h
@@ -57,6 +57,8 @@
   }
   const RunnerTable* Runners() const { return m_runners.get(); }
   bool HasLease(TimePoint aNow) const { return m_control.HasLease(aNow); }
+  // Since when there is no lease; the start of the process at first.
+  TimePoint LeaseLostAt() const { return m_leaseLostAt; }
   std::uint32_t Gateways() const;
 
   ServiceDesk& DeskOf(const std::string& aService);
@@ -87,6 +89,7 @@
   Random m_random;
   std::uint64_t m_documentVersion = 0;
   bool m_hadLease = false;
+  TimePoint m_leaseLostAt = BootClock::now();
 };
 
 } // namespace parsleycove
--- a/Source/Forwarding/StreamForwarder.cxx
+++ b/Source/Forwarding/StreamForwarder.cxx
@@ -6,6 +6,10 @@
 #include <cstdio>
 #include <utility>
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include "Forwarding/EventSplitter.h"
 #include "Forwarding/PathDoctor.h"
 
@@ -32,6 +36,10 @@
 constexpr Duration kFullShun = std::chrono::milliseconds(150);
 // One that no longer holds its part, until it has announced what it holds.
 constexpr Duration kMovedShun = std::chrono::milliseconds(1300);
+constexpr Duration kPathWait = std::chrono::milliseconds(1600);
+constexpr Duration kPathLook = std::chrono::milliseconds(10);
+// Part of the target for the first event that a request may wait for room.
+constexpr int kFullWaitPart = 2;
 constexpr std::string_view kLastChunk = "0\r\n\r\n";
 
 void
@@ -79,9 +87,12 @@
       }
       const PathChoice choice = ChoosePath();
       if (!choice.m_path) {
-        co_await GiveUp(choice.m_isFull ? RefusalCause::PathsFull
-                                        : RefusalCause::NoPath);
-        co_return;
+        if (!co_await WaitForPath(choice.m_isFull)) {
+          co_await GiveUp(choice.m_isFull ? RefusalCause::PathsFull
+                                          : RefusalCause::NoPath);
+          co_return;
+        }
+        continue;
       }
       const RunVerdict verdict = co_await Try(choice.m_path);
       if (verdict == RunVerdict::Ended) {
@@ -124,6 +135,27 @@
     return choice;
   }
 
+  // Paths come back within about a second: an engine loads the layers of one
+  // that was lost. A full path has room as soon as a stream ends. False once
+  // that has been waited for.
+  asio::awaitable<bool> WaitForPath(bool aIsFull)
+  {
+    const TimePoint now = BootClock::now();
+    if (m_waitsUntil == TimePoint{}) {
+      const Duration most =
+        aIsFull ? std::max(m_job.m_route->m_target / kFullWaitPart, kPathLook)
+                : kPathWait;
+      m_waitsUntil = now + std::min<Duration>(most, m_job.TimeLeft() / 3);
+    }
+    if (now >= m_waitsUntil) {
+      co_return false;
+    }
+    asio::steady_timer timer(m_services.m_context, kPathLook);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    m_services.m_board.Refresh(BootClock::now());
+    co_return true;
+  }
+
   bool MayTryAgain(RunVerdict aVerdict)
   {
     if (aVerdict == RunVerdict::NotRun && ++m_refusals > kMaxRefusals) {
@@ -170,6 +202,7 @@
     const PathHold hold(aPath, ExpectedTokens());
     ForwardMarks marks;
     marks.m_lastEventId = m_events.LastId();
+    marks.m_isResumed = m_hasBegun;
     const ForwardCallPtr call = co_await StartCall(
       m_job,
       first,
@@ -183,6 +216,7 @@
       }
       co_return RunVerdict::NotRun;
     }
+    m_waitsUntil = TimePoint{};
     ++m_job.m_attempts;
     ++m_runs;
     call->SetDeadline(m_job.m_deadline);
@@ -421,6 +455,8 @@
   std::size_t m_refusals = 0;
   // The header of the first run has gone out.
   bool m_hasBegun = false;
+  // End of the wait for a path.
+  TimePoint m_waitsUntil{};
   // A repeat has been paid for.
   bool m_hasClaimed = false;
   // First runners of the runs, but for those that have ended.
--- a/Source/Routing/PathBook.cxx
+++ b/Source/Routing/PathBook.cxx
@@ -11,6 +11,8 @@
 // An engine of an earlier path costs this much more in the next one.
 constexpr double kReusePenalty = 8;
 constexpr double kBytesPerMb = 1e6;
+// A path that leaves its zone is taken only where no other one has room.
+constexpr double kCrossingCost = 10;
 
 double
 TokenRoom(const LayeredModel& aModel, const Runner& aRunner)
@@ -59,6 +61,10 @@
   boost::intrusive_ptr<StagePath> path(new StagePath());
   for (const PathPart& part : aParts) {
     const RunnerPtr& runner = m_engines[part.m_host];
+    const bool crosses =
+      !path->m_stages.empty() &&
+      path->m_stages.back().m_runner->m_zone != runner->m_zone;
+    path->m_crossings += crosses ? 1 : 0;
     path->m_stages.push_back(
       { runner, part.m_span, TokenRoom(m_model, *runner) });
   }
@@ -143,27 +149,38 @@
   StagePathPtr best;
   double least = 0;
   for (const StagePathPtr& path : m_paths) {
-    const bool isExcluded =
-      (aRequest.m_isAllowed && !aRequest.m_isAllowed(*path)) ||
-      std::any_of(aRequest.m_excluded.begin(),
-                  aRequest.m_excluded.end(),
-                  [&](const std::string& aId) { return path->Uses(aId); });
-    if (isExcluded || IsShunned(aNow, *path)) {
+    if (!IsAllowed(aNow, *path, aRequest)) {
       continue;
     }
     const double fill = Fill(aNow, *path, aRequest);
-    if (path->First().m_zone == m_zone && fill <= m_settings.m_ownZoneFill) {
+    const bool isLocal = path->m_crossings == 0;
+    if (isLocal && path->First().m_zone == m_zone &&
+        fill <= m_settings.m_ownZoneFill) {
       return { path, false };
     }
-    if (!best || fill < least) {
+    const double cost =
+      fill + (isLocal || fill > m_settings.m_fillLimit ? 0 : kCrossingCost);
+    if (!best || cost < least) {
       best = path;
-      least = fill;
+      least = cost;
     }
   }
-  if (best && least > m_settings.m_fillLimit) {
-    return { nullptr, true };
-  }
-  return { best, false };
+  const bool isFull =
+    best && Fill(aNow, *best, aRequest) > m_settings.m_fillLimit;
+  return isFull ? PathChoice{ nullptr, true } : PathChoice{ best, false };
+}
+
+bool
+PathBook::IsAllowed(TimePoint aNow,
+                    const StagePath& aPath,
+                    const PathRequest& aRequest)
+{
+  const bool isExcluded =
+    std::any_of(aRequest.m_excluded.begin(),
+                aRequest.m_excluded.end(),
+                [&](const std::string& aId) { return aPath.Uses(aId); });
+  return !isExcluded && !IsShunned(aNow, aPath) &&
+         (!aRequest.m_isAllowed || aRequest.m_isAllowed(aPath));
 }
 
 PathHold::PathHold(StagePathPtr aPath, std::uint32_t aTokens)
--- a/Source/Routing/PathBook.h
+++ b/Source/Routing/PathBook.h
@@ -34,6 +34,8 @@
   std::vector<PathStage> m_stages;
   // What one token is expected to take.
   double m_stepMs = 0;
+  // How often it passes from one availability zone to another.
+  std::size_t m_crossings = 0;
 
   const Runner& First() const { return *m_stages.front().m_runner; }
   bool Uses(const std::string& aRunner) const;
@@ -64,8 +66,8 @@
 struct PathBookSettings
 {
   std::size_t m_paths = 6;
-  // Paths that begin in the own zone are used up to this fill; then the least
-  // filled of all.
+  // A path within the own zone is used up to this fill; then the least filled
+  // within any zone; then the least filled of all.
   double m_ownZoneFill = 0.6;
   // Part of the room and of the slots that new requests may fill; answers grow
   // beyond their expected length.
@@ -94,6 +96,9 @@
   void Plan(TimePoint aNow);
   StagePathPtr MakePath(const std::vector<PathHost>& aHosts,
                         const std::vector<PathPart>& aParts) const;
+  static bool IsAllowed(TimePoint aNow,
+                        const StagePath& aPath,
+                        const PathRequest& aRequest);
   // Some engine of the path refuses new work.
   static bool IsShunned(TimePoint aNow, const StagePath& aPath);
   // Share of the tightest stage's room, or of the first engine's slots, that
