Forwarding: Refuse what arrives after a stopping VM's grace for new requests

Engines that slowed down are asked until they are not slow; an engine that answers without the layers it had has started again and lost its streams; refusals one after another double the time for which an engine gets no new request.

--- a/Source/Forwarding/ForwardDialect.h
+++ b/Source/Forwarding/ForwardDialect.h
@@ -76,6 +76,8 @@
 {
   // Factor on its usual times; 1 is normal.
   double m_pace = 1;
+  // Nothing where it did not say.
+  std::optional<LayerSpan> m_holds;
 };
 
 class ForwardDialect
--- a/Source/Forwarding/ForwardSession.cxx
+++ b/Source/Forwarding/ForwardSession.cxx
@@ -154,6 +154,12 @@
     aJob.m_marks = m_services.m_dialect.ReadCaller(aJob.Request());
     aJob.m_deadline =
       aJob.m_arrival + aJob.m_marks.m_patience.value_or(kDefaultPatience);
+    // What is taken so late would be cut off at the end of the grace, and with
+    // it the VM would stay longer than the balancer sends callers to it.
+    if (m_services.m_drain.Phase(aJob.m_arrival) == DrainPhase::Draining) {
+      co_await Refuse(aJob, RefusalCause::Stopping);
+      co_return false;
+    }
     co_await WaitForControl(aJob);
     aJob.m_config = board.HoldConfig();
     if (!aJob.m_config) {
--- a/Source/Forwarding/PathDoctor.cxx
+++ b/Source/Forwarding/PathDoctor.cxx
@@ -24,6 +24,15 @@
   return MixBits(aRunner.m_idHash ^ aRunner.m_incarnation);
 }
 
+// An engine that started again answers, but knows nothing of its streams.
+bool
+HoldsAnnounced(const Runner& aRunner, const LayerSpan& aHolds)
+{
+  return aRunner.m_layerCount == 0 ||
+         (aHolds.m_first <= aRunner.m_firstLayer &&
+          aHolds.m_end >= aRunner.m_firstLayer + aRunner.m_layerCount);
+}
+
 } // namespace
 
 PathDoctor::PathDoctor(asio::io_context& aContext,
@@ -183,6 +192,8 @@
     }
     if (patient.m_runner->m_load->Circuit(aNow) == CircuitState::HalfOpen) {
       Ask(aNow, patient.m_runner, Duration::zero());
+    } else if (patient.m_pace > kSlowPace) {
+      Ask(aNow, patient.m_runner, m_settings.m_askSlowAgain);
     }
     ++place;
   }
@@ -203,7 +214,11 @@
   if (result.m_response && result.m_response->result_int() == kOk) {
     state = m_dialect.ReadState(result.m_response->body());
   }
-  if (state) {
+  const bool hasLostLayers =
+    state && state->m_holds && !HoldsAnnounced(*aRunner, *state->m_holds);
+  if (hasLostLayers) {
+    NoteDead(BootClock::now(), aRunner, "it has lost its layers");
+  } else if (state) {
     NoteAlive(aRunner, *state);
   } else if (m_watch->LastDelay() <= m_settings.m_ownPause ||
              result.IsUnsent()) {
@@ -220,12 +235,15 @@
   const TimePoint now = BootClock::now();
   Patient& patient = m_patients[KeyOf(*aRunner)];
   patient.m_avoid = Duration::zero();
+  const bool paceChanged = (patient.m_pace > kSlowPace) !=
+                           (aState.m_pace > kSlowPace);
+  patient.m_pace = aState.m_pace;
   const bool wasOk = aRunner->m_load->Circuit(now) == CircuitState::Ok;
   aRunner->m_load->Clear(now);
-  if (aState.m_pace > kSlowPace) {
+  if (aState.m_pace > kSlowPace || paceChanged) {
     aRunner->m_load->NotePace(now, aState.m_pace);
   }
-  if (!wasOk) {
+  if (!wasOk || paceChanged) {
     m_board->InvalidatePaths();
     m_log.Write(DecisionEvent::EndpointCleared, [&](DecisionLine& aLine) {
       aLine.Add("endpoint", aRunner->m_id)
--- a/Source/Forwarding/PathDoctor.h
+++ b/Source/Forwarding/PathDoctor.h
@@ -28,13 +28,13 @@
   // Streams with gaps beyond this have a slow engine on their path: the
   // shortest pause target is 200 ms.
   Duration m_slowGap = std::chrono::milliseconds(90);
-  Duration m_askSlowAgain = std::chrono::seconds(2);
+  Duration m_askSlowAgain = std::chrono::seconds(1);
   // Silence after which a stream goes elsewhere though all engines answered:
   // the connection itself must be silent. Under load a stream that waits would
   // only wait again elsewhere.
   int m_moveGaps = 12;
   Duration m_moveAfter = std::chrono::milliseconds(700);
-  Duration m_moveAfterSending = std::chrono::milliseconds(1500);
+  Duration m_moveAfterSending = std::chrono::milliseconds(2500);
   // A stream with a dead engine on its path goes elsewhere after this silence.
   Duration m_leaveDeadAfter = std::chrono::milliseconds(25);
   // An engine that does not answer in this time is dead; it answers without
@@ -81,6 +81,8 @@
     bool m_isAsked = false;
     TimePoint m_askedAt{};
     Duration m_avoid{};
+    // As it said last; a slow engine is asked until it is not.
+    double m_pace = 1;
   };
 
   // What the streams through one engine show.
--- a/Source/Forwarding/RequestJob.cxx
+++ b/Source/Forwarding/RequestJob.cxx
@@ -22,7 +22,7 @@
   std::string_view m_text;
 };
 
-constexpr std::array<RefusalRow, 7> kRefusals{ {
+constexpr std::array<RefusalRow, 8> kRefusals{ {
   { RefusalCause::NoConfiguration,
     "no_configuration",
     "this VM has not received a configuration yet" },
@@ -36,6 +36,7 @@
     "endpoints_refuse",
     "the endpoints refused the request" },
   { RefusalCause::OutOfTime, "out_of_time", "no time was left to send it" },
+  { RefusalCause::Stopping, "stopping", "this VM is about to end" },
 } };
 
 const RefusalRow&
--- a/Source/Forwarding/RequestJob.h
+++ b/Source/Forwarding/RequestJob.h
@@ -22,6 +22,8 @@
   PathsFull,
   EndpointsRefuse,
   OutOfTime,
+  // This VM is about to end.
+  Stopping,
 };
 
 // A request with all that was found out about it.
--- a/Source/Forwarding/RetryAfter.cxx
+++ b/Source/Forwarding/RetryAfter.cxx
@@ -34,6 +34,8 @@
       // Some calls of about 20 ms each are ahead.
       return milliseconds(100);
     case RefusalCause::OutOfTime:
+    case RefusalCause::Stopping:
+      // Another VM takes it.
       return milliseconds(20);
   }
   return milliseconds(100);
--- a/Source/Routing/RunnerLoad.cxx
+++ b/Source/Routing/RunnerLoad.cxx
@@ -22,6 +22,9 @@
 constexpr std::int64_t kFirstSuspicionNs = 500'000'000;
 constexpr std::uint32_t kMaxSuspicionDoublings = 6;
 constexpr std::int64_t kProbeWindowNs = 1'000'000'000;
+// A refusal this soon after the last one follows it.
+constexpr std::int64_t kShunMemoryNs = 500'000'000;
+constexpr std::uint32_t kMaxShunDoublings = 3;
 
 std::int64_t
 ToNs(TimePoint aTime)
@@ -176,6 +179,22 @@
   m_suspectUntilNs.store(0, std::memory_order_relaxed);
 }
 
+void
+RunnerLoad::Shun(TimePoint aNow, Duration aFor)
+{
+  const std::int64_t now = ToNs(aNow);
+  const std::int64_t until = Load(m_shunUntilNs);
+  if (now < until) {
+    return;
+  }
+  const bool follows = until != 0 && now - until < kShunMemoryNs;
+  const std::uint32_t doublings =
+    follows ? std::min(Load(m_shunDoublings) + 1, kMaxShunDoublings) : 0;
+  m_shunDoublings.store(doublings, std::memory_order_relaxed);
+  m_shunUntilNs.store(now + (aFor.count() << doublings),
+                      std::memory_order_relaxed);
+}
+
 void
 RunnerLoad::NotePace(TimePoint aNow, double aPace)
 {
--- a/Source/Routing/RunnerLoad.h
+++ b/Source/Routing/RunnerLoad.h
@@ -74,12 +74,9 @@
   std::int32_t HeldTokens() const { return Load(m_heldTokens); }
   // Keeps work away for this long, whatever happened before.
   void Suspect(TimePoint aNow, Duration aFor);
-  // It refuses new work for now; what it has goes on.
-  void Shun(TimePoint aNow, Duration aFor)
-  {
-    m_shunUntilNs.store((aNow + aFor).time_since_epoch().count(),
-                        std::memory_order_relaxed);
-  }
+  // It refuses new work for now; what it has goes on. Refusals that follow one
+  // another double the time, up to eight times.
+  void Shun(TimePoint aNow, Duration aFor);
   bool IsShunned(TimePoint aNow) const
   {
     return aNow.time_since_epoch().count() < Load(m_shunUntilNs);
@@ -120,6 +117,7 @@
   std::atomic<std::int32_t> m_positions{ 0 };
   std::atomic<std::int32_t> m_heldTokens{ 0 };
   std::atomic<std::int64_t> m_shunUntilNs{ 0 };
+  std::atomic<std::uint32_t> m_shunDoublings{ 0 };
   // Moving averages; a lost update between threads is harmless.
   std::atomic<std::int64_t> m_roundTripNs{ 0 };
   std::atomic<std::int64_t> m_positionNs{ 0 };
