Forwarding: Keep a stream that has begun until another path takes it

An engine that moved its layers was taken for one that had started again, its streams were ended, and with the budget spent they were cut. VMs that start again began with a whole window's slack.

Change: an engine's start time tells whether it started again. A stream that has begun waits up to 1.8 s for a path and the budget. The slack grows over the first window after a start. A zone whose gap cannot be closed by growing is laid out anew.

Tests: layers, paths, path book with a replayed burst, configuration rules, budget, forwarding over real connections, placement; the zone that could not be repaired and the answer in progress without "Connection: close" were seen failing.

--- a/Source/Control/ClientNode.cxx
+++ b/Source/Control/ClientNode.cxx
@@ -288,9 +288,8 @@
   // Answers come in order; earlier ones are not to be expected any more.
   std::erase_if(m_pings,
                 [&](const auto& aPing) { return aPing.first <= aPong.id; });
-  m_confirmedAt =
-    std::max(m_confirmedAt,
-             sentAt - std::chrono::milliseconds(aPong.confirmed_ago_ms));
+  m_confirmedAt = std::max(
+    m_confirmedAt, sentAt - std::chrono::milliseconds(aPong.confirmed_ago_ms));
   m_view.Advance(aPong.index);
   m_view.NoteInForce(aPong.in_force_index);
   m_view.NoteGatewayCount(aPong.gateways);
--- a/Source/Control/FeedServer.cxx
+++ b/Source/Control/FeedServer.cxx
@@ -183,7 +183,8 @@
   pong.in_force_index = m_backend.InForceIndex();
   pong.gateways = m_backend.GatewayCount();
   pong.lease_ms = lease ? ToMs(*lease) : 0;
-  pong.confirmed_ago_ms = ToMs(std::min(m_gateways.ConfirmedAgo(aNow), kLongAgo));
+  pong.confirmed_ago_ms =
+    ToMs(std::min(m_gateways.ConfirmedAgo(aNow), kLongAgo));
   aSession.m_link->Send(EncodeFeedBody(pong));
 }
 
--- a/Source/Forwarding/ForwardDialect.h
+++ b/Source/Forwarding/ForwardDialect.h
@@ -76,8 +76,8 @@
 {
   // Factor on its usual times; 1 is normal.
   double m_pace = 1;
-  // Nothing where it did not say.
-  std::optional<LayerSpan> m_holds;
+  // The incarnation that answers; nothing where it did not say.
+  std::optional<std::uint64_t> m_incarnation;
 };
 
 class ForwardDialect
--- a/Source/Forwarding/PathDoctor.cxx
+++ b/Source/Forwarding/PathDoctor.cxx
@@ -24,15 +24,6 @@
   return MixBits(aRunner.m_idHash ^ aRunner.m_incarnation);
 }
 
-// An engine that started again answers, but knows nothing of its streams.
-bool
-HoldsAnnounced(const Runner& aRunner, const LayerSpan& aHolds)
-{
-  return aRunner.m_layerCount == 0 ||
-         (aHolds.m_first <= aRunner.m_firstLayer &&
-          aHolds.m_end >= aRunner.m_firstLayer + aRunner.m_layerCount);
-}
-
 } // namespace
 
 PathDoctor::PathDoctor(asio::io_context& aContext,
@@ -109,17 +100,13 @@
 {
   const TimePoint movedAt =
     std::max(aTraffic.m_runner->m_load->AnsweredAt(), m_judgeFrom);
-  const auto askAfter =
-    std::max(m_settings.m_askAfter,
-             std::chrono::duration_cast<Duration>(aTraffic.m_usualGap *
-                                                  m_settings.m_askGaps));
-  const bool isSilent =
-    aTraffic.m_hasBegun && aNow - movedAt > askAfter;
-  const TimePoint waitingSince =
-    std::max(aTraffic.m_waitingSince, m_judgeFrom);
-  const bool isWaiting =
-    aNow - waitingSince > m_settings.m_askAfterSending &&
-    movedAt < waitingSince;
+  const auto askAfter = std::max(m_settings.m_askAfter,
+                                 std::chrono::duration_cast<Duration>(
+                                   aTraffic.m_usualGap * m_settings.m_askGaps));
+  const bool isSilent = aTraffic.m_hasBegun && aNow - movedAt > askAfter;
+  const TimePoint waitingSince = std::max(aTraffic.m_waitingSince, m_judgeFrom);
+  const bool isWaiting = aNow - waitingSince > m_settings.m_askAfterSending &&
+                         movedAt < waitingSince;
   if (isSilent || isWaiting) {
     Ask(aNow, aTraffic.m_runner, m_settings.m_askAgain);
   } else if (aTraffic.m_isSlow) {
@@ -130,13 +117,11 @@
 void
 PathDoctor::MoveIfSilent(TimePoint aNow, ForwardCall& aStream)
 {
-  const Duration silent =
-    aNow - std::max(aStream.ProgressAt(), m_judgeFrom);
+  const Duration silent = aNow - std::max(aStream.ProgressAt(), m_judgeFrom);
   const Duration moveAfter =
-    aStream.HasProgress()
-      ? std::max(m_settings.m_moveAfter,
-                 aStream.UsualGap() * m_settings.m_moveGaps)
-      : m_settings.m_moveAfterSending;
+    aStream.HasProgress() ? std::max(m_settings.m_moveAfter,
+                                     aStream.UsualGap() * m_settings.m_moveGaps)
+                          : m_settings.m_moveAfterSending;
   if (silent >= m_settings.m_leaveDeadAfter && HasDeadStage(aNow, aStream)) {
     if (aStream.ClaimMove()) {
       aStream.Abort(CallEnd::StageLost);
@@ -214,10 +199,11 @@
   if (result.m_response && result.m_response->result_int() == kOk) {
     state = m_dialect.ReadState(result.m_response->body());
   }
-  const bool hasLostLayers =
-    state && state->m_holds && !HoldsAnnounced(*aRunner, *state->m_holds);
-  if (hasLostLayers) {
-    NoteDead(BootClock::now(), aRunner, "it has lost its layers");
+  // An engine that started again answers, but knows nothing of its streams.
+  const bool hasStartedAgain = state && state->m_incarnation &&
+                               *state->m_incarnation != aRunner->m_incarnation;
+  if (hasStartedAgain) {
+    NoteDead(BootClock::now(), aRunner, "it has started again");
   } else if (state) {
     NoteAlive(aRunner, *state);
   } else if (m_watch->LastDelay() <= m_settings.m_ownPause ||
@@ -235,8 +221,8 @@
   const TimePoint now = BootClock::now();
   Patient& patient = m_patients[KeyOf(*aRunner)];
   patient.m_avoid = Duration::zero();
-  const bool paceChanged = (patient.m_pace > kSlowPace) !=
-                           (aState.m_pace > kSlowPace);
+  const bool paceChanged =
+    (patient.m_pace > kSlowPace) != (aState.m_pace > kSlowPace);
   patient.m_pace = aState.m_pace;
   const bool wasOk = aRunner->m_load->Circuit(now) == CircuitState::Ok;
   aRunner->m_load->Clear(now);
--- a/Source/Forwarding/RequestJob.cxx
+++ b/Source/Forwarding/RequestJob.cxx
@@ -109,6 +109,10 @@
 void
 AppendConnection(std::string& aOut, const RequestJob& aJob)
 {
+  // A stop may have begun since the request came.
+  if (aJob.m_services.m_drain.Phase(BootClock::now()) != DrainPhase::Serving) {
+    aJob.m_caller->CloseAfterAnswer();
+  }
   if (aJob.m_caller->Closes()) {
     AppendField(aOut, "Connection", "close");
   }
--- a/Source/Forwarding/RoutingBoard.h
+++ b/Source/Forwarding/RoutingBoard.h
@@ -25,7 +25,7 @@
 {
   ServiceDesk(const std::string& aZone, const WindowedBudgetSettings& aRetries)
     : m_paths(aZone)
-    , m_retries(aRetries)
+    , m_retries(aRetries, BootClock::now())
   {
   }
 
--- a/Source/Forwarding/StreamForwarder.cxx
+++ b/Source/Forwarding/StreamForwarder.cxx
@@ -23,7 +23,7 @@
 constexpr unsigned kGatewayTimeout = 504;
 constexpr unsigned kFirstClientError = 400;
 // Sendings that reached nobody, or that were refused, before giving up.
-constexpr std::size_t kMaxRefusals = 4;
+constexpr std::size_t kMaxRefusals = 2;
 // An event that does not end within this is no event.
 constexpr std::size_t kMaxEventBytes = 1024UL * 1024;
 // Runs of one request, whatever broke them off.
@@ -40,6 +40,9 @@
 constexpr Duration kPathLook = std::chrono::milliseconds(10);
 // Part of the target for the first event that a request may wait for room.
 constexpr int kFullWaitPart = 2;
+// How long a stream without a run is kept for another one.
+constexpr Duration kResumeWait = std::chrono::milliseconds(1800);
+constexpr Duration kResumeLook = std::chrono::milliseconds(60);
 constexpr std::string_view kLastChunk = "0\r\n\r\n";
 
 void
@@ -98,7 +101,7 @@
       if (verdict == RunVerdict::Ended) {
         co_return;
       }
-      if (!MayTryAgain(verdict)) {
+      if (!MayTryAgain(verdict) && !co_await WaitToResume()) {
         co_await GiveUp(RefusalCause::EndpointsRefuse);
         co_return;
       }
@@ -156,6 +159,28 @@
     co_return true;
   }
 
+  // A caller who has had events waits about two seconds for the next one. The
+  // budget grows meanwhile, and engines that refuse get room.
+  asio::awaitable<bool> WaitToResume()
+  {
+    const TimePoint until = m_lastEventAt + kResumeWait;
+    asio::steady_timer timer(m_services.m_context);
+    while (m_hasBegun && m_job.m_route->m_isResumable && m_runs < kMaxRuns &&
+           BootClock::now() < until && !m_job.IsOutOfTime()) {
+      timer.expires_after(kResumeLook);
+      co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+      if (m_job.m_caller->IsGone()) {
+        co_return true; // noticed at once by the loop
+      }
+      m_job.m_excluded.clear();
+      if (ClaimMove()) {
+        m_hasClaimed = false;
+        co_return true;
+      }
+    }
+    co_return false;
+  }
+
   bool MayTryAgain(RunVerdict aVerdict)
   {
     if (aVerdict == RunVerdict::NotRun && ++m_refusals > kMaxRefusals) {
@@ -279,8 +304,7 @@
     const TimePoint now = BootClock::now();
     // Dead, leaving, giving up its layers or short of memory: only the first
     // concerns the streams that it has.
-    RunnerPtr faulty =
-      m_services.m_doctor.FindByAddress(aMarks.m_faultAddress);
+    RunnerPtr faulty = m_services.m_doctor.FindByAddress(aMarks.m_faultAddress);
     if (!faulty) {
       faulty = aCall.Target();
     }
--- a/Source/Routing/LayerLayout.cxx
+++ b/Source/Routing/LayerLayout.cxx
@@ -108,6 +108,12 @@
   return end > first ? end - first : 0;
 }
 
+bool
+HoldsAll(const LayeredModel& aModel, const std::vector<LayoutHost>& aHosts)
+{
+  return CountCoverage(aModel, aHosts).LeastOf({ 0, aModel.m_layers }) != 0;
+}
+
 // What an engine can do about layers that nobody holds.
 struct Offer
 {
@@ -210,9 +216,8 @@
 }
 
 void
-LayerLayout::PlanGroup(const LayeredModel& aModel,
-                       std::vector<LayoutHost> aHosts,
-                       std::vector<LayoutOrder>& aOrders) const
+LayerLayout::FillEmpty(const LayeredModel& aModel,
+                       std::vector<LayoutHost>& aHosts) const
 {
   const double room = ChooseRoom(aModel, aHosts);
   Coverage coverage = CountCoverage(aModel, aHosts);
@@ -225,15 +230,37 @@
     span.m_end = std::min(span.m_end, span.m_first + most);
     coverage.Add(span);
     host.m_holds = span;
-    aOrders.push_back({ host.m_id, host.m_incarnation, span });
   }
-  CloseGap(aModel, aHosts, aOrders);
+}
+
+void
+LayerLayout::PlanGroup(const LayeredModel& aModel,
+                       const std::vector<LayoutHost>& aHosts,
+                       std::vector<LayoutOrder>& aOrders) const
+{
+  std::vector<LayoutHost> planned = aHosts;
+  FillEmpty(aModel, planned);
+  CloseGap(aModel, planned);
+  const bool canHoldAll =
+    SumLayers(aModel, aHosts, m_settings.m_leastTokens) >= aModel.m_layers;
+  if (!HoldsAll(aModel, planned) && canHoldAll) {
+    // Nothing passes through a chain with a gap, so all may move.
+    for (LayoutHost& host : planned) {
+      host.m_holds = {};
+    }
+    FillEmpty(aModel, planned);
+  }
+  for (std::size_t i = 0; i < planned.size(); ++i) {
+    if (planned[i].m_holds != aHosts[i].m_holds) {
+      aOrders.push_back(
+        { planned[i].m_id, planned[i].m_incarnation, planned[i].m_holds });
+    }
+  }
 }
 
 void
 LayerLayout::CloseGap(const LayeredModel& aModel,
-                      std::vector<LayoutHost>& aHosts,
-                      std::vector<LayoutOrder>& aOrders) const
+                      std::vector<LayoutHost>& aHosts) const
 {
   for (std::size_t i = 0; i < aHosts.size(); ++i) {
     const Coverage coverage = CountCoverage(aModel, aHosts);
@@ -256,7 +283,6 @@
       return;
     }
     helper->m_holds = best.m_span;
-    aOrders.push_back({ helper->m_id, helper->m_incarnation, best.m_span });
   }
 }
 
--- a/Source/Routing/LayerLayout.h
+++ b/Source/Routing/LayerLayout.h
@@ -58,7 +58,8 @@
 // its links are shared by all chains.
 //
 // Layers that nobody holds any more go to an engine whose own are held twice,
-// or to the neighbours of the gap.
+// or to the neighbours of the gap; where that is not enough, the zone's layers
+// are laid out anew.
 //
 // An engine without layers takes the first run of layers that the fewest
 // engines of its zone hold; so the first engines complete a chain, and later
@@ -81,11 +82,12 @@
   Groups GroupByZone(const LayeredModel& aModel,
                      const std::vector<LayoutHost>& aHosts) const;
   void PlanGroup(const LayeredModel& aModel,
-                 std::vector<LayoutHost> aHosts,
+                 const std::vector<LayoutHost>& aHosts,
                  std::vector<LayoutOrder>& aOrders) const;
+  void FillEmpty(const LayeredModel& aModel,
+                 std::vector<LayoutHost>& aHosts) const;
   void CloseGap(const LayeredModel& aModel,
-                std::vector<LayoutHost>& aHosts,
-                std::vector<LayoutOrder>& aOrders) const;
+                std::vector<LayoutHost>& aHosts) const;
   // Most room at which the engines hold the whole model.
   double ChooseRoom(const LayeredModel& aModel,
                     const std::vector<LayoutHost>& aHosts) const;
--- a/Source/Routing/PathBook.cxx
+++ b/Source/Routing/PathBook.cxx
@@ -111,11 +111,10 @@
 bool
 PathBook::IsShunned(TimePoint aNow, const StagePath& aPath)
 {
-  return std::any_of(aPath.m_stages.begin(),
-                     aPath.m_stages.end(),
-                     [&](const PathStage& aStage) {
-                       return aStage.m_runner->m_load->IsShunned(aNow);
-                     });
+  return std::any_of(
+    aPath.m_stages.begin(), aPath.m_stages.end(), [&](const PathStage& aStage) {
+      return aStage.m_runner->m_load->IsShunned(aNow);
+    });
 }
 
 double
@@ -130,8 +129,7 @@
                                   1.0,
                                   2.0 * std::max(1U, aRequest.m_gateways));
   double fill =
-    (streams + 1) /
-    std::max(1.0, static_cast<double>(aPath.First().m_slots));
+    (streams + 1) / std::max(1.0, static_cast<double>(aPath.First().m_slots));
   for (const PathStage& stage : aPath.m_stages) {
     const double held =
       stage.m_runner->m_load->HeldTokens() * share + aRequest.m_tokens;
--- a/Source/Routing/WindowedBudget.cxx
+++ b/Source/Routing/WindowedBudget.cxx
@@ -5,8 +5,18 @@
 
 namespace parsleycove {
 
-WindowedBudget::WindowedBudget(WindowedBudgetSettings aSettings)
+namespace {
+
+// Part of the slack that a process has at its start; less than the caution
+// leaves.
+constexpr double kFirstPart = 0.12;
+
+} // namespace
+
+WindowedBudget::WindowedBudget(WindowedBudgetSettings aSettings,
+                               TimePoint aStartedAt)
   : m_settings(aSettings)
+  , m_startedAt(aStartedAt)
 {
 }
 
@@ -40,7 +50,10 @@
 WindowedBudget::Left(TimePoint aNow, std::uint32_t aGateways)
 {
   Advance(aNow);
-  const double part = m_settings.m_slack / std::max(1U, aGateways);
+  const double grown =
+    std::chrono::duration<double>(aNow - m_startedAt) / m_settings.m_window;
+  const double part = m_settings.m_slack / std::max(1U, aGateways) *
+                      std::clamp(grown, kFirstPart, 1.0);
   return m_settings.m_caution * (m_settings.m_ratio * m_requests + part) -
          m_repeats;
 }
--- a/Source/Routing/WindowedBudget.h
+++ b/Source/Routing/WindowedBudget.h
@@ -23,12 +23,16 @@
   double m_caution = 0.85;
 };
 
+// What an earlier process of this VM spent is not known, so the slack grows
+// over the first window.
+//
 // Invariant: in any window the granted repeats are at most the ratio of the
 // window's requests plus this gateway's part of the slack.
 class WindowedBudget
 {
 public:
-  explicit WindowedBudget(WindowedBudgetSettings aSettings);
+  explicit WindowedBudget(WindowedBudgetSettings aSettings,
+                          TimePoint aStartedAt = {});
 
   void RecordRequest(TimePoint aNow);
   // Pays for one repeat; false when the budget is spent. aGateways: size of
@@ -49,6 +53,7 @@
   const WindowedBudgetSettings m_settings;
   std::array<Slice, kSlices> m_slices{};
   std::int64_t m_slice = 0;
+  TimePoint m_startedAt{};
   // Sums over m_slices.
   std::uint32_t m_requests = 0;
   std::uint32_t m_repeats = 0;
--- /dev/null
+++ b/Tests/Forwarding/ForwardFixture.cxx
@@ -0,0 +1,253 @@
+// A forwarding gateway with stub endpoints and a caller, on one thread.
+#include "Forwarding/ForwardFixture.h"
+
+#include <algorithm>
+
+#include <boost/asio/write.hpp>
+
+namespace parsleycove {
+
+namespace {
+
+constexpr std::chrono::seconds kPatience{ 20 };
+constexpr std::chrono::milliseconds kSlice{ 5 };
+
+constexpr char kConfig[] = R"({"routes":[
+{"name":"safe","host":"one.example","path-prefix":"/safe/","kind":"safe",
+ "timeout-ms":1000,"target-latency-ms":100,"service":"plain","max-attempts":2},
+{"name":"unsafe","host":"one.example","path-prefix":"/unsafe/","kind":"unsafe",
+ "timeout-ms":1000,"target-latency-ms":100,"service":"plain","max-attempts":2},
+{"name":"stream","host":"one.example","path-prefix":"/stream/",
+ "kind":"streaming","resumable":true,"timeout-ms":20000,
+ "target-latency-ms":500,"service":"model","max-attempts":2},
+{"name":"once","host":"one.example","path-prefix":"/once/","kind":"streaming",
+ "timeout-ms":20000,"target-latency-ms":500,"service":"model",
+ "max-attempts":2}],
+"services":[{"name":"plain"},{"name":"model","engine":{"layers":4,
+ "layer-mb":10,"kv-token-bytes":1000,"step_ms":1,"read_per_s":1000,
+ "kinds":[{"name":"card","mb":1000,"pace":1,"read-x":1}]}}],
+"tenants":[{"name":"account-1","api-keys":["k1"]}],
+"limits":{"max-header-bytes":2048,"max-body-bytes":4096},
+"version":)";
+
+} // namespace
+
+bool
+MemorySink::Has(const std::vector<std::string>& aTexts) const
+{
+  return std::any_of(
+    m_lines.begin(), m_lines.end(), [&](const std::string& aLine) {
+      return std::all_of(
+        aTexts.begin(), aTexts.end(), [&](const std::string& aText) {
+          return aLine.find(aText) != std::string::npos;
+        });
+    });
+}
+
+ForwardFixture::ForwardFixture()
+{
+  m_options.m_vm = "vm-1";
+  m_options.m_zone = "zone-a";
+  m_options.m_listen = { "127.0.0.1", 0 };
+  m_options.m_readiness = { "127.0.0.1", 0 };
+  m_options.m_drainGrace = std::chrono::milliseconds(100);
+}
+
+ForwardFixture::~ForwardFixture()
+{
+  m_gateway.reset();
+  m_endpoints.clear();
+}
+
+void
+ForwardFixture::PutConfig(std::uint64_t aVersion)
+{
+  state::PutDocumentT put;
+  put.document = std::make_unique<state::RoutingDocumentT>();
+  put.document->version = aVersion;
+  put.document->text = kConfig + std::to_string(aVersion) + "}";
+  state::CommandT command;
+  command.body.Set(std::move(put));
+  m_control.Apply(command);
+}
+
+StubEndpoint&
+ForwardFixture::Announce(state::EndpointT aEndpoint)
+{
+  StubEndpoint& endpoint = m_endpoints.emplace_back(m_context);
+  aEndpoint.id = IdOf(endpoint);
+  aEndpoint.address = "127.0.0.1";
+  aEndpoint.port = endpoint.Port();
+  aEndpoint.zone = "zone-a";
+  aEndpoint.incarnation = 1;
+  aEndpoint.report = 1;
+  aEndpoint.slots = 8;
+  state::AnnounceEndpointT announce;
+  announce.endpoint = std::make_unique<state::EndpointT>(aEndpoint);
+  state::CommandT command;
+  command.body.Set(std::move(announce));
+  m_control.Apply(command);
+  return endpoint;
+}
+
+StubEndpoint&
+ForwardFixture::AddPlain()
+{
+  state::EndpointT endpoint;
+  endpoint.kind = state::EndpointKind::PlainService;
+  endpoint.service = "plain";
+  return Announce(std::move(endpoint));
+}
+
+StubEndpoint&
+ForwardFixture::AddEngine(std::uint32_t aFirst, std::uint32_t aEnd)
+{
+  state::EndpointT endpoint;
+  endpoint.kind = state::EndpointKind::ManagedEngine;
+  endpoint.service = "model";
+  endpoint.accelerator = "card";
+  endpoint.first_layer = aFirst;
+  endpoint.layer_count = aEnd - aFirst;
+  return Announce(std::move(endpoint));
+}
+
+std::string
+ForwardFixture::IdOf(const StubEndpoint& aEndpoint) const
+{
+  return "e-" + std::to_string(aEndpoint.Port());
+}
+
+void
+ForwardFixture::Start()
+{
+  m_gateway = std::make_unique<ForwardGateway>(
+    m_context, m_options, m_dialect, m_codec, m_control, m_log, m_metrics);
+  std::string reason;
+  if (!m_gateway->Start(reason)) {
+    std::abort();
+  }
+}
+
+bool
+ForwardFixture::RunUntil(const std::function<bool()>& aCondition)
+{
+  const TimePoint deadline = BootClock::now() + kPatience;
+  while (!aCondition()) {
+    if (BootClock::now() > deadline) {
+      return false;
+    }
+    m_context.run_one_for(kSlice);
+    m_context.restart();
+  }
+  return true;
+}
+
+ForwardFixture::Caller::Caller(ForwardFixture& aFixture, std::uint16_t aPort)
+  : m_socket(aFixture.m_context)
+{
+  m_socket.connect({ boost::asio::ip::make_address("127.0.0.1"), aPort });
+  Read();
+}
+
+void
+ForwardFixture::Caller::Send(const std::string& aBytes)
+{
+  boost::asio::write(m_socket, boost::asio::buffer(aBytes));
+}
+
+void
+ForwardFixture::Caller::Read()
+{
+  m_socket.async_read_some(
+    boost::asio::buffer(m_chunk),
+    [this](const boost::system::error_code& aError, std::size_t aBytes) {
+      m_received.append(m_chunk.data(), aBytes);
+      if (aError) {
+        m_closed = true;
+      } else {
+        Read();
+      }
+    });
+}
+
+std::unique_ptr<ForwardFixture::Caller>
+ForwardFixture::Connect()
+{
+  return std::make_unique<Caller>(*this, m_gateway->Port());
+}
+
+std::string
+ForwardFixture::Ask(const std::string& aMethod,
+                    const std::string& aPath,
+                    const std::string& aMore,
+                    const std::string& aBody)
+{
+  const auto caller = Connect();
+  caller->Send(
+    MakeRequest(aMethod, aPath, aMore + "Connection: close\r\n", aBody));
+  if (!RunUntil([&] { return caller->IsClosed(); })) {
+    return "no answer";
+  }
+  return caller->Received();
+}
+
+std::string
+MakeRequest(const std::string& aMethod,
+            const std::string& aPath,
+            const std::string& aMore,
+            const std::string& aBody)
+{
+  const std::string length =
+    aBody.empty() ? ""
+                  : "Content-Length: " + std::to_string(aBody.size()) + "\r\n";
+  return aMethod + " " + aPath +
+         " HTTP/1.1\r\nHost: one.example\r\nAttempt-Id: a1\r\n"
+         "Deadline-Ms: 5000\r\nAuthorization: Bearer k1\r\n" +
+         aMore + length + "\r\n" + aBody;
+}
+
+int
+StatusOf(const std::string& aAnswer)
+{
+  constexpr std::size_t kStatusPlace = 9;
+  return aAnswer.size() > kStatusPlace + 3
+           ? std::atoi(aAnswer.c_str() + kStatusPlace)
+           : 0;
+}
+
+std::vector<int>
+EventsOf(const std::string& aAnswer)
+{
+  std::vector<int> ids;
+  for (auto place = aAnswer.find("id: "); place != std::string::npos;
+       place = aAnswer.find("id: ", place + 1)) {
+    ids.push_back(std::atoi(aAnswer.c_str() + place + 4));
+  }
+  return ids;
+}
+
+bool
+IsComplete(const std::string& aAnswer)
+{
+  return aAnswer.ends_with("\r\n0\r\n\r\n");
+}
+
+StubEndpoint::Script
+WithState(StubEndpoint::Script aScript)
+{
+  return [script = std::move(aScript)](const HttpRequest& aRequest) {
+    if (aRequest.target() == "/parsleycove/report") {
+      return std::vector<StubStep>{ Send(
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}") };
+    }
+    return script(aRequest);
+  };
+}
+
+std::string
+AttemptOf(const HttpRequest& aRequest)
+{
+  return std::string(aRequest["Attempt-Id"]);
+}
+
+} // namespace parsleycove
--- /dev/null
+++ b/Tests/Forwarding/PartsTest.cxx
@@ -0,0 +1,86 @@
+// Tests of forwarding's parts without connections.
+#include "Forwarding/EventSplitter.h"
+#include "Forwarding/RequestJob.h"
+#include "Forwarding/RetryAfter.h"
+
+// Last, since its leak macros redefine new.
+#include <CppUTest/TestHarness.h>
+
+using namespace parsleycove;
+
+namespace {
+
+const std::string kEvents =
+  "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nd: c\n\n";
+
+} // namespace
+
+TEST_GROUP(EventSplitter){};
+
+TEST(EventSplitter, FindsWholeEventsWhereverTheBytesAreCut)
+{
+  for (std::size_t cut = 0; cut <= kEvents.size(); ++cut) {
+    EventSplitter splitter;
+    std::string out;
+    splitter.Take(kEvents.substr(0, cut), out);
+    splitter.Take(kEvents.substr(cut), out);
+    STRCMP_EQUAL(kEvents.c_str(), out.c_str());
+    CHECK_EQUAL(3U, splitter.Count());
+    CHECK_EQUAL(3U, *splitter.LastId());
+    CHECK_FALSE(splitter.HasPart());
+  }
+}
+
+TEST(EventSplitter, LeavesOutWhatWasDelivered)
+{
+  EventSplitter splitter(2);
+  std::string out;
+  CHECK_EQUAL(1U, splitter.Take(kEvents, out));
+  STRCMP_EQUAL("id: 3\nd: c\n\n", out.c_str());
+  CHECK_FALSE(splitter.HasGap());
+}
+
+TEST(EventSplitter, NoticesAMissingEvent)
+{
+  EventSplitter splitter;
+  std::string out;
+  splitter.Take("id: 1\n\nid: 3\n\n", out);
+  CHECK(splitter.HasGap());
+}
+
+TEST(EventSplitter, ForgetsThePartOfABrokenRun)
+{
+  EventSplitter splitter;
+  std::string out;
+  splitter.Take("id: 1\n\nid: 2\nda", out);
+  CHECK(splitter.HasPart());
+  splitter.DropPart();
+  splitter.Take("id: 2\nx: y\n\n", out);
+  STRCMP_EQUAL("id: 1\n\nid: 2\nx: y\n\n", out.c_str());
+}
+
+TEST_GROUP(RetryAfter){};
+
+TEST(RetryAfter, SpreadsCallersOverTheExpectedWait)
+{
+  const Duration left = std::chrono::seconds(20);
+  const Duration first = ChooseRetryAfter(RefusalCause::PathsFull, left, 0);
+  const Duration last = ChooseRetryAfter(RefusalCause::PathsFull, left, 0.999);
+  CHECK(first > Duration::zero());
+  CHECK(last > first + first / 2);
+}
+
+TEST(RetryAfter, LeavesTimeToBeServed)
+{
+  for (const auto cause : { RefusalCause::NoPath, RefusalCause::PathsFull }) {
+    const Duration left = std::chrono::milliseconds(400);
+    CHECK(ChooseRetryAfter(cause, left, 0.9) <= left / 3);
+  }
+  CHECK(ChooseRetryAfter(RefusalCause::NoPath, -std::chrono::seconds(1), 0) >
+        Duration::zero());
+}
+
+TEST(RetryAfter, IsWrittenInSeconds)
+{
+  STRCMP_EQUAL("0.250", PrintSeconds(std::chrono::milliseconds(250)).c_str());
+}
--- /dev/null
+++ b/Tests/Forwarding/StreamForwardTest.cxx
@@ -0,0 +1,278 @@
+// Tests of streams: whole events, resuming, dead and refusing stages.
+#include "Forwarding/ForwardFixture.h"
+
+// Last, since its leak macros redefine new.
+#include <CppUTest/TestHarness.h>
+
+using namespace parsleycove;
+
+namespace {
+
+const std::string kStreamHeader =
+  "Token-Usage: 100,40\r\nModel: m\r\nPrompt-Prefix: 1:100\r\n";
+
+int
+FirstEventOf(const HttpRequest& aRequest)
+{
+  const std::string last(aRequest["Last-Event-Id"]);
+  return last.empty() ? 1 : std::stoi(last) + 1;
+}
+
+std::vector<StubStep>
+StreamAll(const HttpRequest& aRequest)
+{
+  std::vector<StubStep> steps{ Send(MakeStreamHead(AttemptOf(aRequest))) };
+  for (int id = FirstEventOf(aRequest); id <= 5; ++id) {
+    steps.push_back(Send(MakeEvent(id)));
+  }
+  steps.push_back(Send(MakeStreamEnd()));
+  return steps;
+}
+
+// Three events and a part of the fourth, then aLast.
+std::vector<StubStep>
+StreamPart(const HttpRequest& aRequest, StubStep aLast)
+{
+  const std::string fourth = MakeEvent(4);
+  return { Send(MakeStreamHead(AttemptOf(aRequest))),
+           Send(MakeEvent(1) + MakeEvent(2) + MakeEvent(3)),
+           Send(fourth.substr(0, fourth.size() / 2)),
+           std::move(aLast) };
+}
+
+void
+CheckAllEventsOnce(const std::string& aAnswer)
+{
+  const std::vector<int> expected{ 1, 2, 3, 4, 5 };
+  CHECK(EventsOf(aAnswer) == expected);
+  CHECK(IsComplete(aAnswer));
+}
+
+} // namespace
+
+// clang-format off
+TEST_GROUP(StreamForward)
+{
+  std::unique_ptr<ForwardFixture> m_fixture = std::make_unique<ForwardFixture>();
+  StubEndpoint* m_first = nullptr;
+  StubEndpoint* m_other = nullptr;
+
+  void teardown() override { m_fixture.reset(); }
+
+  // Two engines that hold everything; the first request gets aBroken.
+  void StartTwo(const StubEndpoint::Script& aBroken)
+  {
+    m_fixture->PutConfig();
+    m_first = &m_fixture->AddEngine(0, 4);
+    m_other = &m_fixture->AddEngine(0, 4);
+    auto script = WithState([this, aBroken](const HttpRequest& aRequest) {
+      return ++m_calls == 1 ? aBroken(aRequest) : StreamAll(aRequest);
+    });
+    m_first->SetScript(script);
+    m_other->SetScript(script);
+    m_fixture->Start();
+  }
+  std::string Ask(const std::string& aPath)
+  {
+    return m_fixture->Ask("POST", aPath, kStreamHeader, "prompt");
+  }
+
+  int m_calls = 0;
+};
+// clang-format on
+
+TEST(StreamForward, PassesEventsOnWithThePathThatServesThem)
+{
+  m_fixture->PutConfig();
+  m_first = &m_fixture->AddEngine(0, 2);
+  m_other = &m_fixture->AddEngine(2, 4);
+  m_first->SetScript(WithState(StreamAll));
+  m_other->SetScript(WithState(StreamAll));
+  m_fixture->Start();
+  CheckAllEventsOnce(Ask("/stream/x"));
+  CHECK_EQUAL(1U, m_first->Requests().size());
+  CHECK_EQUAL(0U, m_other->Requests().size());
+  const HttpRequest& sent = m_first->Requests()[0];
+  const std::string path = "127.0.0.1:" + std::to_string(m_first->Port()) +
+                           "=0-2,127.0.0.1:" + std::to_string(m_other->Port()) +
+                           "=2-4";
+  STRCMP_EQUAL(path.c_str(), std::string(sent["Hop-Count"]).c_str());
+  CHECK(sent["Token-Usage"] == "100,40");
+  CHECK(sent["Prompt-Prefix"] == "1:100");
+}
+
+TEST(StreamForward, GoesOnElsewhereAfterTheLastWholeEvent)
+{
+  StartTwo([](const HttpRequest& aRequest) {
+    return StreamPart(aRequest, CloseNow());
+  });
+  CheckAllEventsOnce(Ask("/stream/x"));
+  CHECK_EQUAL(2, m_calls);
+  CHECK(m_fixture->m_sink.Has({ "stream_resumed", "\"id\":\"a1\"" }));
+}
+
+TEST(StreamForward, AStreamThatMayNotBeResumedDoesNotLookComplete)
+{
+  StartTwo([](const HttpRequest& aRequest) {
+    return StreamPart(aRequest, CloseNow());
+  });
+  const std::string answer = Ask("/once/x");
+  const std::vector<int> expected{ 1, 2, 3 };
+  CHECK(EventsOf(answer) == expected);
+  CHECK_FALSE(IsComplete(answer));
+  CHECK_EQUAL(1, m_calls);
+  CHECK(m_fixture->m_sink.Has({ "request_cut", "\"why\":\"broken\"" }));
+}
+
+TEST(StreamForward, AStreamThatEndsWithinAnEventIsNotComplete)
+{
+  StartTwo([](const HttpRequest& aRequest) {
+    return std::vector<StubStep>{
+      Send(MakeStreamHead(AttemptOf(aRequest))),
+      Send(MakeEvent(1)),
+      Send("5\r\nid: 2\r\n"),
+      Send(MakeStreamEnd()),
+    };
+  });
+  CheckAllEventsOnce(Ask("/stream/x"));
+}
+
+TEST(StreamForward, AMissingEventIsNotPassedOver)
+{
+  StartTwo([](const HttpRequest& aRequest) {
+    return std::vector<StubStep>{ Send(MakeStreamHead(AttemptOf(aRequest))),
+                                  Send(MakeEvent(1)),
+                                  Pause(std::chrono::milliseconds(50)),
+                                  Send(MakeEvent(3)),
+                                  Hang() };
+  });
+  const std::string answer = Ask("/stream/x");
+  CHECK(EventsOf(answer).size() < 6);
+  CHECK_EQUAL(1, EventsOf(answer).front());
+}
+
+TEST(StreamForward, AStageThatRefusesIsGoneRoundAndNothingHasRun)
+{
+  m_fixture->PutConfig();
+  m_first = &m_fixture->AddEngine(0, 2);
+  m_other = &m_fixture->AddEngine(2, 4);
+  StubEndpoint& spare = m_fixture->AddEngine(2, 4);
+  spare.SetScript(WithState(StreamAll));
+  m_other->SetScript(WithState(StreamAll));
+  m_first->SetScript(WithState([&](const HttpRequest& aRequest) {
+    if (++m_calls > 1) {
+      return StreamAll(aRequest);
+    }
+    // Names whichever second stage the path has.
+    const std::string path(aRequest["Hop-Count"]);
+    const auto comma = path.find(',');
+    const std::string second =
+      path.substr(comma + 1, path.find('=', comma) - comma - 1);
+    return std::vector<StubStep>{ Send(
+      MakeAnswer(AttemptOf(aRequest),
+                 503,
+                 "",
+                 "Not-Executed: 1\r\nAt-Server: " + second + "\r\n")) };
+  }));
+  m_fixture->Start();
+  CheckAllEventsOnce(Ask("/stream/x"));
+  CHECK_EQUAL(2, m_calls);
+  CHECK(m_first->Requests()[0]["Hop-Count"] !=
+        m_first->Requests()[1]["Hop-Count"]);
+}
+
+// Load pattern: an engine goes dark under a stream. The engines' own time-out
+// is seconds away; the question to them takes a round trip.
+TEST(StreamForward, ASilentStageIsFoundByAskingAndLeft)
+{
+  m_fixture->PutConfig();
+  m_first = &m_fixture->AddEngine(0, 2);
+  m_other = &m_fixture->AddEngine(2, 4);
+  StubEndpoint& spare = m_fixture->AddEngine(2, 4);
+  spare.SetScript(WithState(StreamAll));
+  m_other->SetScript(WithState(StreamAll));
+  m_first->SetScript(WithState([&](const HttpRequest& aRequest) {
+    if (++m_calls > 1) {
+      return StreamAll(aRequest);
+    }
+    // The second stage is dead from here on.
+    const std::string path(aRequest["Hop-Count"]);
+    const bool isOther =
+      path.find(std::to_string(m_other->Port())) != std::string::npos;
+    (isOther ? *m_other : spare).Stop();
+    return StreamPart(aRequest, Hang());
+  }));
+  m_fixture->Start();
+  CheckAllEventsOnce(Ask("/stream/x"));
+  CHECK_EQUAL(2, m_calls);
+  CHECK(m_fixture->m_sink.Has({ "endpoint_suspected" }));
+  CHECK(m_fixture->m_sink.Has({ "stream_resumed", "stage_lost" }));
+}
+
+TEST(StreamForward, AStreamWhoseEnginesAnswerIsNotEndedForItsSilence)
+{
+  StartTwo([](const HttpRequest& aRequest) {
+    return std::vector<StubStep>{ Send(MakeStreamHead(AttemptOf(aRequest))),
+                                  Send(MakeEvent(1)),
+                                  Pause(std::chrono::milliseconds(400)),
+                                  Send(MakeEvent(2) + MakeEvent(3)),
+                                  Send(MakeEvent(4) + MakeEvent(5)),
+                                  Send(MakeStreamEnd()) };
+  });
+  CheckAllEventsOnce(Ask("/stream/x"));
+  CHECK_EQUAL(1, m_calls);
+}
+
+TEST(StreamForward, ACallerMayResumeByItself)
+{
+  m_fixture->PutConfig();
+  m_first = &m_fixture->AddEngine(0, 4);
+  m_first->SetScript(WithState(StreamAll));
+  m_fixture->Start();
+  const std::string answer = m_fixture->Ask(
+    "POST", "/stream/x", kStreamHeader + "Last-Event-Id: 3\r\n", "prompt");
+  const std::vector<int> expected{ 4, 5 };
+  CHECK(EventsOf(answer) == expected);
+}
+
+TEST(StreamForward, ACallerWhoLeavesEndsTheStream)
+{
+  StartTwo(
+    [](const HttpRequest& aRequest) { return StreamPart(aRequest, Hang()); });
+  const auto caller = m_fixture->Connect();
+  caller->Send(MakeRequest("POST", "/stream/x", kStreamHeader, "prompt"));
+  CHECK(m_fixture->RunUntil(
+    [&] { return EventsOf(caller->Received()).size() == 3; }));
+  caller->Close();
+  CHECK(m_fixture->RunUntil(
+    [&] { return m_first->Abandoned() + m_other->Abandoned() == 1; }));
+  CHECK_EQUAL(1, m_calls);
+}
+
+TEST(StreamForward, WithoutAPathTheCallerIsToldWhenToComeBack)
+{
+  m_fixture->PutConfig();
+  m_first = &m_fixture->AddEngine(0, 2);
+  m_first->SetScript(WithState(StreamAll));
+  m_fixture->Start();
+  const std::string answer = Ask("/stream/x");
+  CHECK_EQUAL(503, StatusOf(answer));
+  CHECK(answer.find("Retry-After: ") != std::string::npos);
+  CHECK(m_fixture->m_sink.Has({ "request_refused", "no_path" }));
+}
+
+TEST(StreamForward, APathThatComesBackSoonIsWaitedFor)
+{
+  m_fixture->PutConfig();
+  m_first = &m_fixture->AddEngine(0, 2);
+  m_first->SetScript(WithState(StreamAll));
+  m_fixture->Start();
+  const auto caller = m_fixture->Connect();
+  caller->Send(MakeRequest(
+    "POST", "/stream/x", kStreamHeader + "Connection: close\r\n", "prompt"));
+  m_fixture->RunUntil([polls = 0]() mutable { return ++polls > 8; });
+  m_other = &m_fixture->AddEngine(2, 4);
+  m_other->SetScript(WithState(StreamAll));
+  CHECK(m_fixture->RunUntil([&] { return caller->IsClosed(); }));
+  CheckAllEventsOnce(caller->Received());
+}
--- /dev/null
+++ b/Tests/Forwarding/StubEndpoint.cxx
@@ -0,0 +1,221 @@
+// An endpoint on loopback that answers every request by a script.
+#include "Forwarding/StubEndpoint.h"
+
+#include <utility>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+
+namespace parsleycove {
+
+namespace {
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+
+} // namespace
+
+StubStep
+Send(std::string aBytes)
+{
+  return { StubStep::Kind::Send, std::move(aBytes), {} };
+}
+
+StubStep
+Pause(Duration aPause)
+{
+  return { StubStep::Kind::Pause, {}, aPause };
+}
+
+StubStep
+CloseNow()
+{
+  return { StubStep::Kind::Close, {}, {} };
+}
+
+StubStep
+Hang()
+{
+  return { StubStep::Kind::Hang, {}, {} };
+}
+
+std::string
+MakeAnswer(const std::string& aAttemptId,
+           unsigned aStatus,
+           const std::string& aBody,
+           const std::string& aMore)
+{
+  return "HTTP/1.1 " + std::to_string(aStatus) +
+         " Any\r\nAttempt-Id: " + aAttemptId +
+         "\r\nResponse-Signature: s1\r\n" + aMore +
+         "Content-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
+}
+
+std::string
+MakeStreamHead(const std::string& aAttemptId)
+{
+  return "HTTP/1.1 200 OK\r\nAttempt-Id: " + aAttemptId +
+         "\r\nResponse-Signature: s1\r\nContent-Type: text/event-stream\r\n"
+         "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string
+MakeEvent(int aId)
+{
+  const std::string event =
+    "id: " + std::to_string(aId) + "\ndata: x" + std::to_string(aId) + "\n\n";
+  constexpr std::string_view kHex = "0123456789abcdef";
+  std::string size;
+  for (std::size_t left = event.size(); left != 0; left /= 16) {
+    size.insert(size.begin(), kHex[left % 16]);
+  }
+  return size + "\r\n" + event + "\r\n";
+}
+
+std::string
+MakeStreamEnd()
+{
+  return "0\r\n\r\n";
+}
+
+struct StubEndpoint::Parts : std::enable_shared_from_this<Parts>
+{
+  explicit Parts(asio::io_context& aContext)
+    : m_context(aContext)
+    , m_acceptor(aContext, { asio::ip::make_address("127.0.0.1"), 0 })
+  {
+  }
+
+  asio::awaitable<void> Accept()
+  {
+    const auto self = shared_from_this();
+    for (;;) {
+      auto [error, socket] = co_await m_acceptor.async_accept(kAwait);
+      if (error) {
+        co_return;
+      }
+      ++m_connections;
+      auto shared = std::make_shared<Tcp::socket>(std::move(socket));
+      m_sockets.push_back(shared);
+      asio::co_spawn(m_context, Serve(shared), asio::detached);
+    }
+  }
+
+  asio::awaitable<void> Serve(std::shared_ptr<Tcp::socket> aSocket)
+  {
+    const auto self = shared_from_this();
+    beast::flat_buffer buffer;
+    for (;;) {
+      http::request_parser<http::string_body> parser;
+      const auto [error, bytes] =
+        co_await http::async_read(*aSocket, buffer, parser, kAwait);
+      if (error) {
+        co_return;
+      }
+      m_requests.push_back(parser.release());
+      const std::vector<StubStep> steps = m_script(m_requests.back());
+      for (const StubStep& step : steps) {
+        if (!co_await Perform(*aSocket, step)) {
+          co_return;
+        }
+      }
+    }
+  }
+
+  asio::awaitable<bool> Perform(Tcp::socket& aSocket, const StubStep& aStep)
+  {
+    asio::steady_timer timer(m_context);
+    switch (aStep.m_kind) {
+      case StubStep::Kind::Send: {
+        const auto [error, bytes] = co_await asio::async_write(
+          aSocket, asio::buffer(aStep.m_bytes), kAwait);
+        m_abandoned += error ? 1 : 0;
+        co_return !error;
+      }
+      case StubStep::Kind::Pause:
+        timer.expires_after(aStep.m_pause);
+        co_await timer.async_wait(kAwait);
+        co_return true;
+      case StubStep::Kind::Close:
+        aSocket.close();
+        co_return false;
+      case StubStep::Kind::Hang: {
+        char byte = 0;
+        const auto [error, bytes] =
+          co_await aSocket.async_read_some(asio::buffer(&byte, 1), kAwait);
+        m_abandoned += error ? 1 : 0;
+        co_return false;
+      }
+    }
+    co_return false;
+  }
+
+  asio::io_context& m_context;
+  Tcp::acceptor m_acceptor;
+  Script m_script;
+  std::vector<HttpRequest> m_requests;
+  std::vector<std::weak_ptr<Tcp::socket>> m_sockets;
+  int m_abandoned = 0;
+  int m_connections = 0;
+};
+
+StubEndpoint::StubEndpoint(asio::io_context& aContext)
+  : m_parts(std::make_shared<Parts>(aContext))
+{
+  asio::co_spawn(aContext, m_parts->Accept(), asio::detached);
+}
+
+StubEndpoint::~StubEndpoint()
+{
+  Stop();
+}
+
+std::uint16_t
+StubEndpoint::Port() const
+{
+  return m_parts->m_acceptor.local_endpoint().port();
+}
+
+void
+StubEndpoint::SetScript(Script aScript)
+{
+  m_parts->m_script = std::move(aScript);
+}
+
+void
+StubEndpoint::Stop()
+{
+  beast::error_code ignored;
+  m_parts->m_acceptor.close(ignored);
+  for (const auto& weak : m_parts->m_sockets) {
+    if (const auto socket = weak.lock()) {
+      socket->close(ignored);
+    }
+  }
+}
+
+const std::vector<HttpRequest>&
+StubEndpoint::Requests() const
+{
+  return m_parts->m_requests;
+}
+
+int
+StubEndpoint::Abandoned() const
+{
+  return m_parts->m_abandoned;
+}
+
+int
+StubEndpoint::Connections() const
+{
+  return m_parts->m_connections;
+}
+
+} // namespace parsleycove
--- /dev/null
+++ b/Tests/Placement/PlacementDeskTest.cxx
@@ -0,0 +1,113 @@
+// Tests of the leader's orders: repeats, late reports, losses, other leaders.
+#include <algorithm>
+
+#include "Placement/PlacementDesk.h"
+#include "Routing/EngineFleet.h"
+
+// Last, since its leak macros redefine new.
+#include <CppUTest/TestHarness.h>
+
+using namespace parsleycove;
+
+namespace {
+
+TimePoint
+At(double aSeconds)
+{
+  return TimePoint(std::chrono::duration_cast<Duration>(
+    std::chrono::duration<double>(1000 + aSeconds)));
+}
+
+} // namespace
+
+// clang-format off
+TEST_GROUP(PlacementDesk)
+{
+  const LayeredModel m_model = MakeModel();
+  std::vector<LayoutHost> m_hosts = MakeHosts(UsualGroups());
+  PlacementDesk m_desk;
+
+  std::vector<DueOrder> FindDue(double aSeconds)
+  {
+    return m_desk.FindDue(At(aSeconds), m_model, MakeEngines(m_hosts));
+  }
+  // What was ordered is reported as held.
+  void CarryOut(const std::vector<DueOrder>& aOrders)
+  {
+    for (const DueOrder& order : aOrders) {
+      ApplyOrders(m_hosts, { { order.m_engine->m_id, 1, order.m_span } });
+    }
+  }
+};
+// clang-format on
+
+TEST(PlacementDesk, WaitsUntilNoFurtherEngineComes)
+{
+  CHECK_EQUAL(0U, FindDue(0).size());
+  CHECK_EQUAL(0U, FindDue(0.5).size());
+  CHECK_EQUAL(m_hosts.size(), FindDue(0.8).size());
+}
+
+TEST(PlacementDesk, GivesEachOrderOnce)
+{
+  FindDue(0);
+  FindDue(1);
+  CHECK_EQUAL(0U, FindDue(2).size());
+}
+
+TEST(PlacementDesk, RepeatsTheSameOrderWhereNoAnswerCame)
+{
+  FindDue(0);
+  const auto orders = FindDue(1);
+  m_desk.NoteOutcome(At(1), *orders[0].m_engine, OrderOutcome::Unknown);
+  CHECK_EQUAL(0U, FindDue(4).size());
+  const auto again = FindDue(5.5);
+  CHECK_EQUAL(1U, again.size());
+  STRCMP_EQUAL(orders[0].m_engine->m_id.c_str(),
+               again[0].m_engine->m_id.c_str());
+  CHECK(orders[0].m_span == again[0].m_span);
+}
+
+TEST(PlacementDesk, OrdersNothingOnceAllIsReported)
+{
+  FindDue(0);
+  CarryOut(FindDue(1));
+  CHECK_EQUAL(0U, FindDue(60).size());
+}
+
+TEST(PlacementDesk, ASuspectedEngineIsReplacedAfterItsNextReportIsOverdue)
+{
+  FindDue(0);
+  CarryOut(FindDue(1));
+  auto engines = MakeEngines(m_hosts);
+  // One whose layers nobody else in its zone holds.
+  auto& lost =
+    *std::find_if(engines.begin(), engines.end(), [](const auto& aEngine) {
+      return aEngine->m_id == "c-fast-1";
+    });
+  boost::intrusive_ptr<Runner> suspected(new Runner(*lost));
+  suspected->m_isSuspected = true;
+  lost = suspected;
+  CHECK_EQUAL(0U, m_desk.FindDue(At(2), m_model, engines).size());
+  CHECK(m_desk.FindDue(At(4), m_model, engines).size() > 0);
+}
+
+TEST(PlacementDesk, AnEngineThatStartedAgainGetsItsLayersAgain)
+{
+  FindDue(0);
+  CarryOut(FindDue(1));
+  m_hosts[0].m_incarnation = 2;
+  m_hosts[0].m_holds = {};
+  const auto orders = FindDue(3);
+  CHECK_EQUAL(1U, orders.size());
+  CHECK_EQUAL(2U, orders[0].m_engine->m_incarnation);
+}
+
+TEST(PlacementDesk, ANewLeaderKeepsWhatEnginesHold)
+{
+  FindDue(0);
+  CarryOut(FindDue(1));
+  m_desk.Reset();
+  FindDue(10);
+  CHECK_EQUAL(0U, FindDue(11).size());
+}
--- /dev/null
+++ b/Tests/Routing/RoutingConfigTest.cxx
@@ -0,0 +1,123 @@
+// Tests of routes, accounts and the rules of a configuration.
+#include "Routing/RoutingConfig.h"
+
+// Last, since its leak macros redefine new.
+#include <CppUTest/TestHarness.h>
+
+using namespace parsleycove;
+
+namespace {
+
+RouteRule
+MakeRoute(const std::string& aName, const std::string& aPrefix)
+{
+  RouteRule route;
+  route.m_name = aName;
+  route.m_host = "one.example";
+  route.m_prefix = aPrefix;
+  route.m_timeout = std::chrono::seconds(1);
+  route.m_services = { { "service", 1 } };
+  return route;
+}
+
+RoutingDraft
+MakeDraft()
+{
+  RoutingDraft draft;
+  draft.m_version = 3;
+  draft.m_services.push_back({ "service", "/health", 10, std::nullopt });
+  draft.m_routes = { MakeRoute("all", "/"), MakeRoute("long", "/a/b/") };
+  draft.m_hasAccounts = true;
+  draft.m_accounts = { { "first", { "k1", "k2" }, std::nullopt },
+                       { "second", { "k3" }, 1 } };
+  return draft;
+}
+
+std::string
+Refusal(RoutingDraft aDraft)
+{
+  RoutingReason reason;
+  CHECK_FALSE(RoutingConfig::Build(std::move(aDraft), reason));
+  CHECK(reason.m_code == RoutingError::Invalid);
+  return reason.m_text;
+}
+
+} // namespace
+
+TEST_GROUP(RoutingConfig){};
+
+TEST(RoutingConfig, FindsTheLongestPrefix)
+{
+  RoutingReason reason;
+  const auto config = RoutingConfig::Build(MakeDraft(), reason);
+  STRCMP_EQUAL("long",
+               config->FindRoute("one.example", "/a/b/c")->m_name.c_str());
+  STRCMP_EQUAL("all", config->FindRoute("one.example", "/a/b")->m_name.c_str());
+  STRCMP_EQUAL("all", config->FindRoute("one.example", "/")->m_name.c_str());
+  CHECK(config->FindRoute("two.example", "/") == nullptr);
+  CHECK(config->FindRoute("one.example", "no-slash") == nullptr);
+}
+
+TEST(RoutingConfig, FindsAccountsByTheirKeys)
+{
+  RoutingReason reason;
+  const auto config = RoutingConfig::Build(MakeDraft(), reason);
+  STRCMP_EQUAL("first", config->FindAccount("k2")->m_name.c_str());
+  STRCMP_EQUAL("second", config->FindAccount("k3")->m_name.c_str());
+  CHECK(config->FindAccount("k4") == nullptr);
+}
+
+TEST(RoutingConfig, RefusesAnUnknownService)
+{
+  RoutingDraft draft = MakeDraft();
+  draft.m_routes[0].m_services = { { "other", 1 } };
+  STRCMP_EQUAL("route \"all\": service \"other\" is unknown, expected a listed "
+               "one",
+               Refusal(std::move(draft)).c_str());
+}
+
+TEST(RoutingConfig, RefusesTwoRoutesAtOnePlace)
+{
+  RoutingDraft draft = MakeDraft();
+  draft.m_routes[1].m_prefix = "/";
+  STRCMP_EQUAL("route \"long\": host \"one.example\" with prefix \"/\" is "
+               "taken, expected a unique pair",
+               Refusal(std::move(draft)).c_str());
+}
+
+TEST(RoutingConfig, RefusesWeightsThatAddUpToNothing)
+{
+  RoutingDraft draft = MakeDraft();
+  draft.m_routes[0].m_services = { { "service", 0 }, { "service", 0 } };
+  STRCMP_EQUAL("route \"all\": weights add up to 0, expected more than 0",
+               Refusal(std::move(draft)).c_str());
+}
+
+TEST(RoutingConfig, RefusesATimeoutOfNothing)
+{
+  RoutingDraft draft = MakeDraft();
+  draft.m_routes[0].m_timeout = Duration::zero();
+  STRCMP_EQUAL("route \"all\": time-out is 0, expected more than 0",
+               Refusal(std::move(draft)).c_str());
+}
+
+TEST(RoutingConfig, RefusesAKeyThatTwoAccountsShare)
+{
+  RoutingDraft draft = MakeDraft();
+  draft.m_accounts[1].m_keys.emplace_back("k1");
+  STRCMP_EQUAL("account \"second\" shares a key with account \"first\", "
+               "expected keys of its own",
+               Refusal(std::move(draft)).c_str());
+}
+
+TEST(RoutingConfig, KnowsWhatMayBeRepeated)
+{
+  RouteRule route = MakeRoute("any", "/");
+  CHECK_FALSE(route.MayRepeat());
+  route.m_kind = RequestKind::Safe;
+  CHECK(route.MayRepeat());
+  route.m_kind = RequestKind::Streaming;
+  CHECK_FALSE(route.MayRepeat());
+  route.m_isResumable = true;
+  CHECK(route.MayRepeat());
+}
