--- a/Source/Ctl/Command.h
+++ b/Source/Ctl/Command.h
@@ -22,6 +22,8 @@
   // Names of the positional arguments, such as "NAME"; all are required.
   virtual std::vector<std::string_view> Arguments() const { return {}; }
   virtual std::string_view Help() const = 0;
+  // False for commands that ask no VM.
+  virtual bool NeedsServer() const { return true; }
   // Says what flag is missing before anything is sent; empty: nothing.
   virtual std::string Check(const Invocation&) const { return {}; }
 
--- a/Source/Ctl/CommandTable.cxx
+++ b/Source/Ctl/CommandTable.cxx
@@ -4,6 +4,7 @@
 #include "Ctl/ChangeCommands.h"
 #include "Ctl/ConfigCommands.h"
 #include "Ctl/FleetCommands.h"
+#include "Ctl/StoryCommand.h"
 #include "Ctl/TraceCommand.h"
 
 namespace parsleycove {
@@ -37,6 +38,9 @@
   if (std::string fault = aCommand.Check(aInvocation); !fault.empty()) {
     return fault;
   }
+  if (!aCommand.NeedsServer()) {
+    return {};
+  }
   if (aInvocation.m_servers.empty()) {
     return "--server is missing: expected IP:PORT[,IP:PORT...], or "
            "PARSLEYCOVECTL_SERVER in the environment";
@@ -115,6 +119,7 @@
   m_commands.push_back(std::make_unique<ResolveActionCommand>());
   m_commands.push_back(std::make_unique<WaitInForceCommand>());
   m_commands.push_back(std::make_unique<TraceCommand>());
+  m_commands.push_back(std::make_unique<StoryCommand>());
   m_commands.push_back(std::make_unique<ApplyCommand>("apply"));
 }
 
--- a/Source/Telemetry/DecisionLog.cxx
+++ b/Source/Telemetry/DecisionLog.cxx
@@ -17,6 +17,8 @@
 // Lines that wait for a slow reader.
 constexpr int kQueuedLines = 1000;
 constexpr unsigned char kFirstPlain = 0x20;
+// How often lost lines are told at most.
+constexpr Duration kReportInterval = std::chrono::milliseconds(500);
 
 void
 AppendEscaped(std::string& aOut, std::string_view aText)
@@ -122,7 +124,12 @@
       return false;
     }
     m_tokens -= 1;
-    mayReport = m_unreported != 0 && m_tokens >= m_limits.m_burst / 2;
+    mayReport = m_unreported != 0 && m_tokens >= 1 &&
+                now - m_reportedAt >= kReportInterval;
+    if (mayReport) {
+      m_tokens -= 1;
+      m_reportedAt = now;
+    }
   }
   if (mayReport) {
     ReportDropped();
--- a/Source/Telemetry/DecisionLog.h
+++ b/Source/Telemetry/DecisionLog.h
@@ -82,6 +82,7 @@
   mutable std::mutex m_mutex;
   double m_tokens;
   TimePoint m_filledAt{};
+  TimePoint m_reportedAt{};
   std::uint64_t m_dropped = 0;
   std::uint64_t m_unreported = 0;
 };
--- /dev/null
+++ b/Tests/Control/MembershipRepairTest.cxx
@@ -0,0 +1,173 @@
+// Tests of when a replica is promoted or removed, and of identities.
+#include "Control/Cluster.h"
+#include "Control/MembershipRepair.h"
+#include "Control/ReplicaIdentity.h"
+#include "Store/DiskFiles.h"
+#include "Store/IdentityFile.h"
+
+// Last, since its leak macros redefine new.
+#include <CppUTest/TestHarness.h>
+
+using namespace parsleycove;
+
+namespace {
+
+constexpr std::uint64_t kSelf = 1;
+
+TimePoint
+At(int aMs)
+{
+  return TimePoint(std::chrono::seconds(100) + std::chrono::milliseconds(aMs));
+}
+
+consensus::MembershipT
+MakeGroup(std::uint64_t aVoters, std::uint64_t aLearners = 0)
+{
+  consensus::MembershipT group;
+  for (std::uint64_t i = 1; i <= aVoters + aLearners; ++i) {
+    auto member = std::make_unique<consensus::MemberT>();
+    member->replica = i;
+    member->voter = i <= aVoters;
+    group.members.push_back(std::move(member));
+  }
+  return group;
+}
+
+} // namespace
+
+// clang-format off
+TEST_GROUP(MembershipRepair)
+{
+  MembershipRepair m_repair{ { 5, std::chrono::seconds(3) } };
+
+  // All but aSilent are heard at aMs.
+  void Hear(int aMs, std::uint64_t aMembers, std::uint64_t aSilent)
+  {
+    for (std::uint64_t i = 2; i <= aMembers; ++i) {
+      if (i != aSilent) {
+        m_repair.NoteHeard(At(aMs), i);
+      }
+    }
+  }
+};
+// clang-format on
+
+TEST(MembershipRepair, WantsVotersUpToTheTarget)
+{
+  m_repair.Start(At(0));
+  CHECK(m_repair.WantsVoter(At(0), MakeGroup(3, 1), kSelf));
+  CHECK_FALSE(m_repair.WantsVoter(At(0), MakeGroup(5, 1), kSelf));
+}
+
+TEST(MembershipRepair, WantsOneMoreForAVoterThatIsSilent)
+{
+  m_repair.Start(At(0));
+  Hear(4000, 6, 3);
+  CHECK(m_repair.WantsVoter(At(4000), MakeGroup(5, 1), kSelf));
+  CHECK_FALSE(m_repair.WantsVoter(At(4000), MakeGroup(6), kSelf));
+}
+
+TEST(MembershipRepair, RemovesASilentVoterOnlyOnceItsReplacementVotes)
+{
+  m_repair.Start(At(0));
+  Hear(4000, 6, 3);
+  CHECK_EQUAL(0U, m_repair.FindLost(At(4000), MakeGroup(5, 1), kSelf));
+  CHECK_EQUAL(3U, m_repair.FindLost(At(4000), MakeGroup(6), kSelf));
+}
+
+TEST(MembershipRepair, ANewLeaderDoesNotCountSilenceBeforeItsTerm)
+{
+  m_repair.Start(At(0));
+  Hear(100, 6, 0);
+  m_repair.Start(At(9000));
+  CHECK_EQUAL(0U, m_repair.FindLost(At(9100), MakeGroup(6), kSelf));
+}
+
+TEST(MembershipRepair, RemovesALearnerThatNeverCame)
+{
+  m_repair.Start(At(0));
+  Hear(8000, 5, 0);
+  CHECK_EQUAL(0U, m_repair.FindLost(At(8000), MakeGroup(5, 1), kSelf));
+  Hear(9500, 5, 0);
+  CHECK_EQUAL(6U, m_repair.FindLost(At(9500), MakeGroup(5, 1), kSelf));
+}
+
+TEST(MembershipRepair, WithoutATargetOperatorsChangeMembers)
+{
+  MembershipRepair repair({ 0, std::chrono::seconds(3) });
+  repair.Start(At(0));
+  CHECK(repair.WantsVoter(At(0), MakeGroup(5, 1), kSelf));
+  CHECK_EQUAL(0U, repair.FindLost(At(60000), MakeGroup(6), kSelf));
+}
+
+// clang-format off
+TEST_GROUP(ReplicaIdentity)
+{
+  TemporaryFolder m_folder;
+  DiskFiles m_files;
+  ReplicaStart m_start;
+
+  void setup() override
+  {
+    m_start.m_folder = m_folder.Path();
+    m_start.m_own = { "10.0.0.1", 7000 };
+    m_start.m_founders = { { "10.0.0.1", 7000 },
+                           { "10.0.0.2", 7000 },
+                           { "10.0.0.3", 7000 } };
+    m_start.m_random = 99;
+  }
+  ReplicaIdentity Choose()
+  {
+    StoreReason reason;
+    return *ChooseIdentity(m_files, m_start, reason);
+  }
+};
+// clang-format on
+
+TEST(ReplicaIdentity, FoundersBeginWithTheSameMembers)
+{
+  m_start.m_isFirstStart = true;
+  const ReplicaIdentity one = Choose();
+  m_start.m_own = { "10.0.0.2", 7000 };
+  m_start.m_random = 5;
+  const ReplicaIdentity other = Choose();
+  CHECK_EQUAL(3U, one.m_bootstrap.size());
+  for (std::size_t i = 0; i < 3; ++i) {
+    CHECK_EQUAL(one.m_bootstrap[i].m_replica, other.m_bootstrap[i].m_replica);
+  }
+  CHECK_EQUAL(one.m_bootstrap[0].m_replica, one.m_replica);
+  CHECK_EQUAL(one.m_bootstrap[1].m_replica, other.m_replica);
+}
+
+TEST(ReplicaIdentity, AFounderThatLostItsDiskIsAnotherReplica)
+{
+  m_start.m_isFirstStart = true;
+  const std::uint64_t before = Choose().m_replica;
+  m_start.m_isFirstStart = false;
+  const ReplicaIdentity after = Choose();
+  CHECK(after.m_replica != before);
+  CHECK(after.m_bootstrap.empty());
+}
+
+TEST(ReplicaIdentity, OthersJoinAlsoAtTheFirstStart)
+{
+  m_start.m_isFirstStart = true;
+  m_start.m_own = { "10.0.0.9", 7000 };
+  CHECK(Choose().m_bootstrap.empty());
+}
+
+TEST(ReplicaIdentity, AFolderKeepsItsReplica)
+{
+  StoreReason reason;
+  CHECK(WriteIdentity(m_files, m_folder.Path(), { 42, 1, 0 }, reason));
+  CHECK_EQUAL(42U, Choose().m_replica);
+}
+
+TEST(ReplicaIdentity, ADiscardedFolderIsEmpty)
+{
+  StoreReason reason;
+  CHECK(WriteIdentity(m_files, m_folder.Path(), { 42, 1, 0 }, reason));
+  CHECK(DiscardFolder(m_files, m_folder.Path(), reason));
+  CHECK_EQUAL(0U, m_files.List(m_folder.Path(), reason)->size());
+  CHECK(Choose().m_replica != 42);
+}
--- a/Tests/Daemon/SettingsTest.cxx
+++ b/Tests/Daemon/SettingsTest.cxx
@@ -104,6 +104,76 @@
   CHECK_FALSE(settings->m_replica.has_value());
 }
 
+TEST(Settings, TheFileGoesBehindFlagsAndVariables)
+{
+  TextList arguments({ "parsleycoved", "--vm", "a" });
+  TextList variables({ "PARSLEYCOVE_THREADS=7" });
+  SettingReader reader;
+  CHECK(reader.Read(arguments.Count(), arguments.Data(), variables.Data()));
+  CHECK(reader.ReadFile("# rendered\n"
+                        "PARSLEYCOVE_VM=b\n"
+                        "PARSLEYCOVE_THREADS=9\n"
+                        "PARSLEYCOVE_ZONE=z\n"
+                        "PARSLEYCOVE_DATA_FOLDER=\n"
+                        "PARSLEYCOVE_LATER_SETTING=x\n"
+                        "PARSLEYCOVE_SEEDS=10.0.0.1:1,10.0.0.2:1\n"
+                        "PARSLEYCOVE_PEER_PORT=7000"));
+  SettingReason reason;
+  const auto settings = DaemonSettings::Check(reader, 1, reason);
+  CHECK_TEXT(settings.has_value(), reason.m_text.c_str());
+  STRCMP_EQUAL("a", settings->m_gateway.m_vm.c_str());
+  STRCMP_EQUAL("z", settings->m_gateway.m_zone.c_str());
+  CHECK_EQUAL(7, settings->m_gateway.m_threads);
+  CHECK_EQUAL(7000, settings->m_client.m_seeds[1].m_port);
+}
+
+TEST(Settings, AFileThatIsNoSettingsFileChangesNothing)
+{
+  TextList arguments({ "parsleycoved" });
+  TextList variables({});
+  SettingReader reader;
+  CHECK(reader.Read(arguments.Count(), arguments.Data(), variables.Data()));
+  CHECK_FALSE(reader.ReadFile("PARSLEYCOVE_VM=b\n\x01\x02"));
+  CHECK(reader.LastReason().m_text.find("expected NAME=VALUE") !=
+        std::string::npos);
+  CHECK(reader.TextOf(SettingId::Vm).empty());
+}
+
+TEST(Settings, TheSeedsFoundTheGroupAtTheFirstStartOnly)
+{
+  const auto folder = std::filesystem::temp_directory_path().string();
+  for (const char* first : { "true", "false" }) {
+    TextList arguments({ "parsleycoved",
+                         "--vm",
+                         "a",
+                         "--zone",
+                         "z",
+                         "--role",
+                         "control",
+                         "--data-folder",
+                         folder,
+                         "--control-listen",
+                         "10.0.0.9:7000",
+                         "--seeds",
+                         "10.0.0.1:8000,10.0.0.2:8000,10.0.0.3:8000",
+                         "--peer-port",
+                         "7000",
+                         "--tolerated-losses",
+                         "2",
+                         "--first-start",
+                         first });
+    TextList variables({});
+    SettingReader reader;
+    CHECK(reader.Read(arguments.Count(), arguments.Data(), variables.Data()));
+    SettingReason reason;
+    const auto settings = DaemonSettings::Check(reader, 1, reason);
+    CHECK_TEXT(settings.has_value(), reason.m_text.c_str());
+    CHECK_EQUAL(std::string(first) == "true", settings->m_start.m_isFirstStart);
+    CHECK_EQUAL(3U, settings->m_start.m_founders.size());
+    CHECK_EQUAL(5U, settings->m_replica->m_targetVoters);
+  }
+}
+
 TEST(Settings, HelpNamesEverySetting)
 {
   const std::string help = PrintSettingsHelp();
--- /dev/null
+++ b/Tests/Platform/ControlApiTest.cxx
@@ -0,0 +1,185 @@
+// Tests of the calls of operators and runners.
+#include <optional>
+#include <string>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include "ConfigDocument.h"
+#include "ControlApi.h"
+#include "Support/FakeControl.h"
+
+// Last, since its leak macros redefine new.
+#include <CppUTest/TestHarness.h>
+
+using namespace parsleycove;
+
+namespace {
+
+class NoSink final : public LineSink
+{
+public:
+  void Write(const std::string& /*aLine*/) override {}
+};
+
+std::string
+MakeConfig(int aVersion, const std::string& aMore = {})
+{
+  return "{\"version\":" + std::to_string(aVersion) +
+         ",\"routes\":[],\"services\":[]" + aMore + "}";
+}
+
+std::string
+MakeBeat(const std::string& aState, int aSequence, int aBorn = 5)
+{
+  return R"({"service":"s1","address":"10.1.0.9:8080","zone":"z","slots":6,)"
+         R"("state":")" +
+         aState + R"(","sequence":)" + std::to_string(aSequence) +
+         R"(,"born":)" + std::to_string(aBorn) + "}";
+}
+
+} // namespace
+
+// clang-format off
+TEST_GROUP(ControlApi)
+{
+  boost::asio::io_context m_context;
+  FakeControl m_control;
+  const platform::ConfigDocument m_codec;
+  NoSink m_sink;
+  DecisionLog m_log{ "vm-1", m_sink };
+  platform::ControlApi m_api{ m_context, m_control, m_codec, m_log };
+
+  HttpResponse Call(http::verb aVerb,
+                    const std::string& aPath,
+                    const std::string& aBody = {})
+  {
+    HttpRequest request(aVerb, aPath, 11);
+    request.body() = aBody;
+    std::optional<HttpResponse> answer;
+    asio::co_spawn(
+      m_context,
+      m_api.Handle(request),
+      [&](const std::exception_ptr&, HttpResponse aAnswer) {
+        answer = std::move(aAnswer);
+      });
+    m_context.restart();
+    m_context.run();
+    return std::move(*answer);
+  }
+  unsigned Put(const std::string& aBody)
+  {
+    return Call(http::verb::put, "/parsleycove/config", aBody).result_int();
+  }
+  unsigned Beat(const std::string& aBody)
+  {
+    return Call(http::verb::put, "/parsleycove/instances/i-1", aBody)
+      .result_int();
+  }
+  const state::EndpointT* Listed()
+  {
+    m_view = m_control.View();
+    return m_view->FindEndpoint("i-1");
+  }
+
+  boost::intrusive_ptr<const ClusterView> m_view;
+};
+// clang-format on
+
+TEST(ControlApi, TheHighestVersionIsKeptAndEveryAcceptedOneAcknowledged)
+{
+  CHECK_EQUAL(200U, Put(MakeConfig(7)));
+  CHECK_EQUAL(200U, Put(MakeConfig(7)));
+  CHECK_EQUAL(200U, Put(MakeConfig(3)));
+  const HttpResponse answer = Call(http::verb::get, "/parsleycove/config");
+  CHECK_EQUAL(200U, answer.result_int());
+  CHECK(answer.body() == MakeConfig(7));
+}
+
+TEST(ControlApi, OtherContentUnderAVersionThatIsHeldChangesNothing)
+{
+  Put(MakeConfig(7));
+  Put(MakeConfig(7, ",\"tenants\":[]"));
+  CHECK(Call(http::verb::get, "/parsleycove/config").body() == MakeConfig(7));
+}
+
+TEST(ControlApi, AnInvalidConfigurationIsRefusedWithItsFault)
+{
+  const HttpResponse answer =
+    Call(http::verb::put, "/parsleycove/config", "{\"version\":1");
+  CHECK_EQUAL(400U, answer.result_int());
+  CHECK(answer.body().find("expected a whole JSON object") !=
+        std::string::npos);
+  CHECK_EQUAL(503U,
+              Call(http::verb::get, "/parsleycove/config").result_int());
+}
+
+TEST(ControlApi, AnOutcomeThatIsNotKnownIsNoAcknowledgement)
+{
+  m_control.SetFate([](const auto&) { return ProposalFate::AnswerLost; });
+  CHECK_EQUAL(503U, Put(MakeConfig(7)));
+  m_control.SetFate([](const auto&) { return ProposalFate::Applied; });
+  CHECK_EQUAL(200U, Put(MakeConfig(7)));
+}
+
+TEST(ControlApi, AHeartbeatRegistersARunnerAndADrainingOneLeaves)
+{
+  CHECK_EQUAL(200U, Beat(MakeBeat("ready", 1)));
+  CHECK(Listed()->phase == state::EndpointPhase::Ready);
+  CHECK_EQUAL(200U, Beat(MakeBeat("ready", 2)));
+  CHECK_EQUAL(200U, Beat(MakeBeat("draining", 3)));
+  CHECK(Listed()->phase == state::EndpointPhase::Leaving);
+  // A late heartbeat does not bring it back.
+  CHECK_EQUAL(200U, Beat(MakeBeat("ready", 2)));
+  CHECK(Listed()->phase == state::EndpointPhase::Leaving);
+}
+
+TEST(ControlApi, ALateHeartbeatOfAnEarlierStartChangesNothing)
+{
+  Beat(MakeBeat("ready", 1, 9));
+  CHECK_EQUAL(200U, Beat(MakeBeat("draining", 40, 5)));
+  CHECK(Listed()->phase == state::EndpointPhase::Ready);
+  CHECK_EQUAL(9U, Listed()->incarnation);
+}
+
+TEST(ControlApi, AHeartbeatClearsASuspicion)
+{
+  Beat(MakeBeat("ready", 1));
+  state::SuspectEndpointT suspect;
+  suspect.endpoint = std::make_unique<state::EndpointRefT>();
+  suspect.endpoint->id = "i-1";
+  suspect.endpoint->incarnation = 5;
+  state::CommandT command;
+  command.body.Set(std::move(suspect));
+  m_control.Apply(command);
+  CHECK(Listed()->suspected);
+  Beat(MakeBeat("ready", 2));
+  CHECK_FALSE(Listed()->suspected);
+}
+
+TEST(ControlApi, ALeaveIsAcknowledgedWhetherKnownOrNot)
+{
+  const std::string path = "/parsleycove/instances/i-1";
+  CHECK_EQUAL(200U, Call(http::verb::delete_, path).result_int());
+  Beat(MakeBeat("ready", 1));
+  CHECK_EQUAL(200U, Call(http::verb::delete_, path).result_int());
+  CHECK(Listed()->phase == state::EndpointPhase::Leaving);
+}
+
+TEST(ControlApi, ABrokenHeartbeatIsRefusedAndNothingElseIsLost)
+{
+  Beat(MakeBeat("ready", 1));
+  CHECK_EQUAL(400U, Beat("{\"service\":3"));
+  CHECK(Listed() != nullptr);
+}
+
+TEST(ControlApi, AHeartbeatThatCannotBeStoredIsNotAcknowledged)
+{
+  m_control.SetFate([](const auto&) { return ProposalFate::NotAccepted; });
+  CHECK_EQUAL(503U, Beat(MakeBeat("ready", 1)));
+}
+
+TEST(ControlApi, UnknownCallsAreToldSo)
+{
+  CHECK_EQUAL(404U, Call(http::verb::get, "/other").result_int());
+}
--- /dev/null
+++ b/Tests/Platform/DialectTest.cxx
@@ -0,0 +1,85 @@
+// Tests of the platform's headers.
+#include <string>
+
+#include "PlatformDialect.h"
+
+// Last, since its leak macros redefine new.
+#include <CppUTest/TestHarness.h>
+
+using namespace parsleycove;
+
+// clang-format off
+TEST_GROUP(PlatformDialect)
+{
+  const platform::PlatformDialect m_dialect;
+  boost::beast::http::fields m_fields;
+};
+// clang-format on
+
+TEST(PlatformDialect, ReadsWhatACallerSays)
+{
+  m_fields.set("attempt-id", "a1");
+  m_fields.set("Deadline-Ms", "20000");
+  m_fields.set("Authorization", "Bearer k1");
+  m_fields.set("Token-Usage", "1460,80");
+  m_fields.set("Length-Hint", "60");
+  m_fields.set("Last-Event-Id", "12");
+  const CallerMarks marks = m_dialect.ReadCaller(m_fields);
+  CHECK(marks.m_attemptId == "a1");
+  CHECK(marks.m_patience == std::chrono::seconds(20));
+  CHECK(marks.m_key == "k1");
+  CHECK_EQUAL(1460U, marks.m_promptTokens);
+  CHECK_EQUAL(80U, marks.m_maxAnswerTokens);
+  CHECK_EQUAL(60U, marks.m_expectedAnswerTokens);
+  CHECK_EQUAL(12U, *marks.m_lastEventId);
+}
+
+TEST(PlatformDialect, PassesOverWhatCannotBeRead)
+{
+  m_fields.set("Deadline-Ms", "soon");
+  m_fields.set("Authorization", "Basic x");
+  m_fields.set("Token-Usage", "7");
+  const CallerMarks marks = m_dialect.ReadCaller(m_fields);
+  CHECK_FALSE(marks.m_patience.has_value());
+  CHECK(marks.m_key.empty());
+  CHECK_EQUAL(0U, marks.m_promptTokens);
+}
+
+TEST(PlatformDialect, ReadsAnAnswersMarks)
+{
+  m_fields.set("Attempt-Id", "a1");
+  m_fields.set("Response-Signature", "s");
+  m_fields.set("Instance-Load", "3,1,8");
+  const AnswerMarks marks = m_dialect.ReadAnswer(200, m_fields);
+  CHECK(marks.m_isSigned);
+  CHECK_FALSE(marks.m_isNotRun);
+  CHECK_EQUAL(3U, marks.m_load->m_running);
+  CHECK_EQUAL(1U, marks.m_load->m_waiting);
+  CHECK_EQUAL(8U, marks.m_load->m_slots);
+}
+
+TEST(PlatformDialect, OnlyTheMarkOr421SaysThatNothingRan)
+{
+  CHECK_FALSE(m_dialect.ReadAnswer(503, m_fields).m_isNotRun);
+  CHECK(m_dialect.ReadAnswer(421, m_fields).m_isNotRun);
+  m_fields.set("Not-Executed", "1");
+  CHECK(m_dialect.ReadAnswer(503, m_fields).m_isNotRun);
+}
+
+TEST(PlatformDialect, StatusesThatPromiseAreKnown)
+{
+  for (const unsigned status : { 408U, 421U, 429U, 503U }) {
+    CHECK(m_dialect.IsPromise(status));
+  }
+  for (const unsigned status : { 200U, 404U, 500U, 502U, 504U }) {
+    CHECK_FALSE(m_dialect.IsPromise(status));
+  }
+}
+
+TEST(PlatformDialect, ReadsAnEnginesState)
+{
+  const auto state = m_dialect.ReadState(R"({"pace":2.5,"born":77})");
+  DOUBLES_EQUAL(2.5, state->m_pace, 1e-9);
+  CHECK_EQUAL(77U, *state->m_incarnation);
+  CHECK_FALSE(m_dialect.ReadState("no json").has_value());
+}
--- /dev/null
+++ b/Tests/Platform/RunnerReportTest.cxx
@@ -0,0 +1,93 @@
+// Tests of what runners say of themselves.
+#include <string>
+
+#include "RunnerReport.h"
+
+// Last, since its leak macros redefine new.
+#include <CppUTest/TestHarness.h>
+
+using namespace parsleycove;
+using platform::ReadRunnerReport;
+
+namespace {
+
+const std::string kReport =
+  R"({"service":"s1","address":"10.1.0.9:8080","zone":"z","version":"v1",
+"slots":192,"state":"ready","cold-remaining-ms":0,"stage":"both",
+"models":[{"name":"m","version":1,"adapters":[]}],"kind":"l4",
+"layers":{"from":20,"target":31,"version":1},"sequence":4,
+"born":1779363788036})";
+
+std::string
+Replace(std::string aText, const std::string& aFrom, const std::string& aTo)
+{
+  return aText.replace(aText.find(aFrom), aFrom.size(), aTo);
+}
+
+std::string
+Fault(const std::string& aBody)
+{
+  std::string fault;
+  CHECK_FALSE(ReadRunnerReport("i-1", aBody, fault).has_value());
+  return fault;
+}
+
+} // namespace
+
+TEST_GROUP(RunnerReport){};
+
+TEST(RunnerReport, IsReadIntoAnEndpoint)
+{
+  std::string fault;
+  const auto report = ReadRunnerReport("i-1", kReport, fault);
+  const state::EndpointT& endpoint = report->m_endpoint;
+  STRCMP_EQUAL("i-1", endpoint.id.c_str());
+  STRCMP_EQUAL("10.1.0.9", endpoint.address.c_str());
+  CHECK_EQUAL(8080, endpoint.port);
+  CHECK(endpoint.kind == state::EndpointKind::ManagedEngine);
+  CHECK_EQUAL(20U, endpoint.first_layer);
+  CHECK_EQUAL(11U, endpoint.layer_count);
+  CHECK_EQUAL(1779363788036U, endpoint.incarnation);
+  CHECK_EQUAL(4U, endpoint.report);
+  CHECK_FALSE(report->m_isLeaving);
+}
+
+TEST(RunnerReport, LayersMayBeAListOrNothing)
+{
+  std::string fault;
+  const std::string range = R"({"from":20,"target":31,"version":1})";
+  const auto list =
+    ReadRunnerReport("i-1", Replace(kReport, range, "[" + range + "]"), fault);
+  CHECK_EQUAL(11U, list->m_endpoint.layer_count);
+  for (const char* none : { "null", "[]", "{}" }) {
+    const auto empty =
+      ReadRunnerReport("i-1", Replace(kReport, range, none), fault);
+    CHECK_EQUAL(0U, empty->m_endpoint.layer_count);
+  }
+}
+
+TEST(RunnerReport, WithoutModelsItIsAPlainService)
+{
+  std::string fault;
+  const auto report = ReadRunnerReport(
+    "i-2",
+    R"({"service":"s2","address":"10.1.0.9:80","zone":"z","slots":6,
+"state":"draining","sequence":9})",
+    fault);
+  CHECK(report->m_endpoint.kind == state::EndpointKind::PlainService);
+  CHECK(report->m_isLeaving);
+}
+
+TEST(RunnerReport, NamesWhatIsWrong)
+{
+  STRCMP_EQUAL("heartbeat: expected a whole JSON object",
+               Fault("\x01\x02").c_str());
+  STRCMP_EQUAL("heartbeat: \"state\": expected ready or draining",
+               Fault(Replace(kReport, "\"ready\"", "\"odd\"")).c_str());
+  STRCMP_EQUAL("heartbeat: \"address\": expected an IP number with a port",
+               Fault(Replace(kReport, "10.1.0.9:8080", "host:1")).c_str());
+  STRCMP_EQUAL("heartbeat: \"slots\": expected a whole number of 0 or more",
+               Fault(Replace(kReport, "192", "\"many\"")).c_str());
+  STRCMP_EQUAL("heartbeat: \"service\": expected a text",
+               Fault(Replace(kReport, "\"service\":\"s1\",", "")).c_str());
+}
