Routing: Pass over a slow path of the own zone

Change: the own zone's path is taken while it is at most 1.6 times as slow as the fastest one; otherwise fill counts times slowness.

--- a/Source/Ctl/StoryCommand.cxx
+++ b/Source/Ctl/StoryCommand.cxx
@@ -36,9 +36,9 @@
     }
     boost::system::error_code error;
     json::value line = json::parse(std::string_view(text).substr(begin), error);
-    const json::value* time =
-      !error && line.is_object() ? line.get_object().if_contains("unix_ms")
-                                 : nullptr;
+    const json::value* time = !error && line.is_object()
+                                ? line.get_object().if_contains("unix_ms")
+                                : nullptr;
     if (time != nullptr && time->is_int64()) {
       aLines.push_back({ time->get_int64(), std::move(line.get_object()) });
     }
@@ -74,9 +74,7 @@
     }
   }
   std::stable_sort(
-    story.begin(),
-    story.end(),
-    [](const auto& aLeft, const auto& aRight) {
+    story.begin(), story.end(), [](const auto& aLeft, const auto& aRight) {
       return aLeft.m_unixMs < aRight.m_unixMs;
     });
   return story;
@@ -85,9 +83,8 @@
 void
 Print(const StoryLine& aLine, std::int64_t aStartMs, std::ostream& aOut)
 {
-  aOut << (aLine.m_unixMs - aStartMs) << " ms  "
-       << TextOf(aLine.m_fields, "vm") << "  "
-       << TextOf(aLine.m_fields, "event");
+  aOut << (aLine.m_unixMs - aStartMs) << " ms  " << TextOf(aLine.m_fields, "vm")
+       << "  " << TextOf(aLine.m_fields, "event");
   for (const auto& [name, value] : aLine.m_fields) {
     const bool isShown =
       name != "unix_ms" && name != "vm" && name != "event" && name != "id";
@@ -131,9 +128,7 @@
     ReadLines(file, lines);
   }
   std::stable_sort(
-    lines.begin(),
-    lines.end(),
-    [](const auto& aLeft, const auto& aRight) {
+    lines.begin(), lines.end(), [](const auto& aLeft, const auto& aRight) {
       return aLeft.m_unixMs < aRight.m_unixMs;
     });
   const std::vector<StoryLine> story = PickStory(lines, aArguments[0]);
--- a/Source/Routing/PathBook.cxx
+++ b/Source/Routing/PathBook.cxx
@@ -144,6 +144,7 @@
   if (aNow - m_plannedAt >= m_settings.m_refresh) {
     Plan(aNow);
   }
+  const double fastest = FastestStepMs(aNow, aRequest);
   StagePathPtr best;
   double least = 0;
   for (const StagePathPtr& path : m_paths) {
@@ -151,13 +152,17 @@
       continue;
     }
     const double fill = Fill(aNow, *path, aRequest);
+    const double slowness = path->m_stepMs / fastest;
     const bool isLocal = path->m_crossings == 0;
     if (isLocal && path->First().m_zone == m_zone &&
-        fill <= m_settings.m_ownZoneFill) {
+        fill <= m_settings.m_ownZoneFill &&
+        slowness <= m_settings.m_ownZoneSlowness) {
       return { path, false };
     }
+    // A stream stays longer on a slow path, so the same fill is worth less.
     const double cost =
-      fill + (isLocal || fill > m_settings.m_fillLimit ? 0 : kCrossingCost);
+      fill * slowness +
+      (isLocal || fill > m_settings.m_fillLimit ? 0 : kCrossingCost);
     if (!best || cost < least) {
       best = path;
       least = cost;
@@ -168,6 +173,21 @@
   return isFull ? PathChoice{ nullptr, true } : PathChoice{ best, false };
 }
 
+double
+PathBook::FastestStepMs(TimePoint aNow, const PathRequest& aRequest) const
+{
+  double fastest = 0;
+  for (const StagePathPtr& path : m_paths) {
+    const bool counts =
+      path->m_crossings == 0 && IsAllowed(aNow, *path, aRequest);
+    if (counts && (fastest == 0 || path->m_stepMs < fastest)) {
+      fastest = path->m_stepMs;
+    }
+  }
+  constexpr double kAnyStepMs = 1;
+  return fastest > 0 ? fastest : kAnyStepMs;
+}
+
 bool
 PathBook::IsAllowed(TimePoint aNow,
                     const StagePath& aPath,
--- a/Source/Routing/PathBook.h
+++ b/Source/Routing/PathBook.h
@@ -69,6 +69,9 @@
   // A path within the own zone is used up to this fill; then the least filled
   // within any zone; then the least filled of all.
   double m_ownZoneFill = 0.6;
+  // The own zone's path is passed over where another zone's is faster by more
+  // than this: an engine on it has slowed down.
+  double m_ownZoneSlowness = 1.6;
   // Part of the room and of the slots that new requests may fill; answers grow
   // beyond their expected length.
   double m_fillLimit = 0.95;
@@ -96,6 +99,8 @@
   void Plan(TimePoint aNow);
   StagePathPtr MakePath(const std::vector<PathHost>& aHosts,
                         const std::vector<PathPart>& aParts) const;
+  // Step of the fastest path within a zone; 1 where there is none.
+  double FastestStepMs(TimePoint aNow, const PathRequest& aRequest) const;
   static bool IsAllowed(TimePoint aNow,
                         const StagePath& aPath,
                         const PathRequest& aRequest);
--- a/Tests/Control/MembershipRepairTest.cxx
+++ b/Tests/Control/MembershipRepairTest.cxx
@@ -1,6 +1,6 @@
 // Tests of when a replica is promoted or removed, and of identities.
-#include "Control/Cluster.h"
 #include "Control/MembershipRepair.h"
+#include "Control/Cluster.h"
 #include "Control/ReplicaIdentity.h"
 #include "Store/DiskFiles.h"
 #include "Store/IdentityFile.h"
--- a/Tests/Control/RepairEndToEndTest.cxx
+++ b/Tests/Control/RepairEndToEndTest.cxx
@@ -92,8 +92,8 @@
 TEST(RepairEndToEnd, AConfirmedViewHoldsWhatWasAcceptedBefore)
 {
   StartAll(0);
-  const auto reader = std::make_unique<ControlClient>(
-    m_cluster.ClientOptions("vm-y", "zone-y"));
+  const auto reader =
+    std::make_unique<ControlClient>(m_cluster.ClientOptions("vm-y", "zone-y"));
   for (std::uint64_t version = 1; version <= 20; ++version) {
     CHECK(Propose(*m_client, MakeDocument(version)).m_value.has_value());
     std::atomic<std::uint64_t> seen{ 0 };
@@ -108,9 +108,8 @@
 TEST(RepairEndToEnd, NoDocumentIsAcceptedWithTooFewVoters)
 {
   StartAll(4);
-  const auto answer = ProposeUntil(*m_client,
-                                   MakeDocument(1),
-                                   BootClock::now() + std::chrono::seconds(1));
+  const auto answer = ProposeUntil(
+    *m_client, MakeDocument(1), BootClock::now() + std::chrono::seconds(1));
   CHECK_FALSE(answer.m_value.has_value());
   // Changes of another kind do not wait for more voters.
   CHECK(Propose(*m_client, MakeAnnounce("e1", 1)).m_value.has_value());
@@ -136,11 +135,10 @@
     if (!status.m_value || CountVoters(*status.m_value) != 3) {
       return false;
     }
-    return std::none_of(status.m_value->replicas.begin(),
-                        status.m_value->replicas.end(),
-                        [&](const auto& aRow) {
-                          return aRow->replica == lostId;
-                        });
+    return std::none_of(
+      status.m_value->replicas.begin(),
+      status.m_value->replicas.end(),
+      [&](const auto& aRow) { return aRow->replica == lostId; });
   });
   CHECK(repaired);
   CHECK(Propose(*m_client, MakeDocument(2)).m_value.has_value());
@@ -159,8 +157,8 @@
   StartAll(0);
   m_cluster.WaitForLeader();
   CHECK(Propose(*m_client, MakeDocument(1)).m_value.has_value());
-  // Reaches the replica beside the relay, so it answers all the time. No replica
-  // is in its zone, so it has no other reason to turn to another one.
+  // Reaches the replica beside the relay, so it answers all the time. No
+  // replica is in its zone, so it has no other reason to turn to another one.
   ControlClientOptions options = m_cluster.ClientOptions("vm-y", "zone-x");
   options.m_seeds = { m_cluster.Options(0).m_listen };
   options.m_staleLimit = std::chrono::milliseconds(600);
--- a/Tests/Platform/ConfigDocumentTest.cxx
+++ b/Tests/Platform/ConfigDocumentTest.cxx
@@ -80,17 +80,15 @@
   STRCMP_EQUAL(
     "configuration: \"version\": expected a whole number of 0 or more",
     Fault(Replace(kDocument, "\"version\":7", "\"version\":\"x\"")).c_str());
+  STRCMP_EQUAL("routes 1: \"timeout-ms\": expected a whole number of 0 or more",
+               Fault(Replace(kDocument, "\"timeout-ms\":1000,", "")).c_str());
   STRCMP_EQUAL(
-    "routes 1: \"timeout-ms\": expected a whole number of 0 or more",
-    Fault(Replace(kDocument, "\"timeout-ms\":1000,", "")).c_str());
-  STRCMP_EQUAL("routes 0: \"allow-anonymous\": expected true or false",
-               Fault(Replace(kDocument,
-                             "\"allow-anonymous\":false",
-                             "\"allow-anonymous\":3"))
-                 .c_str());
-  STRCMP_EQUAL(
-    "configuration: \"routes\": expected a list",
-    Fault(R"({"version":1,"routes":{},"services":[]})").c_str());
+    "routes 0: \"allow-anonymous\": expected true or false",
+    Fault(
+      Replace(kDocument, "\"allow-anonymous\":false", "\"allow-anonymous\":3"))
+      .c_str());
+  STRCMP_EQUAL("configuration: \"routes\": expected a list",
+               Fault(R"({"version":1,"routes":{},"services":[]})").c_str());
 }
 
 TEST(ConfigDocument, RulesOfTheProductHold)
--- a/Tests/Platform/ControlApiTest.cxx
+++ b/Tests/Platform/ControlApiTest.cxx
@@ -110,8 +110,7 @@
   CHECK_EQUAL(400U, answer.result_int());
   CHECK(answer.body().find("expected a whole JSON object") !=
         std::string::npos);
-  CHECK_EQUAL(503U,
-              Call(http::verb::get, "/parsleycove/config").result_int());
+  CHECK_EQUAL(503U, Call(http::verb::get, "/parsleycove/config").result_int());
 }
 
 TEST(ControlApi, AnOutcomeThatIsNotKnownIsNoAcknowledgement)
--- a/Tests/Routing/PathBookTest.cxx
+++ b/Tests/Routing/PathBookTest.cxx
@@ -207,6 +207,20 @@
   CHECK_FALSE(Choose(0)->Uses(second));
 }
 
+// Load pattern: the own zone's engines work four times as long.
+TEST(PathBook, PassesOverTheOwnZoneWhileItIsSlow)
+{
+  for (const RunnerPtr& engine : m_engines) {
+    if (engine->m_zone == "a") {
+      engine->m_load->NotePace(At(0), 4);
+    }
+  }
+  m_book.Invalidate();
+  const StagePathPtr path = Choose(0);
+  CHECK(path->First().m_zone != "a");
+  CHECK_FALSE(Crosses(*path));
+}
+
 TEST(PathBook, LeavesItsZoneOnlyWhereNoPathWithinAZoneIsLeft)
 {
   // The first stages of all zones but one: what is left must cross.
