Routing: Let an engine's word on its load last as long as a stream

Cause, grown escort site: a VM of a large fleet hears of an engine's load once a second or less, and forgot it within half a second; first engines were filled over their slots, and requests waited 1.9 s there. Every VM found a dead engine by a request of its own.

Change: reported load fades over 3 s for paths. Engines that another VM found dead are asked first.

--- a/Source/Control/FeedServer.cxx
+++ b/Source/Control/FeedServer.cxx
@@ -248,7 +248,7 @@
     feed::ConfirmReadReplyT reply;
     reply.id = id;
     reply.ok = aOk;
-    link->Send(EncodeFeedBody(std::move(reply)));
+    link->Send(EncodeFeedBody(reply));
   });
 }
 
--- a/Source/Control/ReplicaIdentity.cxx
+++ b/Source/Control/ReplicaIdentity.cxx
@@ -80,9 +80,9 @@
     return false;
   }
   // The identity goes last: without it the rest is no log of anybody's.
+  const std::string prefix = aFolder + "/";
   for (const std::string& name : *names) {
-    if (name != kIdentityName &&
-        !aFiles.Remove(aFolder + "/" + name, aReason)) {
+    if (name != kIdentityName && !aFiles.Remove(prefix + name, aReason)) {
       return false;
     }
   }
--- a/Source/Daemon/SettingReader.cxx
+++ b/Source/Daemon/SettingReader.cxx
@@ -117,6 +117,7 @@
   for (std::size_t i = 0; i < kSettings.size(); ++i) {
     if (kSettings[i].m_id == aId && !m_given[i]) {
       m_texts[i] = std::move(aText);
+      return;
     }
   }
 }
--- a/Source/Forwarding/ForwardGateway.cxx
+++ b/Source/Forwarding/ForwardGateway.cxx
@@ -21,7 +21,7 @@
 constexpr Duration kCallCheck = std::chrono::milliseconds(15);
 constexpr Duration kCallerCheck = std::chrono::milliseconds(250);
 // New versions come into force at the next request or this look.
-constexpr Duration kUpkeep = std::chrono::milliseconds(250);
+constexpr Duration kUpkeep = std::chrono::milliseconds(150);
 constexpr Duration kStopMargin = std::chrono::milliseconds(400);
 
 } // namespace
@@ -83,6 +83,7 @@
   {
     const TimePoint now = BootClock::now();
     m_board.Refresh(now);
+    m_doctor.AskSuspected(now);
     m_pool.Sweep(now);
     std::erase_if(m_callers,
                   [](const auto& aCaller) { return aCaller.expired(); });
--- a/Source/Forwarding/PathDoctor.cxx
+++ b/Source/Forwarding/PathDoctor.cxx
@@ -141,6 +141,23 @@
     });
 }
 
+void
+PathDoctor::AskSuspected(TimePoint aNow)
+{
+  const RunnerTable* table = m_board->Runners();
+  if (table == nullptr) {
+    return;
+  }
+  for (const RunnerPtr& runner : table->Runners()) {
+    const bool isOpen = runner->m_kind == state::EndpointKind::ManagedEngine &&
+                        runner->m_phase == state::EndpointPhase::Ready &&
+                        runner->m_load->Circuit(aNow) == CircuitState::Ok;
+    if (runner->m_isSuspected && isOpen) {
+      Ask(aNow, runner, m_settings.m_askSlowAgain);
+    }
+  }
+}
+
 void
 PathDoctor::Doubt(TimePoint aNow, const RunnerPtr& aRunner)
 {
--- a/Source/Forwarding/PathDoctor.h
+++ b/Source/Forwarding/PathDoctor.h
@@ -70,6 +70,9 @@
   void Check(TimePoint aNow);
   // An answer named this engine as the one at fault.
   void Accuse(TimePoint aNow, const RunnerPtr& aRunner, std::string_view aWhy);
+  // Asks the engines that other gateways found dead, before a request is sent
+  // their way.
+  void AskSuspected(TimePoint aNow);
   // It did not answer once; asks it.
   void Doubt(TimePoint aNow, const RunnerPtr& aRunner);
   RunnerPtr FindByAddress(std::string_view aAddress) const;
--- a/Source/Routing/PathBook.cxx
+++ b/Source/Routing/PathBook.cxx
@@ -11,6 +11,9 @@
 // An engine of an earlier path costs this much more in the next one.
 constexpr double kReusePenalty = 8;
 constexpr double kBytesPerMb = 1e6;
+// About as long as a stream lasts: a VM of a large fleet hears of an engine's
+// load once in a second or two.
+constexpr double kStreamSeconds = 3;
 // A path that leaves its zone is taken only where no other one has room.
 constexpr double kCrossingCost = 10;
 
@@ -124,7 +127,7 @@
 {
   // The first engine tells how many requests it has of all gateways.
   const RunnerLoad& first = *aPath.First().m_load;
-  const double streams = first.EstimateStreams(aNow);
+  const double streams = first.EstimateStreams(aNow, kStreamSeconds);
   const double share = std::clamp(streams / std::max(1, first.Streams()),
                                   1.0,
                                   2.0 * std::max(1U, aRequest.m_gateways));
--- a/Source/Routing/RunnerLoad.cxx
+++ b/Source/Routing/RunnerLoad.cxx
@@ -12,7 +12,6 @@
 constexpr double kMinSlowness = 1.0 / 64;
 constexpr double kMaxSlowness = 64.0;
 constexpr double kSlownessHalfLifeSeconds = 2.0;
-constexpr double kReportHalfLifeSeconds = 0.5;
 // Steps below this many positions measure the round trip, others the rate.
 constexpr std::uint32_t kPrefillPositions = 8;
 // Without an answer for so long, an endpoint gets no further work.
@@ -228,7 +227,7 @@
 }
 
 double
-RunnerLoad::EstimateStreams(TimePoint aNow) const
+RunnerLoad::EstimateStreams(TimePoint aNow, double aHalfLifeSeconds) const
 {
   const double own = std::max(Load(m_streams), 0);
   const std::int64_t reportedAt = Load(m_reportedAtNs);
@@ -236,7 +235,7 @@
     return own;
   }
   const double others = Load(m_reportedOthers);
-  return own + others * Fade(ToNs(aNow) - reportedAt, kReportHalfLifeSeconds);
+  return own + others * Fade(ToNs(aNow) - reportedAt, aHalfLifeSeconds);
 }
 
 double
--- a/Source/Routing/RunnerLoad.h
+++ b/Source/Routing/RunnerLoad.h
@@ -97,7 +97,8 @@
   std::int32_t Positions() const { return Load(m_positions); }
   // Work of all gateways: the own streams plus what others were reported to
   // have there, faded by the age of the report.
-  double EstimateStreams(TimePoint aNow) const;
+  // aHalfLifeSeconds: about as long as work stays there.
+  double EstimateStreams(TimePoint aNow, double aHalfLifeSeconds = 0.5) const;
   // Observed over predicted step time; 1 when nothing is known.
   double Slowness(TimePoint aNow) const;
   // Zero until a step has been answered.
