--- a/Source/Daemon/ControlProcess.cxx
+++ b/Source/Daemon/ControlProcess.cxx
@@ -10,6 +10,7 @@
 #include "Control/GroupMember.h"
 #include "Control/ReplicaService.h"
 #include "Daemon/ProcessFrame.h"
+#include "Daemon/ReplicaLog.h"
 #include "Placement/PlacementDirector.h"
 #include "Store/DiskFiles.h"
 
@@ -28,22 +29,6 @@
   return (static_cast<std::uint64_t>(device()) << kHalf) | device();
 }
 
-LogLevel
-ToLogLevel(ControlLogLevel aLevel)
-{
-  switch (aLevel) {
-    case ControlLogLevel::Debug:
-      return LogLevel::Debug;
-    case ControlLogLevel::Info:
-      return LogLevel::Info;
-    case ControlLogLevel::Warning:
-      return LogLevel::Warning;
-    case ControlLogLevel::Error:
-      return LogLevel::Error;
-  }
-  return LogLevel::Info;
-}
-
 // Starts the replica under the identity of its folder. A folder that is
 // damaged is emptied, and the replica comes back as a new one, as after the
 // loss of its disk.
@@ -117,9 +102,7 @@
       frame.End();
     });
   };
-  options.m_log = [](ControlLogLevel aLevel, const std::string& aText) {
-    Log(ToLogLevel(aLevel), "control", { { "text", aText } });
-  };
+  options.m_log = WriteReplicaLog;
   const auto replica = StartReplica(frame, options, aSettings.m_start);
   if (!replica) {
     return DaemonExit::CannotStart;
--- a/Source/Daemon/Daemon.cxx
+++ b/Source/Daemon/Daemon.cxx
@@ -14,6 +14,7 @@
 #include "Control/ReplicaService.h"
 #include "Daemon/ControlProcess.h"
 #include "Daemon/EntryProcess.h"
+#include "Daemon/ReplicaLog.h"
 #include "Gateway/GatewayServer.h"
 #include "Telemetry/MetricRegistry.h"
 #include "Telemetry/SpanStore.h"
@@ -27,22 +28,6 @@
 constexpr std::size_t kSpanCapacity = 50'000;
 constexpr Duration kDrainCheckInterval = std::chrono::milliseconds(20);
 
-LogLevel
-ToLogLevel(ControlLogLevel aLevel)
-{
-  switch (aLevel) {
-    case ControlLogLevel::Debug:
-      return LogLevel::Debug;
-    case ControlLogLevel::Info:
-      return LogLevel::Info;
-    case ControlLogLevel::Warning:
-      return LogLevel::Warning;
-    case ControlLogLevel::Error:
-      return LogLevel::Error;
-  }
-  return LogLevel::Info;
-}
-
 // Waits for a signal, an operator's drain or a failing store, then until all
 // work in progress has ended.
 class StopWatch
@@ -118,9 +103,7 @@
     Log(LogLevel::Error, "replica has stopped", { { "why", aWhy } });
     aHasFailed = true;
   };
-  options.m_log = [](ControlLogLevel aLevel, const std::string& aText) {
-    Log(ToLogLevel(aLevel), "control", { { "text", aText } });
-  };
+  options.m_log = WriteReplicaLog;
   ControlServiceReason reason;
   auto replica = ReplicaService::Start(options, reason);
   if (!replica) {
--- a/Source/Daemon/DaemonSettings.cxx
+++ b/Source/Daemon/DaemonSettings.cxx
@@ -2,135 +2,19 @@
 #include "Daemon/DaemonSettings.h"
 
 #include <algorithm>
-#include <cctype>
 #include <charconv>
-#include <cstdlib>
 #include <filesystem>
 #include <string_view>
 #include <utility>
 
 #include "Base/EnumTable.h"
+#include "Daemon/SettingChecker.h"
 #include "Routing/Runner.h"
 
 namespace parsleycove {
 
 namespace {
 
-constexpr std::size_t kMaxNameLength = 64;
-constexpr std::size_t kHashDigits = 64;
-
-// Checks settings one by one and keeps the first error.
-class SettingChecker
-{
-public:
-  explicit SettingChecker(const SettingReader& aReader)
-    : m_reader(aReader)
-  {
-  }
-
-  bool HasFailed() const { return m_reason.m_code != SettingError::None; }
-  const SettingReason& LastReason() const { return m_reason; }
-
-  void Fail(SettingId aId)
-  {
-    const SettingRow& row = RowOf(aId);
-    FailWith("--" + std::string(row.m_name) + " (" +
-             std::string(row.m_variable) + ") is \"" + m_reader.TextOf(aId) +
-             "\": expected " + std::string(row.m_expected));
-  }
-
-  void FailWith(std::string aText)
-  {
-    if (!HasFailed()) {
-      m_reason.Set(SettingError::Invalid, std::move(aText));
-    }
-  }
-
-  std::string Name(SettingId aId)
-  {
-    const std::string& text = m_reader.TextOf(aId);
-    const bool fits = !text.empty() && text.size() <= kMaxNameLength;
-    const bool isPlain =
-      std::all_of(text.begin(), text.end(), [](unsigned char aSign) {
-        return std::isalnum(aSign) != 0 || aSign == '-' || aSign == '_' ||
-               aSign == '.';
-      });
-    if (!fits || !isPlain) {
-      Fail(aId);
-    }
-    return text;
-  }
-
-  std::uint64_t Number(SettingId aId,
-                       std::uint64_t aLowest,
-                       std::uint64_t aHighest)
-  {
-    const std::string& text = m_reader.TextOf(aId);
-    std::uint64_t number = 0;
-    const char* end = text.data() + text.size();
-    const auto [stop, error] = std::from_chars(text.data(), end, number);
-    const bool isNumber = error == std::errc{} && stop == end;
-    if (!isNumber || number < aLowest || number > aHighest) {
-      Fail(aId);
-    }
-    return number;
-  }
-
-  Duration Milliseconds(SettingId aId,
-                        std::uint64_t aLowest,
-                        std::uint64_t aHighest)
-  {
-    return std::chrono::milliseconds(Number(aId, aLowest, aHighest));
-  }
-
-  double Fraction(SettingId aId)
-  {
-    const std::string& text = m_reader.TextOf(aId);
-    char* end = nullptr;
-    const double number = std::strtod(text.c_str(), &end);
-    if (text.empty() || *end != '\0' || number < 0 || number > 1) {
-      Fail(aId);
-    }
-    return number;
-  }
-
-  bool Flag(SettingId aId)
-  {
-    const std::string& text = m_reader.TextOf(aId);
-    if (text != "true" && text != "false") {
-      Fail(aId);
-    }
-    return text == "true";
-  }
-
-  SocketAddress Address(SettingId aId)
-  {
-    const auto address = SocketAddress::Parse(m_reader.TextOf(aId));
-    if (!address) {
-      Fail(aId);
-      return {};
-    }
-    return *address;
-  }
-
-  std::string Hash(SettingId aId)
-  {
-    const std::string& text = m_reader.TextOf(aId);
-    const bool isHex =
-      std::all_of(text.begin(), text.end(), [](unsigned char aSign) {
-        return std::isdigit(aSign) != 0 || (aSign >= 'a' && aSign <= 'f');
-      });
-    if (!text.empty() && (text.size() != kHashDigits || !isHex)) {
-      Fail(aId);
-    }
-    return text;
-  }
-
-private:
-  const SettingReader& m_reader;
-  SettingReason m_reason;
-};
-
 std::vector<std::string_view>
 Split(std::string_view aText, char aMark)
 {
--- a/Source/Forwarding/StreamForwarder.h
+++ b/Source/Forwarding/StreamForwarder.h
@@ -1,13 +1,93 @@
 // Forwards a request whose answer is a series of events.
 #pragma once
 
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "Forwarding/EventSplitter.h"
 #include "Forwarding/RequestJob.h"
 
 namespace parsleycove {
 
+// What became of one sending.
+enum class RunVerdict
+{
+  // The answer is complete, or nothing more can be done for the caller.
+  Ended,
+  // Never ran.
+  NotRun,
+  // Ran, and broke off.
+  Broken,
+};
+
 // Whole events are passed on as they come. Where the route allows it, a stream
 // whose endpoint or path broke goes on at another one within the same answer,
 // after the last whole event.
+//
+// StreamForwarder.cxx decides where a request goes next, StreamRun.cxx follows
+// one sending.
+class StreamForwarder
+{
+public:
+  explicit StreamForwarder(RequestJob& aJob)
+    : m_job(aJob)
+    , m_services(aJob.m_services)
+    , m_desk(aJob.m_services.m_board.DeskOf(aJob.m_service))
+    , m_events(aJob.m_marks.m_lastEventId)
+  {
+  }
+  asio::awaitable<void> Run();
+
+private:
+  std::uint32_t ExpectedTokens() const;
+  PathChoice ChoosePath();
+  // Paths come back within about a second: an engine loads the layers of one
+  // that was lost. A full path has room as soon as a stream ends. False once
+  // that has been waited for.
+  asio::awaitable<bool> WaitForPath(bool aIsFull);
+  // A caller who has had events waits about two seconds for the next one. The
+  // budget grows meanwhile, and engines that refuse get room.
+  asio::awaitable<bool> WaitToResume();
+  bool MayTryAgain(RunVerdict aVerdict);
+  // Whether the stream may go to another path now; takes what that needs.
+  bool ClaimMove();
+  // Runners that have run the request and are still there count against the
+  // route's limit; a path may begin at one of them again.
+  bool MayBeginAt(const StagePath& aPath) const;
+  asio::awaitable<RunVerdict> Try(StagePathPtr aPath);
+  void NoteUnreachable(const RunnerPtr& aFirst);
+  asio::awaitable<RunVerdict> Receive(ForwardCall& aCall);
+  RunVerdict NoteRefused(ForwardCall& aCall, const AnswerMarks& aMarks);
+  asio::awaitable<RunVerdict> NoteFailure(ForwardCall& aCall);
+  asio::awaitable<RunVerdict> RelayEvents(ForwardCall& aCall);
+  // False when the caller is gone.
+  asio::awaitable<bool> PassOn(ForwardCall& aCall, std::string_view aBytes);
+  // A token that came has passed every stage.
+  static void NoteProgress(const ForwardCall& aCall);
+  RunVerdict NoteBroken(ForwardCall& aCall);
+  // No endpoint is left, or no time. The promise of a refusal is given only if
+  // nothing can have run.
+  asio::awaitable<void> GiveUp(RefusalCause aCause);
+  RequestJob& m_job;
+  ForwardServices& m_services;
+  ServiceDesk& m_desk;
+  EventSplitter m_events;
+  // Sendings that no endpoint has shown to be without effect.
+  std::uint32_t m_runs = 0;
+  std::size_t m_refusals = 0;
+  // The header of the first run has gone out.
+  bool m_hasBegun = false;
+  // End of the wait for a path.
+  TimePoint m_waitsUntil{};
+  // A repeat has been paid for.
+  bool m_hasClaimed = false;
+  // First runners of the runs, but for those that have ended.
+  std::vector<std::string> m_usedFirst;
+  TimePoint m_lastEventAt{};
+  CallEnd m_lastEnd = CallEnd::None;
+};
+
 asio::awaitable<void>
 ForwardStream(RequestJob& aJob);
 
