--- a/Tests/Forwarding/ForwardFixture.h
+++ b/Tests/Forwarding/ForwardFixture.h
@@ -84,8 +84,8 @@
 private:
   StubEndpoint& Announce(state::EndpointT aEndpoint);
 
-  const platform::PlatformDialect m_dialect;
-  const platform::ConfigDocument m_codec;
+  const platform::PlatformDialect m_dialect{};
+  const platform::ConfigDocument m_codec{};
   std::deque<StubEndpoint> m_endpoints;
 };
 
--- a/Tests/Placement/PlacementDeskTest.cxx
+++ b/Tests/Placement/PlacementDeskTest.cxx
@@ -89,7 +89,7 @@
   suspected->m_isSuspected = true;
   lost = suspected;
   CHECK_EQUAL(0U, m_desk.FindDue(At(2), m_model, engines).size());
-  CHECK(m_desk.FindDue(At(4), m_model, engines).size() > 0);
+  CHECK_FALSE(m_desk.FindDue(At(4), m_model, engines).empty());
 }
 
 TEST(PlacementDesk, AnEngineThatStartedAgainGetsItsLayersAgain)
--- a/Tests/Platform/ControlApiTest.cxx
+++ b/Tests/Platform/ControlApiTest.cxx
@@ -45,7 +45,7 @@
 {
   boost::asio::io_context m_context;
   FakeControl m_control;
-  const platform::ConfigDocument m_codec;
+  const platform::ConfigDocument m_codec{};
   NoSink m_sink;
   DecisionLog m_log{ "vm-1", m_sink };
   platform::ControlApi m_api{ m_context, m_control, m_codec, m_log };
--- a/Tests/Platform/DialectTest.cxx
+++ b/Tests/Platform/DialectTest.cxx
@@ -11,7 +11,7 @@
 // clang-format off
 TEST_GROUP(PlatformDialect)
 {
-  const platform::PlatformDialect m_dialect;
+  const platform::PlatformDialect m_dialect{};
   boost::beast::http::fields m_fields;
 };
 // clang-format on
--- a/Tests/Routing/LayerLayoutTest.cxx
+++ b/Tests/Routing/LayerLayoutTest.cxx
@@ -37,7 +37,7 @@
 TEST_GROUP(LayerLayout)
 {
   const LayeredModel m_model = MakeModel();
-  const LayerLayout m_layout;
+  const LayerLayout m_layout{};
 
   std::vector<LayoutHost> PlaceAll(const std::vector<EngineGroup>& aGroups)
   {
--- a/Tests/Routing/PathBookTest.cxx
+++ b/Tests/Routing/PathBookTest.cxx
@@ -130,7 +130,7 @@
       [&](const auto& aEngine) { return aEngine->m_id == aId; });
   }
 
-  StagePathPtr Choose(double aSeconds, PathRequest aRequest = { kTokens, 1, {}, {} })
+  StagePathPtr Choose(double aSeconds, const PathRequest& aRequest = { kTokens, 1, {}, {} })
   {
     return m_book.Choose(At(aSeconds), aRequest).m_path;
   }
