Forwarding: Never pass over a missing event

Cause: the splitter noted a gap in the event numbers and yet passed on the event behind it, and took its number as the last one. The stream was resumed behind the gap, so the caller got a complete answer without the missing event; a stream that may not be resumed showed it before it was cut.

Ruled out: the resumed endpoint repeating less than asked; it is asked for what follows the last event that was passed on.

Change: nothing is taken from the gap on; the sending counts as broken and goes on after the last whole event. The old test only asked for fewer than six events; it is replaced by one that asks for all five, once.

Seen failing first: StreamForward, AMissingEventIsFetchedAndNotPassedOver and AMissingEventEndsAStreamThatMayNotBeResumed; EventSplitter, StopsBeforeAGapUntilTheRunIsDropped.

--- a/Source/Forwarding/EventSplitter.cxx
+++ b/Source/Forwarding/EventSplitter.cxx
@@ -53,20 +53,18 @@
   std::size_t taken = 0;
   for (std::size_t end = FindEnd(rest); end != 0; end = FindEnd(rest)) {
     const std::string_view event = rest.substr(0, end);
-    rest.remove_prefix(end);
     const auto id = ReadId(event);
+    m_hasGap = m_hasGap || (id && m_lastId && *id > *m_lastId + 1);
+    if (m_hasGap) {
+      break;
+    }
+    rest.remove_prefix(end);
     if (id && m_lastId && *id <= *m_lastId) {
       continue;
     }
-    if (id && m_lastId && *id != *m_lastId + 1) {
-      m_hasGap = true;
-    }
-    if (id) {
-      m_lastId = id;
-    }
+    m_lastId = id ? id : m_lastId;
     aOut.append(event);
     ++taken;
-    ++m_count;
   }
   m_pending.erase(0, m_pending.size() - rest.size());
   return taken;
--- a/Source/Forwarding/EventSplitter.h
+++ b/Source/Forwarding/EventSplitter.h
@@ -10,7 +10,7 @@
 
 // An event ends with an empty line; its id line gives its number.
 //
-// Invariant: m_pending holds no whole event after Take.
+// Invariant: without a gap m_pending holds no whole event after Take.
 class EventSplitter
 {
 public:
@@ -22,6 +22,7 @@
 
   // Appends the whole events to aOut and returns how many there were. Events
   // that were delivered before, as a resumed run may repeat them, are skipped.
+  // Nothing is taken from the first gap on.
   std::size_t Take(std::string_view aBytes, std::string& aOut);
 
   // A later event than the next one came: something is missing.
@@ -30,14 +31,16 @@
   bool HasPart() const { return !m_pending.empty(); }
   std::size_t PendingBytes() const { return m_pending.size(); }
   // A run broke off: what it left of an event is of no use.
-  void DropPart() { m_pending.clear(); }
+  void DropPart()
+  {
+    m_pending.clear();
+    m_hasGap = false;
+  }
   std::optional<std::uint64_t> LastId() const { return m_lastId; }
-  std::uint64_t Count() const { return m_count; }
 
 private:
   std::string m_pending;
   std::optional<std::uint64_t> m_lastId;
-  std::uint64_t m_count = 0;
   bool m_hasGap = false;
 };
 
--- a/Tests/Forwarding/PartsTest.cxx
+++ b/Tests/Forwarding/PartsTest.cxx
@@ -22,10 +22,10 @@
   for (std::size_t cut = 0; cut <= kEvents.size(); ++cut) {
     EventSplitter splitter;
     std::string out;
-    splitter.Take(kEvents.substr(0, cut), out);
-    splitter.Take(kEvents.substr(cut), out);
+    const std::size_t early = splitter.Take(kEvents.substr(0, cut), out);
+    const std::size_t late = splitter.Take(kEvents.substr(cut), out);
     STRCMP_EQUAL(kEvents.c_str(), out.c_str());
-    CHECK_EQUAL(3U, splitter.Count());
+    CHECK_EQUAL(3U, early + late);
     CHECK_EQUAL(3U, *splitter.LastId());
     CHECK_FALSE(splitter.HasPart());
   }
@@ -40,12 +40,18 @@
   CHECK_FALSE(splitter.HasGap());
 }
 
-TEST(EventSplitter, NoticesAMissingEvent)
+TEST(EventSplitter, StopsBeforeAGapUntilTheRunIsDropped)
 {
   EventSplitter splitter;
   std::string out;
-  splitter.Take("id: 1\n\nid: 3\n\n", out);
+  CHECK_EQUAL(1U, splitter.Take("id: 1\n\nid: 3\n\nid: 4\n\n", out));
   CHECK(splitter.HasGap());
+  CHECK_EQUAL(0U, splitter.Take("id: 5\n\n", out));
+  STRCMP_EQUAL("id: 1\n\n", out.c_str());
+  CHECK_EQUAL(1U, *splitter.LastId());
+  splitter.DropPart();
+  CHECK_FALSE(splitter.HasGap());
+  CHECK_EQUAL(1U, splitter.Take("id: 2\n\n", out));
 }
 
 TEST(EventSplitter, ForgetsThePartOfABrokenRun)
--- a/Tests/Forwarding/StreamForwardTest.cxx
+++ b/Tests/Forwarding/StreamForwardTest.cxx
@@ -137,7 +137,7 @@
   CheckAllEventsOnce(Ask("/stream/x"));
 }
 
-TEST(StreamForward, AMissingEventIsNotPassedOver)
+TEST(StreamForward, AMissingEventIsFetchedAndNotPassedOver)
 {
   StartTwo([](const HttpRequest& aRequest) {
     return std::vector<StubStep>{ Send(MakeStreamHead(AttemptOf(aRequest))),
@@ -146,9 +146,22 @@
                                   Send(MakeEvent(3)),
                                   Hang() };
   });
-  const std::string answer = Ask("/stream/x");
-  CHECK(EventsOf(answer).size() < 6);
-  CHECK_EQUAL(1, EventsOf(answer).front());
+  CheckAllEventsOnce(Ask("/stream/x"));
+  CHECK_EQUAL(2, m_calls);
+}
+
+TEST(StreamForward, AMissingEventEndsAStreamThatMayNotBeResumed)
+{
+  StartTwo([](const HttpRequest& aRequest) {
+    return std::vector<StubStep>{ Send(MakeStreamHead(AttemptOf(aRequest))),
+                                  Send(MakeEvent(1)),
+                                  Send(MakeEvent(3)),
+                                  Send(MakeStreamEnd()) };
+  });
+  const std::string answer = Ask("/once/x");
+  const std::vector<int> expected{ 1 };
+  CHECK(EventsOf(answer) == expected);
+  CHECK_FALSE(IsComplete(answer));
 }
 
 TEST(StreamForward, AStageThatRefusesIsGoneRoundAndNothingHasRun)
