Forwarding: Log and count a repeat where it happens

Cause: the lines request_sent_again and stream_resumed were written when a sending broke, before it was decided whether the request may leave again. A booking that was sent once and lost had the line request_sent_again, and a stream that was cut had stream_resumed. parsleycove_repeats_total was on the metrics page and in OPERATIONS, but nothing counted it. A plain endpoint that was avoided for its silence, or used again, had no line.

Change: the line, with where the request came from and goes to, and the counter belong to the sending itself. What was wrong with the last sending is last_fault in the final line of the request.

Seen failing first: PlainForward, AnUnsafeRequestThatMayHaveRunIsNeverSentAgain, AnUnsafeRequestThatDidNotRunIsSentAgain, WhenNobodyRanItTheCallerIsToldAndWhenToComeBack, ASilentEndpointOfASafeRequestIsLeft; StreamForward, AStreamThatMayNotBeResumedDoesNotLookComplete.

--- a/Source/Forwarding/ForwardSession.cxx
+++ b/Source/Forwarding/ForwardSession.cxx
@@ -254,6 +254,7 @@
         .Add("endpoint", aJob.m_lastEndpoint)
         .Add("status", aJob.m_status)
         .Add("why", aJob.m_why)
+        .Add("last_fault", aJob.m_lastFault)
         .Add("attempts", aJob.m_attempts)
         .Add("resumes", aJob.m_resumes)
         .AddMs("first_ms", aJob.m_firstAfter)
--- a/Source/Forwarding/PlainForwarder.cxx
+++ b/Source/Forwarding/PlainForwarder.cxx
@@ -129,7 +129,9 @@
     const TimePoint now = BootClock::now();
     call->Release(now);
     if (verdict == CallVerdict::Ended && m_job.m_end == RequestEnd::Answered) {
-      aRunner->m_load->Clear(now);
+      FollowCircuit(*aRunner, "it answered a request", [&](TimePoint aNow) {
+        aRunner->m_load->Clear(aNow);
+      });
       m_desk.m_usual += (now - startedAt - m_desk.m_usual) / kUsualWeight;
     }
     co_return verdict;
@@ -160,7 +162,7 @@
     NoteLoad(*aCall.Target(), marks);
     if (marks.m_isNotRun) {
       --m_runs;
-      LogRepeat(m_job, DecisionEvent::RequestSentAgain, "endpoint_refused");
+      m_job.m_lastFault = "endpoint_refused";
       co_return CallVerdict::NotRun;
     }
     const bool isFailure = status >= kFirstServerError;
@@ -168,7 +170,7 @@
         m_runs < m_job.m_route->m_maxAttempts && HasOther(aCall.Target()) &&
         m_desk.m_retries.Left(BootClock::now(),
                               m_services.m_board.Gateways()) >= 1) {
-      LogRepeat(m_job, DecisionEvent::RequestSentAgain, "endpoint_failed");
+      m_job.m_lastFault = "endpoint_failed";
       co_return CallVerdict::Failed;
     }
     co_await Deliver(aCall, marks, std::move(body));
@@ -254,16 +256,15 @@
       co_return CallVerdict::Ended;
     }
     m_lastEnd = end;
+    m_job.m_lastFault = NameOfEnd(end);
     if (end == CallEnd::Overdue) {
-      aCall.Target()->m_load->RecordSilence(BootClock::now(), aCall.SentAt());
+      FollowCircuit(*aCall.Target(), NameOfEnd(end), [&](TimePoint aNow) {
+        aCall.Target()->m_load->RecordSilence(aNow, aCall.SentAt());
+      });
       m_services.m_pool.Drop(*aCall.Target());
-      if (m_job.IsOutOfTime()) {
-        co_return CallVerdict::Failed;
-      }
     } else {
       NoteFailure(*aCall.Target(), NameOfEnd(end));
     }
-    LogRepeat(m_job, DecisionEvent::RequestSentAgain, NameOfEnd(end));
     co_return CallVerdict::Failed;
   }
 
@@ -276,18 +277,32 @@
   }
 
   void NoteFailure(const Runner& aRunner, std::string_view aWhy)
+  {
+    FollowCircuit(aRunner, aWhy, [&](TimePoint aNow) {
+      aRunner.m_load->RecordFailure(aNow);
+    });
+  }
+
+  // Tells the log when aChange opens or closes the endpoint's circuit.
+  template<typename Change>
+  void FollowCircuit(const Runner& aRunner,
+                     std::string_view aWhy,
+                     Change aChange)
   {
     const TimePoint now = BootClock::now();
     const bool wasOk = aRunner.m_load->Circuit(now) == CircuitState::Ok;
-    aRunner.m_load->RecordFailure(now);
-    if (wasOk && aRunner.m_load->Circuit(now) != CircuitState::Ok) {
-      m_services.m_log.Write(DecisionEvent::EndpointSuspected,
-                             [&](DecisionLine& aLine) {
-                               aLine.Add("endpoint", aRunner.m_id)
-                                 .Add("why", aWhy)
-                                 .Add("id", m_job.m_marks.m_attemptId);
-                             });
+    aChange(now);
+    const bool isOk = aRunner.m_load->Circuit(now) == CircuitState::Ok;
+    if (isOk == wasOk) {
+      return;
     }
+    m_services.m_log.Write(isOk ? DecisionEvent::EndpointCleared
+                                : DecisionEvent::EndpointSuspected,
+                           [&](DecisionLine& aLine) {
+                             aLine.Add("endpoint", aRunner.m_id)
+                               .Add("why", aWhy)
+                               .Add("id", m_job.m_marks.m_attemptId);
+                           });
   }
 
   // The promise of a refusal is given only if nothing can have run.
--- a/Source/Forwarding/RequestJob.cxx
+++ b/Source/Forwarding/RequestJob.cxx
@@ -118,6 +118,30 @@
   }
 }
 
+// The request leaves a second time, or once more.
+void
+NoteRepeat(RequestJob& aJob, const std::string& aFrom, bool aIsResumed)
+{
+  ForwardServices& services = aJob.m_services;
+  if (aIsResumed) {
+    ++aJob.m_resumes;
+    ++services.m_metrics.Resumes();
+  } else {
+    ++services.m_metrics.Repeats();
+  }
+  services.m_log.Write(aIsResumed ? DecisionEvent::StreamResumed
+                                  : DecisionEvent::RequestSentAgain,
+                       [&](DecisionLine& aLine) {
+                         aLine.Add("id", aJob.m_marks.m_attemptId)
+                           .Add("why", aJob.m_lastFault)
+                           .Add("from", aFrom)
+                           .Add("to", aJob.m_lastEndpoint)
+                           .Add("attempts", aJob.m_attempts)
+                           .AddMs("after_ms", BootClock::now() - aJob.m_arrival)
+                           .AddMs("left_ms", aJob.TimeLeft());
+                       });
+}
+
 } // namespace
 
 std::string_view
@@ -218,6 +242,7 @@
         .Add("service", aJob.m_service)
         .Add("attempts", aJob.m_attempts)
         .Add("last_endpoint", aJob.m_lastEndpoint)
+        .Add("last_fault", aJob.m_lastFault)
         .AddMs("after_ms", BootClock::now() - aJob.m_arrival)
         .AddMs("left_ms", aJob.TimeLeft())
         .AddMs("retry_after_ms", retryAfter);
@@ -250,12 +275,13 @@
                                             std::move(aPath));
   services.m_callWatch.Add(*call);
   aJob.m_call = call;
-  aJob.m_lastEndpoint = aRunner->m_id;
+  const std::string before = std::exchange(aJob.m_lastEndpoint, aRunner->m_id);
   const bool connected = co_await call->Connect(aConnectTimeout);
   if (call->IsNewConnection()) {
     ++services.m_metrics.NewConnections();
   }
   if (!connected || aJob.m_caller->IsGone()) {
+    aJob.m_lastFault = NameOfEnd(call->End());
     co_return nullptr;
   }
   aMarks.m_runner = call->Target().get();
@@ -263,26 +289,18 @@
   aMarks.m_timeLeft = aJob.TimeLeft();
   if (aMarks.m_timeLeft <= Duration::zero()) {
     call->Abort(CallEnd::NotConnected);
+    aJob.m_lastFault = NameOfEnd(call->End());
     co_return nullptr;
   }
   if (aJob.m_account != nullptr) {
     aMarks.m_account = aJob.m_account->m_name;
   }
   call->Send(MakeForwardHeader(aJob, aMarks), aJob.Request().body());
+  if (aJob.m_attempts != 0) {
+    NoteRepeat(aJob, before, aMarks.m_isResumed);
+  }
+  aJob.m_lastFault = {};
   co_return call;
 }
 
-void
-LogRepeat(const RequestJob& aJob, DecisionEvent aEvent, std::string_view aWhy)
-{
-  aJob.m_services.m_log.Write(aEvent, [&](DecisionLine& aLine) {
-    aLine.Add("id", aJob.m_marks.m_attemptId)
-      .Add("why", aWhy)
-      .Add("from", aJob.m_lastEndpoint)
-      .Add("attempts", aJob.m_attempts)
-      .AddMs("after_ms", BootClock::now() - aJob.m_arrival)
-      .AddMs("left_ms", aJob.TimeLeft());
-  });
-}
-
 } // namespace parsleycove
--- a/Source/Forwarding/RequestJob.h
+++ b/Source/Forwarding/RequestJob.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "Forwarding/CallerLink.h"
@@ -47,6 +48,9 @@
   unsigned m_attempts = 0;
   unsigned m_resumes = 0;
   std::string m_lastEndpoint;
+  // Why the last sending was not the end of it; empty: it was, or there was
+  // none. A name that lives as long as the process.
+  std::string_view m_lastFault;
   std::string m_why;
   Duration m_firstAfter{};
   Duration m_longestGap{};
@@ -86,7 +90,9 @@
 asio::awaitable<void>
 Fail(RequestJob& aJob, unsigned aStatus, std::string aWhy);
 
-// Connects and sends; null when no byte has left. Sets aJob.m_call.
+// Connects and sends; null when no byte has left. Sets aJob.m_call. A sending
+// that follows another one is told to the log and counted here, where it is
+// known to happen.
 asio::awaitable<ForwardCallPtr>
 StartCall(RequestJob& aJob,
           RunnerPtr aRunner,
@@ -94,10 +100,6 @@
           ForwardMarks aMarks,
           Duration aConnectTimeout);
 
-// Notes for the log that the request is given to another endpoint.
-void
-LogRepeat(const RequestJob& aJob, DecisionEvent aEvent, std::string_view aWhy);
-
 std::string_view
 NameOfEnd(CallEnd aEnd);
 
--- a/Source/Forwarding/StreamRun.cxx
+++ b/Source/Forwarding/StreamRun.cxx
@@ -136,9 +136,7 @@
   m_desk.m_paths.Invalidate();
   m_services.m_doctor.Doubt(now, faulty);
   m_job.m_excluded.push_back(faulty->m_id);
-  LogRepeat(m_job,
-            DecisionEvent::RequestSentAgain,
-            isElsewhere ? "stage_moved" : "endpoint_refused");
+  m_job.m_lastFault = isElsewhere ? "stage_moved" : "endpoint_refused";
   return RunVerdict::NotRun;
 }
 
@@ -154,7 +152,7 @@
   if (m_hasBegun || mayRepeat || aCall.End() != CallEnd::None) {
     m_job.m_excluded.push_back(aCall.Target()->m_id);
     m_lastEnd = CallEnd::Broken;
-    LogRepeat(m_job, DecisionEvent::RequestSentAgain, "endpoint_failed");
+    m_job.m_lastFault = "endpoint_failed";
     co_return RunVerdict::Broken;
   }
   const bool isPassedOn =
@@ -191,6 +189,7 @@
   if (m_events.HasPart()) {
     // It ended within an event, so it is not whole.
     m_lastEnd = CallEnd::Broken;
+    m_job.m_lastFault = NameOfEnd(m_lastEnd);
     m_events.DropPart();
     co_return RunVerdict::Broken;
   }
@@ -250,6 +249,7 @@
     return RunVerdict::Ended;
   }
   m_lastEnd = end;
+  m_job.m_lastFault = NameOfEnd(end);
   m_events.DropPart();
   if (end == CallEnd::Stalled) {
     m_services.m_pool.Drop(*aCall.Target());
@@ -260,13 +260,6 @@
   if (end == CallEnd::Broken) {
     std::erase(m_usedFirst, aCall.Target()->m_id);
   }
-  if (m_hasBegun) {
-    ++m_job.m_resumes;
-    ++m_services.m_metrics.Resumes();
-    LogRepeat(m_job, DecisionEvent::StreamResumed, NameOfEnd(end));
-  } else {
-    LogRepeat(m_job, DecisionEvent::RequestSentAgain, NameOfEnd(end));
-  }
   return RunVerdict::Broken;
 }
 
--- a/Tests/Forwarding/ForwardFixture.cxx
+++ b/Tests/Forwarding/ForwardFixture.cxx
@@ -142,6 +142,16 @@
   return true;
 }
 
+int
+ForwardFixture::MetricOf(const std::string& aName) const
+{
+  const std::string page = m_metrics.Print();
+  const auto place = page.find("\n" + aName + " ");
+  return place == std::string::npos
+           ? -1
+           : std::atoi(page.c_str() + place + aName.size() + 2);
+}
+
 ForwardFixture::Caller::Caller(ForwardFixture& aFixture, std::uint16_t aPort)
   : m_socket(aFixture.m_context)
 {
--- a/Tests/Forwarding/ForwardFixture.h
+++ b/Tests/Forwarding/ForwardFixture.h
@@ -72,6 +72,8 @@
   // Runs until the condition holds; false at a deadline that only a failing
   // test reaches.
   bool RunUntil(const std::function<bool()>& aCondition);
+  // Value of a metric without labels; -1: it is not on the page.
+  int MetricOf(const std::string& aName) const;
 
   boost::asio::io_context m_context;
   FakeControl m_control;
--- a/Tests/Forwarding/PlainForwardTest.cxx
+++ b/Tests/Forwarding/PlainForwardTest.cxx
@@ -80,6 +80,10 @@
   StartTwo(CloseWithoutAnswer);
   CHECK_EQUAL(502, StatusOf(m_fixture->Ask("POST", "/unsafe/x", "", "b")));
   CHECK_EQUAL(1U, Sent());
+  CHECK_FALSE(m_fixture->m_sink.Has({ "request_sent_again" }));
+  CHECK_EQUAL(0, m_fixture->MetricOf("parsleycove_repeats_total"));
+  CHECK(m_fixture->m_sink.Has(
+    { "request_failed", "\"status\":502", "\"last_fault\":\"broken\"" }));
 }
 
 TEST(PlainForward, AnUnsafeRequestThatDidNotRunIsSentAgain)
@@ -96,7 +100,9 @@
   m_fixture->Start();
   CHECK_EQUAL(200, StatusOf(m_fixture->Ask("POST", "/unsafe/x", "", "b")));
   CHECK_EQUAL(2U, Sent());
-  CHECK(m_fixture->m_sink.Has({ "request_sent_again", "\"id\":\"a1\"" }));
+  CHECK(m_fixture->m_sink.Has(
+    { "request_sent_again", "\"id\":\"a1\"", "endpoint_refused" }));
+  CHECK_EQUAL(1, m_fixture->MetricOf("parsleycove_repeats_total"));
 }
 
 TEST(PlainForward, WhenNobodyRanItTheCallerIsToldAndWhenToComeBack)
@@ -105,7 +111,9 @@
   const std::string answer = m_fixture->Ask("POST", "/unsafe/x", "", "b");
   CHECK_EQUAL(503, StatusOf(answer));
   CHECK(answer.find("Retry-After: 0.") != std::string::npos);
-  CHECK(m_fixture->m_sink.Has({ "request_refused", "endpoints_refuse" }));
+  CHECK(m_fixture->m_sink.Has({ "request_refused",
+                                "endpoints_refuse",
+                                "\"last_fault\":\"endpoint_refused\"" }));
 }
 
 TEST(PlainForward, APromiseOfAnEndpointThatMayHaveRunItIsNotPassedOn)
@@ -147,6 +155,7 @@
   m_two->SetScript(script);
   m_fixture->Start();
   CHECK_EQUAL(200, StatusOf(m_fixture->Ask("GET", "/safe/x")));
+  CHECK(m_fixture->m_sink.Has({ "endpoint_suspected", "\"overdue\"" }));
 }
 
 TEST(PlainForward, AnAnswerToAnotherRequestIsNeverDelivered)
--- a/Tests/Forwarding/StreamForwardTest.cxx
+++ b/Tests/Forwarding/StreamForwardTest.cxx
@@ -109,6 +109,7 @@
   CheckAllEventsOnce(Ask("/stream/x"));
   CHECK_EQUAL(2, m_calls);
   CHECK(m_fixture->m_sink.Has({ "stream_resumed", "\"id\":\"a1\"" }));
+  CHECK_EQUAL(1, m_fixture->MetricOf("parsleycove_resumes_total"));
 }
 
 TEST(StreamForward, AStreamThatMayNotBeResumedDoesNotLookComplete)
@@ -122,6 +123,8 @@
   CHECK_FALSE(IsComplete(answer));
   CHECK_EQUAL(1, m_calls);
   CHECK(m_fixture->m_sink.Has({ "request_cut", "\"why\":\"broken\"" }));
+  CHECK_FALSE(m_fixture->m_sink.Has({ "stream_resumed" }));
+  CHECK_EQUAL(0, m_fixture->MetricOf("parsleycove_resumes_total"));
 }
 
 TEST(StreamForward, AStreamThatEndsWithinAnEventIsNotComplete)
