Daemon: Tell of every reload, also of one that changes nothing

Cause: the watch on the settings file said in its comment that what cannot be read is logged, and returned without a line; so did SIGHUP with an unchanged file or without one.

Change: each SIGHUP has its line with the outcome, and so has a file that can no longer be read, once. The tests' three sinks for log lines are one.

--- a/Source/Daemon/SettingsWatch.cxx
+++ b/Source/Daemon/SettingsWatch.cxx
@@ -44,7 +44,9 @@
 {
   WaitForSignal();
   if (!m_path.empty()) {
-    m_text = ReadTextFile(m_path).value_or("");
+    const auto text = ReadTextFile(m_path);
+    m_isReadable = text.has_value();
+    m_text = text.value_or("");
     LookLater();
   }
 }
@@ -54,7 +56,7 @@
 {
   m_signals.async_wait([this](boost::system::error_code aError, int) {
     if (!aError) {
-      Look("SIGHUP");
+      Look(Cause::Signal);
       WaitForSignal();
     }
   });
@@ -66,36 +68,63 @@
   m_timer.expires_after(kLookInterval);
   m_timer.async_wait([this](boost::system::error_code aError) {
     if (!aError) {
-      Look("changed");
+      Look(Cause::Timer);
       LookLater();
     }
   });
 }
 
 void
-SettingsWatch::Look(const char* aWhy)
+SettingsWatch::Look(Cause aCause)
 {
+  const bool isAsked = aCause == Cause::Signal;
   const auto text = ReadTextFile(m_path);
-  if (!text || *text == m_text) {
+  if (!text) {
+    if (isAsked || m_isReadable) {
+      Tell(aCause,
+           "refused",
+           m_path.empty() ? "no settings file is given"
+                          : "cannot read " + m_path);
+    }
+    m_isReadable = false;
     return;
   }
-  m_text = *text;
+  m_isReadable = true;
+  if (*text != m_text) {
+    m_text = *text;
+    Take(aCause);
+  } else if (isAsked) {
+    Tell(aCause, "unchanged", {});
+  }
+}
+
+void
+SettingsWatch::Take(Cause aCause)
+{
   SettingReader reader = m_reader;
   SettingReason reason;
   std::optional<DaemonSettings> settings;
-  if (reader.ReadFile(*text)) {
+  if (reader.ReadFile(m_text)) {
     settings = DaemonSettings::Check(reader, SystemClock().UnixMs(), reason);
   } else {
     reason = reader.LastReason();
   }
-  m_log.Write(DecisionEvent::Reloaded, [&](DecisionLine& aLine) {
-    aLine.Add("why", aWhy)
-      .Add("outcome", settings ? "taken" : "refused")
-      .Add("fault", reason.m_text);
-  });
+  Tell(aCause, settings ? "taken" : "refused", reason.m_text);
   if (settings) {
     m_handler(*settings);
   }
 }
 
+void
+SettingsWatch::Tell(Cause aCause,
+                    std::string_view aOutcome,
+                    std::string_view aFault)
+{
+  m_log.Write(DecisionEvent::Reloaded, [&](DecisionLine& aLine) {
+    aLine.Add("why", aCause == Cause::Signal ? "SIGHUP" : "changed")
+      .Add("outcome", aOutcome)
+      .Add("fault", aFault);
+  });
+}
+
 } // namespace parsleycove
--- a/Source/Daemon/SettingsWatch.h
+++ b/Source/Daemon/SettingsWatch.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <string>
+#include <string_view>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -14,7 +15,8 @@
 namespace parsleycove {
 
 // Reads the file on SIGHUP and every second. What cannot be read or checked is
-// logged and passed over; the process goes on with what it has.
+// logged and passed over; the process goes on with what it has. Each signal
+// has its line; a look without one only when something is new.
 class SettingsWatch
 {
 public:
@@ -28,9 +30,17 @@
   void Start();
 
 private:
+  enum class Cause
+  {
+    Signal,
+    Timer,
+  };
+
   void WaitForSignal();
   void LookLater();
-  void Look(const char* aWhy);
+  void Look(Cause aCause);
+  void Take(Cause aCause);
+  void Tell(Cause aCause, std::string_view aOutcome, std::string_view aFault);
 
   const SettingReader m_reader;
   DecisionLog& m_log;
@@ -39,6 +49,7 @@
   boost::asio::steady_timer m_timer;
   std::string m_path;
   std::string m_text;
+  bool m_isReadable = false;
 };
 
 // The file's whole text; nothing when it cannot be read.
--- a/Tests/Forwarding/ForwardFixture.cxx
+++ b/Tests/Forwarding/ForwardFixture.cxx
@@ -1,8 +1,6 @@
 // A forwarding gateway with stub endpoints and a caller, on one thread.
 #include "Forwarding/ForwardFixture.h"
 
-#include <algorithm>
-
 #include <boost/asio/write.hpp>
 
 namespace parsleycove {
@@ -32,18 +30,6 @@
 
 } // namespace
 
-bool
-MemorySink::Has(const std::vector<std::string>& aTexts) const
-{
-  return std::any_of(
-    m_lines.begin(), m_lines.end(), [&](const std::string& aLine) {
-      return std::all_of(
-        aTexts.begin(), aTexts.end(), [&](const std::string& aText) {
-          return aLine.find(aText) != std::string::npos;
-        });
-    });
-}
-
 ForwardFixture::ForwardFixture()
 {
   m_options.m_vm = "vm-1";
--- a/Tests/Forwarding/ForwardFixture.h
+++ b/Tests/Forwarding/ForwardFixture.h
@@ -15,20 +15,10 @@
 #include "Forwarding/StubEndpoint.h"
 #include "PlatformDialect.h"
 #include "Support/FakeControl.h"
+#include "Support/MemorySink.h"
 
 namespace parsleycove {
 
-class MemorySink final : public LineSink
-{
-public:
-  void Write(const std::string& aLine) override { m_lines.push_back(aLine); }
-  // Whether some line holds all of these texts.
-  bool Has(const std::vector<std::string>& aTexts) const;
-
-private:
-  std::vector<std::string> m_lines;
-};
-
 class ForwardFixture
 {
 public:
--- a/Tests/Platform/ControlApiTest.cxx
+++ b/Tests/Platform/ControlApiTest.cxx
@@ -8,6 +8,7 @@
 #include "ConfigDocument.h"
 #include "ControlApi.h"
 #include "Support/FakeControl.h"
+#include "Support/MemorySink.h"
 
 // Last, since its leak macros redefine new.
 #include <CppUTest/TestHarness.h>
@@ -16,12 +17,6 @@
 
 namespace {
 
-class NoSink final : public LineSink
-{
-public:
-  void Write(const std::string& /*aLine*/) override {}
-};
-
 std::string
 MakeConfig(int aVersion, const std::string& aMore = {})
 {
@@ -46,7 +41,7 @@
   boost::asio::io_context m_context;
   FakeControl m_control;
   const platform::ConfigDocument m_codec{};
-  NoSink m_sink;
+  MemorySink m_sink;
   DecisionLog m_log{ "vm-1", m_sink };
   platform::ControlApi m_api{ m_context, m_control, m_codec, m_log };
 
--- a/Tests/Telemetry/DecisionLogTest.cxx
+++ b/Tests/Telemetry/DecisionLogTest.cxx
@@ -8,27 +8,17 @@
 
 #include <boost/json.hpp>
 
+#include "Support/MemorySink.h"
+
 #include <CppUTest/TestHarness.h>
 
 using namespace parsleycove;
 
-namespace {
-
-class LineList final : public LineSink
-{
-public:
-  void Write(const std::string& aLine) override { m_lines.push_back(aLine); }
-
-  std::vector<std::string> m_lines;
-};
-
-} // namespace
-
 // clang-format off
 TEST_GROUP(DecisionLog)
 {
-  LineList m_lines;
-  DecisionLog m_log{ "vm-1", m_lines, { 0, 10 } };
+  MemorySink m_sink;
+  DecisionLog m_log{ "vm-1", m_sink, { 0, 10 } };
 
   void Write(DecisionEvent aEvent, int aCount)
   {
@@ -46,8 +36,8 @@
       .Add("attempts", 2)
       .AddMs("left_ms", std::chrono::microseconds(1999));
   });
-  CHECK_EQUAL(1U, m_lines.m_lines.size());
-  const auto line = boost::json::parse(m_lines.m_lines[0]).as_object();
+  CHECK_EQUAL(1U, m_sink.Lines().size());
+  const auto line = boost::json::parse(m_sink.Lines()[0]).as_object();
   CHECK(line.at("event").as_string() == "request_refused");
   CHECK(line.at("vm").as_string() == "vm-1");
   CHECK(line.at("id").as_string() == "a \"quoted\"\n\\ id");
@@ -68,36 +58,31 @@
 TEST(DecisionLog, OrdinaryLinesStopFirst)
 {
   Write(DecisionEvent::RequestAnswered, 100);
-  CHECK_EQUAL(6U, m_lines.m_lines.size());
+  CHECK_EQUAL(6U, m_sink.Lines().size());
   Write(DecisionEvent::RequestFailed, 3);
   // And a line that tells how many are missing.
-  CHECK_EQUAL(10U, m_lines.m_lines.size());
+  CHECK_EQUAL(10U, m_sink.Lines().size());
   CHECK_EQUAL(94U, m_log.Dropped());
 }
 
 TEST(DecisionLog, EssentialLinesAreBoundedToo)
 {
   Write(DecisionEvent::RequestFailed, 1000);
-  CHECK_EQUAL(10U, m_lines.m_lines.size());
+  CHECK_EQUAL(10U, m_sink.Lines().size());
   CHECK_EQUAL(990U, m_log.Dropped());
 }
 
 TEST(DecisionLog, AGapIsToldInTheLogItself)
 {
-  LineList lines;
-  DecisionLog log("vm-1", lines, { 200, 8 });
+  MemorySink sink;
+  DecisionLog log("vm-1", sink, { 200, 8 });
   for (int i = 0; i < 100; ++i) {
     log.Write(DecisionEvent::RequestFailed, [](DecisionLine&) {});
   }
   CHECK(log.Dropped() > 0);
   // There is room again within a few milliseconds; the lines are counted.
   const TimePoint deadline = BootClock::now() + std::chrono::seconds(20);
-  auto hasGap = [&] {
-    return std::any_of(
-      lines.m_lines.begin(), lines.m_lines.end(), [](const auto& aLine) {
-        return aLine.find("\"lines_dropped\",\"count\":") != std::string::npos;
-      });
-  };
+  auto hasGap = [&] { return sink.Has({ "\"lines_dropped\",\"count\":" }); };
   while (!hasGap() && BootClock::now() < deadline) {
     log.Write(DecisionEvent::RequestAnswered, [](DecisionLine&) {});
   }
