Control, Forwarding, Placement: Leave no failure without a line

Connections that cannot be accepted or are given up by an exception, a document that the leader cannot read, a report of a dead endpoint that is not taken, and a replica that is not added to the group were passed over in silence.

--- a/Source/Control/GroupMember.cxx
+++ b/Source/Control/GroupMember.cxx
@@ -30,10 +30,14 @@
 
 struct GroupMember::Parts : std::enable_shared_from_this<Parts>
 {
-  Parts(asio::io_context& aContext, ControlPort& aPort, feed::AddReplicaT aSelf)
+  Parts(asio::io_context& aContext,
+        ControlPort& aPort,
+        feed::AddReplicaT aSelf,
+        ControlLog aLog)
     : m_context(aContext)
     , m_port(aPort)
     , m_self(std::move(aSelf))
+    , m_log(std::move(aLog))
     , m_timer(aContext)
   {
   }
@@ -64,38 +68,64 @@
     m_port.ReadStatus(
       BootClock::now() + kCallTimeoutMs,
       [self = shared_from_this()](std::optional<feed::StatusReplyT> aStatus,
-                                  const ControlReason&) {
+                                  const ControlReason& aReason) {
         const bool known = aStatus && !aStatus->replicas.empty();
         if (known && IsListed(*aStatus, self->m_self.replica)) {
+          self->m_lastFault.clear();
           self->CheckLaterFromAnyThread(kCheckIntervalS);
         } else if (known) {
           self->Join();
         } else {
+          self->NoteFault("the group does not tell its members: " +
+                          aReason.m_text);
           self->CheckLaterFromAnyThread(kJoinIntervalMs);
         }
       });
   }
 
+  // One line for the same fault in a row. The port ends one call before the
+  // next one starts.
+  void NoteFault(std::string aFault)
+  {
+    if (aFault != m_lastFault) {
+      m_lastFault = std::move(aFault);
+      m_log(ControlLogLevel::Warning, m_lastFault);
+    }
+  }
+
   void Join()
   {
-    m_port.AddReplica(m_self,
-                      BootClock::now() + kCallTimeoutMs,
-                      [self = shared_from_this()](const auto&, const auto&) {
-                        self->CheckLaterFromAnyThread(kJoinIntervalMs);
-                      });
+    m_port.AddReplica(
+      m_self,
+      BootClock::now() + kCallTimeoutMs,
+      [self = shared_from_this()](const auto& aReply,
+                                  const ControlReason& aReason) {
+        if (!aReply || !aReply->ok) {
+          self->NoteFault("the group does not add this "
+                          "replica: " +
+                          (aReply ? aReply->text : aReason.m_text));
+        }
+        self->CheckLaterFromAnyThread(kJoinIntervalMs);
+      });
   }
 
   asio::io_context& m_context;
   ControlPort& m_port;
   const feed::AddReplicaT m_self;
+  const ControlLog m_log;
+  std::string m_lastFault;
   asio::steady_timer m_timer;
   bool m_closed = false;
 };
 
 GroupMember::GroupMember(asio::io_context& aContext,
                          ControlPort& aPort,
-                         feed::AddReplicaT aSelf)
-  : m_parts(std::make_shared<Parts>(aContext, aPort, std::move(aSelf)))
+                         feed::AddReplicaT aSelf,
+                         ControlLog aLog)
+  : m_parts(std::make_shared<Parts>(aContext,
+                                    aPort,
+                                    std::move(aSelf),
+                                    std::move(aLog)))
 {
 }
 
--- a/Source/Control/GroupMember.h
+++ b/Source/Control/GroupMember.h
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "Control/ReplicaServiceOptions.h"
 #include "State/ControlPort.h"
 
 namespace parsleycove {
@@ -19,7 +20,8 @@
 public:
   GroupMember(boost::asio::io_context& aContext,
               ControlPort& aPort,
-              feed::AddReplicaT aSelf);
+              feed::AddReplicaT aSelf,
+              ControlLog aLog);
   ~GroupMember();
   GroupMember(const GroupMember&) = delete;
   GroupMember& operator=(const GroupMember&) = delete;
--- a/Source/Control/ReplicaServiceOptions.h
+++ b/Source/Control/ReplicaServiceOptions.h
@@ -30,6 +30,8 @@
   Error,
 };
 
+using ControlLog = std::function<void(ControlLogLevel, const std::string&)>;
+
 // A member of the first membership of a new cluster.
 struct ReplicaSeed
 {
@@ -85,7 +87,7 @@
   // Called once, on the replica's thread, when it cannot go on, for instance
   // because its store failed. It must not call Stop.
   std::function<void(const std::string&)> m_onFatal;
-  std::function<void(ControlLogLevel, const std::string&)> m_log;
+  ControlLog m_log;
 };
 
 } // namespace parsleycove
--- a/Source/Daemon/ControlProcess.cxx
+++ b/Source/Daemon/ControlProcess.cxx
@@ -1,7 +1,6 @@
 // Role control: a replica with the calls of operators and endpoints.
 #include "Daemon/ControlProcess.h"
 
-#include <iostream>
 #include <random>
 
 #include <boost/asio/post.hpp>
@@ -108,7 +107,7 @@
     return DaemonExit::CannotStart;
   }
   ControlClient control(aSettings.m_client);
-  GroupMember member(context, control, DescribeSelf(options));
+  GroupMember member(context, control, DescribeSelf(options), WriteReplicaLog);
   const auto orders = aDeployment.MakeOrders(context);
   PlacementDirector director(context,
                              control,
--- a/Source/Forwarding/AcceptLoop.cxx
+++ b/Source/Forwarding/AcceptLoop.cxx
@@ -9,6 +9,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "Telemetry/Logging.h"
+
 namespace parsleycove {
 
 namespace {
@@ -35,24 +37,53 @@
     while (m_acceptor.is_open()) {
       auto [error, socket] = co_await m_acceptor.async_accept(kAwait);
       if (error) {
+        NoteFailure(error);
         asio::steady_timer timer(m_context, kAcceptPauseMs);
         co_await timer.async_wait(kAwait);
         continue;
       }
+      m_isFailing = false;
       if (m_connections < m_maxConnections) {
         ++m_connections;
-        asio::co_spawn(
-          m_context,
-          m_serve(std::move(socket)),
-          [self](const std::exception_ptr&) { --self->m_connections; });
+        asio::co_spawn(m_context,
+                       m_serve(std::move(socket)),
+                       [self](const std::exception_ptr& aFault) {
+                         --self->m_connections;
+                         NoteFault(aFault);
+                       });
       }
     }
   }
 
+  // One line for all failures in a row.
+  void NoteFailure(const beast::error_code& aError)
+  {
+    if (!std::exchange(m_isFailing, true) && m_acceptor.is_open()) {
+      Log(LogLevel::Warning,
+          "cannot accept connections",
+          { { "why", aError.message() } });
+    }
+  }
+
+  static void NoteFault(const std::exception_ptr& aFault)
+  {
+    if (!aFault) {
+      return;
+    }
+    try {
+      std::rethrow_exception(aFault);
+    } catch (const std::exception& fault) {
+      Log(LogLevel::Error,
+          "a connection was given up",
+          { { "fault", fault.what() } });
+    }
+  }
+
   asio::io_context& m_context;
   Tcp::acceptor m_acceptor;
   const std::size_t m_maxConnections;
   std::size_t m_connections = 0;
+  bool m_isFailing = false;
   Serve m_serve;
 };
 
@@ -107,10 +138,4 @@
   return m_parts->m_acceptor.local_endpoint().port();
 }
 
-std::size_t
-AcceptLoop::Connections() const
-{
-  return m_parts->m_connections;
-}
-
 } // namespace parsleycove
--- a/Source/Forwarding/AcceptLoop.h
+++ b/Source/Forwarding/AcceptLoop.h
@@ -27,7 +27,6 @@
   void Start(Serve aServe);
   void Close();
   std::uint16_t Port() const;
-  std::size_t Connections() const;
 
 private:
   struct Parts;
--- a/Source/Forwarding/RoutingBoard.cxx
+++ b/Source/Forwarding/RoutingBoard.cxx
@@ -4,6 +4,7 @@
 #include <algorithm>
 
 #include "Telemetry/DecisionLog.h"
+#include "Telemetry/Logging.h"
 
 namespace parsleycove {
 
@@ -161,9 +162,16 @@
   state::CommandT command;
   command.body.Set(std::move(suspect));
   // Other gateways find out by themselves; a lost report is made again.
-  m_control.Propose(std::move(command),
-                    BootClock::now() + kReportTimeout,
-                    [](const auto&, const auto&) {});
+  m_control.Propose(
+    std::move(command),
+    BootClock::now() + kReportTimeout,
+    [id = aRunner.m_id](const auto& aResult, const ControlReason& aReason) {
+      if (!aResult) {
+        Log(LogLevel::Warning,
+            "the report of a dead endpoint was not taken",
+            { { "endpoint", id }, { "why", aReason.m_text } });
+      }
+    });
 }
 
 void
--- a/Source/Placement/PlacementDirector.cxx
+++ b/Source/Placement/PlacementDirector.cxx
@@ -85,12 +85,20 @@
   m_view = std::move(view);
   m_runners = RunnerTable::Build(*m_view, m_runners.get());
   const auto& document = m_view->Image().document;
-  if (document && (!m_config || document->version > m_config->Version())) {
-    RoutingReason reason;
-    if (auto config = m_codec.Decode(document->text, reason)) {
-      m_config = std::move(config);
-    }
+  if (!document || document->version <= m_documentVersion) {
+    return;
   }
+  m_documentVersion = document->version;
+  RoutingReason reason;
+  if (auto config = m_codec.Decode(document->text, reason)) {
+    m_config = std::move(config);
+    return;
+  }
+  // It was checked before it was accepted, so another release accepted it.
+  m_log.Write(DecisionEvent::ConfigRefused, [&](DecisionLine& aLine) {
+    aLine.Add("version", static_cast<std::int64_t>(m_documentVersion))
+      .Add("why", reason.m_text);
+  });
 }
 
 void
--- a/Source/Placement/PlacementDirector.h
+++ b/Source/Placement/PlacementDirector.h
@@ -52,6 +52,8 @@
   bool m_isFenced = false;
   boost::intrusive_ptr<const ClusterView> m_view;
   boost::intrusive_ptr<const RoutingConfig> m_config;
+  // Of the last document that was looked at, also of one that is not in force.
+  std::uint64_t m_documentVersion = 0;
   boost::intrusive_ptr<const RunnerTable> m_runners;
   std::map<std::string, PlacementDesk, std::less<>> m_desks;
 };
--- a/Tests/Control/Cluster.cxx
+++ b/Tests/Control/Cluster.cxx
@@ -298,11 +298,19 @@
 }
 
 bool
-ChangeGroup(const std::function<void(ControlPort::AdminHandler)>& aCall)
+ChangeGroup(const std::function<void(ControlPort::AdminHandler)>& aCall,
+            std::string* aFault)
 {
   const auto answer = WaitForAnswer<feed::AdminReplyT>(
     [&](auto aHandler) { aCall(std::move(aHandler)); });
-  return answer.m_value && answer.m_value->ok;
+  const bool isMade = answer.m_value && answer.m_value->ok;
+  if (aFault != nullptr) {
+    *aFault = answer.m_value ? answer.m_value->text : answer.m_reason.m_text;
+    if (isMade) {
+      aFault->clear();
+    }
+  }
+  return isMade;
 }
 
 } // namespace parsleycove
--- a/Tests/Control/Cluster.h
+++ b/Tests/Control/Cluster.h
@@ -117,8 +117,10 @@
 Answer<feed::StatusReplyT>
 ReadStatus(ControlPort& aPort);
 
-// Calls for a change of the group; true when it was made.
+// Calls for a change of the group; true when it was made, with the reason in
+// aFault otherwise.
 bool
-ChangeGroup(const std::function<void(ControlPort::AdminHandler)>& aCall);
+ChangeGroup(const std::function<void(ControlPort::AdminHandler)>& aCall,
+            std::string* aFault = nullptr);
 
 } // namespace parsleycove
--- a/Tests/Control/RepairEndToEndTest.cxx
+++ b/Tests/Control/RepairEndToEndTest.cxx
@@ -126,7 +126,10 @@
   const std::size_t spare = m_cluster.AddSpare(77, "zone-z");
   m_cluster.Start(spare);
   boost::asio::io_context context;
-  GroupMember member(context, *m_client, Describe(spare));
+  GroupMember member(context,
+                     *m_client,
+                     Describe(spare),
+                     [](ControlLogLevel, const std::string&) {});
   member.Start();
   const bool repaired = WaitUntil([&] {
     context.poll();
