--- a/Tests/Control/Cluster.cxx
+++ b/Tests/Control/Cluster.cxx
@@ -2,13 +2,17 @@
 #include "Control/Cluster.h"
 
 #include <array>
+#include <atomic>
 #include <condition_variable>
 #include <cstdlib>
 #include <filesystem>
 #include <future>
+#include <iostream>
 #include <mutex>
 #include <utility>
 
+#include <unistd.h>
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
@@ -16,6 +20,14 @@
 
 namespace {
 
+// A fixture that cannot be set up leaves nothing to test.
+[[noreturn]] void
+Abort(const std::string& aWhy)
+{
+  std::cerr << "test cluster: " << aWhy << std::endl;
+  std::abort();
+}
+
 constexpr std::chrono::seconds kDeadlineS{ 30 };
 constexpr std::chrono::milliseconds kLookMs{ 5 };
 constexpr std::uint64_t kCluster = 77;
@@ -118,7 +130,8 @@
   ControlServiceReason reason;
   m_services[aReplica] = ReplicaService::Start(options, reason);
   if (!m_services[aReplica]) {
-    std::abort();
+    Abort("replica " + std::to_string(options.m_replica) + ": " +
+          reason.m_text);
   }
 }
 
@@ -189,7 +202,7 @@
     return false;
   });
   if (!found) {
-    std::abort();
+    Abort("no replica leads");
   }
   return leader;
 }
--- a/Tests/Control/EndToEndTest.cxx
+++ b/Tests/Control/EndToEndTest.cxx
@@ -187,7 +187,7 @@
     const auto made =
       Propose(*m_client, MakeChange("c" + number, i, "w" + number));
     CHECK_TEXT(IsMade(made), Describe(made).c_str());
-    CHECK_EQUAL(i + 1, made.m_value->revision);
+    CHECK_EQUAL(static_cast<std::uint64_t>(i) + 1, made.m_value->revision);
   }
   for (std::size_t i = 0; i < 3; ++i) {
     m_cluster.Stop(i);
@@ -262,7 +262,7 @@
     const auto made =
       Propose(*m_client, MakeChange("c" + number, i, "w" + number));
     CHECK_TEXT(IsMade(made), Describe(made).c_str());
-    CHECK_EQUAL(i + 1, made.m_value->revision);
+    CHECK_EQUAL(static_cast<std::uint64_t>(i) + 1, made.m_value->revision);
   }
   m_cluster.Stop(lost);
   const std::size_t spare = m_cluster.AddSpare(4, ZoneOf(lost));
