Wire, Forwarding: Pack large feed messages, believe other VMs, tell own stalls from silence

Ruled out: engines' own queues (crashes without a large configuration found 4 of 4 and no live one), stalls seen by the watch alone. Change: feed messages of 8 KB and more travel packed (zlib); an engine that another VM reported is avoided without a question unless it has just answered here; a question that took longer than its limit and a pause of our own says nothing.

--- a/Source/Control/ClientNode.cxx
+++ b/Source/Control/ClientNode.cxx
@@ -189,9 +189,7 @@
 void
 ClientNode::OnFrame(FrameLink& aLink, const ReceivedFrame& aFrame)
 {
-  const auto message = aFrame.m_kind == FrameKind::Feed
-                         ? DecodeFeedMessage(aFrame.m_payload)
-                         : std::nullopt;
+  const auto message = DecodeFeedFrame(aFrame.m_kind, aFrame.m_payload);
   if (!message) {
     if (&aLink == m_feed.get()) {
       ReplaceFeed(/*aFailed=*/true);
--- a/Source/Control/InboundLinks.cxx
+++ b/Source/Control/InboundLinks.cxx
@@ -49,7 +49,8 @@
       m_handlers.m_onPeer(link, *message);
       return;
     }
-  } else if (const auto message = DecodeFeedMessage(aFrame.m_payload)) {
+  } else if (const auto message =
+               DecodeFeedFrame(aFrame.m_kind, aFrame.m_payload)) {
     m_handlers.m_onFeed(link, *message);
     return;
   }
--- a/Source/Forwarding/CallResult.h
+++ b/Source/Forwarding/CallResult.h
@@ -25,6 +25,8 @@
 {
   std::optional<HttpResponse> m_response;
   CallReason m_reason;
+  // The failure is a wait that ended.
+  bool m_hasTimedOut = false;
 
   // True while the endpoint cannot have seen the call.
   bool IsUnsent() const { return m_reason.m_code == CallError::NotConnected; }
--- a/Source/Forwarding/EndpointClient.cxx
+++ b/Source/Forwarding/EndpointClient.cxx
@@ -129,7 +129,9 @@
     CallReason reason;
     connection = co_await Connect(aAddress, aTimeout, reason);
     if (!connection) {
-      co_return MakeFailure(reason.m_code, reason.m_text);
+      CallResult failure = MakeFailure(reason.m_code, reason.m_text);
+      failure.m_hasTimedOut = BootClock::now() >= deadline;
+      co_return failure;
     }
   }
   co_return co_await Exchange(std::move(connection), key, aRequest, deadline);
@@ -157,7 +159,10 @@
     co_await http::async_read(*aConnection, buffer, parser, kAwait);
   if (readError == beast::error::timeout) {
     m_idle.erase(aAddress);
-    co_return MakeFailure(CallError::Silent, "no answer from " + aAddress);
+    CallResult failure =
+      MakeFailure(CallError::Silent, "no answer from " + aAddress);
+    failure.m_hasTimedOut = true;
+    co_return failure;
   }
   if (readError) {
     co_return MakeFailure(CallError::Broken,
--- a/Source/Forwarding/PathDoctor.cxx
+++ b/Source/Forwarding/PathDoctor.cxx
@@ -157,11 +157,29 @@
                         runner->m_phase == state::EndpointPhase::Ready &&
                         runner->m_load->Circuit(aNow) == CircuitState::Ok;
     if (runner->m_isSuspected && isOpen) {
-      Ask(aNow, runner, m_settings.m_askSlowAgain);
+      const bool hasAnswered =
+        aNow - runner->m_load->AnsweredAt() < m_settings.m_ownEvidence;
+      if (hasAnswered) {
+        Ask(aNow, runner, m_settings.m_askSlowAgain);
+      } else {
+        Believe(aNow, runner);
+      }
     }
   }
 }
 
+void
+PathDoctor::Believe(TimePoint aNow, const RunnerPtr& aRunner)
+{
+  Patient& patient = m_patients[KeyOf(*aRunner)];
+  patient.m_runner = aRunner;
+  patient.m_isBelieved = true;
+  aRunner->m_load->Suspect(aNow, m_settings.m_belief);
+  m_board->InvalidatePaths();
+  LogSuspected(*aRunner, "another VM found it dead", m_settings.m_belief);
+  LeaveDead(aNow);
+}
+
 void
 PathDoctor::Doubt(TimePoint aNow, const RunnerPtr& aRunner)
 {
@@ -196,7 +214,20 @@
       place = m_patients.erase(place);
       continue;
     }
-    if (patient.m_runner->m_load->Circuit(aNow) == CircuitState::HalfOpen) {
+    const CircuitState circuit = patient.m_runner->m_load->Circuit(aNow);
+    const bool isListedDead = !isGone && listed->m_isSuspected;
+    if (patient.m_isBelieved && !isListedDead) {
+      // It has announced itself since.
+      patient.m_isBelieved = false;
+      if (circuit != CircuitState::Ok) {
+        Ask(aNow, patient.m_runner, Duration::zero());
+      }
+    } else if (circuit == CircuitState::HalfOpen && isListedDead &&
+               m_board->HasLease(aNow)) {
+      // Its next announcement will tell.
+      patient.m_isBelieved = true;
+      patient.m_runner->m_load->Suspect(aNow, m_settings.m_belief);
+    } else if (circuit == CircuitState::HalfOpen) {
       Ask(aNow, patient.m_runner, Duration::zero());
     } else if (patient.m_pace > kSlowPace) {
       Ask(aNow, patient.m_runner, m_settings.m_askSlowAgain);
@@ -208,6 +239,7 @@
 asio::awaitable<void>
 PathDoctor::Question(RunnerPtr aRunner)
 {
+  const TimePoint askedAt = BootClock::now();
   HttpRequest request(http::verb::get, m_dialect.StatePath(), kHttp11);
   request.set(http::field::host, aRunner->m_address.ToString());
   const CallResult result = co_await m_client.Call(aRunner->m_address,
@@ -227,8 +259,7 @@
     NoteDead(BootClock::now(), aRunner, "it has started again");
   } else if (state) {
     NoteAlive(aRunner, *state);
-  } else if (m_watch->LastDelay() <= m_settings.m_ownPause ||
-             result.IsUnsent()) {
+  } else if (IsJudgement(askedAt, result)) {
     NoteDead(BootClock::now(),
              aRunner,
              result.m_response ? "unexpected answer to a question"
@@ -236,6 +267,18 @@
   }
 }
 
+bool
+PathDoctor::IsJudgement(TimePoint aAskedAt, const CallResult& aResult) const
+{
+  const bool isRefused = aResult.m_reason.m_code == CallError::NotConnected &&
+                         !aResult.m_hasTimedOut;
+  const Duration taken = BootClock::now() - aAskedAt;
+  const bool stoodStill =
+    m_watch->LastDelay() > m_settings.m_ownPause ||
+    taken > m_settings.m_answerTimeout + m_settings.m_ownPause;
+  return isRefused || !stoodStill;
+}
+
 void
 PathDoctor::NoteAlive(const RunnerPtr& aRunner, const EngineState& aState)
 {
@@ -287,12 +330,27 @@
   aRunner->m_load->Suspect(aNow, patient.m_avoid);
   m_board->InvalidatePaths();
   m_board->ReportDead(*aRunner);
+  patient.m_isBelieved = false;
+  LogSuspected(*aRunner, aWhy, patient.m_avoid);
+  LeaveDead(aNow);
+}
+
+void
+PathDoctor::LogSuspected(const Runner& aRunner,
+                         std::string_view aWhy,
+                         Duration aAvoid)
+{
   m_log.Write(DecisionEvent::EndpointSuspected, [&](DecisionLine& aLine) {
-    aLine.Add("endpoint", aRunner->m_id)
-      .Add("address", aRunner->m_address.ToString())
+    aLine.Add("endpoint", aRunner.m_id)
+      .Add("address", aRunner.m_address.ToString())
       .Add("why", aWhy)
-      .AddMs("avoid_ms", patient.m_avoid);
+      .AddMs("avoid_ms", aAvoid);
   });
+}
+
+void
+PathDoctor::LeaveDead(TimePoint aNow)
+{
   for (const auto& weak : m_streams) {
     if (const ForwardCallPtr stream = weak.lock()) {
       MoveIfSilent(aNow, stream);
--- a/Source/Forwarding/PathDoctor.h
+++ b/Source/Forwarding/PathDoctor.h
@@ -47,6 +47,11 @@
   // time up to the last figure.
   Duration m_avoid = std::chrono::milliseconds(500);
   Duration m_longestAvoid = std::chrono::seconds(4);
+  // An engine that has answered within this is not taken for dead on another
+  // gateway's word.
+  Duration m_ownEvidence = std::chrono::milliseconds(400);
+  // How long such a word holds; a live engine announces itself within 1.2 s.
+  Duration m_belief = std::chrono::milliseconds(1500);
   // A check that comes this late says that this process stood still itself.
   Duration m_ownPause = std::chrono::milliseconds(25);
 };
@@ -71,8 +76,8 @@
   void Check(TimePoint aNow);
   // An answer named this engine as the one at fault.
   void Accuse(TimePoint aNow, const RunnerPtr& aRunner, std::string_view aWhy);
-  // Asks the engines that other gateways found dead, before a request is sent
-  // their way.
+  // Avoids the engines that other gateways found dead, before a request is
+  // sent their way; asks those that have just answered here.
   void AskSuspected(TimePoint aNow);
   // It did not answer once; asks it.
   void Doubt(TimePoint aNow, const RunnerPtr& aRunner);
@@ -87,6 +92,8 @@
     Duration m_avoid{};
     // As it said last; a slow engine is asked until it is not.
     double m_pace = 1;
+    // Avoided for another gateway's word.
+    bool m_isBelieved = false;
   };
 
   // What the streams through one engine show.
@@ -108,7 +115,18 @@
   void Ask(TimePoint aNow, const RunnerPtr& aRunner, Duration aNotWithin);
   void AskReturning(TimePoint aNow);
   asio::awaitable<void> Question(RunnerPtr aRunner);
+  // Whether a missing answer says something of the engine: this process may
+  // have stood still itself.
+  bool IsJudgement(TimePoint aAskedAt, const CallResult& aResult) const;
   void NoteAlive(const RunnerPtr& aRunner, const EngineState& aState);
+  // Takes the word of another gateway: asking would cost each of them a
+  // question to each dead engine.
+  void Believe(TimePoint aNow, const RunnerPtr& aRunner);
+  void LogSuspected(const Runner& aRunner,
+                    std::string_view aWhy,
+                    Duration aAvoid);
+  // Streams with a dead stage go elsewhere.
+  void LeaveDead(TimePoint aNow);
   void NoteDead(TimePoint aNow,
                 const RunnerPtr& aRunner,
                 std::string_view aWhy);
--- a/Source/Wire/Frame.h
+++ b/Source/Wire/Frame.h
@@ -19,12 +19,15 @@
   Heartbeat = 0,
   Peer = 1,
   Feed = 2,
+  // A feed message whose payload is packed.
+  PackedFeed = 3,
 };
 
 inline constexpr std::array kFrameKindNames{
   EnumName<FrameKind>{ FrameKind::Heartbeat, "heartbeat" },
   EnumName<FrameKind>{ FrameKind::Peer, "peer" },
   EnumName<FrameKind>{ FrameKind::Feed, "feed" },
+  EnumName<FrameKind>{ FrameKind::PackedFeed, "packed_feed" },
 };
 
 // Little-endian length of the payload, kind, CRC-32 of kind and payload.
--- a/Source/Wire/FrameReader.cxx
+++ b/Source/Wire/FrameReader.cxx
@@ -36,7 +36,7 @@
                 "frame length " + std::to_string(length) +
                   ": expected at most " + std::to_string(m_maxPayloadBytes));
   }
-  if (header[4] > static_cast<std::uint8_t>(FrameKind::Feed)) {
+  if (header[4] > static_cast<std::uint8_t>(FrameKind::PackedFeed)) {
     return Fail(WireError::BadKind,
                 "frame kind " + std::to_string(header[4]) +
                   ": expected heartbeat, peer or feed");
--- a/Source/Wire/MessageCodec.cxx
+++ b/Source/Wire/MessageCodec.cxx
@@ -3,12 +3,16 @@
 
 #include <vector>
 
+#include "Wire/Packing.h"
+
 namespace parsleycove {
 
 namespace {
 
 constexpr flatbuffers::uoffset_t kMaxDepth = 32;
 constexpr flatbuffers::uoffset_t kMaxTables = 10'000'000;
+// As large as a frame may be.
+constexpr std::size_t kMaxUnpackedBytes = 64UL * 1024 * 1024;
 
 Frame::Pointer
 WrapFinished(FrameKind aKind, const flatbuffers::FlatBufferBuilder& aBuilder)
@@ -55,7 +59,12 @@
 {
   flatbuffers::FlatBufferBuilder builder;
   builder.Finish(feed::FeedMessage::Pack(builder, &aMessage));
-  return WrapFinished(FrameKind::Feed, builder);
+  if (builder.GetSize() < kLeastPackedBytes) {
+    return WrapFinished(FrameKind::Feed, builder);
+  }
+  const std::vector<std::uint8_t> packed =
+    Pack({ builder.GetBufferPointer(), builder.GetSize() });
+  return { new Frame(FrameKind::PackedFeed, packed) };
 }
 
 std::optional<consensus::PeerMessageT>
@@ -73,6 +82,19 @@
   return message;
 }
 
+std::optional<feed::FeedMessageT>
+DecodeFeedFrame(FrameKind aKind, std::span<const std::uint8_t> aPayload)
+{
+  if (aKind == FrameKind::Feed) {
+    return DecodeFeedMessage(aPayload);
+  }
+  if (aKind != FrameKind::PackedFeed) {
+    return std::nullopt;
+  }
+  const auto payload = Unpack(aPayload, kMaxUnpackedBytes);
+  return payload ? DecodeFeedMessage(*payload) : std::nullopt;
+}
+
 std::optional<feed::FeedMessageT>
 DecodeFeedMessage(std::span<const std::uint8_t> aPayload)
 {
--- a/Source/Wire/MessageCodec.h
+++ b/Source/Wire/MessageCodec.h
@@ -31,6 +31,10 @@
 std::optional<consensus::PeerMessageT>
 DecodePeerMessage(std::span<const std::uint8_t> aPayload);
 
+// Also of a packed payload; empty for other kinds of frames.
+std::optional<feed::FeedMessageT>
+DecodeFeedFrame(FrameKind aKind, std::span<const std::uint8_t> aPayload);
+
 std::optional<feed::FeedMessageT>
 DecodeFeedMessage(std::span<const std::uint8_t> aPayload);
 
--- a/Tests/Control/SilenceTest.cxx
+++ b/Tests/Control/SilenceTest.cxx
@@ -9,6 +9,7 @@
 #include <boost/asio/write.hpp>
 
 #include "Control/Cluster.h"
+#include "Routing/Random.h"
 #include "Wire/MessageCodec.h"
 
 // Last, since its leak macros redefine new.
@@ -31,10 +32,16 @@
 {
   state::CommandT command = MakeChange(aId, aBase, "urgent");
   auto& change = *command.body.AsApplyChange()->change;
+  Random random(aBase);
   for (std::size_t i = 0; i < aCount; ++i) {
     auto service = std::make_unique<state::ServiceT>();
     service->name = "service-" + std::to_string(i);
-    service->idempotent_prefixes.push_back("/" + std::string(200, 'x'));
+    // Packing makes nothing of these letters.
+    std::string prefix = "/";
+    while (prefix.size() <= 200) {
+      prefix.push_back(static_cast<char>('a' + random.Below(26)));
+    }
+    service->idempotent_prefixes.push_back(std::move(prefix));
     change.put_services.push_back(std::move(service));
   }
   return command;
@@ -160,7 +167,8 @@
   for (; changes < kMaxChanges && !error; ++changes) {
     const std::string id = "c" + std::to_string(changes);
     const auto answer = Propose(*m_client, MakeLongChange(id, changes, 300));
-    CHECK(answer.m_value.has_value());
+    CHECK_TEXT(answer.m_value.has_value(),
+               (id + ": " + answer.m_reason.m_text).c_str());
     CHECK_EQUAL(static_cast<std::uint64_t>(changes) + 1,
                 answer.m_value->revision);
     asio::write(slow, asio::buffer(heartbeat->Bytes()), error);
--- a/Utilities/install.sh
+++ b/Utilities/install.sh
@@ -3,7 +3,7 @@
 set -eu
 packages="g++ cmake ninja-build ccache clang-format clang-tidy curl
   libboost1.81-dev libboost-json1.81-dev libboost-url1.81-dev
-  libflatbuffers-dev liblog4cxx-dev libcpputest-dev libssl-dev libxxhash-dev"
+  libflatbuffers-dev liblog4cxx-dev libcpputest-dev libssl-dev libxxhash-dev zlib1g-dev"
 missing=""
 for package in $packages; do
   dpkg -s "$package" >/dev/null 2>&1 || missing="$missing $package"
