Placement, Routing: Move one plan at a time, and borders only when a loss lasts

The engines came back after 3 to 5 s. Ruled out: memory (paths were full because zones had none), refused orders (they were refused because the engines still emptied). Change: no engine with layers moves while one of its zone loads; borders move 5.5 s after a loss at the earliest; a gap that cannot be closed whole is left as it is.

--- a/Source/Placement/PlacementDesk.cxx
+++ b/Source/Placement/PlacementDesk.cxx
@@ -65,8 +65,11 @@
     return due;
   }
   std::vector<LayoutHost> hosts;
+  bool mayReshape = true;
   for (const RunnerPtr& engine : aEngines) {
     if (IsLost(aNow, *engine)) {
+      mayReshape = mayReshape && aNow - m_suspectedAt[engine->m_id] >=
+                                   m_settings.m_reshapeAfter;
       continue;
     }
     LayoutHost host{ engine->m_id,
@@ -80,6 +83,7 @@
     if (isOrdered && host.m_holds != known->second.m_span) {
       host.m_holds = known->second.m_span;
       host.m_isReported = false;
+      host.m_isLoading = aNow - known->second.m_firstAt < m_settings.m_loading;
       if (known->second.m_repeatAt <= aNow) {
         known->second.m_repeatAt = aNow + m_settings.m_repeat;
         due.push_back({ engine, known->second.m_span });
@@ -87,14 +91,15 @@
     }
     hosts.push_back(std::move(host));
   }
-  for (const LayoutOrder& order : m_layout.Plan(aModel, std::move(hosts))) {
+  for (const LayoutOrder& order :
+       m_layout.Plan(aModel, std::move(hosts), mayReshape)) {
     const auto engine = std::find_if(
       aEngines.begin(), aEngines.end(), [&](const RunnerPtr& aEngine) {
         return aEngine->m_id == order.m_id;
       });
-    m_assigned[order.m_id] = { order.m_incarnation,
-                               order.m_span,
-                               aNow + m_settings.m_repeat };
+    m_assigned[order.m_id] = {
+      order.m_incarnation, order.m_span, aNow + m_settings.m_repeat, aNow
+    };
     due.push_back({ *engine, order.m_span });
   }
   return due;
--- a/Source/Placement/PlacementDesk.h
+++ b/Source/Placement/PlacementDesk.h
@@ -30,6 +30,13 @@
   // An engine that was reported dead and has not announced itself for this
   // long is lost; engines announce themselves every 1.2 s.
   Duration m_lostAfter = std::chrono::milliseconds(1600);
+  // Borders between engines move only once a lost engine has been away for
+  // this long: most crashes last 3 to 5 s.
+  Duration m_reshapeAfter = std::chrono::milliseconds(5500);
+  // How long the others wait for an engine that was given an order; loading a
+  // fifth of a model takes about three seconds, and what passes through the
+  // layers that it gives up ends within as much.
+  Duration m_loading = std::chrono::milliseconds(6000);
 };
 
 // An order to give now.
@@ -62,6 +69,7 @@
     std::uint64_t m_incarnation = 0;
     LayerSpan m_span;
     TimePoint m_repeatAt{};
+    TimePoint m_firstAt{};
   };
 
   bool IsLost(TimePoint aNow, const Runner& aEngine);
--- a/Source/Routing/LayerLayout.cxx
+++ b/Source/Routing/LayerLayout.cxx
@@ -265,16 +265,25 @@
 void
 LayerLayout::PlanGroup(const LayeredModel& aModel,
                        const std::vector<LayoutHost>& aHosts,
+                       bool aMayReshape,
                        std::vector<LayoutOrder>& aOrders) const
 {
   std::vector<LayoutHost> planned = aHosts;
   TrimOverfull(aModel, planned);
   FillEmpty(aModel, planned);
   const std::vector<LayoutHost> filled = planned;
-  CloseGap(aModel, planned);
+  const bool isLoading =
+    std::any_of(aHosts.begin(), aHosts.end(), [](const LayoutHost& aHost) {
+      return aHost.m_isLoading;
+    });
+  if (!isLoading) {
+    CloseGap(aModel, planned);
+  }
   const bool canHoldAll =
+    !isLoading && aMayReshape &&
     SumLayers(aModel, aHosts, m_settings.m_leastTokens) >= aModel.m_layers;
-  if (!HoldsAll(aModel, planned) && canHoldAll) {
+  if (!HoldsAll(aModel, planned)) {
+    // A gap that is not closed is as wide as before.
     planned = filled;
   }
   if (!HoldsAll(aModel, planned) && canHoldAll &&
@@ -353,7 +362,8 @@
 
 std::vector<LayoutOrder>
 LayerLayout::Plan(const LayeredModel& aModel,
-                  std::vector<LayoutHost> aHosts) const
+                  std::vector<LayoutHost> aHosts,
+                  bool aMayReshape) const
 {
   std::vector<LayoutOrder> orders;
   if (aModel.m_layers == 0) {
@@ -372,7 +382,7 @@
                        paceOf(aRight), aRight.m_kind, aRight.m_id);
             });
   for (const auto& group : GroupByZone(aModel, aHosts)) {
-    PlanGroup(aModel, group, orders);
+    PlanGroup(aModel, group, aMayReshape, orders);
   }
   return orders;
 }
--- a/Source/Routing/LayerLayout.h
+++ b/Source/Routing/LayerLayout.h
@@ -25,6 +25,8 @@
   LayerSpan m_holds;
   // It says that it holds them.
   bool m_isReported = true;
+  // It was ordered to hold them a short time ago.
+  bool m_isLoading = false;
 };
 
 struct LayoutOrder
@@ -58,6 +60,10 @@
 // engine of a chain decides how many streams the chain takes. So an engine that
 // comes back takes over a part of what they hold, and they give it up.
 //
+// While engines of a zone load, no other one of it moves: the next plan would
+// be made for a zone that does not exist yet, and orders that cross each other
+// empty the zone for many seconds.
+//
 // An engine without layers takes the first run of layers that the fewest
 // engines of its zone hold; so the first engines complete a chain, and later
 // ones another. Fast kinds come first. Engines that hold something keep it
@@ -69,8 +75,11 @@
 public:
   explicit LayerLayout(LayoutSettings aSettings = {});
 
+  // aMayReshape: borders between engines may move. Not so soon after a loss:
+  // most engines come back within seconds.
   std::vector<LayoutOrder> Plan(const LayeredModel& aModel,
-                                std::vector<LayoutHost> aHosts) const;
+                                std::vector<LayoutHost> aHosts,
+                                bool aMayReshape = true) const;
 
 private:
   // Zones whose engines make chains together.
@@ -80,6 +89,7 @@
                      const std::vector<LayoutHost>& aHosts) const;
   void PlanGroup(const LayeredModel& aModel,
                  const std::vector<LayoutHost>& aHosts,
+                 bool aMayReshape,
                  std::vector<LayoutOrder>& aOrders) const;
   void FillEmpty(const LayeredModel& aModel,
                  std::vector<LayoutHost>& aHosts) const;
--- a/Tests/Routing/LayerLayoutTest.cxx
+++ b/Tests/Routing/LayerLayoutTest.cxx
@@ -254,3 +254,34 @@
     CHECK(LeastHolders(hosts, "c") >= 1);
   }
 }
+
+// Load pattern: an engine is lost while its zone still loads after another
+// loss. Orders that cross each other emptied the zone for eight seconds.
+TEST(LayerLayout, NoEngineWithLayersMovesWhileItsZoneLoads)
+{
+  auto hosts = PlaceAll(UsualGroups());
+  std::erase_if(hosts,
+                [](const auto& aHost) { return aHost.m_id == "b-small-2"; });
+  const auto orders = m_layout.Plan(m_model, hosts);
+  CHECK_FALSE(orders.empty());
+  ApplyOrders(hosts, orders);
+  Find(hosts, orders.front().m_id).m_isReported = false;
+  Find(hosts, orders.front().m_id).m_isLoading = true;
+  std::erase_if(hosts,
+                [](const auto& aHost) { return aHost.m_id == "b-middle-0"; });
+  CHECK_EQUAL(0U, m_layout.Plan(m_model, hosts).size());
+  Find(hosts, orders.front().m_id).m_isReported = true;
+  Find(hosts, orders.front().m_id).m_isLoading = false;
+  ApplyOrders(hosts, m_layout.Plan(m_model, hosts));
+  CHECK(LeastHolders(hosts, "b") >= 1);
+}
+
+// Load pattern: a crash of some seconds in a zone without memory to spare.
+TEST(LayerLayout, BordersStayWhileALostEngineMayComeBack)
+{
+  auto hosts = PlaceAll(UsualGroups());
+  std::erase_if(hosts,
+                [](const auto& aHost) { return aHost.m_id == "c-fast-1"; });
+  CHECK_EQUAL(0U, m_layout.Plan(m_model, hosts, false).size());
+  CHECK(m_layout.Plan(m_model, hosts, true).size() > 3);
+}
