--- a/Tests/Forwarding/StreamForwardTest.cxx
+++ b/Tests/Forwarding/StreamForwardTest.cxx
@@ -100,12 +100,35 @@
     m_left = isOther ? m_spare : m_other;
     (isOther ? m_other : m_spare)->Stop();
   }
+  // The first engine answers orders so; its stream goes on after the first one.
+  void TakeOrders(const std::string& aStatus,
+                  const std::function<void(const HttpRequest&)>& aOnStream)
+  {
+    m_first->SetScript([this, aStatus, aOnStream](const HttpRequest& aRequest) {
+      if (aRequest.target() == kOrderTarget) {
+        ++m_orders;
+        return std::vector<StubStep>{ Send(
+          "HTTP/1.1 " + aStatus + "\r\nContent-Length: 0\r\n\r\n") };
+      }
+      return WithState([this, aOnStream](const HttpRequest& aStream) {
+        ++m_calls;
+        aOnStream(aStream);
+        return std::vector<StubStep>{ Send(MakeStreamHead(AttemptOf(aStream))),
+                                      Send(MakeEvent(1) + MakeEvent(2)),
+                                      Await([this] { return m_orders != 0; }),
+                                      Send(MakeEvent(3) + MakeEvent(4)),
+                                      Send(MakeEvent(5)),
+                                      Send(MakeStreamEnd()) };
+      })(aRequest);
+    });
+  }
   std::string Ask(const std::string& aPath)
   {
     return m_fixture->Ask("POST", aPath, kStreamHeader, "prompt");
   }
 
   int m_calls = 0;
+  int m_orders = 0;
 };
 // clang-format on
 
@@ -248,27 +271,12 @@
 TEST(StreamForward, AStreamIsLedRoundADeadStageByItsFirstEngine)
 {
   StartWithSpare();
-  int orders = 0;
-  m_first->SetScript([&](const HttpRequest& aRequest) {
-    if (aRequest.target() == kOrderTarget) {
-      ++orders;
-      return std::vector<StubStep>{ Send(
-        "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n") };
-    }
-    return WithState([&](const HttpRequest& aStream) {
-      ++m_calls;
-      StopSecondStageOf(aStream);
-      return std::vector<StubStep>{ Send(MakeStreamHead(AttemptOf(aStream))),
-                                    Send(MakeEvent(1) + MakeEvent(2)),
-                                    Await([&] { return orders != 0; }),
-                                    Send(MakeEvent(3) + MakeEvent(4)),
-                                    Send(MakeEvent(5)),
-                                    Send(MakeStreamEnd()) };
-    })(aRequest);
+  TakeOrders("202 Accepted", [this](const HttpRequest& aStream) {
+    StopSecondStageOf(aStream);
   });
   CheckAllEventsOnce(Ask("/stream/x"));
   CHECK_EQUAL(1, m_calls);
-  CHECK_EQUAL(1, orders);
+  CHECK_EQUAL(1, m_orders);
   CHECK(m_fixture->m_sink.Has({ "stream_rerouted", "\"outcome\":\"taken\"" }));
   CHECK_EQUAL(0, m_fixture->MetricOf("parsleycove_resumes_total"));
   CHECK_EQUAL(1, m_fixture->MetricOf("parsleycove_reroutes_total"));
@@ -287,23 +295,8 @@
 TEST(StreamForward, AStreamThatMayNotBeResumedIsLedRoundADeadStageToo)
 {
   StartWithSpare();
-  int orders = 0;
-  m_first->SetScript([&](const HttpRequest& aRequest) {
-    if (aRequest.target() == kOrderTarget) {
-      ++orders;
-      return std::vector<StubStep>{ Send(
-        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n") };
-    }
-    return WithState([&](const HttpRequest& aStream) {
-      ++m_calls;
-      StopSecondStageOf(aStream);
-      return std::vector<StubStep>{ Send(MakeStreamHead(AttemptOf(aStream))),
-                                    Send(MakeEvent(1) + MakeEvent(2)),
-                                    Await([&] { return orders != 0; }),
-                                    Send(MakeEvent(3) + MakeEvent(4)),
-                                    Send(MakeEvent(5)),
-                                    Send(MakeStreamEnd()) };
-    })(aRequest);
+  TakeOrders("200 OK", [this](const HttpRequest& aStream) {
+    StopSecondStageOf(aStream);
   });
   CheckAllEventsOnce(Ask("/once/x"));
   CHECK_EQUAL(1, m_calls);
@@ -341,7 +334,6 @@
 TEST(StreamForward, AStreamLeavesASlowStage)
 {
   StartWithSpare();
-  int orders = 0;
   bool isOtherSlow = false;
   bool isSpareSlow = false;
   const auto makeStage = [](bool& aIsSlow) {
@@ -354,26 +346,12 @@
   };
   m_other->SetScript(makeStage(isOtherSlow));
   m_spare->SetScript(makeStage(isSpareSlow));
-  m_first->SetScript([&](const HttpRequest& aRequest) {
-    if (aRequest.target() == kOrderTarget) {
-      ++orders;
-      return std::vector<StubStep>{ Send(
-        "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n") };
-    }
-    return WithState([&](const HttpRequest& aStream) {
-      ++m_calls;
-      (UsesOther(aStream) ? isOtherSlow : isSpareSlow) = true;
-      return std::vector<StubStep>{ Send(MakeStreamHead(AttemptOf(aStream))),
-                                    Send(MakeEvent(1) + MakeEvent(2)),
-                                    Await([&] { return orders != 0; }),
-                                    Send(MakeEvent(3) + MakeEvent(4)),
-                                    Send(MakeEvent(5)),
-                                    Send(MakeStreamEnd()) };
-    })(aRequest);
+  TakeOrders("202 Accepted", [&](const HttpRequest& aStream) {
+    (UsesOther(aStream) ? isOtherSlow : isSpareSlow) = true;
   });
   CheckAllEventsOnce(Ask("/stream/x"));
   CHECK_EQUAL(1, m_calls);
-  CHECK_EQUAL(1, orders);
+  CHECK_EQUAL(1, m_orders);
 }
 
 TEST(StreamForward, AStreamWhoseEnginesAnswerIsNotEndedForItsSilence)
--- a/Tests/Routing/LayerShiftTest.cxx
+++ b/Tests/Routing/LayerShiftTest.cxx
@@ -66,7 +66,8 @@
     CHECK(i == 0 || shift.m_spans[i - 1].m_first <= shift.m_spans[i].m_first);
   }
   // Laid out anew, half of the engines would load 4 layers or more.
-  CHECK(shift.m_cost <= 2 * (4 * 4 + 3 * 3 + 2 * 2 + 1));
+  // Here at most 4, 3, 2 and 1 on each side of the gap.
+  CHECK(shift.m_cost <= 60);
 }
 
 TEST(LayerShift, AnEngineKeepsWhatItHoldsBesideItsPart)
--- a/Tests/Soak/SoakOperator.cxx
+++ b/Tests/Soak/SoakOperator.cxx
@@ -113,7 +113,7 @@
 }
 
 void
-SoakOperator::ReadAll(std::function<void(std::uint64_t)> aOnVersion)
+SoakOperator::ReadAll(const std::function<void(std::uint64_t)>& aOnVersion)
 {
   for (const SocketAddress& control : m_controls) {
     boost::asio::co_spawn(
--- a/Tests/Soak/SoakOperator.h
+++ b/Tests/Soak/SoakOperator.h
@@ -25,7 +25,7 @@
   void Change(bool aHasSecondKey);
   // One read from each control VM. A read that was sent long enough after an
   // acknowledgement must not show an older version.
-  void ReadAll(std::function<void(std::uint64_t)> aOnVersion = {});
+  void ReadAll(const std::function<void(std::uint64_t)>& aOnVersion = {});
   std::uint64_t AcceptedVersion() const { return m_accepted; }
   bool IsSettled() const { return m_sent == m_accepted; }
 
