Forwarding: Ask returning engines also while no call is under way

Cause: engines that are avoided were asked again only at the checks of calls under way. A VM without one found no path, so it made no call, so it asked nobody; only the next plain request ended that. On a VM of a large fleet that takes seconds. Ruled out: the wait for a path, which looks every 10 ms and plans anew. Before: EnginesAreAskedAgainThoughNoCallIsUnderWay fails after 20 s. After: passes.

--- a/Source/Forwarding/PathDoctor.h
+++ b/Source/Forwarding/PathDoctor.h
@@ -79,6 +79,10 @@
   // Avoids the engines that other gateways found dead, before a request is
   // sent their way; asks those that have just answered here.
   void AskSuspected(TimePoint aNow);
+  // Asks the engines whose time of being avoided is over. Also called while no
+  // call is under way: without a path there is none, and without an answer
+  // there would be no path.
+  void AskReturning(TimePoint aNow);
   // It did not answer once; asks it.
   void Doubt(TimePoint aNow, const RunnerPtr& aRunner);
   RunnerPtr FindByAddress(std::string_view aAddress) const;
@@ -113,7 +117,6 @@
   void MoveIfSilent(TimePoint aNow, const ForwardCallPtr& aStream);
   static bool HasDeadStage(TimePoint aNow, const ForwardCall& aStream);
   void Ask(TimePoint aNow, const RunnerPtr& aRunner, Duration aNotWithin);
-  void AskReturning(TimePoint aNow);
   asio::awaitable<void> Question(RunnerPtr aRunner);
   // Whether a missing answer says something of the engine: this process may
   // have stood still itself.
--- a/Tests/Forwarding/ForwardFixture.cxx
+++ b/Tests/Forwarding/ForwardFixture.cxx
@@ -99,6 +99,36 @@
   return Announce(std::move(endpoint));
 }
 
+void
+ForwardFixture::Suspect(const StubEndpoint& aEndpoint)
+{
+  state::SuspectEndpointT suspect;
+  suspect.endpoint = std::make_unique<state::EndpointRefT>();
+  suspect.endpoint->id = IdOf(aEndpoint);
+  suspect.endpoint->incarnation = 1;
+  state::CommandT command;
+  command.body.Set(std::move(suspect));
+  m_control.Apply(command);
+}
+
+void
+ForwardFixture::AnnounceAgain(const StubEndpoint& aEndpoint)
+{
+  const auto view = m_control.View();
+  for (const auto& listed : view->Image().endpoints) {
+    if (listed->id == IdOf(aEndpoint)) {
+      state::AnnounceEndpointT announce;
+      announce.endpoint = std::make_unique<state::EndpointT>(*listed);
+      announce.endpoint->suspected = false;
+      ++announce.endpoint->report;
+      state::CommandT command;
+      command.body.Set(std::move(announce));
+      m_control.Apply(command);
+      return;
+    }
+  }
+}
+
 std::string
 ForwardFixture::IdOf(const StubEndpoint& aEndpoint) const
 {
--- a/Tests/Forwarding/ForwardFixture.h
+++ b/Tests/Forwarding/ForwardFixture.h
@@ -33,6 +33,9 @@
   StubEndpoint& AddPlain();
   // Holds layers [aFirst, aEnd) of 4.
   StubEndpoint& AddEngine(std::uint32_t aFirst, std::uint32_t aEnd);
+  // Another VM reports the endpoint dead; it announces itself again.
+  void Suspect(const StubEndpoint& aEndpoint);
+  void AnnounceAgain(const StubEndpoint& aEndpoint);
   std::string IdOf(const StubEndpoint& aEndpoint) const;
   void Start();
 
--- a/Tests/Forwarding/StreamForwardTest.cxx
+++ b/Tests/Forwarding/StreamForwardTest.cxx
@@ -354,6 +354,51 @@
   CHECK_EQUAL(1, m_orders);
 }
 
+// Load pattern: four engines die under ninety VMs. One VM's word is enough for
+// the others; each of them asking each engine was most of all questions.
+TEST(StreamForward, AnEngineThatAnotherVmFoundDeadIsAvoidedWithoutAQuestion)
+{
+  m_fixture->PutConfig();
+  m_first = &m_fixture->AddEngine(0, 4);
+  m_other = &m_fixture->AddEngine(0, 4);
+  m_first->SetScript(WithState(StreamAll));
+  m_other->SetScript(WithState(StreamAll));
+  m_fixture->Suspect(*m_first);
+  m_fixture->Start();
+  CHECK(m_fixture->RunUntil([this] {
+    return m_fixture->m_sink.Has(
+      { "endpoint_suspected", "another VM found it dead" });
+  }));
+  for (int i = 0; i < 4; ++i) {
+    CheckAllEventsOnce(Ask("/stream/x"));
+  }
+  CHECK_EQUAL(0U, m_first->Requests().size());
+  // It announces itself: asked once, then used again.
+  m_fixture->AnnounceAgain(*m_first);
+  CHECK(m_fixture->RunUntil(
+    [this] { return m_fixture->m_sink.Has({ "endpoint_cleared" }); }));
+  CHECK_EQUAL(1U, m_first->Requests().size());
+}
+
+// Load pattern: a VM is cut off from all engines for a moment while nothing
+// else is under way there.
+TEST(StreamForward, EnginesAreAskedAgainThoughNoCallIsUnderWay)
+{
+  m_fixture->PutConfig();
+  m_first = &m_fixture->AddEngine(0, 4);
+  m_first->SetScript(WithState(StreamAll));
+  m_fixture->Suspect(*m_first);
+  m_fixture->Start();
+  CHECK(m_fixture->RunUntil([this] {
+    return m_fixture->m_sink.Has(
+      { "endpoint_suspected", "another VM found it dead" });
+  }));
+  m_fixture->AnnounceAgain(*m_first);
+  CHECK(m_fixture->RunUntil(
+    [this] { return m_fixture->m_sink.Has({ "endpoint_cleared" }); }));
+  CheckAllEventsOnce(Ask("/stream/x"));
+}
+
 TEST(StreamForward, AStreamWhoseEnginesAnswerIsNotEndedForItsSilence)
 {
   StartTwo([](const HttpRequest& aRequest) {
