Tests: Let the soak run a copy of the program

The program was being linked under the run, its first start failed, and the soak started it again as one that is not the first, so no group was founded. Ruled out: the group's own start (first line of each log is 9 s after the back ends' first heartbeat).

--- a/Tests/Soak/SoakMain.cxx
+++ b/Tests/Soak/SoakMain.cxx
@@ -74,6 +74,21 @@
     std::cerr << kUsage;
     return 2;
   }
+  // A copy, since the program may be built anew under a long run.
+  const std::filesystem::path folder = std::filesystem::absolute(runs.m_folder);
+  const std::filesystem::path program = folder / "parsleycoved";
+  std::error_code error;
+  std::filesystem::create_directories(folder, error);
+  std::filesystem::copy_file(runs.m_options.m_program,
+                             program,
+                             std::filesystem::copy_options::overwrite_existing,
+                             error);
+  if (error) {
+    std::cerr << "parsleycove-soak: cannot copy " << runs.m_options.m_program
+              << ": " << error.message() << "\n";
+    return 2;
+  }
+  runs.m_options.m_program = program.string();
   int failed = 0;
   const std::uint64_t first = runs.m_options.m_seed;
   for (std::uint64_t seed = first; seed < first + runs.m_seeds; ++seed) {
