Forwarding: Take reports of dead engines at once where streams stand still

Cause: a gateway looked at what others reported every 150 ms, and asked an engine that had answered within 400 ms, which waits 40 ms for a dead one.

Ruled out: the report's way through the log.

Change: reports are taken at every check of the streams (15 ms). Streams through the engine that stand still confirm the report; streams that move refute it, and neither takes a question. JudgeReport decides.

--- a/Source/Forwarding/ForwardGateway.cxx
+++ b/Source/Forwarding/ForwardGateway.cxx
@@ -83,8 +83,7 @@
   {
     const TimePoint now = BootClock::now();
     m_board.Refresh(now);
-    m_doctor.AskSuspected(now);
-    m_doctor.AskReturning(now);
+    m_doctor.Check(now);
     m_pool.Sweep(now);
     std::erase_if(m_callers,
                   [](const auto& aCaller) { return aCaller.expired(); });
--- a/Source/Forwarding/PathDoctor.cxx
+++ b/Source/Forwarding/PathDoctor.cxx
@@ -62,6 +62,7 @@
 void
 PathDoctor::Check(TimePoint aNow)
 {
+  m_board->Refresh(aNow);
   if (m_watch->LastDelay() > m_settings.m_ownPause) {
     m_judgeFrom = aNow;
   }
@@ -76,6 +77,7 @@
       MoveIfSilent(aNow, stream);
     }
   }
+  TakeReports(aNow);
   for (const auto& [key, traffic] : m_traffic) {
     Examine(aNow, traffic);
   }
@@ -100,15 +102,29 @@
   }
 }
 
+Duration
+PathDoctor::Standstill(const Traffic& aTraffic) const
+{
+  return std::max(m_settings.m_askAfter,
+                  std::chrono::duration_cast<Duration>(aTraffic.m_usualGap *
+                                                       m_settings.m_askGaps));
+}
+
+TimePoint
+PathDoctor::MovedAt(const Runner& aRunner) const
+{
+  return std::max(aRunner.m_load->AnsweredAt(), m_judgeFrom);
+}
+
 void
 PathDoctor::Examine(TimePoint aNow, const Traffic& aTraffic)
 {
-  const TimePoint movedAt =
-    std::max(aTraffic.m_runner->m_load->AnsweredAt(), m_judgeFrom);
-  const auto askAfter = std::max(m_settings.m_askAfter,
-                                 std::chrono::duration_cast<Duration>(
-                                   aTraffic.m_usualGap * m_settings.m_askGaps));
-  const bool isSilent = aTraffic.m_hasBegun && aNow - movedAt > askAfter;
+  if (aTraffic.m_runner->m_load->Circuit(aNow) == CircuitState::Suspect) {
+    return;
+  }
+  const TimePoint movedAt = MovedAt(*aTraffic.m_runner);
+  const bool isSilent =
+    aTraffic.m_hasBegun && aNow - movedAt > Standstill(aTraffic);
   const TimePoint waitingSince = std::max(aTraffic.m_waitingSince, m_judgeFrom);
   const bool isWaiting = aNow - waitingSince > m_settings.m_askAfterSending &&
                          movedAt < waitingSince;
@@ -146,7 +162,7 @@
 }
 
 void
-PathDoctor::AskSuspected(TimePoint aNow)
+PathDoctor::TakeReports(TimePoint aNow)
 {
   const RunnerTable* table = m_board->Runners();
   if (table == nullptr) {
@@ -156,18 +172,32 @@
     const bool isOpen = runner->m_kind == state::EndpointKind::ManagedEngine &&
                         runner->m_phase == state::EndpointPhase::Ready &&
                         runner->m_load->Circuit(aNow) == CircuitState::Ok;
-    if (runner->m_isSuspected && isOpen) {
-      const bool hasAnswered =
-        aNow - runner->m_load->AnsweredAt() < m_settings.m_ownEvidence;
-      if (hasAnswered) {
-        Ask(aNow, runner, m_settings.m_askSlowAgain);
-      } else {
+    if (!runner->m_isSuspected || !isOpen) {
+      continue;
+    }
+    switch (JudgeReport(EvidenceOf(aNow, *runner), m_settings.m_ownEvidence)) {
+      case ReportVerdict::Believe:
         Believe(aNow, runner);
-      }
+        break;
+      case ReportVerdict::Ask:
+        Ask(aNow, runner, m_settings.m_askSlowAgain);
+        break;
+      case ReportVerdict::Ignore:
+        break;
     }
   }
 }
 
+OwnEvidence
+PathDoctor::EvidenceOf(TimePoint aNow, const Runner& aRunner) const
+{
+  const auto place = m_traffic.find(KeyOf(aRunner));
+  if (place == m_traffic.end() || !place->second.m_hasBegun) {
+    return { aNow - aRunner.m_load->AnsweredAt(), false, {} };
+  }
+  return { aNow - MovedAt(aRunner), true, Standstill(place->second) };
+}
+
 void
 PathDoctor::Believe(TimePoint aNow, const RunnerPtr& aRunner)
 {
--- a/Source/Forwarding/PathDoctor.h
+++ b/Source/Forwarding/PathDoctor.h
@@ -13,6 +13,7 @@
 #include "Forwarding/EndpointClient.h"
 #include "Forwarding/ForwardCall.h"
 #include "Forwarding/ForwardServices.h"
+#include "Forwarding/ReportVerdict.h"
 #include "Forwarding/StreamRerouter.h"
 
 namespace parsleycove {
@@ -47,8 +48,8 @@
   // time up to the last figure.
   Duration m_avoid = std::chrono::milliseconds(500);
   Duration m_longestAvoid = std::chrono::seconds(4);
-  // An engine that has answered within this is not taken for dead on another
-  // gateway's word.
+  // An engine without streams that has answered within this is not taken for
+  // dead on another gateway's word.
   Duration m_ownEvidence = std::chrono::milliseconds(400);
   // How long such a word holds; a live engine announces itself within 1.2 s.
   Duration m_belief = std::chrono::milliseconds(1500);
@@ -72,17 +73,11 @@
 
   // A stream under way; forgotten once it is gone.
   void Follow(const ForwardCallPtr& aStream);
-  // Looks at all streams; called at every check of the watch.
+  // Looks at all streams and at what other gateways reported; called at every
+  // check of the watch, and by the upkeep while nothing is watched.
   void Check(TimePoint aNow);
   // An answer named this engine as the one at fault.
   void Accuse(TimePoint aNow, const RunnerPtr& aRunner, std::string_view aWhy);
-  // Avoids the engines that other gateways found dead, before a request is
-  // sent their way; asks those that have just answered here.
-  void AskSuspected(TimePoint aNow);
-  // Asks the engines whose time of being avoided is over. Also called while no
-  // call is under way: without a path there is none, and without an answer
-  // there would be no path.
-  void AskReturning(TimePoint aNow);
   // It did not answer once; asks it.
   void Doubt(TimePoint aNow, const RunnerPtr& aRunner);
   RunnerPtr FindByAddress(std::string_view aAddress) const;
@@ -113,6 +108,17 @@
   };
 
   void Gather(ForwardCall& aStream);
+  // Silence that is more than a pause between two events.
+  Duration Standstill(const Traffic& aTraffic) const;
+  // When it answered last, or when this process could judge again.
+  TimePoint MovedAt(const Runner& aRunner) const;
+  // Avoids the engines that other gateways found dead, and leaves them.
+  void TakeReports(TimePoint aNow);
+  OwnEvidence EvidenceOf(TimePoint aNow, const Runner& aRunner) const;
+  // Asks the engines whose time of being avoided is over. Also while no call is
+  // under way: without a path there is none, and without an answer there would
+  // be no path.
+  void AskReturning(TimePoint aNow);
   void Examine(TimePoint aNow, const Traffic& aTraffic);
   void MoveIfSilent(TimePoint aNow, const ForwardCallPtr& aStream);
   static bool HasDeadStage(TimePoint aNow, const ForwardCall& aStream);
--- a/Tests/Forwarding/PartsTest.cxx
+++ b/Tests/Forwarding/PartsTest.cxx
@@ -1,5 +1,6 @@
 // Tests of forwarding's parts without connections.
 #include "Forwarding/EventSplitter.h"
+#include "Forwarding/ReportVerdict.h"
 #include "Forwarding/RequestJob.h"
 #include "Forwarding/RetryAfter.h"
 
@@ -90,3 +91,35 @@
 {
   STRCMP_EQUAL("0.250", PrintSeconds(std::chrono::milliseconds(250)).c_str());
 }
+
+// clang-format off
+TEST_GROUP(ReportVerdict)
+{
+  static constexpr Duration kRecent = std::chrono::milliseconds(400);
+  static constexpr Duration kPause = std::chrono::milliseconds(60);
+
+  static ReportVerdict Judge(int aSilentMs, bool aHasStreams)
+  {
+    return JudgeReport(
+      { std::chrono::milliseconds(aSilentMs), aHasStreams, kPause }, kRecent);
+  }
+};
+// clang-format on
+
+TEST(ReportVerdict, AnEngineWhoseStreamsStandStillIsDead)
+{
+  CHECK(Judge(61, true) == ReportVerdict::Believe);
+}
+
+// Load pattern: one gateway is cut off from an engine that serves the others.
+TEST(ReportVerdict, AnEngineWhoseStreamsMoveIsNot)
+{
+  CHECK(Judge(60, true) == ReportVerdict::Ignore);
+  CHECK(Judge(0, true) == ReportVerdict::Ignore);
+}
+
+TEST(ReportVerdict, AnEngineWithoutStreamsIsAskedIfItAnsweredLately)
+{
+  CHECK(Judge(399, false) == ReportVerdict::Ask);
+  CHECK(Judge(400, false) == ReportVerdict::Believe);
+}
--- a/Tests/Forwarding/StreamRerouteTest.cxx
+++ b/Tests/Forwarding/StreamRerouteTest.cxx
@@ -208,6 +208,27 @@
   CHECK_EQUAL(1U, m_first->Requests().size());
 }
 
+// Load pattern: an engine goes dark under streams of all VMs at once. The VM
+// that notices first waits for the question's time-out; the others need not.
+TEST(StreamReroute, StreamsThatStandStillLeaveWhatAnotherVmFoundDead)
+{
+  StartWithSpare();
+  StubEndpoint* dark = nullptr;
+  const auto hang = [](const HttpRequest&) {
+    return std::vector<StubStep>{ Hang() };
+  };
+  TakeOrders("202 Accepted", [&](const HttpRequest& aStream) {
+    dark = UsesOther(aStream) ? m_other : m_spare;
+    dark->SetScript(hang);
+    m_fixture->Suspect(*dark);
+  });
+  CheckAllEventsOnce(Ask("/stream/x"));
+  CHECK_EQUAL(1, m_orders);
+  CHECK(m_fixture->m_sink.Has(
+    { "endpoint_suspected", "another VM found it dead" }));
+  CHECK_EQUAL(0U, dark->Requests().size());
+}
+
 // Load pattern: a VM is cut off from all engines for a moment while nothing
 // else is under way there.
 TEST(StreamReroute, EnginesAreAskedAgainThoughNoCallIsUnderWay)
