Routing: Spread streams that begin anew by what waits to be read

Cause: paths were chosen by room and slots only. A path that was full also counted as the best one where the others were slow, so the request was refused.

Ruled out: the streams that were there already. Their longest gaps stayed at 72 to 92 ms: engines read in parts between steps.

Change: prompts that were sent and have no event yet count for the first engine of a path, times what its slowest stage takes to read a token; 200 ms of that weigh as much as the path's room. Full paths come last.

Replays: PathBook, StreamsThatBeginAnewAreSpreadByWhatIsToBeRead (fails without the weight), ASlowPathWithRoomGoesBeforeAFullOne (fails without the rank).

--- a/Source/Forwarding/ForwardCall.cxx
+++ b/Source/Forwarding/ForwardCall.cxx
@@ -48,7 +48,7 @@
   , m_runner(std::move(aRunner))
   , m_subject(std::move(aSubject))
   , m_path(std::move(aPath))
-  , m_hold(m_path, m_subject.m_tokens)
+  , m_hold(m_path, m_subject.m_tokens, m_subject.m_promptTokens)
   , m_connection(std::make_unique<EndpointConnection>(aExecutor))
 {
   m_runner->m_load->AddStream();
--- a/Source/Forwarding/ForwardCall.h
+++ b/Source/Forwarding/ForwardCall.h
@@ -42,6 +42,7 @@
   std::string m_attemptId;
   // Prompt and expected answer; 0 for plain calls.
   std::uint32_t m_tokens = 0;
+  std::uint32_t m_promptTokens = 0;
 };
 
 // Held by a coroutine, and by its own writes until they have ended.
@@ -90,6 +91,8 @@
   const StagePathPtr& Path() const { return m_path; }
   // The tokens from here on run on another path, with the same first engine.
   void TakePath(StagePathPtr aPath);
+  // The prompt has been read: the first event is here.
+  void NoteRead() { m_hold.NoteRead(); }
   const std::string& AttemptId() const { return m_subject.m_attemptId; }
   std::uint32_t ExpectedTokens() const { return m_subject.m_tokens; }
   // An order to take another path is under way.
--- a/Source/Forwarding/RequestJob.cxx
+++ b/Source/Forwarding/RequestJob.cxx
@@ -284,7 +284,8 @@
     aRunner,
     std::move(aPath),
     CallSubject{ std::string(aJob.m_marks.m_attemptId),
-                 aJob.m_expectedTokens });
+                 aJob.m_expectedTokens,
+                 aJob.m_marks.m_promptTokens });
   services.m_callWatch.Add(*call);
   aJob.m_call = call;
   const std::string before = std::exchange(aJob.m_lastEndpoint, aRunner->m_id);
--- a/Source/Forwarding/StreamRun.cxx
+++ b/Source/Forwarding/StreamRun.cxx
@@ -175,6 +175,7 @@
   std::string bytes;
   while (co_await aCall.ReadBody(bytes)) {
     NoteProgress(aCall);
+    aCall.NoteRead();
     if (!co_await PassOn(aCall, bytes)) {
       co_return RunVerdict::Ended;
     }
--- a/Source/Routing/PathBook.cxx
+++ b/Source/Routing/PathBook.cxx
@@ -23,6 +23,8 @@
 constexpr double kSlowStandIn = 2.5;
 // A path that leaves its zone is taken only where no other one has room.
 constexpr double kCrossingCost = 10;
+// A full path is none; more than all other costs together.
+constexpr double kFullCost = 1e6;
 
 double
 TokenRoom(const LayeredModel& aModel, const Runner& aRunner)
@@ -38,6 +40,20 @@
   return perToken > 0 ? std::max(0.0, free / perToken) : 0;
 }
 
+// Per token, for one part of a path.
+double
+ReadMs(const LayeredModel& aModel, const PathPart& aPart, const Runner& aRunner)
+{
+  const AcceleratorKind* kind = aModel.FindKind(aRunner.m_accelerator);
+  if (kind == nullptr || aModel.m_readTokensPerSecond <= 0) {
+    return 0;
+  }
+  constexpr double kMsPerSecond = 1000;
+  const double share =
+    static_cast<double>(aPart.m_span.Length()) / aModel.m_layers;
+  return kind->m_readPace * share * kMsPerSecond / aModel.m_readTokensPerSecond;
+}
+
 } // namespace
 
 bool
@@ -92,6 +108,7 @@
     path->m_crossings += crosses ? 1 : 0;
     path->m_stages.push_back(
       { runner, part.m_span, TokenRoom(m_model, *runner) });
+    path->m_readMs = std::max(path->m_readMs, ReadMs(m_model, part, *runner));
   }
   path->m_stepMs =
     EstimateStepMs(m_model.m_layers, aHosts, aParts, m_settings.m_costs);
@@ -196,6 +213,7 @@
   }
   boost::intrusive_ptr<StagePath> path(new StagePath());
   path->m_stepMs = aBroken.m_stepMs;
+  path->m_readMs = aBroken.m_readMs;
   const auto& stages = aBroken.m_stages;
   for (auto stage = stages.begin(); stage != stages.end();) {
     const auto next = std::find_if_not(stage, stages.end(), isLost);
@@ -253,7 +271,10 @@
                                   2.0 * std::max(1U, aRequest.m_gateways));
   const double slots =
     std::max(1.0, static_cast<double>(aPath.First().m_slots));
-  PathFill fill{ (streams + 1) / slots, nullptr, streams };
+  const double unread = first.UnreadTokens() * share + aRequest.m_promptTokens;
+  PathFill fill{
+    (streams + 1) / slots, nullptr, streams, unread * aPath.m_readMs
+  };
   for (const PathStage& stage : aPath.m_stages) {
     const double held =
       stage.m_runner->m_load->HeldTokens() * share + aRequest.m_tokens;
@@ -286,13 +307,11 @@
     const bool isLocal = path->m_crossings == 0;
     if (isLocal && path->First().m_zone == m_zone &&
         fill <= m_settings.m_ownZoneFill &&
+        whole.m_readingMs <= m_settings.m_ownZoneReadingMs &&
         slowness <= m_settings.m_ownZoneSlowness) {
       return { path, false, whole };
     }
-    // A stream stays longer on a slow path, so the same fill is worth less.
-    const double cost =
-      fill * slowness +
-      (isLocal || fill > m_settings.m_fillLimit ? 0 : kCrossingCost);
+    const double cost = Cost(*path, whole, fastest);
     if (!best || cost < least) {
       best = path;
       bestFill = whole;
@@ -303,6 +322,23 @@
   return { isFull ? nullptr : best, isFull, bestFill };
 }
 
+double
+PathBook::Cost(const StagePath& aPath,
+               const PathFill& aFill,
+               double aFastestStepMs) const
+{
+  // A stream stays longer on a slow path, so the same fill is worth less.
+  double cost = aFill.m_part * aPath.m_stepMs / aFastestStepMs +
+                aFill.m_readingMs / m_settings.m_readingMs;
+  if (aPath.m_crossings != 0) {
+    cost += kCrossingCost;
+  }
+  if (aFill.m_part > m_settings.m_fillLimit) {
+    cost += kFullCost;
+  }
+  return cost;
+}
+
 double
 PathBook::FastestStepMs(TimePoint aNow, const PathRequest& aRequest) const
 {
@@ -331,9 +367,12 @@
          (!aRequest.m_isAllowed || aRequest.m_isAllowed(aPath));
 }
 
-PathHold::PathHold(StagePathPtr aPath, std::uint32_t aTokens)
+PathHold::PathHold(StagePathPtr aPath,
+                   std::uint32_t aTokens,
+                   std::uint32_t aUnread)
   : m_path(std::move(aPath))
   , m_tokens(aTokens)
+  , m_unread(aUnread)
 {
   Add(1);
 }
@@ -346,6 +385,7 @@
 PathHold::PathHold(PathHold&& aOther) noexcept
   : m_path(std::move(aOther.m_path))
   , m_tokens(aOther.m_tokens)
+  , m_unread(aOther.m_unread)
 {
   aOther.m_path = nullptr;
 }
@@ -357,17 +397,29 @@
     Add(-1);
     m_path = std::move(aOther.m_path);
     m_tokens = aOther.m_tokens;
+    m_unread = aOther.m_unread;
     aOther.m_path = nullptr;
   }
   return *this;
 }
 
+void
+PathHold::NoteRead()
+{
+  if (m_path && m_unread != 0) {
+    m_path->First().m_load->HoldUnread(-static_cast<std::int32_t>(m_unread));
+    m_unread = 0;
+  }
+}
+
 void
 PathHold::Add(std::int32_t aSign) const
 {
   if (!m_path) {
     return;
   }
+  m_path->First().m_load->HoldUnread(aSign *
+                                     static_cast<std::int32_t>(m_unread));
   for (const PathStage& stage : m_path->m_stages) {
     stage.m_runner->m_load->HoldTokens(aSign *
                                        static_cast<std::int32_t>(m_tokens));
--- a/Source/Routing/PathBook.h
+++ b/Source/Routing/PathBook.h
@@ -34,6 +34,8 @@
   std::vector<PathStage> m_stages;
   // What one token is expected to take.
   double m_stepMs = 0;
+  // What the slowest stage takes to read one token of a prompt.
+  double m_readMs = 0;
   // How often it passes from one availability zone to another.
   std::size_t m_crossings = 0;
 
@@ -55,6 +57,8 @@
   std::vector<std::string> m_excluded;
   // Empty: every path is allowed.
   std::function<bool(const StagePath&)> m_isAllowed;
+  // Of m_tokens, those that are read before the first event.
+  std::uint32_t m_promptTokens = 0;
 };
 
 // A stream whose path has lost stages.
@@ -78,6 +82,9 @@
   RunnerPtr m_tightest;
   // Streams of all gateways through the first engine, as far as known here.
   double m_streams = 0;
+  // Until the prompts of all gateways have been read, this one's included, as
+  // far as known here.
+  double m_readingMs = 0;
 };
 
 struct PathChoice
@@ -96,6 +103,12 @@
   // A path within the own zone is used up to this fill; then the least filled
   // within any zone; then the least filled of all.
   double m_ownZoneFill = 0.6;
+  // The same for the prompts that wait to be read: half of the users' target
+  // for the first event.
+  double m_ownZoneReadingMs = 250;
+  // Prompts that take so long to read weigh as much as a path's whole room: a
+  // stream that begins anew misses its target for pauses after 200 ms.
+  double m_readingMs = 200;
   // The own zone's path is passed over where another zone's is faster by more
   // than this: an engine on it has slowed down.
   double m_ownZoneSlowness = 1.6;
@@ -145,6 +158,10 @@
   static bool IsAllowed(TimePoint aNow,
                         const StagePath& aPath,
                         const PathRequest& aRequest);
+  // Less is better.
+  double Cost(const StagePath& aPath,
+              const PathFill& aFill,
+              double aFastestStepMs) const;
   // Some engine of the path refuses new work.
   static bool IsShunned(TimePoint aNow, const StagePath& aPath);
   // With the request.
@@ -166,18 +183,25 @@
 {
 public:
   PathHold() = default;
-  PathHold(StagePathPtr aPath, std::uint32_t aTokens);
+  // aUnread: of these, to be read before the first event.
+  PathHold(StagePathPtr aPath,
+           std::uint32_t aTokens,
+           std::uint32_t aUnread = 0);
   ~PathHold();
   PathHold(PathHold&& aOther) noexcept;
   PathHold& operator=(PathHold&& aOther) noexcept;
   PathHold(const PathHold&) = delete;
   PathHold& operator=(const PathHold&) = delete;
 
+  // The prompt has been read.
+  void NoteRead();
+
 private:
   void Add(std::int32_t aSign) const;
 
   StagePathPtr m_path;
   std::uint32_t m_tokens = 0;
+  std::uint32_t m_unread = 0;
 };
 
 } // namespace parsleycove
--- a/Source/Routing/RunnerLoad.h
+++ b/Source/Routing/RunnerLoad.h
@@ -72,6 +72,13 @@
     m_heldTokens.fetch_add(aTokens, std::memory_order_relaxed);
   }
   std::int32_t HeldTokens() const { return Load(m_heldTokens); }
+  // Prompts that this process has sent it as the first engine of a path and
+  // that have no answer yet, in tokens.
+  void HoldUnread(std::int32_t aTokens)
+  {
+    m_unreadTokens.fetch_add(aTokens, std::memory_order_relaxed);
+  }
+  std::int32_t UnreadTokens() const { return Load(m_unreadTokens); }
   // Keeps work away for this long, whatever happened before.
   void Suspect(TimePoint aNow, Duration aFor);
   // It refuses new work for now; what it has goes on. Refusals that follow one
@@ -117,6 +124,7 @@
   std::atomic<std::int32_t> m_steps{ 0 };
   std::atomic<std::int32_t> m_positions{ 0 };
   std::atomic<std::int32_t> m_heldTokens{ 0 };
+  std::atomic<std::int32_t> m_unreadTokens{ 0 };
   std::atomic<std::int64_t> m_shunUntilNs{ 0 };
   std::atomic<std::uint32_t> m_shunDoublings{ 0 };
   // Moving averages; a lost update between threads is harmless.
--- a/Tests/Routing/PathBookTest.cxx
+++ b/Tests/Routing/PathBookTest.cxx
@@ -1,6 +1,8 @@
 // Tests of which path a request takes, with replays of load at its worst.
 #include <algorithm>
 #include <deque>
+#include <map>
+#include <set>
 
 #include "Routing/EngineFleet.h"
 #include "Routing/PathBook.h"
@@ -14,6 +16,9 @@
 namespace {
 
 constexpr std::uint32_t kTokens = 900;
+constexpr std::uint32_t kPrompt = 800;
+// The shortest target for pauses less what it takes to find a dead engine.
+constexpr double kLongestReadingMs = 200 - 90;
 
 TimePoint
 At(double aSeconds)
@@ -28,6 +33,17 @@
   return aPath.m_crossings != 0;
 }
 
+double
+LeastRoom(const StagePath& aPath)
+{
+  return std::min_element(aPath.m_stages.begin(),
+                          aPath.m_stages.end(),
+                          [](const PathStage& aLeft, const PathStage& aRight) {
+                            return aLeft.m_tokenRoom < aRight.m_tokenRoom;
+                          })
+    ->m_tokenRoom;
+}
+
 // How a replay chooses.
 enum class Chooser
 {
@@ -170,6 +186,79 @@
   CHECK(Choose(0) != nullptr);
 }
 
+// Load pattern: an engine of the only path of a zone dies, and this gateway's
+// forty streams begin anew at the same moment. Reading all of them on the path
+// with the most room takes longer than a stream may pause.
+TEST(PathBook, StreamsThatBeginAnewAreSpreadByWhatIsToBeRead)
+{
+  for (const RunnerPtr& engine : m_engines) {
+    if (engine->m_zone == "a") {
+      engine->m_load->Suspect(At(0), std::chrono::seconds(5));
+    }
+  }
+  // The load of the path that would come first; the other one has more room.
+  std::deque<PathHold> holds;
+  m_book.Invalidate();
+  const StagePathPtr first = Choose(0);
+  for (int i = 0; i < 40; ++i) {
+    holds.emplace_back(first, kTokens);
+  }
+  // Until a path's prompts have been read, in milliseconds.
+  std::map<std::string, double> reading;
+  for (int i = 0; i < 40; ++i) {
+    const StagePathPtr path = Choose(0, { kTokens, 1, {}, {}, kPrompt });
+    CHECK(path != nullptr);
+    CHECK_FALSE(Crosses(*path));
+    reading[path->First().m_zone] += kPrompt * path->m_readMs;
+    holds.emplace_back(path, kTokens, kPrompt);
+  }
+  CHECK_EQUAL(2U, reading.size());
+  for (const auto& [zone, taken] : reading) {
+    CHECK(taken <= kLongestReadingMs);
+  }
+}
+
+// The prompts have been read: only the room counts again.
+TEST(PathBook, APromptThatWasReadHoldsItsRoomOnly)
+{
+  const StagePathPtr path = Choose(0);
+  PathHold hold(path, kTokens, kPrompt);
+  CHECK_EQUAL(static_cast<int>(kPrompt), path->First().m_load->UnreadTokens());
+  hold.NoteRead();
+  hold.NoteRead();
+  CHECK_EQUAL(0, path->First().m_load->UnreadTokens());
+  PathHold moved(std::move(hold));
+  CHECK_EQUAL(0, path->First().m_load->UnreadTokens());
+  CHECK_EQUAL(static_cast<int>(kTokens), path->First().m_load->HeldTokens());
+}
+
+// Load pattern: a burst fills the fast path while the others work three times
+// as long. A late answer is better than none.
+TEST(PathBook, ASlowPathWithRoomGoesBeforeAFullOne)
+{
+  std::deque<PathHold> holds;
+  for (const RunnerPtr& engine : m_engines) {
+    if (engine->m_zone != "a") {
+      engine->m_load->NotePace(At(0), 3);
+    }
+  }
+  m_book.Invalidate();
+  Choose(0);
+  std::set<std::string> filled;
+  for (const StagePathPtr& path : m_book.Paths()) {
+    const std::string& zone = path->First().m_zone;
+    if (Crosses(*path) || !filled.insert(zone).second) {
+      continue;
+    }
+    const double part = zone == "a" ? 0.96 : 0.5;
+    holds.emplace_back(path,
+                       static_cast<std::uint32_t>(part * LeastRoom(*path)));
+  }
+  const StagePathPtr path = Choose(0);
+  CHECK(path != nullptr);
+  CHECK(path->First().m_zone != "a");
+}
+
 TEST(PathBook, AvoidsASilentEngine)
 {
   const std::string first = Choose(0)->First().m_id;
