Placement: Ask engines that were reported dead, and replace those that are gone

Cause: a zone's only chain stood still for 1.7 s after a crash before the first order, though loading takes 0.2 to 0.7 s: the leader waited for the engine's next announcement, since one gateway's report may be wrong.

Change: the leader asks the engine itself. One that refuses connections, or leaves two questions without an answer, is replaced 0.4 s after the report; one that answers keeps its layers until its announcement is overdue, as before.

--- a/Source/Placement/EngineOrders.h
+++ b/Source/Placement/EngineOrders.h
@@ -23,10 +23,21 @@
   Unknown,
 };
 
+enum class EnginePresence
+{
+  Answers,
+  // Nothing listens at its address.
+  Gone,
+  // No answer in time.
+  Silent,
+};
+
 class EngineOrders
 {
 public:
   virtual ~EngineOrders() = default;
+  // Whether the engine answers a question that costs it nothing.
+  virtual asio::awaitable<EnginePresence> Ask(RunnerPtr aEngine) = 0;
   // The engine is to hold exactly these layers. aFence grows with each leader.
   virtual asio::awaitable<OrderOutcome> HoldLayers(RunnerPtr aEngine,
                                                    LayerSpan aSpan,
--- a/Source/Placement/PlacementDesk.cxx
+++ b/Source/Placement/PlacementDesk.cxx
@@ -44,15 +44,64 @@
   return m_settled;
 }
 
-bool
-PlacementDesk::IsLost(TimePoint aNow, const Runner& aEngine)
+PlacementDesk::Suspicion*
+PlacementDesk::FindSuspicion(TimePoint aNow, const Runner& aEngine)
 {
   if (!aEngine.m_isSuspected) {
-    m_suspectedAt.erase(aEngine.m_id);
-    return false;
+    m_suspicions.erase(aEngine.m_id);
+    return nullptr;
+  }
+  Suspicion& suspicion = m_suspicions[aEngine.m_id];
+  if (suspicion.m_incarnation != aEngine.m_incarnation) {
+    suspicion = Suspicion{};
+    suspicion.m_incarnation = aEngine.m_incarnation;
+    suspicion.m_since = aNow;
+  }
+  return &suspicion;
+}
+
+bool
+PlacementDesk::IsLost(TimePoint aNow, const Suspicion& aSuspicion) const
+{
+  const Duration age = aNow - aSuspicion.m_since;
+  const bool isGone =
+    aSuspicion.m_isGone || aSuspicion.m_silences >= m_settings.m_silences;
+  return age >= (isGone ? m_settings.m_goneAfter : m_settings.m_lostAfter);
+}
+
+std::vector<RunnerPtr>
+PlacementDesk::FindUnsure(TimePoint aNow,
+                          const std::vector<RunnerPtr>& aEngines)
+{
+  std::vector<RunnerPtr> unsure;
+  for (const RunnerPtr& engine : aEngines) {
+    Suspicion* suspicion = FindSuspicion(aNow, *engine);
+    const bool isOpen = suspicion != nullptr && !suspicion->m_isAsked &&
+                        !suspicion->m_isGone &&
+                        suspicion->m_silences < m_settings.m_silences &&
+                        aNow - suspicion->m_askedAt >= m_settings.m_askAgain;
+    if (isOpen) {
+      suspicion->m_isAsked = true;
+      suspicion->m_askedAt = aNow;
+      unsure.push_back(engine);
+    }
+  }
+  return unsure;
+}
+
+void
+PlacementDesk::NotePresence(const Runner& aEngine, EnginePresence aPresence)
+{
+  const auto place = m_suspicions.find(aEngine.m_id);
+  if (place == m_suspicions.end() ||
+      place->second.m_incarnation != aEngine.m_incarnation) {
+    return;
   }
-  const auto [place, isNew] = m_suspectedAt.emplace(aEngine.m_id, aNow);
-  return aNow - place->second >= m_settings.m_lostAfter;
+  Suspicion& suspicion = place->second;
+  suspicion.m_isAsked = false;
+  suspicion.m_isGone = aPresence == EnginePresence::Gone;
+  suspicion.m_silences =
+    aPresence == EnginePresence::Answers ? 0 : suspicion.m_silences + 1;
 }
 
 std::vector<DueOrder>
@@ -67,9 +116,10 @@
   std::vector<LayoutHost> hosts;
   bool mayReshape = true;
   for (const RunnerPtr& engine : aEngines) {
-    if (IsLost(aNow, *engine)) {
-      mayReshape = mayReshape && aNow - m_suspectedAt[engine->m_id] >=
-                                   m_settings.m_reshapeAfter;
+    const Suspicion* suspicion = FindSuspicion(aNow, *engine);
+    if (suspicion != nullptr && IsLost(aNow, *suspicion)) {
+      mayReshape =
+        mayReshape && aNow - suspicion->m_since >= m_settings.m_reshapeAfter;
       continue;
     }
     LayoutHost host{ engine->m_id,
--- a/Source/Placement/PlacementDesk.h
+++ b/Source/Placement/PlacementDesk.h
@@ -30,6 +30,13 @@
   // An engine that was reported dead and has not announced itself for this
   // long is lost; engines announce themselves every 1.2 s.
   Duration m_lostAfter = std::chrono::milliseconds(1600);
+  // The same for one that does not answer the leader either. Engines that die
+  // together are found within about 0.3 s; a plan made before the last one is
+  // known would give layers to a dead one.
+  Duration m_goneAfter = std::chrono::milliseconds(400);
+  // One question may be lost; a second one is asked this much later.
+  int m_silences = 2;
+  Duration m_askAgain = std::chrono::milliseconds(150);
   // Borders between engines move only once a lost engine has been away for
   // this long: most crashes last 3 to 5 s.
   Duration m_reshapeAfter = std::chrono::milliseconds(5500);
@@ -62,6 +69,11 @@
   void NoteOutcome(TimePoint aNow,
                    const Runner& aEngine,
                    OrderOutcome aOutcome);
+  // Engines that gateways reported dead, to be asked now; each answer goes to
+  // NotePresence.
+  std::vector<RunnerPtr> FindUnsure(TimePoint aNow,
+                                    const std::vector<RunnerPtr>& aEngines);
+  void NotePresence(const Runner& aEngine, EnginePresence aPresence);
 
 private:
   struct Assignment
@@ -72,14 +84,28 @@
     TimePoint m_firstAt{};
   };
 
-  bool IsLost(TimePoint aNow, const Runner& aEngine);
+  // What speaks against an engine that was reported dead.
+  struct Suspicion
+  {
+    std::uint64_t m_incarnation = 0;
+    TimePoint m_since{};
+    TimePoint m_askedAt{};
+    bool m_isAsked = false;
+    // Questions of the leader without an answer, one after another.
+    int m_silences = 0;
+    bool m_isGone = false;
+  };
+
+  // Null: nobody suspects it.
+  Suspicion* FindSuspicion(TimePoint aNow, const Runner& aEngine);
+  bool IsLost(TimePoint aNow, const Suspicion& aSuspicion) const;
   bool HasSettled(TimePoint aNow, std::size_t aEngines);
 
   const PlacementDeskSettings m_settings;
   const LayerLayout m_layout;
   std::map<std::string, Assignment> m_assigned;
-  // Since when engines are under suspicion, by id.
-  std::map<std::string, TimePoint> m_suspectedAt;
+  // By the engine's id.
+  std::map<std::string, Suspicion> m_suspicions;
   std::size_t m_seen = 0;
   TimePoint m_firstAt{};
   TimePoint m_lastNewAt{};
--- a/Source/Placement/PlacementDirector.cxx
+++ b/Source/Placement/PlacementDirector.cxx
@@ -20,6 +20,12 @@
   { OrderOutcome::Unknown, "unknown" },
 } };
 
+constexpr std::array<EnumName<EnginePresence>, 3> kPresenceNames{ {
+  { EnginePresence::Answers, "it answers the leader" },
+  { EnginePresence::Gone, "nothing listens at its address" },
+  { EnginePresence::Silent, "it does not answer the leader" },
+} };
+
 } // namespace
 
 PlacementDirector::PlacementDirector(asio::io_context& aContext,
@@ -109,6 +115,10 @@
     return;
   }
   PlacementDesk& desk = m_desks[aService.m_name];
+  for (RunnerPtr& engine : desk.FindUnsure(BootClock::now(), *engines)) {
+    asio::co_spawn(
+      m_context, Inquire(aService.m_name, std::move(engine)), asio::detached);
+  }
   for (DueOrder& order :
        desk.FindDue(BootClock::now(), *aService.m_model, *engines)) {
     m_log.Write(DecisionEvent::OrderSent, [&](DecisionLine& aLine) {
@@ -125,6 +135,21 @@
   }
 }
 
+asio::awaitable<void>
+PlacementDirector::Inquire(std::string aService, RunnerPtr aEngine)
+{
+  const EnginePresence presence = co_await m_orders.Ask(aEngine);
+  m_log.Write(presence == EnginePresence::Answers
+                ? DecisionEvent::EndpointCleared
+                : DecisionEvent::EndpointSuspected,
+              [&](DecisionLine& aLine) {
+                aLine.Add("endpoint", aEngine->m_id)
+                  .Add("address", aEngine->m_address.ToString())
+                  .Add("why", NameOf(kPresenceNames, presence));
+              });
+  m_desks[aService].NotePresence(*aEngine, presence);
+}
+
 asio::awaitable<void>
 PlacementDirector::Give(std::string aService,
                         DueOrder aOrder,
--- a/Source/Placement/PlacementDirector.h
+++ b/Source/Placement/PlacementDirector.h
@@ -36,6 +36,7 @@
   void Look();
   void Follow();
   void Direct(const ServiceRule& aService);
+  asio::awaitable<void> Inquire(std::string aService, RunnerPtr aEngine);
   asio::awaitable<void> Give(std::string aService,
                              DueOrder aOrder,
                              std::uint64_t aTerm);
--- a/Tests/Placement/PlacementDeskTest.cxx
+++ b/Tests/Placement/PlacementDeskTest.cxx
@@ -96,6 +96,52 @@
   CHECK_FALSE(m_desk.FindDue(At(3.7), m_model, engines).empty());
 }
 
+// Load pattern: an engine of a zone's only chain crashes at the peak, and the
+// zone serves nobody until another one has its layers.
+TEST(PlacementDesk, AnEngineThatDoesNotAnswerTheLeaderIsReplacedAtOnce)
+{
+  FindDue(0);
+  CarryOut(FindDue(1));
+  const auto engines = MakeEnginesWithSuspect("b-small-2");
+  CHECK_EQUAL(0U, m_desk.FindDue(At(2), m_model, engines).size());
+  const auto unsure = m_desk.FindUnsure(At(2), engines);
+  CHECK_EQUAL(1U, unsure.size());
+  STRCMP_EQUAL("b-small-2", unsure[0]->m_id.c_str());
+  m_desk.NotePresence(*unsure[0], EnginePresence::Gone);
+  CHECK_EQUAL(0U, m_desk.FindUnsure(At(2.2), engines).size());
+  CHECK_EQUAL(0U, m_desk.FindDue(At(2.3), m_model, engines).size());
+  CHECK_FALSE(m_desk.FindDue(At(2.5), m_model, engines).empty());
+}
+
+// One question may be lost, so the second one decides.
+TEST(PlacementDesk, AnEngineThatIsSilentOnceIsAskedAgain)
+{
+  FindDue(0);
+  CarryOut(FindDue(1));
+  const auto engines = MakeEnginesWithSuspect("b-small-2");
+  const auto unsure = m_desk.FindUnsure(At(2), engines);
+  CHECK_EQUAL(0U, m_desk.FindUnsure(At(2.2), engines).size());
+  m_desk.NotePresence(*unsure[0], EnginePresence::Silent);
+  CHECK_EQUAL(0U, m_desk.FindDue(At(2.5), m_model, engines).size());
+  CHECK_EQUAL(1U, m_desk.FindUnsure(At(2.5), engines).size());
+  m_desk.NotePresence(*unsure[0], EnginePresence::Silent);
+  CHECK_FALSE(m_desk.FindDue(At(2.6), m_model, engines).empty());
+}
+
+// Load pattern: a gateway that is cut off from an engine reports it dead.
+TEST(PlacementDesk, AnEngineThatAnswersTheLeaderKeepsItsLayersUntilItsReport)
+{
+  FindDue(0);
+  CarryOut(FindDue(1));
+  const auto engines = MakeEnginesWithSuspect("b-small-2");
+  for (const double time : { 2.0, 2.5, 3.0, 3.5 }) {
+    for (const RunnerPtr& engine : m_desk.FindUnsure(At(time), engines)) {
+      m_desk.NotePresence(*engine, EnginePresence::Answers);
+    }
+    CHECK_EQUAL(0U, m_desk.FindDue(At(time), m_model, engines).size());
+  }
+}
+
 // Load pattern: a crash of three to five seconds in a zone that only just holds
 // the model. What closes its gap moves all borders.
 TEST(PlacementDesk, BordersMoveOnlyOnceALossLasts)
