Forwarding: Believe a missing answer across zones only once another gateway agrees

A question that got no answer in 40 ms was taken for a death and passed on to all VMs: 60 to 85 of 99 engines suspected in each of these seconds, 980 streams led round living engines; a quarter of all questions were asked then. An engine that closed a kept connection was taken for dead, too.

Ruled out: dead engines. Four had died, at 12.5 and 15.0 s.

Change: an engine in another zone is asked a second time on a new connection; an answer that is missing there counts for the others only once a second gateway misses it within 0.4 s. An engine whose streams moved since it was asked is not dead. A reset question is asked again.

--- a/Source/Control/SuspicionFilter.cxx
+++ b/Source/Control/SuspicionFilter.cxx
@@ -1,4 +1,4 @@
-// Keeps the reports of one dead endpoint from filling the log.
+// Which reports of dead endpoints are worth an entry of the log.
 #include "Control/SuspicionFilter.h"
 
 #include <algorithm>
@@ -10,8 +10,24 @@
 // A report that was not committed by then is lost; the next one is taken.
 constexpr Duration kUnderWay = std::chrono::milliseconds(800);
 
+// Two gateways that miss an answer of the same engine within this agree: the
+// streams of all find a dead one within 0.2 s.
+constexpr Duration kAgree = std::chrono::milliseconds(400);
+
 } // namespace
 
+bool
+SuspicionFilter::IsAgreed(TimePoint aNow,
+                          const Start& aStart,
+                          const std::string& aGateway)
+{
+  std::erase_if(m_doubts, [aNow](const auto& aNoted) {
+    return aNow - aNoted.second.m_at >= kAgree;
+  });
+  const auto [place, isFirst] = m_doubts.try_emplace(aStart, aGateway, aNow);
+  return !isFirst && place->second.m_gateway != aGateway;
+}
+
 bool
 SuspicionFilter::IsNew(TimePoint aNow,
                        const state::ConfigImageT& aImage,
@@ -30,12 +46,15 @@
   if (isKnown) {
     return false;
   }
+  const Start start(reference.id, reference.incarnation);
+  if (!aReport.unsure_gateway.empty() &&
+      !IsAgreed(aNow, start, aReport.unsure_gateway)) {
+    return false;
+  }
   std::erase_if(m_reportedAt, [aNow](const auto& aReported) {
     return aNow - aReported.second >= kUnderWay;
   });
-  return m_reportedAt
-    .emplace(std::pair(reference.id, reference.incarnation), aNow)
-    .second;
+  return m_reportedAt.emplace(start, aNow).second;
 }
 
 } // namespace parsleycove
--- a/Source/Control/SuspicionFilter.h
+++ b/Source/Control/SuspicionFilter.h
@@ -1,7 +1,9 @@
-// Keeps the reports of one dead endpoint from filling the log.
+// Which reports of dead endpoints are worth an entry of the log.
 //
-// Pattern: four engines die, and each of ninety gateways finds all of them
-// within a tenth of a second. One report of each says it all.
+// Patterns: four engines die, and each of ninety gateways finds all of them
+// within a tenth of a second. One report of each says it all. An availability
+// zone's links lose packets, and some question stays without an answer every
+// moment: what one gateway believes so is no reason for the others to leave.
 #pragma once
 
 #include <map>
@@ -23,8 +25,21 @@
              const state::SuspectEndpointT& aReport);
 
 private:
+  struct Doubt
+  {
+    std::string m_gateway;
+    TimePoint m_at{};
+  };
+  using Start = std::pair<std::string, std::uint64_t>;
+
+  // Whether another gateway has the same doubt; notes this one's.
+  bool IsAgreed(TimePoint aNow,
+                const Start& aStart,
+                const std::string& aGateway);
+
+  std::map<Start, Doubt> m_doubts;
   // When an endpoint's start was last reported, by id and incarnation.
-  std::map<std::pair<std::string, std::uint64_t>, TimePoint> m_reportedAt;
+  std::map<Start, TimePoint> m_reportedAt;
 };
 
 } // namespace parsleycove
--- a/Source/Forwarding/PathDoctor.cxx
+++ b/Source/Forwarding/PathDoctor.cxx
@@ -266,35 +266,65 @@
   }
 }
 
-asio::awaitable<void>
-PathDoctor::Question(RunnerPtr aRunner)
+asio::awaitable<CallResult>
+PathDoctor::AskState(RunnerPtr aRunner, ConnectionChoice aChoice)
 {
-  const TimePoint askedAt = BootClock::now();
   HttpRequest request(http::verb::get, m_dialect.StatePath(), kHttp11);
   request.set(http::field::host, aRunner->m_address.ToString());
-  const CallResult result = co_await m_client.Call(aRunner->m_address,
-                                                   std::move(request),
-                                                   m_settings.m_answerTimeout,
-                                                   ConnectionChoice::Kept);
+  co_return co_await m_client.Call(aRunner->m_address,
+                                   std::move(request),
+                                   m_settings.m_answerTimeout,
+                                   aChoice);
+}
+
+asio::awaitable<void>
+PathDoctor::Question(RunnerPtr aRunner)
+{
+  const TimePoint firstAskedAt = BootClock::now();
+  TimePoint askedAt = firstAskedAt;
+  CallResult result = co_await AskState(aRunner, ConnectionChoice::Kept);
+  if (IsWorthAnother(result, *aRunner)) {
+    askedAt = BootClock::now();
+    result = co_await AskState(aRunner, ConnectionChoice::Fresh);
+  }
   m_patients[KeyOf(*aRunner)].m_isAsked = false;
   m_patients[KeyOf(*aRunner)].m_runner = aRunner;
   std::optional<EngineState> state;
   if (result.m_response && result.m_response->result_int() == kOk) {
     state = m_dialect.ReadState(result.m_response->body());
   }
+  const TimePoint now = BootClock::now();
   // An engine that started again answers, but knows nothing of its streams.
   const bool hasStartedAgain = state && state->m_incarnation &&
                                *state->m_incarnation != aRunner->m_incarnation;
   if (hasStartedAgain) {
-    NoteDead(BootClock::now(), aRunner, "it has started again");
+    NoteDead(now, aRunner, DeathEvidence::Certain, "it has started again");
   } else if (state) {
     NoteAlive(aRunner, *state);
-  } else if (IsJudgement(askedAt, result)) {
-    NoteDead(BootClock::now(),
+  } else if (result.m_response) {
+    NoteDead(
+      now, aRunner, DeathEvidence::Certain, "unexpected answer to a question");
+  } else if (IsJudgement(askedAt, result) &&
+             aRunner->m_load->AnsweredAt() < firstAskedAt) {
+    NoteDead(now,
              aRunner,
-             result.m_response ? "unexpected answer to a question"
-                               : result.m_reason.m_text);
+             result.m_hasTimedOut ? DeathEvidence::Silence
+                                  : DeathEvidence::Certain,
+             result.m_reason.m_text);
+  }
+}
+
+bool
+PathDoctor::IsWorthAnother(const CallResult& aResult,
+                           const Runner& aRunner) const
+{
+  if (aResult.m_response) {
+    return false;
+  }
+  if (aResult.m_hasTimedOut) {
+    return !m_board->IsNear(aRunner);
   }
+  return !aResult.IsUnsent();
 }
 
 bool
@@ -345,12 +375,13 @@
                    const RunnerPtr& aRunner,
                    std::string_view aWhy)
 {
-  NoteDead(aNow, aRunner, aWhy);
+  NoteDead(aNow, aRunner, DeathEvidence::Certain, aWhy);
 }
 
 void
 PathDoctor::NoteDead(TimePoint aNow,
                      const RunnerPtr& aRunner,
+                     DeathEvidence aEvidence,
                      std::string_view aWhy)
 {
   Patient& patient = m_patients[KeyOf(*aRunner)];
@@ -359,7 +390,7 @@
     patient.m_avoid * 2, m_settings.m_avoid, m_settings.m_longestAvoid);
   aRunner->m_load->Suspect(aNow, patient.m_avoid);
   m_board->InvalidatePaths();
-  m_board->ReportDead(*aRunner);
+  m_board->ReportDead(*aRunner, aEvidence);
   patient.m_isBelieved = false;
   LogSuspected(*aRunner, aWhy, patient.m_avoid);
   LeaveDead(aNow);
--- a/Source/Forwarding/PathDoctor.h
+++ b/Source/Forwarding/PathDoctor.h
@@ -123,7 +123,12 @@
   void MoveIfSilent(TimePoint aNow, const ForwardCallPtr& aStream);
   static bool HasDeadStage(TimePoint aNow, const ForwardCall& aStream);
   void Ask(TimePoint aNow, const RunnerPtr& aRunner, Duration aNotWithin);
+  asio::awaitable<CallResult> AskState(RunnerPtr aRunner,
+                                       ConnectionChoice aChoice);
   asio::awaitable<void> Question(RunnerPtr aRunner);
+  // Links between availability zones may lose packets, and an engine may have
+  // closed a kept connection.
+  bool IsWorthAnother(const CallResult& aResult, const Runner& aRunner) const;
   // Whether a missing answer says something of the engine: this process may
   // have stood still itself.
   bool IsJudgement(TimePoint aAskedAt, const CallResult& aResult) const;
@@ -138,6 +143,7 @@
   void LeaveDead(TimePoint aNow);
   void NoteDead(TimePoint aNow,
                 const RunnerPtr& aRunner,
+                DeathEvidence aEvidence,
                 std::string_view aWhy);
 
   asio::io_context& m_context;
--- a/Source/Forwarding/RoutingBoard.cxx
+++ b/Source/Forwarding/RoutingBoard.cxx
@@ -159,7 +159,7 @@
 }
 
 void
-RoutingBoard::ReportDead(const Runner& aRunner)
+RoutingBoard::ReportDead(const Runner& aRunner, DeathEvidence aEvidence)
 {
   const Runner* listed =
     m_runners ? m_runners->FindRunner(aRunner.m_id) : nullptr;
@@ -171,6 +171,9 @@
   suspect.endpoint = std::make_unique<state::EndpointRefT>();
   suspect.endpoint->id = aRunner.m_id;
   suspect.endpoint->incarnation = aRunner.m_incarnation;
+  if (aEvidence == DeathEvidence::Silence && !IsNear(aRunner)) {
+    suspect.unsure_gateway = m_options.m_vm;
+  }
   state::CommandT command;
   command.body.Set(std::move(suspect));
   // Other gateways find out by themselves; a lost report is made again.
@@ -186,6 +189,12 @@
     });
 }
 
+bool
+RoutingBoard::IsNear(const Runner& aRunner) const
+{
+  return aRunner.m_zone == m_options.m_zone;
+}
+
 void
 RoutingBoard::InvalidatePaths()
 {
--- a/Source/Forwarding/RoutingBoard.h
+++ b/Source/Forwarding/RoutingBoard.h
@@ -36,6 +36,14 @@
   Duration m_usual = std::chrono::milliseconds(20);
 };
 
+enum class DeathEvidence
+{
+  // It refuses connections, has started again, or another endpoint says so.
+  Certain,
+  // It did not answer in time.
+  Silence,
+};
+
 // Follows the replicated state; used by one thread.
 //
 // Invariant: the version of the configuration never goes back.
@@ -73,8 +81,11 @@
   const std::string& ChooseService(const RouteRule& aRoute);
   // In [0, 1).
   double DrawFraction() { return m_random.Fraction(); }
-  // Tells the control group that an endpoint was found dead.
-  void ReportDead(const Runner& aRunner);
+  // Tells the control group that an endpoint was found dead. A missing answer
+  // from another availability zone counts once another gateway agrees.
+  void ReportDead(const Runner& aRunner, DeathEvidence aEvidence);
+  // In this VM's availability zone.
+  bool IsNear(const Runner& aRunner) const;
   // The circuit of an engine has changed.
   void InvalidatePaths();
 
--- a/Source/Wire/Generated/StateGenerated.h
+++ b/Source/Wire/Generated/StateGenerated.h
@@ -2088,6 +2088,7 @@
 struct SuspectEndpointT : public flatbuffers::NativeTable {
   typedef SuspectEndpoint TableType;
   std::unique_ptr<parsleycove::state::EndpointRefT> endpoint{};
+  std::string unsure_gateway{};
   SuspectEndpointT() = default;
   SuspectEndpointT(const SuspectEndpointT &o);
   SuspectEndpointT(SuspectEndpointT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2099,15 +2100,21 @@
   typedef SuspectEndpointBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_ENDPOINT = 4
+    VT_ENDPOINT = 4,
+    VT_UNSURE_GATEWAY = 6
   };
   const parsleycove::state::EndpointRef *endpoint() const {
     return GetPointer<const parsleycove::state::EndpointRef *>(VT_ENDPOINT);
   }
+  const flatbuffers::String *unsure_gateway() const {
+    return GetPointer<const flatbuffers::String *>(VT_UNSURE_GATEWAY);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ENDPOINT) &&
            verifier.VerifyTable(endpoint()) &&
+           VerifyOffset(verifier, VT_UNSURE_GATEWAY) &&
+           verifier.VerifyString(unsure_gateway()) &&
            verifier.EndTable();
   }
   SuspectEndpointT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2122,6 +2129,9 @@
   void add_endpoint(flatbuffers::Offset<parsleycove::state::EndpointRef> endpoint) {
     fbb_.AddOffset(SuspectEndpoint::VT_ENDPOINT, endpoint);
   }
+  void add_unsure_gateway(flatbuffers::Offset<flatbuffers::String> unsure_gateway) {
+    fbb_.AddOffset(SuspectEndpoint::VT_UNSURE_GATEWAY, unsure_gateway);
+  }
   explicit SuspectEndpointBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2135,8 +2145,10 @@
 
 inline flatbuffers::Offset<SuspectEndpoint> CreateSuspectEndpoint(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<parsleycove::state::EndpointRef> endpoint = 0) {
+    flatbuffers::Offset<parsleycove::state::EndpointRef> endpoint = 0,
+    flatbuffers::Offset<flatbuffers::String> unsure_gateway = 0) {
   SuspectEndpointBuilder builder_(_fbb);
+  builder_.add_unsure_gateway(unsure_gateway);
   builder_.add_endpoint(endpoint);
   return builder_.Finish();
 }
@@ -2146,6 +2158,17 @@
   static auto constexpr Create = CreateSuspectEndpoint;
 };
 
+inline flatbuffers::Offset<SuspectEndpoint> CreateSuspectEndpointDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<parsleycove::state::EndpointRef> endpoint = 0,
+    const char *unsure_gateway = nullptr) {
+  auto unsure_gateway__ = unsure_gateway ? _fbb.CreateString(unsure_gateway) : 0;
+  return parsleycove::state::CreateSuspectEndpoint(
+      _fbb,
+      endpoint,
+      unsure_gateway__);
+}
+
 flatbuffers::Offset<SuspectEndpoint> CreateSuspectEndpoint(flatbuffers::FlatBufferBuilder &_fbb, const SuspectEndpointT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
 struct DropEndpointsT : public flatbuffers::NativeTable {
@@ -5168,11 +5191,13 @@
 }
 
 inline SuspectEndpointT::SuspectEndpointT(const SuspectEndpointT &o)
-      : endpoint((o.endpoint) ? new parsleycove::state::EndpointRefT(*o.endpoint) : nullptr) {
+      : endpoint((o.endpoint) ? new parsleycove::state::EndpointRefT(*o.endpoint) : nullptr),
+        unsure_gateway(o.unsure_gateway) {
 }
 
 inline SuspectEndpointT &SuspectEndpointT::operator=(SuspectEndpointT o) FLATBUFFERS_NOEXCEPT {
   std::swap(endpoint, o.endpoint);
+  std::swap(unsure_gateway, o.unsure_gateway);
   return *this;
 }
 
@@ -5186,6 +5211,7 @@
   (void)_o;
   (void)_resolver;
   { auto _e = endpoint(); if (_e) _o->endpoint = std::unique_ptr<parsleycove::state::EndpointRefT>(_e->UnPack(_resolver)); }
+  { auto _e = unsure_gateway(); if (_e) _o->unsure_gateway = _e->str(); }
 }
 
 inline flatbuffers::Offset<SuspectEndpoint> SuspectEndpoint::Pack(flatbuffers::FlatBufferBuilder &_fbb, const SuspectEndpointT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5197,9 +5223,11 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const SuspectEndpointT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _endpoint = _o->endpoint ? CreateEndpointRef(_fbb, _o->endpoint.get(), _rehasher) : 0;
+  auto _unsure_gateway = _o->unsure_gateway.empty() ? 0 : _fbb.CreateString(_o->unsure_gateway);
   return parsleycove::state::CreateSuspectEndpoint(
       _fbb,
-      _endpoint);
+      _endpoint,
+      _unsure_gateway);
 }
 
 inline DropEndpointsT::DropEndpointsT(const DropEndpointsT &o) {
--- a/Tests/Control/ReplicaPartsTest.cxx
+++ b/Tests/Control/ReplicaPartsTest.cxx
@@ -192,6 +192,29 @@
   CHECK_EQUAL(4, passed);
 }
 
+// Load pattern: the links of an availability zone lose three packets in a
+// hundred for five seconds, and each of thirty gateways misses an answer of
+// some engine now and then.
+TEST(SuspicionFilter, AMissingAnswerCountsOnceAnotherGatewayMissesItToo)
+{
+  SuspicionFilter filter;
+  state::ConfigImageT image;
+  state::SuspectEndpointT report;
+  report.endpoint = std::make_unique<state::EndpointRefT>();
+  report.endpoint->id = "e1";
+  const TimePoint start(std::chrono::seconds(100));
+  const auto isNew = [&](const std::string& aGateway, int aAtMs) {
+    report.unsure_gateway = aGateway;
+    return filter.IsNew(
+      start + std::chrono::milliseconds(aAtMs), image, report);
+  };
+  CHECK_FALSE(isNew("vm-1", 0));
+  CHECK_FALSE(isNew("vm-1", 100));
+  CHECK_FALSE(isNew("vm-2", 400)); // the first one is forgotten
+  CHECK(isNew("vm-3", 430));
+  CHECK_FALSE(isNew("vm-4", 440)); // under way
+}
+
 TEST(SuspicionFilter, AnotherStartIsAnotherReport)
 {
   SuspicionFilter filter;
--- a/Tests/Forwarding/StreamRerouteTest.cxx
+++ b/Tests/Forwarding/StreamRerouteTest.cxx
@@ -71,11 +71,46 @@
     return m_fixture->Ask("POST", aPath, kStreamHeader, "prompt");
   }
 
+  // One engine for all layers. It answers questions by aAnswer, which gets
+  // their number; its stream goes on after question aGoesOnAt and the second.
+  void StartAlone(const std::function<StubStep(int)>& aAnswer, int aGoesOnAt = 1)
+  {
+    m_fixture->PutConfig();
+    m_first = &m_fixture->AddEngine(0, 4);
+    m_first->SetScript([this, aAnswer, aGoesOnAt](const HttpRequest& aRequest) {
+      if (aRequest.target() == "/parsleycove/report") {
+        return std::vector<StubStep>{ aAnswer(++m_questions) };
+      }
+      const auto asked = [this](int aTimes) {
+        return Await([this, aTimes] { return m_questions >= aTimes; });
+      };
+      return std::vector<StubStep>{ Send(MakeStreamHead(AttemptOf(aRequest))),
+                                    Send(MakeEvent(1) + MakeEvent(2)),
+                                    asked(aGoesOnAt),
+                                    Send(MakeEvent(3)),
+                                    asked(2),
+                                    Send(MakeEvent(4) + MakeEvent(5)),
+                                    Send(MakeStreamEnd()) };
+    });
+    m_fixture->Start();
+  }
+
   int m_calls = 0;
   int m_orders = 0;
+  int m_questions = 0;
 };
 // clang-format on
 
+namespace {
+
+StubStep
+SendState()
+{
+  return Send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+}
+
+} // namespace
+
 // Load pattern: an engine goes dark under a stream. The engines' own time-out
 // is seconds away; the question to them takes a round trip.
 TEST(StreamReroute, ASilentStageIsFoundByAskingAndLeft)
@@ -229,6 +264,35 @@
   CHECK_EQUAL(0U, dark->Requests().size());
 }
 
+// Load pattern: an engine reads many prompts at once; a question to it waits
+// longer than usual, and so do its streams, but they move.
+TEST(StreamReroute, AnEngineWhoseStreamMovesIsNotDead)
+{
+  StartAlone([](int) { return Hang(); });
+  CheckAllEventsOnce(Ask("/stream/x"));
+  CHECK_FALSE(m_fixture->m_sink.Has({ "endpoint_suspected" }));
+}
+
+// An engine may close a kept connection as the question is sent.
+TEST(StreamReroute, AQuestionThatIsResetIsAskedAgain)
+{
+  StartAlone(
+    [](int aNumber) { return aNumber == 1 ? CloseNow() : SendState(); });
+  CheckAllEventsOnce(Ask("/stream/x"));
+  CHECK_FALSE(m_fixture->m_sink.Has({ "endpoint_suspected" }));
+}
+
+// Load pattern: the links between availability zones lose three packets in a
+// hundred for some seconds, one of them a question or its answer.
+TEST(StreamReroute, AnEngineInAnotherZoneIsAskedTwice)
+{
+  m_fixture->m_options.m_zone = "zone-b";
+  StartAlone([](int aNumber) { return aNumber == 1 ? Hang() : SendState(); },
+             2);
+  CheckAllEventsOnce(Ask("/stream/x"));
+  CHECK_FALSE(m_fixture->m_sink.Has({ "endpoint_suspected" }));
+}
+
 // Load pattern: a VM is cut off from all engines for a moment while nothing
 // else is under way there.
 TEST(StreamReroute, EnginesAreAskedAgainThoughNoCallIsUnderWay)
