Routing: Let a part of the streams with a lost stage begin anew

Ruled out: finding the engines; the orders were given 38 to 114 ms after the crash and taken in 9 ms.

Change: ShareToLeadRound splits the streams so that the last one that is led round and the last one that begins anew have been read at the same moment, within the retry budget. Streams that begin anew go by cost in all zones, with a draw as large as what the other gateways add. The time to read counts the step that goes with each part of a prompt, and 100 ms of reading weigh as much as a path's room.

--- a/Source/Forwarding/StreamRerouter.cxx
+++ b/Source/Forwarding/StreamRerouter.cxx
@@ -7,6 +7,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include "Routing/Random.h"
+
 namespace parsleycove {
 
 namespace {
@@ -81,7 +83,8 @@
   if (aStream->MayReroute()) {
     move.m_path = FindPath(*aStream, move.m_request);
   }
-  if ((move.IsNear() || !Restart(*aStream)) && move.m_path) {
+  const bool stays = move.IsNear() && !PrefersRestart(move);
+  if ((stays || !Restart(*aStream)) && move.m_path) {
     Enqueue(std::move(move));
   }
 }
@@ -197,6 +200,19 @@
   });
 }
 
+bool
+StreamRerouter::PrefersRestart(const Move& aMove) const
+{
+  const ForwardCall& stream = *aMove.m_stream;
+  const RepairLoad load = m_board->DeskOf(stream.Target()->m_service)
+                            .m_paths.WeighRepair(BootClock::now(),
+                                                 *stream.Path(),
+                                                 *aMove.m_path,
+                                                 stream.ExpectedTokens());
+  Random draw(aMove.m_request.m_seed);
+  return draw.Fraction() > ShareToLeadRound(load);
+}
+
 bool
 StreamRerouter::Restart(ForwardCall& aStream)
 {
--- a/Source/Forwarding/StreamRerouter.h
+++ b/Source/Forwarding/StreamRerouter.h
@@ -6,6 +6,9 @@
 // another way instead: then only the engine that steps in reads, and the retry
 // budget is not touched.
 //
+// Where one engine would have to read for too many of them, a part of them
+// begins anew all the same (RepairShare).
+//
 // That pays within the zone only. To read the tokens so far, an engine in
 // another zone needs 16 MB for each stream over a pipe that all streams share;
 // fifty streams would wait for a second.
@@ -72,6 +75,9 @@
                    TimePoint aSince);
   // The stage with that address; empty: none.
   static std::string IdAt(const StagePath& aPath, std::string_view aAddress);
+  // Its share of the streams with the same lost stage begins anew, so that
+  // those that are led round wait less.
+  bool PrefersRestart(const Move& aMove) const;
   // Lets the request begin anew at another path; false: it may not.
   static bool Restart(ForwardCall& aStream);
 
--- a/Source/Routing/PathBook.cxx
+++ b/Source/Routing/PathBook.cxx
@@ -2,6 +2,8 @@
 #include "Routing/PathBook.h"
 
 #include <algorithm>
+#include <set>
+#include <string_view>
 #include <utility>
 
 #include "Routing/Random.h"
@@ -21,6 +23,8 @@
 constexpr double kRepairSpread = 1;
 // Engines slower than this step in for no other one.
 constexpr double kSlowStandIn = 2.5;
+// Engines read a prompt in parts, one with each step.
+constexpr double kTokensPerStep = 512;
 // A path that leaves its zone is taken only where no other one has room.
 constexpr double kCrossingCost = 10;
 // A full path is none; more than all other costs together.
@@ -40,18 +44,25 @@
   return perToken > 0 ? std::max(0.0, free / perToken) : 0;
 }
 
-// Per token, for one part of a path.
+// Per token, for some layers on one engine.
 double
-ReadMs(const LayeredModel& aModel, const PathPart& aPart, const Runner& aRunner)
+ReadMs(const LayeredModel& aModel,
+       const LayerSpan& aSpan,
+       const Runner& aRunner,
+       TimePoint aNow)
 {
   const AcceleratorKind* kind = aModel.FindKind(aRunner.m_accelerator);
-  if (kind == nullptr || aModel.m_readTokensPerSecond <= 0) {
+  if (kind == nullptr || aModel.m_readTokensPerSecond <= 0 ||
+      aModel.m_layers == 0) {
     return 0;
   }
   constexpr double kMsPerSecond = 1000;
-  const double share =
-    static_cast<double>(aPart.m_span.Length()) / aModel.m_layers;
-  return kind->m_readPace * share * kMsPerSecond / aModel.m_readTokensPerSecond;
+  const double share = static_cast<double>(aSpan.Length()) / aModel.m_layers;
+  const double reading =
+    kind->m_readPace * kMsPerSecond / aModel.m_readTokensPerSecond;
+  const double step = kind->m_stepPace * aModel.m_stepMs / kTokensPerStep;
+  return share * (reading + step) *
+         std::max(1.0, aRunner.m_load->Slowness(aNow));
 }
 
 } // namespace
@@ -96,7 +107,8 @@
 }
 
 StagePathPtr
-PathBook::MakePath(const std::vector<PathHost>& aHosts,
+PathBook::MakePath(TimePoint aNow,
+                   const std::vector<PathHost>& aHosts,
                    const std::vector<PathPart>& aParts) const
 {
   boost::intrusive_ptr<StagePath> path(new StagePath());
@@ -108,7 +120,9 @@
     path->m_crossings += crosses ? 1 : 0;
     path->m_stages.push_back(
       { runner, part.m_span, TokenRoom(m_model, *runner) });
-    path->m_readMs = std::max(path->m_readMs, ReadMs(m_model, part, *runner));
+    const double reading = ReadMs(m_model, part.m_span, *runner, aNow);
+    path->m_readMs = std::max(path->m_readMs, reading);
+    path->m_wholeReadMs += reading;
   }
   path->m_stepMs =
     EstimateStepMs(m_model.m_layers, aHosts, aParts, m_settings.m_costs);
@@ -140,7 +154,7 @@
     if (parts.empty()) {
       break;
     }
-    m_paths.push_back(MakePath(hosts, parts));
+    m_paths.push_back(MakePath(aNow, hosts, parts));
     for (const PathPart& part : parts) {
       hosts[part.m_host].m_penalty *= kReusePenalty;
     }
@@ -214,6 +228,7 @@
   boost::intrusive_ptr<StagePath> path(new StagePath());
   path->m_stepMs = aBroken.m_stepMs;
   path->m_readMs = aBroken.m_readMs;
+  path->m_wholeReadMs = aBroken.m_wholeReadMs;
   const auto& stages = aBroken.m_stages;
   for (auto stage = stages.begin(); stage != stages.end();) {
     const auto next = std::find_if_not(stage, stages.end(), isLost);
@@ -258,6 +273,18 @@
     });
 }
 
+double
+PathBook::OwnToAll(TimePoint aNow,
+                   const StagePath& aPath,
+                   std::uint32_t aGateways)
+{
+  const RunnerLoad& first = *aPath.First().m_load;
+  return std::clamp(first.EstimateStreams(aNow, kStreamSeconds) /
+                      std::max(1, first.Streams()),
+                    1.0,
+                    2.0 * std::max(1U, aGateways));
+}
+
 PathFill
 PathBook::Fill(TimePoint aNow,
                const StagePath& aPath,
@@ -266,9 +293,7 @@
   // The first engine tells how many requests it has of all gateways.
   const RunnerLoad& first = *aPath.First().m_load;
   const double streams = first.EstimateStreams(aNow, kStreamSeconds);
-  const double share = std::clamp(streams / std::max(1, first.Streams()),
-                                  1.0,
-                                  2.0 * std::max(1U, aRequest.m_gateways));
+  const double share = OwnToAll(aNow, aPath, aRequest.m_gateways);
   const double slots =
     std::max(1.0, static_cast<double>(aPath.First().m_slots));
   const double unread = first.UnreadTokens() * share + aRequest.m_promptTokens;
@@ -305,13 +330,14 @@
     const double fill = whole.m_part;
     const double slowness = path->m_stepMs / fastest;
     const bool isLocal = path->m_crossings == 0;
-    if (isLocal && path->First().m_zone == m_zone &&
-        fill <= m_settings.m_ownZoneFill &&
+    if (aRequest.m_resumeSeed == 0 && isLocal &&
+        path->First().m_zone == m_zone && fill <= m_settings.m_ownZoneFill &&
         whole.m_readingMs <= m_settings.m_ownZoneReadingMs &&
         slowness <= m_settings.m_ownZoneSlowness) {
       return { path, false, whole };
     }
-    const double cost = Cost(*path, whole, fastest);
+    const double cost =
+      Cost(*path, whole, fastest) + DrawOthersCost(aNow, *path, aRequest);
     if (!best || cost < least) {
       best = path;
       bestFill = whole;
@@ -339,6 +365,53 @@
   return cost;
 }
 
+double
+PathBook::DrawOthersCost(TimePoint aNow,
+                         const StagePath& aPath,
+                         const PathRequest& aRequest) const
+{
+  if (aRequest.m_resumeSeed == 0) {
+    return 0;
+  }
+  const double others = OwnToAll(aNow, aPath, aRequest.m_gateways) - 1;
+  Random draw(aPath.First().m_idHash ^ aRequest.m_resumeSeed);
+  return draw.Fraction() * others * aRequest.m_promptTokens * aPath.m_readMs /
+         m_settings.m_readingMs;
+}
+
+RepairLoad
+PathBook::WeighRepair(TimePoint aNow,
+                      const StagePath& aBroken,
+                      const StagePath& aRepaired,
+                      std::uint32_t aTokens)
+{
+  if (aNow - m_plannedAt >= m_settings.m_refresh) {
+    Plan(aNow);
+  }
+  RepairLoad load;
+  load.m_streams =
+    aBroken.First().m_load->EstimateStreams(aNow, kStreamSeconds);
+  for (const PathStage& stage : aRepaired.m_stages) {
+    if (!aBroken.Uses(stage.m_runner->m_id)) {
+      const double reading =
+        ReadMs(m_model, stage.m_span, *stage.m_runner, aNow);
+      load.m_standInMs = std::max(load.m_standInMs, aTokens * reading);
+    }
+  }
+  std::set<std::string_view> firsts;
+  for (const StagePathPtr& path : m_paths) {
+    const bool isOther = path->m_crossings == 0 && !IsShunned(aNow, *path) &&
+                         path->First().m_id != aBroken.First().m_id;
+    if (isOther && firsts.insert(path->First().m_id).second) {
+      load.m_restartMs = std::max(load.m_restartMs, aTokens * path->m_readMs);
+      load.m_wholePathMs =
+        std::max(load.m_wholePathMs, aTokens * path->m_wholeReadMs);
+    }
+  }
+  load.m_paths = firsts.size();
+  return load;
+}
+
 double
 PathBook::FastestStepMs(TimePoint aNow, const PathRequest& aRequest) const
 {
--- a/Source/Routing/PathBook.h
+++ b/Source/Routing/PathBook.h
@@ -13,6 +13,7 @@
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
 #include "Routing/LayerPath.h"
+#include "Routing/RepairShare.h"
 #include "Routing/Runner.h"
 
 namespace parsleycove {
@@ -34,8 +35,10 @@
   std::vector<PathStage> m_stages;
   // What one token is expected to take.
   double m_stepMs = 0;
-  // What the slowest stage takes to read one token of a prompt.
+  // What the slowest stage takes to read one token of a prompt, and all stages
+  // together.
   double m_readMs = 0;
+  double m_wholeReadMs = 0;
   // How often it passes from one availability zone to another.
   std::size_t m_crossings = 0;
 
@@ -59,6 +62,9 @@
   std::function<bool(const StagePath&)> m_isAllowed;
   // Of m_tokens, those that are read before the first event.
   std::uint32_t m_promptTokens = 0;
+  // Of a stream that begins anew; 0: a new request. The other gateways' streams
+  // do so at the same moment, so the seed spreads them.
+  std::uint64_t m_resumeSeed = 0;
 };
 
 // A stream whose path has lost stages.
@@ -107,8 +113,9 @@
   // for the first event.
   double m_ownZoneReadingMs = 250;
   // Prompts that take so long to read weigh as much as a path's whole room: a
-  // stream that begins anew misses its target for pauses after 200 ms.
-  double m_readingMs = 200;
+  // stream that begins anew misses its target for pauses after 200 ms, half of
+  // which is gone by then.
+  double m_readingMs = 100;
   // The own zone's path is passed over where another zone's is faster by more
   // than this: an engine on it has slowed down.
   double m_ownZoneSlowness = 1.6;
@@ -142,6 +149,12 @@
                       const StagePath& aBroken,
                       const RepairRequest& aRequest) const;
 
+  // What decides whether a stream takes aRepaired or begins anew.
+  RepairLoad WeighRepair(TimePoint aNow,
+                         const StagePath& aBroken,
+                         const StagePath& aRepaired,
+                         std::uint32_t aTokens);
+
 private:
   void Plan(TimePoint aNow);
   // Circuit closed, not shunned, and of a kind that the model knows.
@@ -151,7 +164,8 @@
                                      const LayerSpan& aGap,
                                      const StagePath& aBroken,
                                      const RepairRequest& aRequest) const;
-  StagePathPtr MakePath(const std::vector<PathHost>& aHosts,
+  StagePathPtr MakePath(TimePoint aNow,
+                        const std::vector<PathHost>& aHosts,
                         const std::vector<PathPart>& aParts) const;
   // Step of the fastest path within a zone; 1 where there is none.
   double FastestStepMs(TimePoint aNow, const PathRequest& aRequest) const;
@@ -162,9 +176,18 @@
   double Cost(const StagePath& aPath,
               const PathFill& aFill,
               double aFastestStepMs) const;
+  // The part of the cost that the other gateways' choices will add.
+  double DrawOthersCost(TimePoint aNow,
+                        const StagePath& aPath,
+                        const PathRequest& aRequest) const;
   // Some engine of the path refuses new work.
   static bool IsShunned(TimePoint aNow, const StagePath& aPath);
   // With the request.
+  // How much of the work through the first engine is not this gateway's own:
+  // all work as a multiple of the own.
+  static double OwnToAll(TimePoint aNow,
+                         const StagePath& aPath,
+                         std::uint32_t aGateways);
   static PathFill Fill(TimePoint aNow,
                        const StagePath& aPath,
                        const PathRequest& aRequest);
--- a/Tests/Routing/PathRepairTest.cxx
+++ b/Tests/Routing/PathRepairTest.cxx
@@ -158,6 +158,20 @@
 }
 
 // An engine whose memory is taken is no help.
+// What speaks for the repaired path and for beginning anew.
+TEST(PathRepair, ARepairIsWeighedAgainstTheOtherPaths)
+{
+  m_path->First().m_load->RecordReport(Now(), 0, 100);
+  Lose(3);
+  const StagePathPtr path = Repair();
+  const RepairLoad load = m_book.WeighRepair(Now(), *m_path, *path, kTokens);
+  DOUBLES_EQUAL(100, load.m_streams, 1);
+  CHECK(load.m_paths >= 1);
+  CHECK(load.m_standInMs > 1);
+  CHECK(load.m_restartMs >= load.m_standInMs);
+  CHECK(load.m_wholePathMs > load.m_restartMs);
+}
+
 TEST(PathRepair, FullEnginesDoNotStepIn)
 {
   Lose(3);
