--- a/Source/Control/SuspicionFilter.cxx
+++ b/Source/Control/SuspicionFilter.cxx
@@ -24,7 +24,8 @@
   std::erase_if(m_doubts, [aNow](const auto& aNoted) {
     return aNow - aNoted.second.m_at >= kAgree;
   });
-  const auto [place, isFirst] = m_doubts.try_emplace(aStart, aGateway, aNow);
+  const auto [place, isFirst] =
+    m_doubts.try_emplace(aStart, Doubt{ aGateway, aNow });
   return !isFirst && place->second.m_gateway != aGateway;
 }
 
