Routing: Take paths whose streams miss the target for pauses last

Every event through zone b came 283 to 299 ms after the one before it, against a target of 200 ms, and the VMs of zone c went on sending there, as their own chain was filled beyond 0.6. 80 streams were late from their first to their last event.

Ruled out: a single pause of a batch; the longest gap of all of them is the same within 16 ms, on four VMs. The engines' own pace; leaving them helped only where the zone has others (LeaveSlow), and the expected step did not tell that the path misses the target.

Change: the usual time between two events is kept by first engine, from this VM's own streams, for a second. A path whose figure is beyond the route's target for pauses goes behind all that have room. One long pause of a batch does not count.

--- a/Source/Forwarding/ForwardCall.cxx
+++ b/Source/Forwarding/ForwardCall.cxx
@@ -176,6 +176,9 @@
   if (HasProgress()) {
     constexpr int kWeight = 4;
     m_usualGap += (now - m_progressAt - m_usualGap) / kWeight;
+    if (m_path) {
+      m_runner->m_load->NoteEventGap(now, now - m_progressAt);
+    }
   }
   m_progressAt = now;
   co_return true;
--- a/Source/Routing/PathBook.cxx
+++ b/Source/Routing/PathBook.cxx
@@ -330,14 +330,16 @@
     const double fill = whole.m_part;
     const double slowness = path->m_stepMs / fastest;
     const bool isLocal = path->m_crossings == 0;
-    if (aRequest.m_resumeSeed == 0 && isLocal &&
+    const bool isLate = IsLate(aNow, *path, aRequest);
+    if (aRequest.m_resumeSeed == 0 && isLocal && !isLate &&
         path->First().m_zone == m_zone && fill <= m_settings.m_ownZoneFill &&
         whole.m_readingMs <= m_settings.m_ownZoneReadingMs &&
         slowness <= m_settings.m_ownZoneSlowness) {
       return { path, false, whole };
     }
-    const double cost =
-      Cost(*path, whole, fastest) + DrawOthersCost(aNow, *path, aRequest);
+    const double cost = Cost(*path, whole, fastest) +
+                        DrawOthersCost(aNow, *path, aRequest) +
+                        (isLate ? m_settings.m_lateCost : 0);
     if (!best || cost < least) {
       best = path;
       bestFill = whole;
@@ -365,6 +367,15 @@
   return cost;
 }
 
+bool
+PathBook::IsLate(TimePoint aNow,
+                 const StagePath& aPath,
+                 const PathRequest& aRequest)
+{
+  return aRequest.m_gapTarget != Duration::zero() &&
+         aPath.First().m_load->EventGap(aNow) > aRequest.m_gapTarget;
+}
+
 double
 PathBook::DrawOthersCost(TimePoint aNow,
                          const StagePath& aPath,
--- a/Source/Routing/PathBook.h
+++ b/Source/Routing/PathBook.h
@@ -65,6 +65,8 @@
   // Of a stream that begins anew; 0: a new request. The other gateways' streams
   // do so at the same moment, so the seed spreads them.
   std::uint64_t m_resumeSeed = 0;
+  // Most time between two events; zero: no target.
+  Duration m_gapTarget{};
 };
 
 // A stream whose path has lost stages.
@@ -106,6 +108,9 @@
 struct PathBookSettings
 {
   std::size_t m_paths = 6;
+  // Paths whose streams miss the target for pauses are taken where the others
+  // are full: an answer in time is worth about twice a late one.
+  double m_lateCost = 5;
   // A path within the own zone is used up to this fill; then the least filled
   // within any zone; then the least filled of all.
   double m_ownZoneFill = 0.6;
@@ -176,6 +181,10 @@
   double Cost(const StagePath& aPath,
               const PathFill& aFill,
               double aFastestStepMs) const;
+  // Its streams miss the target for pauses at every event.
+  static bool IsLate(TimePoint aNow,
+                     const StagePath& aPath,
+                     const PathRequest& aRequest);
   // The part of the cost that the other gateways' choices will add.
   double DrawOthersCost(TimePoint aNow,
                         const StagePath& aPath,
--- a/Source/Routing/RunnerLoad.cxx
+++ b/Source/Routing/RunnerLoad.cxx
@@ -18,6 +18,11 @@
 constexpr std::int64_t kUnansweringRoundTrips = 3;
 constexpr std::int64_t kMinUnansweringNs = 50'000'000;
 constexpr std::uint32_t kFailuresToSuspect = 2;
+// One event weighs so little that a single pause of all streams of a batch is
+// forgotten after a few dozen events.
+constexpr std::int64_t kEventGapWeight = 16;
+// Engines change their pace within seconds.
+constexpr std::int64_t kEventGapAgeNs = 1'000'000'000;
 constexpr std::int64_t kFirstSuspicionNs = 500'000'000;
 constexpr std::uint32_t kMaxSuspicionDoublings = 6;
 constexpr std::int64_t kProbeWindowNs = 1'000'000'000;
@@ -194,6 +199,24 @@
                       std::memory_order_relaxed);
 }
 
+void
+RunnerLoad::NoteEventGap(TimePoint aNow, Duration aGap)
+{
+  const std::int64_t gap = std::chrono::nanoseconds(aGap).count();
+  const std::int64_t usual = Load(m_eventGapNs);
+  const bool isKnown = EventGap(aNow) != Duration::zero();
+  m_eventGapNs.store(isKnown ? usual + (gap - usual) / kEventGapWeight : gap,
+                     std::memory_order_relaxed);
+  m_eventGapAtNs.store(ToNs(aNow), std::memory_order_relaxed);
+}
+
+Duration
+RunnerLoad::EventGap(TimePoint aNow) const
+{
+  const bool isRecent = ToNs(aNow) - Load(m_eventGapAtNs) < kEventGapAgeNs;
+  return isRecent ? Duration(Load(m_eventGapNs)) : Duration::zero();
+}
+
 void
 RunnerLoad::NotePace(TimePoint aNow, double aPace)
 {
--- a/Source/Routing/RunnerLoad.h
+++ b/Source/Routing/RunnerLoad.h
@@ -96,6 +96,11 @@
     m_answeredAtNs.store(aNow.time_since_epoch().count(),
                          std::memory_order_relaxed);
   }
+  // An event came this long after the one before it, on a stream whose path
+  // begins at this engine.
+  void NoteEventGap(TimePoint aNow, Duration aGap);
+  // The usual one; zero: not known of late.
+  Duration EventGap(TimePoint aNow) const;
   // The endpoint says that its work takes this many times as long.
   void NotePace(TimePoint aNow, double aPace);
 
@@ -130,6 +135,8 @@
   // Moving averages; a lost update between threads is harmless.
   std::atomic<std::int64_t> m_roundTripNs{ 0 };
   std::atomic<std::int64_t> m_positionNs{ 0 };
+  std::atomic<std::int64_t> m_eventGapNs{ 0 };
+  std::atomic<std::int64_t> m_eventGapAtNs{ 0 };
   std::atomic<double> m_slowness{ 1.0 };
   std::atomic<std::int64_t> m_slownessAtNs{ 0 };
   // When a step was last answered well; zero: never.
--- a/Tests/Routing/PathBookTest.cxx
+++ b/Tests/Routing/PathBookTest.cxx
@@ -241,6 +241,49 @@
   }
 }
 
+// Load pattern: five engines work four times as long while another zone is
+// down. Every event of their streams comes 290 ms after the one before it.
+TEST(PathBook, APathWhoseStreamsAreAllLateIsTakenWhereTheOthersAreFull)
+{
+  const Duration target = std::chrono::milliseconds(200);
+  std::deque<PathHold> holds;
+  Choose(0);
+  std::set<std::string> zones;
+  for (const StagePathPtr& path : m_book.Paths()) {
+    const std::string& zone = path->First().m_zone;
+    if (zone == "a") {
+      path->First().m_load->NoteEventGap(At(0), std::chrono::milliseconds(290));
+    } else if (!Crosses(*path) && zones.insert(zone).second) {
+      holds.emplace_back(path,
+                         static_cast<std::uint32_t>(0.7 * LeastRoom(*path)));
+    }
+  }
+  PathRequest request{ kTokens, 1, {}, {}, kPrompt };
+  request.m_gapTarget = target;
+  CHECK(Choose(0, request)->First().m_zone != "a");
+  for (int i = 0; i < 200; ++i) {
+    StagePathPtr path = Choose(0, request);
+    if (path->First().m_zone == "a") {
+      break;
+    }
+    holds.emplace_back(path, kTokens);
+  }
+  STRCMP_EQUAL("a", Choose(0, request)->First().m_zone.c_str());
+  // It is not known any more.
+  holds.clear();
+  STRCMP_EQUAL("a", Choose(1.1, request)->First().m_zone.c_str());
+}
+
+TEST(PathBook, OnePauseOfABatchDoesNotMakeItsPathLate)
+{
+  RunnerLoad load;
+  for (int i = 0; i < 200; ++i) {
+    load.NoteEventGap(At(0.001 * i), std::chrono::milliseconds(45));
+  }
+  load.NoteEventGap(At(0.2), std::chrono::milliseconds(900));
+  CHECK(load.EventGap(At(0.2)) < std::chrono::milliseconds(200));
+}
+
 // The prompts have been read: only the room counts again.
 TEST(PathBook, APromptThatWasReadHoldsItsRoomOnly)
 {
