Platform: Acknowledge a leave that is not listed only from a confirmed copy

All control VMs were killed at 8.3 s; 45 ms after they were back, an endpoint left. The copy of the replica that took the call did not hold the endpoint yet, and the call was answered 200 without an entry in the log, so the entry VMs went on using the endpoint; three requests reached it after the 2 s that it was promised.

Ruled out: entry VMs that were late. They never got an entry: no control VM logged that the endpoint leaves, as they did for the three engines that left before.

Change: a leave of an endpoint that is not listed asks a quorum first, looks it up again, and is answered 503 without one.

Tests, seen failing before: ControlApi, ALeaveIsNotAcknowledgedByACopyThatMayBeOld and ALeaveIsLookedUpAgainOnceTheCopyIsConfirmed.

--- a/Tests/Platform/ControlApiTest.cxx
+++ b/Tests/Platform/ControlApiTest.cxx
@@ -71,6 +71,24 @@
     return Call(http::verb::put, "/parsleycove/instances/i-1", aBody)
       .result_int();
   }
+  // As another control VM would have taken its heartbeat.
+  void Announce()
+  {
+    state::AnnounceEndpointT announce;
+    announce.endpoint = std::make_unique<state::EndpointT>();
+    announce.endpoint->id = "i-1";
+    announce.endpoint->kind = state::EndpointKind::PlainService;
+    announce.endpoint->service = "s1";
+    announce.endpoint->address = "10.1.0.9";
+    announce.endpoint->port = 8080;
+    announce.endpoint->zone = "z";
+    announce.endpoint->slots = 6;
+    announce.endpoint->incarnation = 5;
+    announce.endpoint->report = 1;
+    state::CommandT command;
+    command.body.Set(std::move(announce));
+    CHECK(m_control.Apply(command).code == state::ResultCode::Ok);
+  }
   const state::EndpointT* Listed()
   {
     m_view = m_control.View();
@@ -160,6 +178,27 @@
   CHECK(Listed()->phase == state::EndpointPhase::Leaving);
 }
 
+// Load pattern: all control VMs were killed, and a runner leaves while the
+// first one that is back does not hold the state yet.
+TEST(ControlApi, ALeaveIsNotAcknowledgedByACopyThatMayBeOld)
+{
+  m_control.SetConfirm([] { return false; });
+  CHECK_EQUAL(503U, Beat(MakeBeat("draining", 2)));
+  CHECK_EQUAL(
+    503U, Call(http::verb::delete_, "/parsleycove/instances/i-1").result_int());
+}
+
+TEST(ControlApi, ALeaveIsLookedUpAgainOnceTheCopyIsConfirmed)
+{
+  m_control.SetConfirm([this] {
+    Announce();
+    return true;
+  });
+  CHECK_EQUAL(200U, Beat(MakeBeat("draining", 2)));
+  CHECK(Listed() != nullptr);
+  CHECK(Listed()->phase == state::EndpointPhase::Leaving);
+}
+
 TEST(ControlApi, ABrokenHeartbeatIsRefusedAndNothingElseIsLost)
 {
   Beat(MakeBeat("ready", 1));
