--- a/Source/Placement/PlacementDesk.h
+++ b/Source/Placement/PlacementDesk.h
@@ -34,8 +34,9 @@
   // together are found within about 0.3 s; a plan made before the last one is
   // known would give layers to a dead one.
   Duration m_goneAfter = std::chrono::milliseconds(400);
-  // One question may be lost; a second one is asked this much later.
+  // Questions without an answer that say so: a single one may be lost.
   int m_silences = 2;
+  // From one question to the next.
   Duration m_askAgain = std::chrono::milliseconds(150);
   // Borders between engines move only once a lost engine has been away for
   // this long: most crashes last 3 to 5 s.
--- a/Source/Routing/PathBook.h
+++ b/Source/Routing/PathBook.h
@@ -192,8 +192,8 @@
   // Some engine of the path refuses new work.
   static bool IsShunned(TimePoint aNow, const StagePath& aPath);
   // With the request.
-  // How much of the work through the first engine is not this gateway's own:
-  // all work as a multiple of the own.
+  // The work of all gateways through the first engine, as a multiple of this
+  // gateway's own; at least 1.
   static double OwnToAll(TimePoint aNow,
                          const StagePath& aPath,
                          std::uint32_t aGateways);
