Forwarding: Log why an answer that had begun was cut

The line of a cut answer told how its last call had ended, but not why no other path served it, how long it had been silent, and whether a newer configuration had come into force; so a silent engine, a removed route and a broken connection looked alike. Adds gave_up, silent_ms and config_in_force to the line, and the metric parsleycove_cuts_after_silence_total. No decision changes.

--- a/Source/Forwarding/ForwardMetrics.cxx
+++ b/Source/Forwarding/ForwardMetrics.cxx
@@ -15,6 +15,8 @@
       aRegistry.AddCounter("parsleycove_endpoint_leaving_total", ""))
   , m_pauseNotices(
       aRegistry.AddCounter("parsleycove_endpoint_paused_total", ""))
+  , m_cutsAfterSilence(
+      aRegistry.AddCounter("parsleycove_cuts_after_silence_total", ""))
 {
   for (std::size_t kind = 0; kind < kRequestKindNames.size(); ++kind) {
     const std::string label =
--- a/Source/Forwarding/ForwardMetrics.h
+++ b/Source/Forwarding/ForwardMetrics.h
@@ -59,6 +59,9 @@
   // pause.
   Counter& LeavingNotices() { return m_leavingNotices; }
   Counter& PauseNotices() { return m_pauseNotices; }
+  // Answers that were cut after their engine or a stage fell silent, without a
+  // broken connection.
+  Counter& CutsAfterSilence() { return m_cutsAfterSilence; }
   Counter& NewConnections() { return m_newConnections; }
 
 private:
@@ -74,6 +77,7 @@
   Counter& m_newConnections;
   Counter& m_leavingNotices;
   Counter& m_pauseNotices;
+  Counter& m_cutsAfterSilence;
 };
 
 } // namespace parsleycove
--- a/Source/Forwarding/ForwardSession.cxx
+++ b/Source/Forwarding/ForwardSession.cxx
@@ -297,6 +297,9 @@
                               aRequest.m_end != RequestEnd::Answered)) {
         aLine.Add("path", aRequest.m_path->Describe());
       }
+      if (aRequest.m_end == RequestEnd::Cut) {
+        AddCut(aLine, aRequest);
+      }
       aLine.Add("id", aRequest.m_headers.m_attemptId)
         .Add("route", aRequest.m_route ? aRequest.m_route->m_name : "")
         .Add("kind", NameOf(kRequestKindNames, kind))
@@ -322,6 +325,15 @@
     });
   }
 
+  void AddCut(DecisionLine& aLine, const ForwardedRequest& aRequest) const
+  {
+    const RoutingConfig* config = m_services.m_routing.Config();
+    aLine.Add("gave_up", aRequest.m_cutCause)
+      .AddMs("silent_ms", aRequest.m_silentFor)
+      .Add("config_in_force",
+           config ? static_cast<std::int64_t>(config->Version()) : 0);
+  }
+
   ForwardServices& m_services;
   CallerConnectionPtr m_caller;
 };
--- a/Source/Forwarding/ForwardedRequest.cxx
+++ b/Source/Forwarding/ForwardedRequest.cxx
@@ -156,6 +156,12 @@
   return NameOf(kCallEndNames, aEnd);
 }
 
+std::string_view
+NameOfCause(RefusalCause aCause)
+{
+  return FindRefusal(aCause).m_name;
+}
+
 std::string
 MakeForwardHeader(const ForwardedRequest& aRequest,
                   const ForwardHeaders& aHeaders)
--- a/Source/Forwarding/ForwardedRequest.h
+++ b/Source/Forwarding/ForwardedRequest.h
@@ -56,6 +56,11 @@
   std::string m_why;
   // Reason given by another component, such as the control group; may be empty.
   std::string m_detail;
+  // Why an answer that had begun was cut; empty otherwise. Refers to a string
+  // literal.
+  std::string_view m_cutCause;
+  // Time from the last event to the cut.
+  Duration m_silentFor{};
   Duration m_firstAnswerDelay{};
   Duration m_longestGap{};
   // Path of the last attempt; null for plain requests.
@@ -119,4 +124,7 @@
 std::string_view
 NameOfEnd(CallEnd aEnd);
 
+std::string_view
+NameOfCause(RefusalCause aCause);
+
 } // namespace parsleycove
--- a/Source/Forwarding/StreamForwarder.cxx
+++ b/Source/Forwarding/StreamForwarder.cxx
@@ -237,6 +237,11 @@
     // The missing last chunk shows the caller that the answer is incomplete.
     m_request.m_end = RequestEnd::Cut;
     m_request.m_why = NameOfEnd(m_lastEnd);
+    m_request.m_cutCause = NameOfCause(aCause);
+    m_request.m_silentFor = BootClock::now() - m_lastEventAt;
+    if (m_lastEnd == CallEnd::Stalled || m_lastEnd == CallEnd::StageLost) {
+      ++m_services.m_metrics.CutsAfterSilence();
+    }
     m_request.m_caller->CloseAfterAnswer();
     co_return;
   }
