--- a/Utilities/test.sh
+++ b/Utilities/test.sh
@@ -7,3 +7,7 @@
 cmake --preset "$preset" >/dev/null
 cmake --build --preset "$preset"
 ctest --preset "$preset" -j "${PARSLEYCOVE_JOBS:-$(nproc)}"
+if grep -q '^test: ' KNOWN-RED.txt; then
+  echo "Known red, passed over:"
+  cat KNOWN-RED.txt
+fi
