--- a/Tests/Forwarding/ForwardFixture.cxx
+++ b/Tests/Forwarding/ForwardFixture.cxx
@@ -26,6 +26,13 @@
  "kinds":[{"name":"card","mb":1000,"pace":1,"read-x":1}]}}],
 "limits":{"max-header-bytes":2048,"max-body-bytes":4096},)";
 
+constexpr char kPlainConfig[] = R"({"routes":[
+{"name":"safe","host":"one.example","path-prefix":"/safe/","kind":"safe",
+ "timeout-ms":1000,"target-latency-ms":100,"service":"plain","max-attempts":2}],
+"services":[{"name":"plain"}],
+"limits":{"max-header-bytes":2048,"max-body-bytes":4096},
+"tenants":[{"name":"account-1","api-keys":["k1"]}],)";
+
 } // namespace
 
 ForwardFixture::ForwardFixture()
@@ -45,15 +52,25 @@
 
 void
 ForwardFixture::PutConfig(std::uint64_t aVersion, const std::string& aAccounts)
+{
+  const std::string accounts =
+    aAccounts.empty() ? R"({"name":"account-1","api-keys":["k1"]})" : aAccounts;
+  PutDocument(aVersion, kConfig + ("\"tenants\":[" + accounts + "],"));
+}
+
+void
+ForwardFixture::PutConfigWithoutModel(std::uint64_t aVersion)
+{
+  PutDocument(aVersion, kPlainConfig);
+}
+
+void
+ForwardFixture::PutDocument(std::uint64_t aVersion, const std::string& aText)
 {
   state::PutDocumentT put;
   put.document = std::make_unique<state::RoutingDocumentT>();
   put.document->version = aVersion;
-  const std::string accounts =
-    aAccounts.empty() ? R"({"name":"account-1","api-keys":["k1"]})" : aAccounts;
-  put.document->text = kConfig +
-                       ("\"tenants\":[" + accounts + "],\"version\":") +
-                       std::to_string(aVersion) + "}";
+  put.document->text = aText + "\"version\":" + std::to_string(aVersion) + "}";
   state::CommandT command;
   command.body.Set(std::move(put));
   m_control.Apply(command);
--- a/Tests/Forwarding/ForwardFixture.h
+++ b/Tests/Forwarding/ForwardFixture.h
@@ -31,6 +31,8 @@
   // key k1 belongs to account-1; aAccounts, if not empty, replaces this
   // account.
   void PutConfig(std::uint64_t aVersion = 1, const std::string& aAccounts = {});
+  // Applies a configuration of the plain routes and the plain service only.
+  void PutConfigWithoutModel(std::uint64_t aVersion);
   StubEndpoint& AddPlainEndpoint();
   // Adds an engine that holds layers [aFirst, aEnd) of 4.
   StubEndpoint& AddEngine(std::uint32_t aFirst, std::uint32_t aEnd);
@@ -83,6 +85,7 @@
   std::unique_ptr<ForwardGateway> m_gateway;
 
 private:
+  void PutDocument(std::uint64_t aVersion, const std::string& aText);
   StubEndpoint& Announce(state::EndpointT aEndpoint);
 
   const platform::PlatformDialect m_dialect{};
