--- a/Tests/Support/TestMain.cxx
+++ b/Tests/Support/TestMain.cxx
@@ -1,7 +1,7 @@
 // The main program of every CppUTest executable. Leaves out the tests that
 // KNOWN-RED.txt lists; with --known-red as its first argument it runs only
 // these.
-#include <cstring>
+#include <algorithm>
 #include <fstream>
 #include <iostream>
 #include <iterator>
@@ -11,6 +11,7 @@
 // Last, since its leak macros redefine new.
 #include <CppUTest/CommandLineTestRunner.h>
 #include <CppUTest/MemoryLeakWarningPlugin.h>
+#include <CppUTest/TestRegistry.h>
 
 namespace {
 
@@ -23,6 +24,35 @@
     text, aProgramPath.substr(aProgramPath.rfind('/') + 1));
 }
 
+// Keeps the tests that are listed, or those that are not. The runner's own
+// filters cannot exclude more than one test.
+void
+SelectTests(const std::vector<std::string>& aKnownRed, bool aRunsKnownRed)
+{
+  TestRegistry& registry = *TestRegistry::getCurrentRegistry();
+  std::vector<UtestShell*> tests;
+  for (UtestShell* test = registry.getFirstTest(); test != nullptr;
+       test = test->getNext()) {
+    tests.push_back(test);
+  }
+  for (std::size_t left = tests.size(); left != 0; --left) {
+    registry.unDoLastAddTest();
+  }
+  std::for_each(tests.rbegin(), tests.rend(), [&](UtestShell* aTest) {
+    const std::string name = std::string(aTest->getGroup().asCharString()) +
+                             "." + aTest->getName().asCharString();
+    const bool isRed =
+      std::find(aKnownRed.begin(), aKnownRed.end(), name) != aKnownRed.end();
+    if (isRed == aRunsKnownRed) {
+      registry.addTest(aTest);
+    }
+    if (isRed) {
+      std::cout << "known red, " << (aRunsKnownRed ? "run: " : "not run: ")
+                << name << std::endl;
+    }
+  });
+}
+
 } // namespace
 
 int
@@ -30,21 +60,13 @@
 {
   // The leak macros clash with the standard library; sanitizers find leaks.
   MemoryLeakWarningPlugin::turnOffNewDeleteOverloads();
-  std::vector<std::string> words(argv, argv + argc);
-  const bool runsKnownRed = words.size() > 1 && words[1] == "--known-red";
+  std::vector<char*> arguments(argv, argv + argc);
+  const bool runsKnownRed =
+    argc > 1 && std::string_view(argv[1]) == "--known-red";
   if (runsKnownRed) {
-    words.erase(words.begin() + 1);
-  }
-  for (const std::string& test : ReadKnownRed(words[0])) {
-    std::cout << "known red, " << (runsKnownRed ? "run: " : "not run: ") << test
-              << std::endl;
-    words.emplace_back(runsKnownRed ? "-st" : "-xst");
-    words.push_back(test);
-  }
-  std::vector<const char*> arguments;
-  for (const std::string& word : words) {
-    arguments.push_back(word.c_str());
+    arguments.erase(arguments.begin() + 1);
   }
+  SelectTests(ReadKnownRed(argv[0]), runsKnownRed);
   return CommandLineTestRunner::RunAllTests(static_cast<int>(arguments.size()),
                                             arguments.data());
 }
