Forwarding: Keep the call of a silent engine until its successor sends an event

What callers saw: a begun stream ended in the middle, up to 1.8 s after its last event, or a stream got 502, although its engine was only silent for a second and went on.

Cause: a stream whose engine or stage was silent was moved by closing its connection first. From then on nothing could continue it but another engine. If all others refused, were full, were silent as well, were barred by the route's limit of first runners, or no longer belonged to the configuration, the gateway had nothing left and cut the answer. A change of the configuration was only near in time or removed the other engines; it cut nothing by itself.

Ruled out: a restart that loses its route or service (the request keeps its configuration; SilentEngine.ABegunAnswerGoesOnAfterItsRouteWasRemoved failed for the closed connection alone), and longer waits, which would only delay the cut.

Change: the call is suspended, with its connection and its half-read event, and dropped only when the successor sends an event. Logged as stream_stays, counted in parsleycove_stream_stays_total.

--- a/Source/Forwarding/EndpointCall.cxx
+++ b/Source/Forwarding/EndpointCall.cxx
@@ -92,6 +92,58 @@
   }
 }
 
+void
+EndpointCall::Suspend(CallEnd aWhy)
+{
+  if (m_end != CallEnd::None) {
+    return;
+  }
+  if (!m_written) {
+    Abort(aWhy);
+    return;
+  }
+  m_end = aWhy;
+  m_isSuspended = true;
+  beast::error_code ignored;
+  m_connection->m_socket.cancel(ignored);
+}
+
+bool
+EndpointCall::IsSuspended() const
+{
+  return m_isSuspended && m_connection && m_connection->m_socket.is_open();
+}
+
+void
+EndpointCall::WatchWhileSuspended(std::function<void()> aOnReadable)
+{
+  m_onReadable = std::move(aOnReadable);
+  m_connection->m_socket.async_wait(
+    Tcp::socket::wait_read,
+    [self = shared_from_this()](const beast::error_code& aError) {
+      if (!aError && self->m_isSuspended && self->m_onReadable) {
+        std::exchange(self->m_onReadable, nullptr)();
+      }
+    });
+}
+
+bool
+EndpointCall::HasUnreadBytes() const
+{
+  beast::error_code error;
+  char byte = 0;
+  return m_connection->m_socket.receive(
+           asio::buffer(&byte, 1), Tcp::socket::message_peek, error) != 0;
+}
+
+void
+EndpointCall::Resume()
+{
+  m_isSuspended = false;
+  m_onReadable = nullptr;
+  m_end = CallEnd::None;
+}
+
 void
 EndpointCall::OnDeadline(TimePoint /*aNow*/)
 {
--- a/Source/Forwarding/EndpointCall.h
+++ b/Source/Forwarding/EndpointCall.h
@@ -33,6 +33,8 @@
   StageLost,
   // No event arrived for too long.
   Stalled,
+  // Another call serves the request.
+  Superseded,
 };
 
 // Describes the request of a call.
@@ -49,7 +51,8 @@
 // Kept alive by the coroutine that runs the call, and by pending writes.
 //
 // Invariant: after Abort every wait ends with the reason given to Abort, and
-// the connection is not used again.
+// the connection is not used again. After Suspend every wait ends with its
+// reason until Resume is called.
 class EndpointCall final
   : public MonitoredWait
   , public std::enable_shared_from_this<EndpointCall>
@@ -80,6 +83,19 @@
   bool SkipAnswer();
 
   void Abort(CallEnd aWhy);
+  // Ends the current wait like Abort, but keeps the connection, so that the
+  // call can go on after Resume if nobody else serves the request. A call whose
+  // request is not fully written is aborted.
+  void Suspend(CallEnd aWhy);
+  // Returns true if the call was suspended and its connection is still open.
+  bool IsSuspended() const;
+  // Calls aOnReadable once if the endpoint sends something, or closes the
+  // connection, while the call is suspended.
+  void WatchWhileSuspended(std::function<void()> aOnReadable);
+  // Returns false at the end of the connection, too.
+  bool HasUnreadBytes() const;
+  // Continues a suspended call where it was interrupted.
+  void Resume();
   // Returns the connection to the pool if the answer was complete and no bytes
   // follow it; closes the connection otherwise.
   void Release(TimePoint aNow);
@@ -153,9 +169,11 @@
   TimePoint m_progressAt{};
   bool m_sent = false;
   bool m_written = false;
+  bool m_isSuspended = false;
   bool m_isNew = false;
   bool m_connectTimedOut = false;
   std::function<bool()> m_moveClaim;
+  std::function<void()> m_onReadable;
   Duration m_averageArrivalGap{};
   bool m_atEnd = false;
 };
--- a/Source/Forwarding/EngineFailureDetector.cxx
+++ b/Source/Forwarding/EngineFailureDetector.cxx
@@ -150,7 +150,7 @@
       HasFailedStage(aNow, *aStream)) {
     m_rerouter.MoveOffFailedStage(aStream);
   } else if (silent >= moveAfter && aStream->ClaimMove()) {
-    aStream->Abort(CallEnd::Stalled);
+    aStream->Suspend(CallEnd::Stalled);
   }
 }
 
--- a/Source/Forwarding/EventSplitter.h
+++ b/Source/Forwarding/EventSplitter.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace parsleycove {
 
@@ -38,6 +39,18 @@
     m_pending.clear();
     m_hasMissingEvent = false;
   }
+  // Removes the bytes of an incomplete event and returns them.
+  std::string TakePartialEvent()
+  {
+    m_hasMissingEvent = false;
+    return std::exchange(m_pending, {});
+  }
+  // Puts back the bytes that TakePartialEvent returned. No event may have been
+  // extracted in between.
+  void RestorePartialEvent(std::string aBytes)
+  {
+    m_pending = std::move(aBytes);
+  }
   std::optional<std::uint64_t> LastId() const { return m_lastId; }
 
 private:
--- a/Source/Forwarding/ForwardMetrics.cxx
+++ b/Source/Forwarding/ForwardMetrics.cxx
@@ -17,6 +17,7 @@
       aRegistry.AddCounter("parsleycove_endpoint_paused_total", ""))
   , m_cutsAfterSilence(
       aRegistry.AddCounter("parsleycove_cuts_after_silence_total", ""))
+  , m_stays(aRegistry.AddCounter("parsleycove_stream_stays_total", ""))
 {
   for (std::size_t kind = 0; kind < kRequestKindNames.size(); ++kind) {
     const std::string label =
--- a/Source/Forwarding/ForwardMetrics.h
+++ b/Source/Forwarding/ForwardMetrics.h
@@ -59,6 +59,8 @@
   // pause.
   Counter& LeavingNotices() { return m_leavingNotices; }
   Counter& PauseNotices() { return m_pauseNotices; }
+  // Streams that went back to their silent engine, since no other served them.
+  Counter& Stays() { return m_stays; }
   // Answers that were cut after their engine or a stage fell silent, without a
   // broken connection.
   Counter& CutsAfterSilence() { return m_cutsAfterSilence; }
@@ -78,6 +80,7 @@
   Counter& m_leavingNotices;
   Counter& m_pauseNotices;
   Counter& m_cutsAfterSilence;
+  Counter& m_stays;
 };
 
 } // namespace parsleycove
--- a/Source/Forwarding/ForwardedRequest.cxx
+++ b/Source/Forwarding/ForwardedRequest.cxx
@@ -53,7 +53,7 @@
   return kRefusals.front();
 }
 
-constexpr std::array<EnumName<CallEnd>, 8> kCallEndNames{ {
+constexpr std::array<EnumName<CallEnd>, 9> kCallEndNames{ {
   { CallEnd::None, "none" },
   { CallEnd::NotConnected, "not_connected" },
   { CallEnd::Broken, "broken" },
@@ -62,6 +62,7 @@
   { CallEnd::CallerGone, "caller_gone" },
   { CallEnd::StageLost, "stage_lost" },
   { CallEnd::Stalled, "stalled" },
+  { CallEnd::Superseded, "superseded" },
 } };
 
 bool
--- a/Source/Forwarding/StreamAttempt.cxx
+++ b/Source/Forwarding/StreamAttempt.cxx
@@ -28,6 +28,9 @@
 // Ejection time of an engine that no longer holds its layers; within this time
 // the engine announces the layers that it holds.
 constexpr Duration kMovedStageEjection = std::chrono::milliseconds(1300);
+// Time for which a stream that came back to its silent engine stays there: the
+// time after which engines that refused are asked again.
+constexpr Duration kMinStay = kRefusalEjection;
 constexpr std::string_view kLastChunk = "0\r\n\r\n";
 
 void
@@ -62,6 +65,10 @@
     }
     co_return AttemptOutcome::NotExecuted;
   }
+  if (m_silentCall.IsKept() && m_silentCall.Target().m_id == first->m_id) {
+    // An engine serves a request only once at a time.
+    m_silentCall.Drop();
+  }
   m_pathWaitUntil = TimePoint{};
   ++m_request.m_attempts;
   ++m_possibleExecutions;
@@ -75,20 +82,60 @@
   call->SetAverageArrivalGap(std::chrono::duration_cast<Duration>(
     std::chrono::duration<double, std::milli>(aPath->m_stepMs *
                                               kInitialGapSteps)));
-  call->SetMoveClaim([this] { return ClaimMove(); });
-  m_services.m_failureDetector.TrackStream(call);
-  const AttemptOutcome outcome = co_await Receive(*call);
-  m_request.m_path = call->Path();
+  if (m_silentCall.HasAnswered()) {
+    call->Abort(CallEnd::Superseded);
+  }
+  co_return co_await FollowCall(call);
+}
+
+void
+StreamForwarder::EndSuccessor()
+{
+  if (const EndpointCallPtr& call = m_request.m_call;
+      call && call->MayHaveArrived()) {
+    call->Abort(CallEnd::Superseded);
+  }
+}
+
+asio::awaitable<AttemptOutcome>
+StreamForwarder::FollowCall(EndpointCallPtr aCall)
+{
+  m_request.m_call = aCall;
+  aCall->SetMoveClaim([this] { return ClaimMove(); });
+  m_services.m_failureDetector.TrackStream(aCall);
+  const AttemptOutcome outcome = co_await Receive(*aCall);
+  m_request.m_path = aCall->Path();
   m_request.m_call = nullptr;
-  call->SetMoveClaim(nullptr);
+  aCall->SetMoveClaim(nullptr);
+  if (outcome == AttemptOutcome::Silent) {
+    co_return outcome;
+  }
   const TimePoint now = BootClock::now();
-  call->Release(now);
+  aCall->Release(now);
   if (outcome != AttemptOutcome::NotExecuted) {
     m_serviceState.m_returns.RecordFreed(now);
   }
   co_return outcome;
 }
 
+asio::awaitable<AttemptOutcome>
+StreamForwarder::FollowSilentCall()
+{
+  std::string partialEvent;
+  const EndpointCallPtr call = m_silentCall.Resume(partialEvent);
+  m_moveNotBefore = BootClock::now() + kMinStay;
+  m_events.RestorePartialEvent(std::move(partialEvent));
+  m_request.m_lastEndpoint = call->Target()->m_id;
+  m_services.m_log.Write(DecisionEvent::StreamStays, [&](DecisionLine& aLine) {
+    aLine.Add("id", m_request.m_headers.m_attemptId)
+      .Add("endpoint", call->Target()->m_id)
+      .Add("why", m_request.m_lastFault)
+      .AddMs("silent_ms", BootClock::now() - call->ProgressAt());
+  });
+  ++m_services.m_metrics.Stays();
+  co_return co_await FollowCall(call);
+}
+
 void
 StreamForwarder::ReportUnreachable(const RunnerPtr& aFirst)
 {
@@ -235,6 +282,7 @@
   if (m_events.ExtractEvents(aBytes, events) == 0) {
     co_return true;
   }
+  m_silentCall.Drop();
   const TimePoint now = BootClock::now();
   aCall.RecordEvents(now);
   aCall.MarkPrefillDone();
@@ -277,9 +325,12 @@
     m_request.m_end = RequestEnd::CallerGone;
     return AttemptOutcome::Finished;
   }
+  std::string partialEvent = m_events.TakePartialEvent();
+  if (end == CallEnd::Superseded) {
+    return AttemptOutcome::Broken;
+  }
   m_lastEnd = end;
   m_request.m_lastFault = NameOfEnd(end);
-  m_events.DiscardPartialEvent();
   if (end == CallEnd::Stalled) {
     m_services.m_pool.CloseIdle(*aCall.Target());
   }
@@ -289,6 +340,12 @@
   if (end == CallEnd::Broken) {
     std::erase(m_usedFirstRunners, aCall.Target()->m_id);
   }
+  if (aCall.IsSuspended()) {
+    m_silentCall.Keep(aCall.shared_from_this(),
+                      std::move(partialEvent),
+                      [this] { EndSuccessor(); });
+    return AttemptOutcome::Silent;
+  }
   return AttemptOutcome::Broken;
 }
 
--- a/Source/Forwarding/StreamForwarder.cxx
+++ b/Source/Forwarding/StreamForwarder.cxx
@@ -72,7 +72,7 @@
       co_return;
     }
     const PathChoice choice = ChoosePath();
-    if (!choice.m_path) {
+    if (!choice.m_path && !m_silentCall.IsKept()) {
       if (!co_await WaitForPath(choice)) {
         m_request.m_availableAt = choice.m_availableAt;
         co_await GiveUp(CauseWithoutPath(choice));
@@ -80,14 +80,23 @@
       }
       continue;
     }
-    if (!ClaimRetry()) {
+    const bool mayStart =
+      choice.m_path && !m_silentCall.HasAnswered() && ClaimRetry();
+    if (!mayStart && !m_silentCall.IsKept()) {
       if (!co_await WaitToResume()) {
         co_await GiveUp(CauseAfterRefusals());
         co_return;
       }
       continue;
     }
-    const AttemptOutcome outcome = co_await RunAttempt(choice.m_path);
+    AttemptOutcome outcome = AttemptOutcome::Silent;
+    if (mayStart) {
+      outcome = co_await RunAttempt(choice.m_path);
+    }
+    if (m_silentCall.IsKept() && outcome != AttemptOutcome::Finished &&
+        (!mayStart || m_silentCall.HasAnswered() || !MayRetry(outcome))) {
+      outcome = co_await FollowSilentCall();
+    }
     if (outcome == AttemptOutcome::Finished) {
       co_return;
     }
@@ -184,7 +193,7 @@
   if (aOutcome == AttemptOutcome::NotExecuted && ++m_refusals > kMaxRefusals) {
     return false;
   }
-  if (aOutcome == AttemptOutcome::Broken &&
+  if (aOutcome != AttemptOutcome::NotExecuted &&
       (!m_request.m_route->m_isResumable ||
        m_possibleExecutions >= kMaxExecutions)) {
     return false;
@@ -207,7 +216,8 @@
 bool
 StreamForwarder::ClaimMove()
 {
-  const bool mayMove = m_request.m_route->m_isResumable &&
+  const bool mayMove = BootClock::now() >= m_moveNotBefore &&
+                       m_request.m_route->m_isResumable &&
                        m_possibleExecutions < kMaxExecutions &&
                        !m_request.m_caller->IsDisconnected() &&
                        !m_request.IsOutOfTime() && ChoosePath().m_path;
--- a/Source/Forwarding/StreamForwarder.h
+++ b/Source/Forwarding/StreamForwarder.h
@@ -7,6 +7,7 @@
 
 #include "Forwarding/EventSplitter.h"
 #include "Forwarding/ForwardedRequest.h"
+#include "Forwarding/SilentCall.h"
 
 namespace parsleycove {
 
@@ -19,11 +20,16 @@
   NotExecuted,
   // The request may have run, and its answer broke off.
   Broken,
+  // The endpoint or a stage is silent. The call is kept open until another
+  // endpoint sends an event.
+  Silent,
 };
 
 // Relays complete events as they arrive. Where the route allows it, a stream
 // whose endpoint or path failed is resumed on another path within the same
-// answer, after the last complete event.
+// answer, after the last complete event. An endpoint that is only silent may
+// go on by itself, so its call is kept until its successor sends an event; if
+// nobody else serves the stream, the kept call is followed again.
 //
 // StreamForwarder.cxx selects paths and decides on retries, StreamAttempt.cxx
 // runs one attempt.
@@ -59,6 +65,12 @@
   // do not count against the limit.
   bool MayStartAt(const StagePath& aPath) const;
   asio::awaitable<AttemptOutcome> RunAttempt(StagePathPtr aPath);
+  // Receives the answer of a call until its end or until the call is suspended.
+  asio::awaitable<AttemptOutcome> FollowCall(EndpointCallPtr aCall);
+  // Ends the current call, since the silent endpoint goes on.
+  void EndSuccessor();
+  // Continues the call that was kept for its silence.
+  asio::awaitable<AttemptOutcome> FollowSilentCall();
   void ReportUnreachable(const RunnerPtr& aFirst);
   asio::awaitable<AttemptOutcome> Receive(EndpointCall& aCall);
   AttemptOutcome HandleRefusal(EndpointCall& aCall,
@@ -90,6 +102,11 @@
   bool m_hasRetryClaim = false;
   // First runners of the attempts, except runners whose connection broke.
   std::vector<std::string> m_usedFirstRunners;
+  // A call that was suspended for its silence, with the bytes of the event that
+  // it was interrupted in. Invariant: no event was relayed since.
+  SilentCall m_silentCall;
+  // A stream that came back to its silent endpoint does not move before this.
+  TimePoint m_moveNotBefore{};
   TimePoint m_lastEventAt{};
   CallEnd m_lastEnd = CallEnd::None;
 };
--- a/Source/Forwarding/StreamRerouter.cxx
+++ b/Source/Forwarding/StreamRerouter.cxx
@@ -226,7 +226,7 @@
 {
   const bool mayMove = aStream.ClaimMove();
   if (mayMove) {
-    aStream.Abort(CallEnd::StageLost);
+    aStream.Suspend(CallEnd::StageLost);
   }
   return mayMove;
 }
--- a/Source/Telemetry/DecisionEvent.h
+++ b/Source/Telemetry/DecisionEvent.h
@@ -35,13 +35,14 @@
   RequestSentAgain,
   StreamResumed,
   StreamRerouted,
+  StreamStays,
   RequestAnswered,
   RequestFailed,
   RequestCut,
   CallerGone,
 };
 
-inline constexpr std::array<EnumName<DecisionEvent>, 26> kDecisionEventNames{ {
+inline constexpr std::array<EnumName<DecisionEvent>, 27> kDecisionEventNames{ {
   { DecisionEvent::Started, "started" },
   { DecisionEvent::Stopping, "stopping" },
   { DecisionEvent::Stopped, "stopped" },
@@ -64,6 +65,7 @@
   { DecisionEvent::RequestSentAgain, "request_sent_again" },
   { DecisionEvent::StreamResumed, "stream_resumed" },
   { DecisionEvent::StreamRerouted, "stream_rerouted" },
+  { DecisionEvent::StreamStays, "stream_stays" },
   { DecisionEvent::RequestAnswered, "request_answered" },
   { DecisionEvent::RequestFailed, "request_failed" },
   { DecisionEvent::RequestCut, "request_cut" },
