Forwarding: Keep the call of a silent endpoint of a safe request, too

The same fault as with streams: a safe request whose endpoint took longer than five times the usual was ended to be sent elsewhere, before the retry budget and another endpoint were certain. Where the other endpoint refused, the caller got 504 after 0.1 s from a route with a time-out of 1 s.

The request now moves only once the budget is charged, and the first call is kept with the body read so far until the second one has answered; whichever answers first is delivered.

--- a/Source/Forwarding/EndpointCall.cxx
+++ b/Source/Forwarding/EndpointCall.cxx
@@ -1,6 +1,7 @@
 // Sends one request to one endpoint and reads its answer.
 #include "Forwarding/EndpointCall.h"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -19,6 +20,8 @@
 constexpr Duration kDefaultIdle = std::chrono::seconds(30);
 // Idle connections are closed this long before the endpoint would close them.
 constexpr Duration kIdleMargin = std::chrono::milliseconds(500);
+// A call whose request may not move yet asks again after this time.
+constexpr Duration kMoveClaimInterval = std::chrono::milliseconds(20);
 
 // Parses the "timeout=5" parameter of a Keep-Alive header.
 Duration
@@ -145,9 +148,22 @@
 }
 
 void
-EndpointCall::OnDeadline(TimePoint /*aNow*/)
+EndpointCall::SetDeadlines(TimePoint aMoveAfter, TimePoint aDeadline)
 {
-  Abort(CallEnd::Overdue);
+  m_finalDeadline = aDeadline;
+  SetDeadline(std::min(aMoveAfter, aDeadline));
+}
+
+void
+EndpointCall::OnDeadline(TimePoint aNow)
+{
+  if (aNow >= m_finalDeadline) {
+    Abort(CallEnd::Overdue);
+  } else if (ClaimMove()) {
+    Suspend(CallEnd::Overdue);
+  } else {
+    SetDeadline(std::min(aNow + kMoveClaimInterval, m_finalDeadline));
+  }
 }
 
 asio::awaitable<bool>
--- a/Source/Forwarding/EndpointCall.h
+++ b/Source/Forwarding/EndpointCall.h
@@ -100,6 +100,9 @@
   // follow it; closes the connection otherwise.
   void Release(TimePoint aNow);
 
+  // Sets two deadlines: after aMoveAfter the call is suspended as soon as the
+  // request may move to another endpoint, and aborted after aDeadline.
+  void SetDeadlines(TimePoint aMoveAfter, TimePoint aDeadline);
   void OnDeadline(TimePoint aNow) override;
 
   const Header& Answer() const { return m_parser->get().base(); }
@@ -172,6 +175,9 @@
   bool m_isSuspended = false;
   bool m_isNew = false;
   bool m_connectTimedOut = false;
+  // End of the call where Deadline() is the time to move; the clock's epoch
+  // where Deadline() ends the call.
+  TimePoint m_finalDeadline{};
   std::function<bool()> m_moveClaim;
   std::function<void()> m_onReadable;
   Duration m_averageArrivalGap{};
--- a/Source/Forwarding/PlainForwarder.cxx
+++ b/Source/Forwarding/PlainForwarder.cxx
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "Forwarding/NoticeRecorder.h"
+#include "Forwarding/SilentCall.h"
 
 namespace parsleycove {
 
@@ -54,25 +55,25 @@
         co_return;
       }
       if (m_request.IsOutOfTime()) {
-        co_await EndWithoutAnswer(RefusalCause::OutOfTime);
+        co_await End(RefusalCause::OutOfTime);
         co_return;
       }
       const RunnerPtr runner = PickEndpoint();
       if (!runner) {
         m_request.m_availableAt = m_services.m_routing.EndpointAvailableAt();
-        co_await EndWithoutAnswer(FindCauseWithoutEndpoint());
+        co_await End(FindCauseWithoutEndpoint());
         co_return;
       }
       if (!ClaimRetry()) {
-        co_await EndWithoutAnswer(RefusalCause::EndpointsRefuse);
+        co_await End(RefusalCause::EndpointsRefuse);
         co_return;
       }
       const ForwardOutcome outcome = co_await TryEndpoint(runner);
       if (outcome == ForwardOutcome::Finished) {
         co_return;
       }
-      if (!MayRetry(outcome)) {
-        co_await EndWithoutAnswer(RefusalCause::EndpointsRefuse);
+      if (m_silentCall.HasAnswered() || !MayRetry(outcome)) {
+        co_await End(RefusalCause::EndpointsRefuse);
         co_return;
       }
     }
@@ -152,44 +153,101 @@
     ++m_request.m_attempts;
     ++m_possibleExecutions;
     m_hasRetryClaim = false;
-    call->SetDeadline(ChooseDeadline(aRunner));
-    const ForwardOutcome outcome = co_await Receive(*call);
+    call->SetDeadlines(ChooseMoveTime(aRunner), m_request.m_deadline);
+    call->SetMoveClaim([this, aRunner] { return ClaimMove(aRunner); });
+    m_body.clear();
+    co_return co_await FollowCall(call, startedAt);
+  }
+
+  // Receives the answer of a call until its end or until the call is suspended.
+  asio::awaitable<ForwardOutcome> FollowCall(EndpointCallPtr aCall,
+                                             TimePoint aStartedAt)
+  {
+    m_request.m_call = aCall;
+    const ForwardOutcome outcome = co_await Receive(*aCall);
     m_request.m_call = nullptr;
+    aCall->SetMoveClaim(nullptr);
+    if (aCall->IsSuspended()) {
+      m_silentCall.Keep(aCall, std::move(m_body), [this] { EndSuccessor(); });
+      co_return outcome;
+    }
     const TimePoint now = BootClock::now();
-    call->Release(now);
+    aCall->Release(now);
     if (outcome != ForwardOutcome::NotExecuted) {
       m_serviceState.m_returns.RecordFreed(now);
     }
     if (outcome == ForwardOutcome::Finished &&
         m_request.m_end == RequestEnd::Answered) {
-      UpdateCircuit(*aRunner, "answered a request", [&](TimePoint aNow) {
-        aRunner->m_load->CloseCircuit(aNow);
+      const RunnerPtr& runner = aCall->Target();
+      UpdateCircuit(*runner, "answered a request", [&](TimePoint aNow) {
+        runner->m_load->CloseCircuit(aNow);
       });
       m_serviceState.m_averageLatency +=
-        (now - startedAt - m_serviceState.m_averageLatency) /
+        (now - aStartedAt - m_serviceState.m_averageLatency) /
         kLatencyAverageWeight;
     }
     co_return outcome;
   }
 
-  TimePoint ChooseDeadline(const RunnerPtr& aRunner)
+  bool MayMove(const RunnerPtr& aRunner)
+  {
+    return m_request.m_route->CanRetry() &&
+           m_possibleExecutions < m_request.m_route->m_maxAttempts &&
+           HasAlternative(aRunner);
+  }
+
+  // Returns true if the request may be sent to another endpoint now, and
+  // charges the retry budget for it.
+  bool ClaimMove(const RunnerPtr& aRunner)
   {
-    const bool mayRetry =
-      m_request.m_route->CanRetry() &&
-      m_possibleExecutions < m_request.m_route->m_maxAttempts &&
-      HasAlternative(aRunner);
-    if (!mayRetry) {
+    return !m_request.m_caller->IsDisconnected() && MayMove(aRunner) &&
+           ClaimRetry();
+  }
+
+  TimePoint ChooseMoveTime(const RunnerPtr& aRunner)
+  {
+    if (!MayMove(aRunner)) {
       return m_request.m_deadline;
     }
     const Duration retryTimeout = std::max<Duration>(
       kMinRetryTimeout, m_serviceState.m_averageLatency * kRetryTimeoutFactor);
-    return std::min(m_request.m_deadline, BootClock::now() + retryTimeout);
+    return BootClock::now() + retryTimeout;
+  }
+
+  // Ends the current call, since the silent endpoint goes on.
+  void EndSuccessor()
+  {
+    if (const EndpointCallPtr& call = m_request.m_call;
+        call && call->MayHaveArrived()) {
+      call->Abort(CallEnd::Superseded);
+    }
+  }
+
+  // Continues the call that was kept for its silence.
+  asio::awaitable<ForwardOutcome> FollowSilentCall()
+  {
+    const EndpointCallPtr call = m_silentCall.Resume(m_body);
+    m_request.m_lastEndpoint = call->Target()->m_id;
+    call->SetDeadline(m_request.m_deadline);
+    co_return co_await FollowCall(call, call->SentAt());
+  }
+
+  // Ends the request when no endpoint is left to send it to. An endpoint that
+  // was only silent may still answer.
+  asio::awaitable<void> End(RefusalCause aCause)
+  {
+    if (m_silentCall.IsKept() && !m_request.m_caller->IsDisconnected()) {
+      const ForwardOutcome outcome = co_await FollowSilentCall();
+      if (outcome == ForwardOutcome::Finished) {
+        co_return;
+      }
+    }
+    co_await EndWithoutAnswer(aCause);
   }
 
   asio::awaitable<ForwardOutcome> Receive(EndpointCall& aCall)
   {
-    std::string body;
-    if (!co_await ReadMatchingAnswer(aCall, body)) {
+    if (!co_await ReadMatchingAnswer(aCall, m_body)) {
       co_return co_await RecordBrokenCall(aCall);
     }
     const EndpointCall::Header& answer = aCall.Answer();
@@ -213,7 +271,7 @@
       m_request.m_lastFault = "endpoint_failed";
       co_return ForwardOutcome::Failed;
     }
-    co_await DeliverAnswer(aCall, headers, std::move(body));
+    co_await DeliverAnswer(aCall, headers, std::move(m_body));
     co_return ForwardOutcome::Finished;
   }
 
@@ -224,7 +282,6 @@
   {
     constexpr int kMaxForeignAnswers = 2;
     for (int i = 0; i <= kMaxForeignAnswers; ++i) {
-      aBody.clear();
       if (!co_await aCall.ReadHeader()) {
         co_return false;
       }
@@ -242,6 +299,7 @@
         co_return true;
       }
       aCall.SkipAnswer();
+      aBody.clear();
     }
     aCall.Abort(CallEnd::Foreign);
     co_return false;
@@ -299,6 +357,9 @@
       m_request.m_end = RequestEnd::CallerGone;
       co_return ForwardOutcome::Finished;
     }
+    if (end == CallEnd::Superseded) {
+      co_return ForwardOutcome::Failed;
+    }
     m_lastEnd = end;
     m_request.m_lastFault = NameOfEnd(end);
     if (end == CallEnd::Overdue) {
@@ -383,6 +444,10 @@
   // The next call was charged to the retry budget and has not been sent.
   bool m_hasRetryClaim = false;
   CallEnd m_lastEnd = CallEnd::None;
+  // Body of the answer of the current call.
+  std::string m_body;
+  // A call that was suspended for its silence, with its body so far.
+  SilentCall m_silentCall;
 };
 
 } // namespace
