--- a/Source/Forwarding/EndpointCall.cxx
+++ b/Source/Forwarding/EndpointCall.cxx
@@ -1,6 +1,7 @@
 // Sends one request to one endpoint and reads its answer.
 #include "Forwarding/EndpointCall.h"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -19,6 +20,8 @@
 constexpr Duration kDefaultIdle = std::chrono::seconds(30);
 // Idle connections are closed this long before the endpoint would close them.
 constexpr Duration kIdleMargin = std::chrono::milliseconds(500);
+// A call whose request may not move yet asks again after this time.
+constexpr Duration kMoveClaimInterval = std::chrono::milliseconds(20);
 
 // Parses the "timeout=5" parameter of a Keep-Alive header.
 Duration
@@ -93,9 +96,74 @@
 }
 
 void
-EndpointCall::OnDeadline(TimePoint /*aNow*/)
+EndpointCall::Suspend(CallEnd aWhy)
 {
-  Abort(CallEnd::Overdue);
+  if (m_end != CallEnd::None) {
+    return;
+  }
+  if (!m_written) {
+    Abort(aWhy);
+    return;
+  }
+  m_end = aWhy;
+  m_isSuspended = true;
+  beast::error_code ignored;
+  m_connection->m_socket.cancel(ignored);
+}
+
+bool
+EndpointCall::IsSuspended() const
+{
+  return m_isSuspended && m_connection && m_connection->m_socket.is_open();
+}
+
+void
+EndpointCall::WatchWhileSuspended(std::function<void()> aOnReadable)
+{
+  m_onReadable = std::move(aOnReadable);
+  m_connection->m_socket.async_wait(
+    Tcp::socket::wait_read,
+    [self = shared_from_this()](const beast::error_code& aError) {
+      if (!aError && self->m_isSuspended && self->m_onReadable) {
+        std::exchange(self->m_onReadable, nullptr)();
+      }
+    });
+}
+
+bool
+EndpointCall::HasUnreadBytes() const
+{
+  beast::error_code error;
+  char byte = 0;
+  return m_connection->m_socket.receive(
+           asio::buffer(&byte, 1), Tcp::socket::message_peek, error) != 0;
+}
+
+void
+EndpointCall::Resume()
+{
+  m_isSuspended = false;
+  m_onReadable = nullptr;
+  m_end = CallEnd::None;
+}
+
+void
+EndpointCall::SetDeadlines(TimePoint aMoveAfter, TimePoint aDeadline)
+{
+  m_finalDeadline = aDeadline;
+  SetDeadline(std::min(aMoveAfter, aDeadline));
+}
+
+void
+EndpointCall::OnDeadline(TimePoint aNow)
+{
+  if (aNow >= m_finalDeadline) {
+    Abort(CallEnd::Overdue);
+  } else if (ClaimMove()) {
+    Suspend(CallEnd::Overdue);
+  } else {
+    SetDeadline(std::min(aNow + kMoveClaimInterval, m_finalDeadline));
+  }
 }
 
 asio::awaitable<bool>
