Forwarding: Log the shared parts of the prompts of failed streams

What the requests had in common that an engine ended under could not be told from the log. The dialect decodes the ids of a prompt's parts, without the last one, which belongs to one request; request_failed and request_cut write them. No decision changes.

--- a/Source/Forwarding/ForwardDialect.h
+++ b/Source/Forwarding/ForwardDialect.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include <boost/beast/http/fields.hpp>
 
@@ -35,6 +36,9 @@
   std::uint32_t m_maxAnswerTokens = 0;
   // The caller's estimate; 0 if none was sent.
   std::uint32_t m_expectedAnswerTokens = 0;
+  // Ids of the parts of the prompt that other requests may have, too, in order;
+  // the last part belongs to this request alone and is left out.
+  std::vector<std::string_view> m_sharedParts;
 };
 
 // Header fields that a forwarded request carries in addition to the caller's.
--- a/Source/Forwarding/ForwardSession.cxx
+++ b/Source/Forwarding/ForwardSession.cxx
@@ -23,6 +23,8 @@
 constexpr unsigned kRequestTimeout = 408;
 constexpr unsigned kBodyTooLarge = 413;
 constexpr unsigned kHeaderTooLarge = 431;
+// Characters of a prompt part's id in the log.
+constexpr std::size_t kMaxLogged = 32;
 constexpr Duration kDefaultTimeout = std::chrono::seconds(30);
 // After a start, an election and the first confirmation by a quorum take about
 // a second.
@@ -300,6 +302,10 @@
       if (aRequest.m_end == RequestEnd::Cut) {
         AddCut(aLine, aRequest);
       }
+      if (aRequest.m_end == RequestEnd::Cut ||
+          aRequest.m_end == RequestEnd::Failed) {
+        AddPrompt(aLine, aRequest);
+      }
       aLine.Add("id", aRequest.m_headers.m_attemptId)
         .Add("route", aRequest.m_route ? aRequest.m_route->m_name : "")
         .Add("kind", NameOf(kRequestKindNames, kind))
@@ -334,6 +340,19 @@
            config ? static_cast<std::int64_t>(config->Version()) : 0);
   }
 
+  // The parts that the prompts of failed requests have in common may be why
+  // their engines crashed.
+  static void AddPrompt(DecisionLine& aLine, const ForwardedRequest& aRequest)
+  {
+    std::string parts;
+    for (const std::string_view part : aRequest.m_headers.m_sharedParts) {
+      parts.append(parts.empty() ? "" : ",").append(part.substr(0, kMaxLogged));
+    }
+    if (!parts.empty()) {
+      aLine.Add("parts", parts);
+    }
+  }
+
   ForwardServices& m_services;
   CallerConnectionPtr m_caller;
 };
--- a/Tests/Platform/DialectTest.cxx
+++ b/Tests/Platform/DialectTest.cxx
@@ -34,6 +34,23 @@
   CHECK_EQUAL(12U, *headers.m_lastEventId);
 }
 
+TEST(PlatformDialect, ReadsThePartsThatOtherPromptsMayShare)
+{
+  m_fields.set("Prompt-Prefix", "5c1e:800, 91bd:410,e440:250");
+  CallerHeaders headers = m_dialect.ParseCallerHeaders(m_fields);
+  CHECK_EQUAL(2U, headers.m_sharedParts.size());
+  CHECK(headers.m_sharedParts[0] == "5c1e");
+  CHECK(headers.m_sharedParts[1] == "91bd");
+  m_fields.set("Prompt-Prefix", "5c1e:800");
+  CHECK(m_dialect.ParseCallerHeaders(m_fields).m_sharedParts.empty());
+  m_fields.set("Prompt-Prefix", ",:,a,b:");
+  headers = m_dialect.ParseCallerHeaders(m_fields);
+  CHECK_EQUAL(1U, headers.m_sharedParts.size());
+  CHECK(headers.m_sharedParts[0] == "a");
+  m_fields.set("Prompt-Prefix", std::string(1000, ','));
+  CHECK(m_dialect.ParseCallerHeaders(m_fields).m_sharedParts.empty());
+}
+
 TEST(PlatformDialect, PassesOverWhatCannotBeRead)
 {
   m_fields.set("Deadline-Ms", "soon");
