--- a/Source/Wire/Generated/StateGenerated.h
+++ b/Source/Wire/Generated/StateGenerated.h
@@ -40,6 +40,14 @@
 struct RoutingDocumentBuilder;
 struct RoutingDocumentT;
 
+struct PromptCrash;
+struct PromptCrashBuilder;
+struct PromptCrashT;
+
+struct PromptPart;
+struct PromptPartBuilder;
+struct PromptPartT;
+
 struct Settings;
 struct SettingsBuilder;
 struct SettingsT;
@@ -72,6 +80,22 @@
 struct DropEndpointsBuilder;
 struct DropEndpointsT;
 
+struct CrashSuspect;
+struct CrashSuspectBuilder;
+struct CrashSuspectT;
+
+struct ReportPromptCrash;
+struct ReportPromptCrashBuilder;
+struct ReportPromptCrashT;
+
+struct ClearPromptParts;
+struct ClearPromptPartsBuilder;
+struct ClearPromptPartsT;
+
+struct TryPromptPart;
+struct TryPromptPartBuilder;
+struct TryPromptPartT;
+
 struct StoredAnswer;
 struct StoredAnswerBuilder;
 struct StoredAnswerT;
@@ -296,11 +320,14 @@
   FinishOrder = 13,
   PutDocument = 14,
   SuspectEndpoint = 15,
+  ReportPromptCrash = 16,
+  ClearPromptParts = 17,
+  TryPromptPart = 18,
   MIN = NONE,
-  MAX = SuspectEndpoint
+  MAX = TryPromptPart
 };
 
-inline const CommandBody (&EnumValuesCommandBody())[16] {
+inline const CommandBody (&EnumValuesCommandBody())[19] {
   static const CommandBody values[] = {
     CommandBody::NONE,
     CommandBody::ApplyChange,
@@ -317,13 +344,16 @@
     CommandBody::IssueOrder,
     CommandBody::FinishOrder,
     CommandBody::PutDocument,
-    CommandBody::SuspectEndpoint
+    CommandBody::SuspectEndpoint,
+    CommandBody::ReportPromptCrash,
+    CommandBody::ClearPromptParts,
+    CommandBody::TryPromptPart
   };
   return values;
 }
 
 inline const char * const *EnumNamesCommandBody() {
-  static const char * const names[17] = {
+  static const char * const names[20] = {
     "NONE",
     "ApplyChange",
     "AnnounceEndpoint",
@@ -340,13 +370,16 @@
     "FinishOrder",
     "PutDocument",
     "SuspectEndpoint",
+    "ReportPromptCrash",
+    "ClearPromptParts",
+    "TryPromptPart",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameCommandBody(CommandBody e) {
-  if (flatbuffers::IsOutRange(e, CommandBody::NONE, CommandBody::SuspectEndpoint)) return "";
+  if (flatbuffers::IsOutRange(e, CommandBody::NONE, CommandBody::TryPromptPart)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesCommandBody()[index];
 }
@@ -415,6 +448,18 @@
   static const CommandBody enum_value = CommandBody::SuspectEndpoint;
 };
 
+template<> struct CommandBodyTraits<parsleycove::state::ReportPromptCrash> {
+  static const CommandBody enum_value = CommandBody::ReportPromptCrash;
+};
+
+template<> struct CommandBodyTraits<parsleycove::state::ClearPromptParts> {
+  static const CommandBody enum_value = CommandBody::ClearPromptParts;
+};
+
+template<> struct CommandBodyTraits<parsleycove::state::TryPromptPart> {
+  static const CommandBody enum_value = CommandBody::TryPromptPart;
+};
+
 template<typename T> struct CommandBodyUnionTraits {
   static const CommandBody enum_value = CommandBody::NONE;
 };
@@ -479,6 +524,18 @@
   static const CommandBody enum_value = CommandBody::SuspectEndpoint;
 };
 
+template<> struct CommandBodyUnionTraits<parsleycove::state::ReportPromptCrashT> {
+  static const CommandBody enum_value = CommandBody::ReportPromptCrash;
+};
+
+template<> struct CommandBodyUnionTraits<parsleycove::state::ClearPromptPartsT> {
+  static const CommandBody enum_value = CommandBody::ClearPromptParts;
+};
+
+template<> struct CommandBodyUnionTraits<parsleycove::state::TryPromptPartT> {
+  static const CommandBody enum_value = CommandBody::TryPromptPart;
+};
+
 struct CommandBodyUnion {
   CommandBody type;
   void *value;
@@ -629,6 +686,30 @@
     return type == CommandBody::SuspectEndpoint ?
       reinterpret_cast<const parsleycove::state::SuspectEndpointT *>(value) : nullptr;
   }
+  parsleycove::state::ReportPromptCrashT *AsReportPromptCrash() {
+    return type == CommandBody::ReportPromptCrash ?
+      reinterpret_cast<parsleycove::state::ReportPromptCrashT *>(value) : nullptr;
+  }
+  const parsleycove::state::ReportPromptCrashT *AsReportPromptCrash() const {
+    return type == CommandBody::ReportPromptCrash ?
+      reinterpret_cast<const parsleycove::state::ReportPromptCrashT *>(value) : nullptr;
+  }
+  parsleycove::state::ClearPromptPartsT *AsClearPromptParts() {
+    return type == CommandBody::ClearPromptParts ?
+      reinterpret_cast<parsleycove::state::ClearPromptPartsT *>(value) : nullptr;
+  }
+  const parsleycove::state::ClearPromptPartsT *AsClearPromptParts() const {
+    return type == CommandBody::ClearPromptParts ?
+      reinterpret_cast<const parsleycove::state::ClearPromptPartsT *>(value) : nullptr;
+  }
+  parsleycove::state::TryPromptPartT *AsTryPromptPart() {
+    return type == CommandBody::TryPromptPart ?
+      reinterpret_cast<parsleycove::state::TryPromptPartT *>(value) : nullptr;
+  }
+  const parsleycove::state::TryPromptPartT *AsTryPromptPart() const {
+    return type == CommandBody::TryPromptPart ?
+      reinterpret_cast<const parsleycove::state::TryPromptPartT *>(value) : nullptr;
+  }
 };
 
 bool VerifyCommandBody(flatbuffers::Verifier &verifier, const void *obj, CommandBody type);
@@ -1494,6 +1575,245 @@
 
 flatbuffers::Offset<RoutingDocument> CreateRoutingDocument(flatbuffers::FlatBufferBuilder &_fbb, const RoutingDocumentT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct PromptCrashT : public flatbuffers::NativeTable {
+  typedef PromptCrash TableType;
+  std::unique_ptr<parsleycove::state::EndpointRefT> endpoint{};
+  std::string attempt{};
+  uint64_t unix_ms = 0;
+  PromptCrashT() = default;
+  PromptCrashT(const PromptCrashT &o);
+  PromptCrashT(PromptCrashT&&) FLATBUFFERS_NOEXCEPT = default;
+  PromptCrashT &operator=(PromptCrashT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct PromptCrash FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PromptCrashT NativeTableType;
+  typedef PromptCrashBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ENDPOINT = 4,
+    VT_ATTEMPT = 6,
+    VT_UNIX_MS = 8
+  };
+  const parsleycove::state::EndpointRef *endpoint() const {
+    return GetPointer<const parsleycove::state::EndpointRef *>(VT_ENDPOINT);
+  }
+  const flatbuffers::String *attempt() const {
+    return GetPointer<const flatbuffers::String *>(VT_ATTEMPT);
+  }
+  uint64_t unix_ms() const {
+    return GetField<uint64_t>(VT_UNIX_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ENDPOINT) &&
+           verifier.VerifyTable(endpoint()) &&
+           VerifyOffset(verifier, VT_ATTEMPT) &&
+           verifier.VerifyString(attempt()) &&
+           VerifyField<uint64_t>(verifier, VT_UNIX_MS, 8) &&
+           verifier.EndTable();
+  }
+  PromptCrashT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(PromptCrashT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<PromptCrash> Pack(flatbuffers::FlatBufferBuilder &_fbb, const PromptCrashT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct PromptCrashBuilder {
+  typedef PromptCrash Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_endpoint(flatbuffers::Offset<parsleycove::state::EndpointRef> endpoint) {
+    fbb_.AddOffset(PromptCrash::VT_ENDPOINT, endpoint);
+  }
+  void add_attempt(flatbuffers::Offset<flatbuffers::String> attempt) {
+    fbb_.AddOffset(PromptCrash::VT_ATTEMPT, attempt);
+  }
+  void add_unix_ms(uint64_t unix_ms) {
+    fbb_.AddElement<uint64_t>(PromptCrash::VT_UNIX_MS, unix_ms, 0);
+  }
+  explicit PromptCrashBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PromptCrash> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PromptCrash>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PromptCrash> CreatePromptCrash(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<parsleycove::state::EndpointRef> endpoint = 0,
+    flatbuffers::Offset<flatbuffers::String> attempt = 0,
+    uint64_t unix_ms = 0) {
+  PromptCrashBuilder builder_(_fbb);
+  builder_.add_unix_ms(unix_ms);
+  builder_.add_attempt(attempt);
+  builder_.add_endpoint(endpoint);
+  return builder_.Finish();
+}
+
+struct PromptCrash::Traits {
+  using type = PromptCrash;
+  static auto constexpr Create = CreatePromptCrash;
+};
+
+inline flatbuffers::Offset<PromptCrash> CreatePromptCrashDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<parsleycove::state::EndpointRef> endpoint = 0,
+    const char *attempt = nullptr,
+    uint64_t unix_ms = 0) {
+  auto attempt__ = attempt ? _fbb.CreateString(attempt) : 0;
+  return parsleycove::state::CreatePromptCrash(
+      _fbb,
+      endpoint,
+      attempt__,
+      unix_ms);
+}
+
+flatbuffers::Offset<PromptCrash> CreatePromptCrash(flatbuffers::FlatBufferBuilder &_fbb, const PromptCrashT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct PromptPartT : public flatbuffers::NativeTable {
+  typedef PromptPart TableType;
+  std::string id{};
+  std::vector<std::unique_ptr<parsleycove::state::PromptCrashT>> crashes{};
+  uint64_t quarantined_unix_ms = 0;
+  uint32_t trials = 0;
+  uint64_t trial_unix_ms = 0;
+  uint64_t cleared_unix_ms = 0;
+  PromptPartT() = default;
+  PromptPartT(const PromptPartT &o);
+  PromptPartT(PromptPartT&&) FLATBUFFERS_NOEXCEPT = default;
+  PromptPartT &operator=(PromptPartT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct PromptPart FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PromptPartT NativeTableType;
+  typedef PromptPartBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_CRASHES = 6,
+    VT_QUARANTINED_UNIX_MS = 8,
+    VT_TRIALS = 10,
+    VT_TRIAL_UNIX_MS = 12,
+    VT_CLEARED_UNIX_MS = 14
+  };
+  const flatbuffers::String *id() const {
+    return GetPointer<const flatbuffers::String *>(VT_ID);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<parsleycove::state::PromptCrash>> *crashes() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<parsleycove::state::PromptCrash>> *>(VT_CRASHES);
+  }
+  uint64_t quarantined_unix_ms() const {
+    return GetField<uint64_t>(VT_QUARANTINED_UNIX_MS, 0);
+  }
+  uint32_t trials() const {
+    return GetField<uint32_t>(VT_TRIALS, 0);
+  }
+  uint64_t trial_unix_ms() const {
+    return GetField<uint64_t>(VT_TRIAL_UNIX_MS, 0);
+  }
+  uint64_t cleared_unix_ms() const {
+    return GetField<uint64_t>(VT_CLEARED_UNIX_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ID) &&
+           verifier.VerifyString(id()) &&
+           VerifyOffset(verifier, VT_CRASHES) &&
+           verifier.VerifyVector(crashes()) &&
+           verifier.VerifyVectorOfTables(crashes()) &&
+           VerifyField<uint64_t>(verifier, VT_QUARANTINED_UNIX_MS, 8) &&
+           VerifyField<uint32_t>(verifier, VT_TRIALS, 4) &&
+           VerifyField<uint64_t>(verifier, VT_TRIAL_UNIX_MS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_CLEARED_UNIX_MS, 8) &&
+           verifier.EndTable();
+  }
+  PromptPartT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(PromptPartT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<PromptPart> Pack(flatbuffers::FlatBufferBuilder &_fbb, const PromptPartT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct PromptPartBuilder {
+  typedef PromptPart Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(flatbuffers::Offset<flatbuffers::String> id) {
+    fbb_.AddOffset(PromptPart::VT_ID, id);
+  }
+  void add_crashes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<parsleycove::state::PromptCrash>>> crashes) {
+    fbb_.AddOffset(PromptPart::VT_CRASHES, crashes);
+  }
+  void add_quarantined_unix_ms(uint64_t quarantined_unix_ms) {
+    fbb_.AddElement<uint64_t>(PromptPart::VT_QUARANTINED_UNIX_MS, quarantined_unix_ms, 0);
+  }
+  void add_trials(uint32_t trials) {
+    fbb_.AddElement<uint32_t>(PromptPart::VT_TRIALS, trials, 0);
+  }
+  void add_trial_unix_ms(uint64_t trial_unix_ms) {
+    fbb_.AddElement<uint64_t>(PromptPart::VT_TRIAL_UNIX_MS, trial_unix_ms, 0);
+  }
+  void add_cleared_unix_ms(uint64_t cleared_unix_ms) {
+    fbb_.AddElement<uint64_t>(PromptPart::VT_CLEARED_UNIX_MS, cleared_unix_ms, 0);
+  }
+  explicit PromptPartBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PromptPart> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PromptPart>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PromptPart> CreatePromptPart(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> id = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<parsleycove::state::PromptCrash>>> crashes = 0,
+    uint64_t quarantined_unix_ms = 0,
+    uint32_t trials = 0,
+    uint64_t trial_unix_ms = 0,
+    uint64_t cleared_unix_ms = 0) {
+  PromptPartBuilder builder_(_fbb);
+  builder_.add_cleared_unix_ms(cleared_unix_ms);
+  builder_.add_trial_unix_ms(trial_unix_ms);
+  builder_.add_quarantined_unix_ms(quarantined_unix_ms);
+  builder_.add_trials(trials);
+  builder_.add_crashes(crashes);
+  builder_.add_id(id);
+  return builder_.Finish();
+}
+
+struct PromptPart::Traits {
+  using type = PromptPart;
+  static auto constexpr Create = CreatePromptPart;
+};
+
+inline flatbuffers::Offset<PromptPart> CreatePromptPartDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *id = nullptr,
+    const std::vector<flatbuffers::Offset<parsleycove::state::PromptCrash>> *crashes = nullptr,
+    uint64_t quarantined_unix_ms = 0,
+    uint32_t trials = 0,
+    uint64_t trial_unix_ms = 0,
+    uint64_t cleared_unix_ms = 0) {
+  auto id__ = id ? _fbb.CreateString(id) : 0;
+  auto crashes__ = crashes ? _fbb.CreateVector<flatbuffers::Offset<parsleycove::state::PromptCrash>>(*crashes) : 0;
+  return parsleycove::state::CreatePromptPart(
+      _fbb,
+      id__,
+      crashes__,
+      quarantined_unix_ms,
+      trials,
+      trial_unix_ms,
+      cleared_unix_ms);
+}
+
+flatbuffers::Offset<PromptPart> CreatePromptPart(flatbuffers::FlatBufferBuilder &_fbb, const PromptPartT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct SettingsT : public flatbuffers::NativeTable {
   typedef Settings TableType;
   uint64_t shutdown_unix_ms = 0;
@@ -2153,96 +2473,458 @@
   return builder_.Finish();
 }
 
-struct SuspectEndpoint::Traits {
-  using type = SuspectEndpoint;
-  static auto constexpr Create = CreateSuspectEndpoint;
+struct SuspectEndpoint::Traits {
+  using type = SuspectEndpoint;
+  static auto constexpr Create = CreateSuspectEndpoint;
+};
+
+inline flatbuffers::Offset<SuspectEndpoint> CreateSuspectEndpointDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<parsleycove::state::EndpointRef> endpoint = 0,
+    const char *unsure_gateway = nullptr) {
+  auto unsure_gateway__ = unsure_gateway ? _fbb.CreateString(unsure_gateway) : 0;
+  return parsleycove::state::CreateSuspectEndpoint(
+      _fbb,
+      endpoint,
+      unsure_gateway__);
+}
+
+flatbuffers::Offset<SuspectEndpoint> CreateSuspectEndpoint(flatbuffers::FlatBufferBuilder &_fbb, const SuspectEndpointT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct DropEndpointsT : public flatbuffers::NativeTable {
+  typedef DropEndpoints TableType;
+  std::vector<std::unique_ptr<parsleycove::state::EndpointRefT>> endpoints{};
+  DropEndpointsT() = default;
+  DropEndpointsT(const DropEndpointsT &o);
+  DropEndpointsT(DropEndpointsT&&) FLATBUFFERS_NOEXCEPT = default;
+  DropEndpointsT &operator=(DropEndpointsT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct DropEndpoints FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef DropEndpointsT NativeTableType;
+  typedef DropEndpointsBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ENDPOINTS = 4
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<parsleycove::state::EndpointRef>> *endpoints() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<parsleycove::state::EndpointRef>> *>(VT_ENDPOINTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ENDPOINTS) &&
+           verifier.VerifyVector(endpoints()) &&
+           verifier.VerifyVectorOfTables(endpoints()) &&
+           verifier.EndTable();
+  }
+  DropEndpointsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(DropEndpointsT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<DropEndpoints> Pack(flatbuffers::FlatBufferBuilder &_fbb, const DropEndpointsT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct DropEndpointsBuilder {
+  typedef DropEndpoints Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_endpoints(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<parsleycove::state::EndpointRef>>> endpoints) {
+    fbb_.AddOffset(DropEndpoints::VT_ENDPOINTS, endpoints);
+  }
+  explicit DropEndpointsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<DropEndpoints> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<DropEndpoints>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<DropEndpoints> CreateDropEndpoints(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<parsleycove::state::EndpointRef>>> endpoints = 0) {
+  DropEndpointsBuilder builder_(_fbb);
+  builder_.add_endpoints(endpoints);
+  return builder_.Finish();
+}
+
+struct DropEndpoints::Traits {
+  using type = DropEndpoints;
+  static auto constexpr Create = CreateDropEndpoints;
+};
+
+inline flatbuffers::Offset<DropEndpoints> CreateDropEndpointsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<parsleycove::state::EndpointRef>> *endpoints = nullptr) {
+  auto endpoints__ = endpoints ? _fbb.CreateVector<flatbuffers::Offset<parsleycove::state::EndpointRef>>(*endpoints) : 0;
+  return parsleycove::state::CreateDropEndpoints(
+      _fbb,
+      endpoints__);
+}
+
+flatbuffers::Offset<DropEndpoints> CreateDropEndpoints(flatbuffers::FlatBufferBuilder &_fbb, const DropEndpointsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct CrashSuspectT : public flatbuffers::NativeTable {
+  typedef CrashSuspect TableType;
+  std::string attempt{};
+  std::vector<std::string> parts{};
+};
+
+struct CrashSuspect FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef CrashSuspectT NativeTableType;
+  typedef CrashSuspectBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ATTEMPT = 4,
+    VT_PARTS = 6
+  };
+  const flatbuffers::String *attempt() const {
+    return GetPointer<const flatbuffers::String *>(VT_ATTEMPT);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *parts() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_PARTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ATTEMPT) &&
+           verifier.VerifyString(attempt()) &&
+           VerifyOffset(verifier, VT_PARTS) &&
+           verifier.VerifyVector(parts()) &&
+           verifier.VerifyVectorOfStrings(parts()) &&
+           verifier.EndTable();
+  }
+  CrashSuspectT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(CrashSuspectT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<CrashSuspect> Pack(flatbuffers::FlatBufferBuilder &_fbb, const CrashSuspectT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct CrashSuspectBuilder {
+  typedef CrashSuspect Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_attempt(flatbuffers::Offset<flatbuffers::String> attempt) {
+    fbb_.AddOffset(CrashSuspect::VT_ATTEMPT, attempt);
+  }
+  void add_parts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> parts) {
+    fbb_.AddOffset(CrashSuspect::VT_PARTS, parts);
+  }
+  explicit CrashSuspectBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<CrashSuspect> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<CrashSuspect>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<CrashSuspect> CreateCrashSuspect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> attempt = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> parts = 0) {
+  CrashSuspectBuilder builder_(_fbb);
+  builder_.add_parts(parts);
+  builder_.add_attempt(attempt);
+  return builder_.Finish();
+}
+
+struct CrashSuspect::Traits {
+  using type = CrashSuspect;
+  static auto constexpr Create = CreateCrashSuspect;
+};
+
+inline flatbuffers::Offset<CrashSuspect> CreateCrashSuspectDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *attempt = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *parts = nullptr) {
+  auto attempt__ = attempt ? _fbb.CreateString(attempt) : 0;
+  auto parts__ = parts ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*parts) : 0;
+  return parsleycove::state::CreateCrashSuspect(
+      _fbb,
+      attempt__,
+      parts__);
+}
+
+flatbuffers::Offset<CrashSuspect> CreateCrashSuspect(flatbuffers::FlatBufferBuilder &_fbb, const CrashSuspectT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct ReportPromptCrashT : public flatbuffers::NativeTable {
+  typedef ReportPromptCrash TableType;
+  std::unique_ptr<parsleycove::state::EndpointRefT> endpoint{};
+  std::vector<std::unique_ptr<parsleycove::state::CrashSuspectT>> suspects{};
+  uint64_t unix_ms = 0;
+  ReportPromptCrashT() = default;
+  ReportPromptCrashT(const ReportPromptCrashT &o);
+  ReportPromptCrashT(ReportPromptCrashT&&) FLATBUFFERS_NOEXCEPT = default;
+  ReportPromptCrashT &operator=(ReportPromptCrashT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct ReportPromptCrash FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ReportPromptCrashT NativeTableType;
+  typedef ReportPromptCrashBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ENDPOINT = 4,
+    VT_SUSPECTS = 6,
+    VT_UNIX_MS = 8
+  };
+  const parsleycove::state::EndpointRef *endpoint() const {
+    return GetPointer<const parsleycove::state::EndpointRef *>(VT_ENDPOINT);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<parsleycove::state::CrashSuspect>> *suspects() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<parsleycove::state::CrashSuspect>> *>(VT_SUSPECTS);
+  }
+  uint64_t unix_ms() const {
+    return GetField<uint64_t>(VT_UNIX_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ENDPOINT) &&
+           verifier.VerifyTable(endpoint()) &&
+           VerifyOffset(verifier, VT_SUSPECTS) &&
+           verifier.VerifyVector(suspects()) &&
+           verifier.VerifyVectorOfTables(suspects()) &&
+           VerifyField<uint64_t>(verifier, VT_UNIX_MS, 8) &&
+           verifier.EndTable();
+  }
+  ReportPromptCrashT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ReportPromptCrashT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ReportPromptCrash> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ReportPromptCrashT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ReportPromptCrashBuilder {
+  typedef ReportPromptCrash Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_endpoint(flatbuffers::Offset<parsleycove::state::EndpointRef> endpoint) {
+    fbb_.AddOffset(ReportPromptCrash::VT_ENDPOINT, endpoint);
+  }
+  void add_suspects(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<parsleycove::state::CrashSuspect>>> suspects) {
+    fbb_.AddOffset(ReportPromptCrash::VT_SUSPECTS, suspects);
+  }
+  void add_unix_ms(uint64_t unix_ms) {
+    fbb_.AddElement<uint64_t>(ReportPromptCrash::VT_UNIX_MS, unix_ms, 0);
+  }
+  explicit ReportPromptCrashBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ReportPromptCrash> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ReportPromptCrash>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ReportPromptCrash> CreateReportPromptCrash(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<parsleycove::state::EndpointRef> endpoint = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<parsleycove::state::CrashSuspect>>> suspects = 0,
+    uint64_t unix_ms = 0) {
+  ReportPromptCrashBuilder builder_(_fbb);
+  builder_.add_unix_ms(unix_ms);
+  builder_.add_suspects(suspects);
+  builder_.add_endpoint(endpoint);
+  return builder_.Finish();
+}
+
+struct ReportPromptCrash::Traits {
+  using type = ReportPromptCrash;
+  static auto constexpr Create = CreateReportPromptCrash;
+};
+
+inline flatbuffers::Offset<ReportPromptCrash> CreateReportPromptCrashDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<parsleycove::state::EndpointRef> endpoint = 0,
+    const std::vector<flatbuffers::Offset<parsleycove::state::CrashSuspect>> *suspects = nullptr,
+    uint64_t unix_ms = 0) {
+  auto suspects__ = suspects ? _fbb.CreateVector<flatbuffers::Offset<parsleycove::state::CrashSuspect>>(*suspects) : 0;
+  return parsleycove::state::CreateReportPromptCrash(
+      _fbb,
+      endpoint,
+      suspects__,
+      unix_ms);
+}
+
+flatbuffers::Offset<ReportPromptCrash> CreateReportPromptCrash(flatbuffers::FlatBufferBuilder &_fbb, const ReportPromptCrashT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct ClearPromptPartsT : public flatbuffers::NativeTable {
+  typedef ClearPromptParts TableType;
+  std::vector<std::string> parts{};
+  uint64_t unix_ms = 0;
+};
+
+struct ClearPromptParts FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ClearPromptPartsT NativeTableType;
+  typedef ClearPromptPartsBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_PARTS = 4,
+    VT_UNIX_MS = 6
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *parts() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_PARTS);
+  }
+  uint64_t unix_ms() const {
+    return GetField<uint64_t>(VT_UNIX_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_PARTS) &&
+           verifier.VerifyVector(parts()) &&
+           verifier.VerifyVectorOfStrings(parts()) &&
+           VerifyField<uint64_t>(verifier, VT_UNIX_MS, 8) &&
+           verifier.EndTable();
+  }
+  ClearPromptPartsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ClearPromptPartsT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ClearPromptParts> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ClearPromptPartsT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ClearPromptPartsBuilder {
+  typedef ClearPromptParts Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_parts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> parts) {
+    fbb_.AddOffset(ClearPromptParts::VT_PARTS, parts);
+  }
+  void add_unix_ms(uint64_t unix_ms) {
+    fbb_.AddElement<uint64_t>(ClearPromptParts::VT_UNIX_MS, unix_ms, 0);
+  }
+  explicit ClearPromptPartsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ClearPromptParts> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ClearPromptParts>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ClearPromptParts> CreateClearPromptParts(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> parts = 0,
+    uint64_t unix_ms = 0) {
+  ClearPromptPartsBuilder builder_(_fbb);
+  builder_.add_unix_ms(unix_ms);
+  builder_.add_parts(parts);
+  return builder_.Finish();
+}
+
+struct ClearPromptParts::Traits {
+  using type = ClearPromptParts;
+  static auto constexpr Create = CreateClearPromptParts;
 };
 
-inline flatbuffers::Offset<SuspectEndpoint> CreateSuspectEndpointDirect(
+inline flatbuffers::Offset<ClearPromptParts> CreateClearPromptPartsDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<parsleycove::state::EndpointRef> endpoint = 0,
-    const char *unsure_gateway = nullptr) {
-  auto unsure_gateway__ = unsure_gateway ? _fbb.CreateString(unsure_gateway) : 0;
-  return parsleycove::state::CreateSuspectEndpoint(
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *parts = nullptr,
+    uint64_t unix_ms = 0) {
+  auto parts__ = parts ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*parts) : 0;
+  return parsleycove::state::CreateClearPromptParts(
       _fbb,
-      endpoint,
-      unsure_gateway__);
+      parts__,
+      unix_ms);
 }
 
-flatbuffers::Offset<SuspectEndpoint> CreateSuspectEndpoint(flatbuffers::FlatBufferBuilder &_fbb, const SuspectEndpointT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+flatbuffers::Offset<ClearPromptParts> CreateClearPromptParts(flatbuffers::FlatBufferBuilder &_fbb, const ClearPromptPartsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct DropEndpointsT : public flatbuffers::NativeTable {
-  typedef DropEndpoints TableType;
-  std::vector<std::unique_ptr<parsleycove::state::EndpointRefT>> endpoints{};
-  DropEndpointsT() = default;
-  DropEndpointsT(const DropEndpointsT &o);
-  DropEndpointsT(DropEndpointsT&&) FLATBUFFERS_NOEXCEPT = default;
-  DropEndpointsT &operator=(DropEndpointsT o) FLATBUFFERS_NOEXCEPT;
+struct TryPromptPartT : public flatbuffers::NativeTable {
+  typedef TryPromptPart TableType;
+  std::string part{};
+  std::string attempt{};
+  uint64_t unix_ms = 0;
 };
 
-struct DropEndpoints FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef DropEndpointsT NativeTableType;
-  typedef DropEndpointsBuilder Builder;
+struct TryPromptPart FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef TryPromptPartT NativeTableType;
+  typedef TryPromptPartBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_ENDPOINTS = 4
+    VT_PART = 4,
+    VT_ATTEMPT = 6,
+    VT_UNIX_MS = 8
   };
-  const flatbuffers::Vector<flatbuffers::Offset<parsleycove::state::EndpointRef>> *endpoints() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<parsleycove::state::EndpointRef>> *>(VT_ENDPOINTS);
+  const flatbuffers::String *part() const {
+    return GetPointer<const flatbuffers::String *>(VT_PART);
+  }
+  const flatbuffers::String *attempt() const {
+    return GetPointer<const flatbuffers::String *>(VT_ATTEMPT);
+  }
+  uint64_t unix_ms() const {
+    return GetField<uint64_t>(VT_UNIX_MS, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyOffset(verifier, VT_ENDPOINTS) &&
-           verifier.VerifyVector(endpoints()) &&
-           verifier.VerifyVectorOfTables(endpoints()) &&
+           VerifyOffset(verifier, VT_PART) &&
+           verifier.VerifyString(part()) &&
+           VerifyOffset(verifier, VT_ATTEMPT) &&
+           verifier.VerifyString(attempt()) &&
+           VerifyField<uint64_t>(verifier, VT_UNIX_MS, 8) &&
            verifier.EndTable();
   }
-  DropEndpointsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(DropEndpointsT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<DropEndpoints> Pack(flatbuffers::FlatBufferBuilder &_fbb, const DropEndpointsT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+  TryPromptPartT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(TryPromptPartT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<TryPromptPart> Pack(flatbuffers::FlatBufferBuilder &_fbb, const TryPromptPartT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
-struct DropEndpointsBuilder {
-  typedef DropEndpoints Table;
+struct TryPromptPartBuilder {
+  typedef TryPromptPart Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_endpoints(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<parsleycove::state::EndpointRef>>> endpoints) {
-    fbb_.AddOffset(DropEndpoints::VT_ENDPOINTS, endpoints);
+  void add_part(flatbuffers::Offset<flatbuffers::String> part) {
+    fbb_.AddOffset(TryPromptPart::VT_PART, part);
   }
-  explicit DropEndpointsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  void add_attempt(flatbuffers::Offset<flatbuffers::String> attempt) {
+    fbb_.AddOffset(TryPromptPart::VT_ATTEMPT, attempt);
+  }
+  void add_unix_ms(uint64_t unix_ms) {
+    fbb_.AddElement<uint64_t>(TryPromptPart::VT_UNIX_MS, unix_ms, 0);
+  }
+  explicit TryPromptPartBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<DropEndpoints> Finish() {
+  flatbuffers::Offset<TryPromptPart> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<DropEndpoints>(end);
+    auto o = flatbuffers::Offset<TryPromptPart>(end);
     return o;
   }
 };
 
-inline flatbuffers::Offset<DropEndpoints> CreateDropEndpoints(
+inline flatbuffers::Offset<TryPromptPart> CreateTryPromptPart(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<parsleycove::state::EndpointRef>>> endpoints = 0) {
-  DropEndpointsBuilder builder_(_fbb);
-  builder_.add_endpoints(endpoints);
+    flatbuffers::Offset<flatbuffers::String> part = 0,
+    flatbuffers::Offset<flatbuffers::String> attempt = 0,
+    uint64_t unix_ms = 0) {
+  TryPromptPartBuilder builder_(_fbb);
+  builder_.add_unix_ms(unix_ms);
+  builder_.add_attempt(attempt);
+  builder_.add_part(part);
   return builder_.Finish();
 }
 
-struct DropEndpoints::Traits {
-  using type = DropEndpoints;
-  static auto constexpr Create = CreateDropEndpoints;
+struct TryPromptPart::Traits {
+  using type = TryPromptPart;
+  static auto constexpr Create = CreateTryPromptPart;
 };
 
-inline flatbuffers::Offset<DropEndpoints> CreateDropEndpointsDirect(
+inline flatbuffers::Offset<TryPromptPart> CreateTryPromptPartDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const std::vector<flatbuffers::Offset<parsleycove::state::EndpointRef>> *endpoints = nullptr) {
-  auto endpoints__ = endpoints ? _fbb.CreateVector<flatbuffers::Offset<parsleycove::state::EndpointRef>>(*endpoints) : 0;
-  return parsleycove::state::CreateDropEndpoints(
+    const char *part = nullptr,
+    const char *attempt = nullptr,
+    uint64_t unix_ms = 0) {
+  auto part__ = part ? _fbb.CreateString(part) : 0;
+  auto attempt__ = attempt ? _fbb.CreateString(attempt) : 0;
+  return parsleycove::state::CreateTryPromptPart(
       _fbb,
-      endpoints__);
+      part__,
+      attempt__,
+      unix_ms);
 }
 
-flatbuffers::Offset<DropEndpoints> CreateDropEndpoints(flatbuffers::FlatBufferBuilder &_fbb, const DropEndpointsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+flatbuffers::Offset<TryPromptPart> CreateTryPromptPart(flatbuffers::FlatBufferBuilder &_fbb, const TryPromptPartT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
 struct StoredAnswerT : public flatbuffers::NativeTable {
   typedef StoredAnswer TableType;
@@ -3737,6 +4419,15 @@
   const parsleycove::state::SuspectEndpoint *body_as_SuspectEndpoint() const {
     return body_type() == parsleycove::state::CommandBody::SuspectEndpoint ? static_cast<const parsleycove::state::SuspectEndpoint *>(body()) : nullptr;
   }
+  const parsleycove::state::ReportPromptCrash *body_as_ReportPromptCrash() const {
+    return body_type() == parsleycove::state::CommandBody::ReportPromptCrash ? static_cast<const parsleycove::state::ReportPromptCrash *>(body()) : nullptr;
+  }
+  const parsleycove::state::ClearPromptParts *body_as_ClearPromptParts() const {
+    return body_type() == parsleycove::state::CommandBody::ClearPromptParts ? static_cast<const parsleycove::state::ClearPromptParts *>(body()) : nullptr;
+  }
+  const parsleycove::state::TryPromptPart *body_as_TryPromptPart() const {
+    return body_type() == parsleycove::state::CommandBody::TryPromptPart ? static_cast<const parsleycove::state::TryPromptPart *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -3809,6 +4500,18 @@
   return body_as_SuspectEndpoint();
 }
 
+template<> inline const parsleycove::state::ReportPromptCrash *Command::body_as<parsleycove::state::ReportPromptCrash>() const {
+  return body_as_ReportPromptCrash();
+}
+
+template<> inline const parsleycove::state::ClearPromptParts *Command::body_as<parsleycove::state::ClearPromptParts>() const {
+  return body_as_ClearPromptParts();
+}
+
+template<> inline const parsleycove::state::TryPromptPart *Command::body_as<parsleycove::state::TryPromptPart>() const {
+  return body_as_TryPromptPart();
+}
+
 struct CommandBuilder {
   typedef Command Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -4038,6 +4741,7 @@
   std::vector<std::unique_ptr<parsleycove::state::EngineOrderT>> orders{};
   std::unique_ptr<parsleycove::state::SettingsT> settings{};
   std::unique_ptr<parsleycove::state::RoutingDocumentT> document{};
+  std::vector<std::unique_ptr<parsleycove::state::PromptPartT>> prompt_parts{};
   ConfigImageT() = default;
   ConfigImageT(const ConfigImageT &o);
   ConfigImageT(ConfigImageT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -4058,7 +4762,8 @@
     VT_ENDPOINTS = 16,
     VT_ORDERS = 18,
     VT_SETTINGS = 20,
-    VT_DOCUMENT = 22
+    VT_DOCUMENT = 22,
+    VT_PROMPT_PARTS = 24
   };
   uint64_t revision() const {
     return GetField<uint64_t>(VT_REVISION, 0);
@@ -4090,6 +4795,9 @@
   const parsleycove::state::RoutingDocument *document() const {
     return GetPointer<const parsleycove::state::RoutingDocument *>(VT_DOCUMENT);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<parsleycove::state::PromptPart>> *prompt_parts() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<parsleycove::state::PromptPart>> *>(VT_PROMPT_PARTS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
@@ -4116,6 +4824,9 @@
            verifier.VerifyTable(settings()) &&
            VerifyOffset(verifier, VT_DOCUMENT) &&
            verifier.VerifyTable(document()) &&
+           VerifyOffset(verifier, VT_PROMPT_PARTS) &&
+           verifier.VerifyVector(prompt_parts()) &&
+           verifier.VerifyVectorOfTables(prompt_parts()) &&
            verifier.EndTable();
   }
   ConfigImageT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4157,6 +4868,9 @@
   void add_document(flatbuffers::Offset<parsleycove::state::RoutingDocument> document) {
     fbb_.AddOffset(ConfigImage::VT_DOCUMENT, document);
   }
+  void add_prompt_parts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<parsleycove::state::PromptPart>>> prompt_parts) {
+    fbb_.AddOffset(ConfigImage::VT_PROMPT_PARTS, prompt_parts);
+  }
   explicit ConfigImageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4179,10 +4893,12 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<parsleycove::state::Endpoint>>> endpoints = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<parsleycove::state::EngineOrder>>> orders = 0,
     flatbuffers::Offset<parsleycove::state::Settings> settings = 0,
-    flatbuffers::Offset<parsleycove::state::RoutingDocument> document = 0) {
+    flatbuffers::Offset<parsleycove::state::RoutingDocument> document = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<parsleycove::state::PromptPart>>> prompt_parts = 0) {
   ConfigImageBuilder builder_(_fbb);
   builder_.add_index(index);
   builder_.add_revision(revision);
+  builder_.add_prompt_parts(prompt_parts);
   builder_.add_document(document);
   builder_.add_settings(settings);
   builder_.add_orders(orders);
@@ -4210,13 +4926,15 @@
     const std::vector<flatbuffers::Offset<parsleycove::state::Endpoint>> *endpoints = nullptr,
     const std::vector<flatbuffers::Offset<parsleycove::state::EngineOrder>> *orders = nullptr,
     flatbuffers::Offset<parsleycove::state::Settings> settings = 0,
-    flatbuffers::Offset<parsleycove::state::RoutingDocument> document = 0) {
+    flatbuffers::Offset<parsleycove::state::RoutingDocument> document = 0,
+    const std::vector<flatbuffers::Offset<parsleycove::state::PromptPart>> *prompt_parts = nullptr) {
   auto classes__ = classes ? _fbb.CreateVector<flatbuffers::Offset<parsleycove::state::WorkClass>>(*classes) : 0;
   auto accounts__ = accounts ? _fbb.CreateVector<flatbuffers::Offset<parsleycove::state::ClientAccount>>(*accounts) : 0;
   auto models__ = models ? _fbb.CreateVector<flatbuffers::Offset<parsleycove::state::Model>>(*models) : 0;
   auto services__ = services ? _fbb.CreateVector<flatbuffers::Offset<parsleycove::state::Service>>(*services) : 0;
   auto endpoints__ = endpoints ? _fbb.CreateVector<flatbuffers::Offset<parsleycove::state::Endpoint>>(*endpoints) : 0;
   auto orders__ = orders ? _fbb.CreateVector<flatbuffers::Offset<parsleycove::state::EngineOrder>>(*orders) : 0;
+  auto prompt_parts__ = prompt_parts ? _fbb.CreateVector<flatbuffers::Offset<parsleycove::state::PromptPart>>(*prompt_parts) : 0;
   return parsleycove::state::CreateConfigImage(
       _fbb,
       revision,
@@ -4228,7 +4946,8 @@
       endpoints__,
       orders__,
       settings,
-      document);
+      document,
+      prompt_parts__);
 }
 
 flatbuffers::Offset<ConfigImage> CreateConfigImage(flatbuffers::FlatBufferBuilder &_fbb, const ConfigImageT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4931,6 +5650,112 @@
       _text);
 }
 
+inline PromptCrashT::PromptCrashT(const PromptCrashT &o)
+      : endpoint((o.endpoint) ? new parsleycove::state::EndpointRefT(*o.endpoint) : nullptr),
+        attempt(o.attempt),
+        unix_ms(o.unix_ms) {
+}
+
+inline PromptCrashT &PromptCrashT::operator=(PromptCrashT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(endpoint, o.endpoint);
+  std::swap(attempt, o.attempt);
+  std::swap(unix_ms, o.unix_ms);
+  return *this;
+}
+
+inline PromptCrashT *PromptCrash::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<PromptCrashT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void PromptCrash::UnPackTo(PromptCrashT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = endpoint(); if (_e) _o->endpoint = std::unique_ptr<parsleycove::state::EndpointRefT>(_e->UnPack(_resolver)); }
+  { auto _e = attempt(); if (_e) _o->attempt = _e->str(); }
+  { auto _e = unix_ms(); _o->unix_ms = _e; }
+}
+
+inline flatbuffers::Offset<PromptCrash> PromptCrash::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PromptCrashT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreatePromptCrash(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<PromptCrash> CreatePromptCrash(flatbuffers::FlatBufferBuilder &_fbb, const PromptCrashT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PromptCrashT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _endpoint = _o->endpoint ? CreateEndpointRef(_fbb, _o->endpoint.get(), _rehasher) : 0;
+  auto _attempt = _o->attempt.empty() ? 0 : _fbb.CreateString(_o->attempt);
+  auto _unix_ms = _o->unix_ms;
+  return parsleycove::state::CreatePromptCrash(
+      _fbb,
+      _endpoint,
+      _attempt,
+      _unix_ms);
+}
+
+inline PromptPartT::PromptPartT(const PromptPartT &o)
+      : id(o.id),
+        quarantined_unix_ms(o.quarantined_unix_ms),
+        trials(o.trials),
+        trial_unix_ms(o.trial_unix_ms),
+        cleared_unix_ms(o.cleared_unix_ms) {
+  crashes.reserve(o.crashes.size());
+  for (const auto &crashes_ : o.crashes) { crashes.emplace_back((crashes_) ? new parsleycove::state::PromptCrashT(*crashes_) : nullptr); }
+}
+
+inline PromptPartT &PromptPartT::operator=(PromptPartT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(id, o.id);
+  std::swap(crashes, o.crashes);
+  std::swap(quarantined_unix_ms, o.quarantined_unix_ms);
+  std::swap(trials, o.trials);
+  std::swap(trial_unix_ms, o.trial_unix_ms);
+  std::swap(cleared_unix_ms, o.cleared_unix_ms);
+  return *this;
+}
+
+inline PromptPartT *PromptPart::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<PromptPartT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void PromptPart::UnPackTo(PromptPartT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = id(); if (_e) _o->id = _e->str(); }
+  { auto _e = crashes(); if (_e) { _o->crashes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->crashes[_i] = std::unique_ptr<parsleycove::state::PromptCrashT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = quarantined_unix_ms(); _o->quarantined_unix_ms = _e; }
+  { auto _e = trials(); _o->trials = _e; }
+  { auto _e = trial_unix_ms(); _o->trial_unix_ms = _e; }
+  { auto _e = cleared_unix_ms(); _o->cleared_unix_ms = _e; }
+}
+
+inline flatbuffers::Offset<PromptPart> PromptPart::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PromptPartT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreatePromptPart(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<PromptPart> CreatePromptPart(flatbuffers::FlatBufferBuilder &_fbb, const PromptPartT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PromptPartT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _id = _o->id.empty() ? 0 : _fbb.CreateString(_o->id);
+  auto _crashes = _o->crashes.size() ? _fbb.CreateVector<flatbuffers::Offset<parsleycove::state::PromptCrash>> (_o->crashes.size(), [](size_t i, _VectorArgs *__va) { return CreatePromptCrash(*__va->__fbb, __va->__o->crashes[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _quarantined_unix_ms = _o->quarantined_unix_ms;
+  auto _trials = _o->trials;
+  auto _trial_unix_ms = _o->trial_unix_ms;
+  auto _cleared_unix_ms = _o->cleared_unix_ms;
+  return parsleycove::state::CreatePromptPart(
+      _fbb,
+      _id,
+      _crashes,
+      _quarantined_unix_ms,
+      _trials,
+      _trial_unix_ms,
+      _cleared_unix_ms);
+}
+
 inline SettingsT *Settings::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<SettingsT>();
   UnPackTo(_o.get(), _resolver);
@@ -5266,6 +6091,142 @@
       _endpoints);
 }
 
+inline CrashSuspectT *CrashSuspect::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<CrashSuspectT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void CrashSuspect::UnPackTo(CrashSuspectT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = attempt(); if (_e) _o->attempt = _e->str(); }
+  { auto _e = parts(); if (_e) { _o->parts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->parts[_i] = _e->Get(_i)->str(); } } }
+}
+
+inline flatbuffers::Offset<CrashSuspect> CrashSuspect::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CrashSuspectT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateCrashSuspect(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<CrashSuspect> CreateCrashSuspect(flatbuffers::FlatBufferBuilder &_fbb, const CrashSuspectT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const CrashSuspectT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _attempt = _o->attempt.empty() ? 0 : _fbb.CreateString(_o->attempt);
+  auto _parts = _o->parts.size() ? _fbb.CreateVectorOfStrings(_o->parts) : 0;
+  return parsleycove::state::CreateCrashSuspect(
+      _fbb,
+      _attempt,
+      _parts);
+}
+
+inline ReportPromptCrashT::ReportPromptCrashT(const ReportPromptCrashT &o)
+      : endpoint((o.endpoint) ? new parsleycove::state::EndpointRefT(*o.endpoint) : nullptr),
+        unix_ms(o.unix_ms) {
+  suspects.reserve(o.suspects.size());
+  for (const auto &suspects_ : o.suspects) { suspects.emplace_back((suspects_) ? new parsleycove::state::CrashSuspectT(*suspects_) : nullptr); }
+}
+
+inline ReportPromptCrashT &ReportPromptCrashT::operator=(ReportPromptCrashT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(endpoint, o.endpoint);
+  std::swap(suspects, o.suspects);
+  std::swap(unix_ms, o.unix_ms);
+  return *this;
+}
+
+inline ReportPromptCrashT *ReportPromptCrash::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ReportPromptCrashT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ReportPromptCrash::UnPackTo(ReportPromptCrashT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = endpoint(); if (_e) _o->endpoint = std::unique_ptr<parsleycove::state::EndpointRefT>(_e->UnPack(_resolver)); }
+  { auto _e = suspects(); if (_e) { _o->suspects.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->suspects[_i] = std::unique_ptr<parsleycove::state::CrashSuspectT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = unix_ms(); _o->unix_ms = _e; }
+}
+
+inline flatbuffers::Offset<ReportPromptCrash> ReportPromptCrash::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ReportPromptCrashT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateReportPromptCrash(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ReportPromptCrash> CreateReportPromptCrash(flatbuffers::FlatBufferBuilder &_fbb, const ReportPromptCrashT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ReportPromptCrashT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _endpoint = _o->endpoint ? CreateEndpointRef(_fbb, _o->endpoint.get(), _rehasher) : 0;
+  auto _suspects = _o->suspects.size() ? _fbb.CreateVector<flatbuffers::Offset<parsleycove::state::CrashSuspect>> (_o->suspects.size(), [](size_t i, _VectorArgs *__va) { return CreateCrashSuspect(*__va->__fbb, __va->__o->suspects[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _unix_ms = _o->unix_ms;
+  return parsleycove::state::CreateReportPromptCrash(
+      _fbb,
+      _endpoint,
+      _suspects,
+      _unix_ms);
+}
+
+inline ClearPromptPartsT *ClearPromptParts::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ClearPromptPartsT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ClearPromptParts::UnPackTo(ClearPromptPartsT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = parts(); if (_e) { _o->parts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->parts[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = unix_ms(); _o->unix_ms = _e; }
+}
+
+inline flatbuffers::Offset<ClearPromptParts> ClearPromptParts::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ClearPromptPartsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateClearPromptParts(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ClearPromptParts> CreateClearPromptParts(flatbuffers::FlatBufferBuilder &_fbb, const ClearPromptPartsT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ClearPromptPartsT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _parts = _o->parts.size() ? _fbb.CreateVectorOfStrings(_o->parts) : 0;
+  auto _unix_ms = _o->unix_ms;
+  return parsleycove::state::CreateClearPromptParts(
+      _fbb,
+      _parts,
+      _unix_ms);
+}
+
+inline TryPromptPartT *TryPromptPart::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<TryPromptPartT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void TryPromptPart::UnPackTo(TryPromptPartT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = part(); if (_e) _o->part = _e->str(); }
+  { auto _e = attempt(); if (_e) _o->attempt = _e->str(); }
+  { auto _e = unix_ms(); _o->unix_ms = _e; }
+}
+
+inline flatbuffers::Offset<TryPromptPart> TryPromptPart::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TryPromptPartT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateTryPromptPart(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<TryPromptPart> CreateTryPromptPart(flatbuffers::FlatBufferBuilder &_fbb, const TryPromptPartT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const TryPromptPartT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _part = _o->part.empty() ? 0 : _fbb.CreateString(_o->part);
+  auto _attempt = _o->attempt.empty() ? 0 : _fbb.CreateString(_o->attempt);
+  auto _unix_ms = _o->unix_ms;
+  return parsleycove::state::CreateTryPromptPart(
+      _fbb,
+      _part,
+      _attempt,
+      _unix_ms);
+}
+
 inline StoredAnswerT *StoredAnswer::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<StoredAnswerT>();
   UnPackTo(_o.get(), _resolver);
@@ -5935,6 +6896,8 @@
   for (const auto &endpoints_ : o.endpoints) { endpoints.emplace_back((endpoints_) ? new parsleycove::state::EndpointT(*endpoints_) : nullptr); }
   orders.reserve(o.orders.size());
   for (const auto &orders_ : o.orders) { orders.emplace_back((orders_) ? new parsleycove::state::EngineOrderT(*orders_) : nullptr); }
+  prompt_parts.reserve(o.prompt_parts.size());
+  for (const auto &prompt_parts_ : o.prompt_parts) { prompt_parts.emplace_back((prompt_parts_) ? new parsleycove::state::PromptPartT(*prompt_parts_) : nullptr); }
 }
 
 inline ConfigImageT &ConfigImageT::operator=(ConfigImageT o) FLATBUFFERS_NOEXCEPT {
@@ -5948,6 +6911,7 @@
   std::swap(orders, o.orders);
   std::swap(settings, o.settings);
   std::swap(document, o.document);
+  std::swap(prompt_parts, o.prompt_parts);
   return *this;
 }
 
@@ -5970,6 +6934,7 @@
   { auto _e = orders(); if (_e) { _o->orders.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->orders[_i] = std::unique_ptr<parsleycove::state::EngineOrderT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = settings(); if (_e) _o->settings = std::unique_ptr<parsleycove::state::SettingsT>(_e->UnPack(_resolver)); }
   { auto _e = document(); if (_e) _o->document = std::unique_ptr<parsleycove::state::RoutingDocumentT>(_e->UnPack(_resolver)); }
+  { auto _e = prompt_parts(); if (_e) { _o->prompt_parts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->prompt_parts[_i] = std::unique_ptr<parsleycove::state::PromptPartT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<ConfigImage> ConfigImage::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ConfigImageT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5990,6 +6955,7 @@
   auto _orders = _o->orders.size() ? _fbb.CreateVector<flatbuffers::Offset<parsleycove::state::EngineOrder>> (_o->orders.size(), [](size_t i, _VectorArgs *__va) { return CreateEngineOrder(*__va->__fbb, __va->__o->orders[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _settings = _o->settings ? CreateSettings(_fbb, _o->settings.get(), _rehasher) : 0;
   auto _document = _o->document ? CreateRoutingDocument(_fbb, _o->document.get(), _rehasher) : 0;
+  auto _prompt_parts = _o->prompt_parts.size() ? _fbb.CreateVector<flatbuffers::Offset<parsleycove::state::PromptPart>> (_o->prompt_parts.size(), [](size_t i, _VectorArgs *__va) { return CreatePromptPart(*__va->__fbb, __va->__o->prompt_parts[i].get(), __va->__rehasher); }, &_va ) : 0;
   return parsleycove::state::CreateConfigImage(
       _fbb,
       _revision,
@@ -6001,7 +6967,8 @@
       _endpoints,
       _orders,
       _settings,
-      _document);
+      _document,
+      _prompt_parts);
 }
 
 inline ChangeRecordT::ChangeRecordT(const ChangeRecordT &o)
@@ -6261,6 +7228,18 @@
       auto ptr = reinterpret_cast<const parsleycove::state::SuspectEndpoint *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case CommandBody::ReportPromptCrash: {
+      auto ptr = reinterpret_cast<const parsleycove::state::ReportPromptCrash *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case CommandBody::ClearPromptParts: {
+      auto ptr = reinterpret_cast<const parsleycove::state::ClearPromptParts *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case CommandBody::TryPromptPart: {
+      auto ptr = reinterpret_cast<const parsleycove::state::TryPromptPart *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -6340,6 +7319,18 @@
       auto ptr = reinterpret_cast<const parsleycove::state::SuspectEndpoint *>(obj);
       return ptr->UnPack(resolver);
     }
+    case CommandBody::ReportPromptCrash: {
+      auto ptr = reinterpret_cast<const parsleycove::state::ReportPromptCrash *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case CommandBody::ClearPromptParts: {
+      auto ptr = reinterpret_cast<const parsleycove::state::ClearPromptParts *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case CommandBody::TryPromptPart: {
+      auto ptr = reinterpret_cast<const parsleycove::state::TryPromptPart *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -6407,6 +7398,18 @@
       auto ptr = reinterpret_cast<const parsleycove::state::SuspectEndpointT *>(value);
       return CreateSuspectEndpoint(_fbb, ptr, _rehasher).Union();
     }
+    case CommandBody::ReportPromptCrash: {
+      auto ptr = reinterpret_cast<const parsleycove::state::ReportPromptCrashT *>(value);
+      return CreateReportPromptCrash(_fbb, ptr, _rehasher).Union();
+    }
+    case CommandBody::ClearPromptParts: {
+      auto ptr = reinterpret_cast<const parsleycove::state::ClearPromptPartsT *>(value);
+      return CreateClearPromptParts(_fbb, ptr, _rehasher).Union();
+    }
+    case CommandBody::TryPromptPart: {
+      auto ptr = reinterpret_cast<const parsleycove::state::TryPromptPartT *>(value);
+      return CreateTryPromptPart(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -6473,6 +7476,18 @@
       value = new parsleycove::state::SuspectEndpointT(*reinterpret_cast<parsleycove::state::SuspectEndpointT *>(u.value));
       break;
     }
+    case CommandBody::ReportPromptCrash: {
+      value = new parsleycove::state::ReportPromptCrashT(*reinterpret_cast<parsleycove::state::ReportPromptCrashT *>(u.value));
+      break;
+    }
+    case CommandBody::ClearPromptParts: {
+      value = new parsleycove::state::ClearPromptPartsT(*reinterpret_cast<parsleycove::state::ClearPromptPartsT *>(u.value));
+      break;
+    }
+    case CommandBody::TryPromptPart: {
+      value = new parsleycove::state::TryPromptPartT(*reinterpret_cast<parsleycove::state::TryPromptPartT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -6555,6 +7570,21 @@
       delete ptr;
       break;
     }
+    case CommandBody::ReportPromptCrash: {
+      auto ptr = reinterpret_cast<parsleycove::state::ReportPromptCrashT *>(value);
+      delete ptr;
+      break;
+    }
+    case CommandBody::ClearPromptParts: {
+      auto ptr = reinterpret_cast<parsleycove::state::ClearPromptPartsT *>(value);
+      delete ptr;
+      break;
+    }
+    case CommandBody::TryPromptPart: {
+      auto ptr = reinterpret_cast<parsleycove::state::TryPromptPartT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
