State: Add the table of prompt parts that crash engines

One shared part of the prompts may crash each engine that is about to answer it. The replicated state had no place for the gateways' evidence.

All times are the commands' own, and a command that is not Ok changes nothing, so that replicas and the gateways' copies stay equal.

--- a/Source/State/CommandTime.cxx
+++ b/Source/State/CommandTime.cxx
@@ -27,6 +27,12 @@
       return &aBody.AsResolveAction()->unix_ms;
     case state::CommandBody::GatewayGone:
       return &aBody.AsGatewayGone()->unix_ms;
+    case state::CommandBody::ReportPromptCrash:
+      return &aBody.AsReportPromptCrash()->unix_ms;
+    case state::CommandBody::ClearPromptParts:
+      return &aBody.AsClearPromptParts()->unix_ms;
+    case state::CommandBody::TryPromptPart:
+      return &aBody.AsTryPromptPart()->unix_ms;
     default:
       return nullptr;
   }
--- a/Source/State/ConfigState.cxx
+++ b/Source/State/ConfigState.cxx
@@ -9,6 +9,7 @@
 #include "State/EndpointRegistry.h"
 #include "State/NamedEntities.h"
 #include "State/OrderBook.h"
+#include "State/PromptPartTable.h"
 
 namespace parsleycove {
 
@@ -42,6 +43,9 @@
     case state::CommandBody::FinishOrder:
     case state::CommandBody::PutDocument:
     case state::CommandBody::SuspectEndpoint:
+    case state::CommandBody::ReportPromptCrash:
+    case state::CommandBody::ClearPromptParts:
+    case state::CommandBody::TryPromptPart:
       return aCommand.body.value != nullptr;
     default:
       return false;
@@ -65,6 +69,7 @@
   SortEntities(m_image.services);
   SortEntities(m_image.endpoints);
   SortEntities(m_image.orders);
+  SortEntities(m_image.prompt_parts);
   for (const auto& account : m_image.accounts) {
     m_accountOfKey.emplace(account->key_hash, account->name);
   }
@@ -109,6 +114,16 @@
     case state::CommandBody::SuspectEndpoint:
       ApplySuspect(m_image, *aCommand.body.AsSuspectEndpoint(), result);
       break;
+    case state::CommandBody::ReportPromptCrash:
+      ApplyPromptCrash(m_image, *aCommand.body.AsReportPromptCrash(), result);
+      break;
+    case state::CommandBody::ClearPromptParts:
+      ApplyClearPromptParts(
+        m_image, *aCommand.body.AsClearPromptParts(), result);
+      break;
+    case state::CommandBody::TryPromptPart:
+      ApplyTryPromptPart(m_image, *aCommand.body.AsTryPromptPart(), result);
+      break;
     case state::CommandBody::PutDocument:
       PutDocument(*aCommand.body.AsPutDocument(), result);
       break;
--- a/Source/State/ConfigState.h
+++ b/Source/State/ConfigState.h
@@ -9,7 +9,8 @@
 
 namespace parsleycove {
 
-// True for commands that configuration, registry or orders depend on.
+// True for commands that configuration, registry, orders or prompt parts depend
+// on.
 bool
 AffectsConfig(const state::CommandT& aCommand);
 
--- a/Source/State/NamedEntities.h
+++ b/Source/State/NamedEntities.h
@@ -34,6 +34,12 @@
   return aEntity.id;
 }
 
+inline const std::string&
+NameOfEntity(const state::PromptPartT& aEntity)
+{
+  return aEntity.id;
+}
+
 // Returns the position of the name, or the one at which it belongs.
 template<typename List>
 auto
--- a/Source/State/ReplicatedState.cxx
+++ b/Source/State/ReplicatedState.cxx
@@ -137,6 +137,9 @@
     case state::CommandBody::FinishOrder:
     case state::CommandBody::PutDocument:
     case state::CommandBody::SuspectEndpoint:
+    case state::CommandBody::ReportPromptCrash:
+    case state::CommandBody::ClearPromptParts:
+    case state::CommandBody::TryPromptPart:
       return m_config.Apply(aIndex, aCommand, m_lastUnixMs);
     default:
       break;
--- a/Source/State/StateImage.cxx
+++ b/Source/State/StateImage.cxx
@@ -7,6 +7,7 @@
 #include <flatbuffers/flatbuffers.h>
 
 #include "State/NamedEntities.h"
+#include "State/PromptPartTable.h"
 
 namespace parsleycove {
 
@@ -23,7 +24,8 @@
   const bool sorted =
     IsSortedAndUnique(aConfig.classes) && IsSortedAndUnique(aConfig.accounts) &&
     IsSortedAndUnique(aConfig.models) && IsSortedAndUnique(aConfig.services) &&
-    IsSortedAndUnique(aConfig.endpoints) && IsSortedAndUnique(aConfig.orders);
+    IsSortedAndUnique(aConfig.endpoints) && IsSortedAndUnique(aConfig.orders) &&
+    IsSortedAndUnique(aConfig.prompt_parts) && HasSoundPromptParts(aConfig);
   return sorted && std::all_of(aConfig.orders.begin(),
                                aConfig.orders.end(),
                                [](const auto& aOrder) {
