Routing: Collect evidence about prompt parts that crash engines

A core without input and output for the fault that one part of a prompt crashes each engine that begins to answer it. It pairs attempts that ended before their first event with engines whose end is certain, leaves out the parts on which an answer has begun in the last 30 s, and gives one report for each lost engine; it tells which suspected parts of the control group's table are known to be sound, spread over 150 ms; and it decides on a request by that table: serve, try, or refuse with the time of the next trial. Parts that always crashed together are refused only together, so that a request with one of them shows which is sound.

Evidence that is none: another start of the engine, an attempt that ended more than 2 s before, an engine that is only silent.

--- /dev/null
+++ b/Source/Routing/PromptPartGuard.cxx
@@ -0,0 +1,202 @@
+// Finds the parts of prompts that crash engines, and keeps requests with such
+// a part away from the engines.
+#include "Routing/PromptPartGuard.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "State/PromptPartChecks.h"
+#include "State/PromptPartTable.h"
+
+namespace parsleycove {
+
+namespace {
+
+bool
+Holds(PromptPartGuard::Parts aParts, std::string_view aPart)
+{
+  return std::find(aParts.begin(), aParts.end(), aPart) != aParts.end();
+}
+
+Duration
+UntilTrial(const state::PromptPartT& aPart, std::uint64_t aUnixMs)
+{
+  const std::uint64_t next = NextTrialUnixMs(aPart);
+  return std::chrono::milliseconds(next > aUnixMs ? next - aUnixMs : 0);
+}
+
+} // namespace
+
+PromptPartGuard::PromptPartGuard(std::uint64_t aSeed)
+  : m_random(aSeed)
+{
+}
+
+void
+PromptPartGuard::RecordBegun(TimePoint aNow, Parts aParts)
+{
+  for (const std::string_view part : aParts) {
+    const auto [entry, isNew] =
+      m_proved.insert_or_assign(std::string(part), aNow);
+    if (isNew) {
+      m_order.push_back(entry->first);
+    }
+  }
+  while (m_order.size() > kMaxProved) {
+    m_proved.erase(m_order.front());
+    m_order.pop_front();
+  }
+}
+
+bool
+PromptPartGuard::IsProved(TimePoint aNow, std::string_view aPart) const
+{
+  const auto entry = m_proved.find(std::string(aPart));
+  return entry != m_proved.end() && aNow - entry->second <= kProvedFor;
+}
+
+bool
+PromptPartGuard::AreProved(TimePoint aNow, Parts aParts) const
+{
+  return std::all_of(aParts.begin(), aParts.end(), [&](std::string_view aPart) {
+    return IsProved(aNow, aPart);
+  });
+}
+
+void
+PromptPartGuard::Forget(TimePoint aNow)
+{
+  while (!m_unanswered.empty() &&
+         (aNow - m_unanswered.front().m_at > kMatchWindow ||
+          m_unanswered.size() > kMaxUnanswered)) {
+    m_unanswered.pop_front();
+  }
+  std::erase_if(m_lostEngines, [&](const auto& aLost) {
+    return aNow - aLost.second > kMatchWindow;
+  });
+}
+
+void
+PromptPartGuard::RecordUnanswered(TimePoint aNow, UnansweredAttempt aAttempt)
+{
+  Forget(aNow);
+  for (const EngineStart& engine : aAttempt.m_engines) {
+    if (m_lostEngines.contains(engine)) {
+      AddSuspect(aNow, engine, aAttempt);
+    }
+  }
+  m_unanswered.push_back({ aNow, std::move(aAttempt) });
+}
+
+void
+PromptPartGuard::RecordLostEngine(TimePoint aNow, EngineStart aEngine)
+{
+  Forget(aNow);
+  if (m_lostEngines.size() >= kMaxLostEngines ||
+      !m_lostEngines.emplace(aEngine, aNow).second) {
+    return;
+  }
+  for (const Unanswered& entry : m_unanswered) {
+    const auto& engines = entry.m_attempt.m_engines;
+    if (std::find(engines.begin(), engines.end(), aEngine) != engines.end()) {
+      AddSuspect(aNow, aEngine, entry.m_attempt);
+    }
+  }
+}
+
+void
+PromptPartGuard::AddSuspect(TimePoint aNow,
+                            const EngineStart& aEngine,
+                            const UnansweredAttempt& aAttempt)
+{
+  auto suspect = std::make_unique<state::CrashSuspectT>();
+  suspect->attempt = aAttempt.m_attemptId;
+  for (const std::string& part : aAttempt.m_parts) {
+    if (!IsProved(aNow, part) && part.size() <= kMaxPromptIdLength &&
+        suspect->parts.size() < kMaxPartsPerSuspect) {
+      suspect->parts.push_back(part);
+    }
+  }
+  if (suspect->parts.empty()) {
+    return;
+  }
+  state::ReportPromptCrashT& report = m_reports[aEngine];
+  if (!report.endpoint) {
+    report.endpoint = std::make_unique<state::EndpointRefT>();
+    report.endpoint->id = aEngine.m_id;
+    report.endpoint->incarnation = aEngine.m_incarnation;
+  }
+  if (report.suspects.size() < kMaxCrashSuspects) {
+    report.suspects.push_back(std::move(suspect));
+  }
+}
+
+std::vector<state::ReportPromptCrashT>
+PromptPartGuard::TakeReports(TimePoint aNow)
+{
+  Forget(aNow);
+  std::vector<state::ReportPromptCrashT> reports;
+  for (auto& [engine, report] : m_reports) {
+    reports.push_back(std::move(report));
+  }
+  m_reports.clear();
+  return reports;
+}
+
+std::vector<std::string>
+PromptPartGuard::TakeClears(TimePoint aNow, const state::ConfigImageT& aImage)
+{
+  std::vector<std::string> clears;
+  std::map<std::string, TimePoint, std::less<>> pending;
+  for (const auto& part : aImage.prompt_parts) {
+    if (part->crashes.empty() || !IsProved(aNow, part->id)) {
+      continue;
+    }
+    const auto known = m_clearAt.find(part->id);
+    const TimePoint at = known != m_clearAt.end()
+                           ? known->second
+                           : aNow + std::chrono::duration_cast<Duration>(
+                                      kMaxClearDelay * m_random.Fraction());
+    if (aNow >= at) {
+      clears.push_back(part->id);
+    }
+    // A clear that is lost is sent again.
+    pending.emplace(part->id, aNow >= at ? aNow + kMatchWindow : at);
+  }
+  m_clearAt = std::move(pending);
+  return clears;
+}
+
+PartDecision
+PromptPartGuard::Decide(const state::ConfigImageT& aImage,
+                        Parts aParts,
+                        std::uint64_t aUnixMs)
+{
+  PartDecision decision;
+  for (const auto& part : aImage.prompt_parts) {
+    if (!IsQuarantined(*part) || !Holds(aParts, part->id)) {
+      continue;
+    }
+    // Parts with the same crashes were always in the same requests. A request
+    // with only some of them shows which of them is sound.
+    const auto tied = FindTied(aImage, *part);
+    const bool holdsAll =
+      std::all_of(tied.begin(), tied.end(), [&](const auto* aTied) {
+        return Holds(aParts, aTied->id);
+      });
+    if (!holdsAll) {
+      continue;
+    }
+    const Duration left = UntilTrial(*part, aUnixMs);
+    const bool mayTry = left == Duration::zero();
+    if (decision.m_verdict != PartVerdict::Serve && mayTry) {
+      continue; // the other part still forbids the request
+    }
+    decision.m_verdict = mayTry ? PartVerdict::Try : PartVerdict::Refuse;
+    decision.m_part = part->id;
+    decision.m_untilTrial = std::max(decision.m_untilTrial, left);
+  }
+  return decision;
+}
+
+} // namespace parsleycove
--- /dev/null
+++ b/Source/Routing/PromptPartGuard.h
@@ -0,0 +1,135 @@
+// Finds the parts of prompts that crash engines, and keeps requests with such
+// a part away from the engines.
+//
+// Fault pattern: one part of a prompt crashes each engine that begins to answer
+// it. Requests with the part arrive at all gateways, no two alike; the other
+// requests on the engine, and those that share further parts with them, are
+// sound. Every gateway reports which requests an engine had not begun to answer
+// when it crashed; the control group compares the reports.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "Base/Clock.h"
+#include "Routing/Random.h"
+#include "StateGenerated.h"
+
+namespace parsleycove {
+
+// One start of an engine.
+struct EngineStart
+{
+  std::string m_id;
+  std::uint64_t m_incarnation = 0;
+
+  bool operator==(const EngineStart&) const = default;
+  auto operator<=>(const EngineStart&) const = default;
+};
+
+// An attempt that ended before its first event.
+struct UnansweredAttempt
+{
+  std::string m_attemptId;
+  std::vector<std::string> m_parts;
+  // Engines of its path.
+  std::vector<EngineStart> m_engines;
+};
+
+enum class PartVerdict
+{
+  // No part of the request is quarantined.
+  Serve,
+  // A part is quarantined, and one request may be let through as a trial if the
+  // control group grants it.
+  Try,
+  Refuse,
+};
+
+struct PartDecision
+{
+  PartVerdict m_verdict = PartVerdict::Serve;
+  // The quarantined part; empty with Serve.
+  std::string m_part;
+  // Time until the next trial; zero with Serve.
+  Duration m_untilTrial{};
+};
+
+// Not thread-safe; used by one thread.
+//
+// Invariant: m_proved and m_order hold the same parts, at most kMaxProved.
+class PromptPartGuard
+{
+public:
+  using Parts = std::span<const std::string_view>;
+
+  // An answer on a part proves the part sound for this long.
+  static constexpr Duration kProvedFor = std::chrono::seconds(30);
+  // An attempt and the loss of its engine belong together within this time.
+  static constexpr Duration kMatchWindow = std::chrono::seconds(2);
+  // Gateways that clear the same part are spread over this time.
+  static constexpr Duration kMaxClearDelay = std::chrono::milliseconds(150);
+  static constexpr std::size_t kMaxProved = 8192;
+  static constexpr std::size_t kMaxUnanswered = 256;
+  static constexpr std::size_t kMaxLostEngines = 64;
+
+  explicit PromptPartGuard(std::uint64_t aSeed);
+
+  // Records that an answer to a request with these parts has begun.
+  void RecordBegun(TimePoint aNow, Parts aParts);
+  // Returns true if answers have begun lately on each of the parts.
+  bool AreProved(TimePoint aNow, Parts aParts) const;
+  void RecordUnanswered(TimePoint aNow, UnansweredAttempt aAttempt);
+  // Records the end of an engine that is certain.
+  void RecordLostEngine(TimePoint aNow, EngineStart aEngine);
+
+  // Returns the reports that are due, one for each lost engine, and forgets
+  // them. Parts that are proved sound are left out, and requests without
+  // further parts.
+  std::vector<state::ReportPromptCrashT> TakeReports(TimePoint aNow);
+  // Returns the parts of the control group's table that this gateway knows to
+  // be sound and that are still suspected after a random delay.
+  std::vector<std::string> TakeClears(TimePoint aNow,
+                                      const state::ConfigImageT& aImage);
+
+  // Decides on a request by the control group's table. aUnixMs is the time of
+  // day.
+  static PartDecision Decide(const state::ConfigImageT& aImage,
+                             Parts aParts,
+                             std::uint64_t aUnixMs);
+
+private:
+  struct Unanswered
+  {
+    TimePoint m_at{};
+    UnansweredAttempt m_attempt;
+  };
+
+  bool IsProved(TimePoint aNow, std::string_view aPart) const;
+  void Forget(TimePoint aNow);
+  // Moves an attempt into the report of the engine.
+  void AddSuspect(TimePoint aNow,
+                  const EngineStart& aEngine,
+                  const UnansweredAttempt& aAttempt);
+
+  Random m_random;
+  // When an answer on the part last began.
+  std::unordered_map<std::string, TimePoint> m_proved;
+  // The parts of m_proved in the order in which they were first proved.
+  std::deque<std::string> m_order;
+  std::deque<Unanswered> m_unanswered;
+  std::map<EngineStart, TimePoint> m_lostEngines;
+  std::map<EngineStart, state::ReportPromptCrashT> m_reports;
+  // When this gateway clears a suspected part.
+  std::map<std::string, TimePoint, std::less<>> m_clearAt;
+};
+
+} // namespace parsleycove
