Forwarding: Keep requests with a crashing prompt part away from the engines

What callers saw: requests with one part in their prompts ended one engine after the other (51 in the incident), and 46 % of all streams failed, most of them sound ones that were on the same engines.

Cause: a crash was charged to the engine alone. Each gateway avoided the dead engine and forgot what the requests on it had in common, so the next request with the part was sent like any other, and one request that lost its engine was sent on to up to three more.

Ruled out: that the platform ends the engines (in the traced cases they end 19, 31 and 65 ms after such a request begins to run), and retries as the main cause (233 of 250 requests that failed without an event had one attempt).

Change: a gateway reports the requests that an engine had not begun to answer when it was certainly lost, without the parts on which answers have begun lately. The control group quarantines a part after three crashes; all gateways refuse requests with it at once, with the time of the next trial, until an answer on the part begins somewhere. A request that has lost two engines before its first event is given up while a part of it is not known to be sound.

Six further tests hold the refusal, the limit of two engines a request, broken connections without a crash, clears and trials.

--- a/Source/Forwarding/EngineFailureDetector.cxx
+++ b/Source/Forwarding/EngineFailureDetector.cxx
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "Forwarding/NoticeRecorder.h"
+#include "Forwarding/PromptPartReporter.h"
 #include "Telemetry/LoggedSpawn.h"
 
 namespace parsleycove {
@@ -40,12 +41,14 @@
 EngineFailureDetector::Attach(RoutingState& aRouting,
                               ForwardMetrics& aMetrics,
                               DeadlineMonitor& aDeadlines,
-                              NoticeRecorder& aNotices)
+                              NoticeRecorder& aNotices,
+                              PromptPartReporter& aPromptParts)
 {
   m_routing = &aRouting;
   m_metrics = &aMetrics;
   m_deadlines = &aDeadlines;
   m_notices = &aNotices;
+  m_promptParts = &aPromptParts;
   m_rerouter.Attach(aRouting, aMetrics);
 }
 
@@ -78,6 +81,7 @@
     ProbeIfSilent(aNow, activity);
   }
   ProbeSuspected(aNow);
+  m_promptParts->Flush(aNow);
 }
 
 void
@@ -420,6 +424,9 @@
   aRunner->m_load->OpenCircuitFor(aNow, health.m_circuitOpenTime);
   m_routing->InvalidatePaths();
   m_routing->ReportFailure(*aRunner, aEvidence);
+  if (aEvidence == FailureEvidence::Certain) {
+    m_promptParts->RecordLostEngine(aNow, *aRunner);
+  }
   health.m_isSuspectedByReport = false;
   LogSuspected(*aRunner, aWhy, health.m_circuitOpenTime);
   MoveOffFailed(aNow);
--- a/Source/Forwarding/EngineFailureDetector.h
+++ b/Source/Forwarding/EngineFailureDetector.h
@@ -72,7 +72,8 @@
   void Attach(RoutingState& aRouting,
               ForwardMetrics& aMetrics,
               DeadlineMonitor& aDeadlines,
-              NoticeRecorder& aNotices);
+              NoticeRecorder& aNotices,
+              PromptPartReporter& aPromptParts);
 
   // Monitors a stream until its call ends.
   void TrackStream(const EndpointCallPtr& aStream);
@@ -170,6 +171,7 @@
   ForwardMetrics* m_metrics = nullptr;
   DeadlineMonitor* m_deadlines = nullptr;
   NoticeRecorder* m_notices = nullptr;
+  PromptPartReporter* m_promptParts = nullptr;
   EndpointClient m_client;
   StreamRerouter m_rerouter;
   std::vector<std::weak_ptr<EndpointCall>> m_streams;
--- a/Source/Forwarding/ForwardGateway.cxx
+++ b/Source/Forwarding/ForwardGateway.cxx
@@ -13,6 +13,7 @@
 #include "Forwarding/ForwardSession.h"
 #include "Forwarding/HttpService.h"
 #include "Forwarding/NoticeRecorder.h"
+#include "Forwarding/PromptPartReporter.h"
 
 namespace parsleycove {
 
@@ -46,6 +47,7 @@
     , m_drain(m_options.m_drainGrace)
     , m_metrics(aMetrics)
     , m_notices(m_routing, m_pool, m_metrics, aLog)
+    , m_promptParts(aContext, aControl, aLog, m_metrics, m_options.m_seed)
     , m_services{ aContext,
                   m_options,
                   aDialect,
@@ -55,6 +57,7 @@
                   m_callerDeadlines,
                   m_failureDetector,
                   m_notices,
+                  m_promptParts,
                   m_drain,
                   aLog,
                   m_metrics }
@@ -63,7 +66,8 @@
                   [this](const HttpRequest&) { return AnswerReadiness(); })
     , m_maintenanceTimer(aContext)
   {
-    m_failureDetector.Attach(m_routing, m_metrics, m_callDeadlines, m_notices);
+    m_failureDetector.Attach(
+      m_routing, m_metrics, m_callDeadlines, m_notices, m_promptParts);
     m_callDeadlines.SetObserver(
       [this](TimePoint aNow) { m_failureDetector.Check(aNow); });
   }
@@ -125,6 +129,7 @@
   DrainState m_drain;
   ForwardMetrics m_metrics;
   NoticeRecorder m_notices;
+  PromptPartReporter m_promptParts;
   ForwardServices m_services;
   AcceptLoop m_accept;
   HttpService m_readiness;
--- a/Source/Forwarding/ForwardMetrics.cxx
+++ b/Source/Forwarding/ForwardMetrics.cxx
@@ -18,6 +18,8 @@
   , m_cutsAfterSilence(
       aRegistry.AddCounter("parsleycove_cuts_after_silence_total", ""))
   , m_stays(aRegistry.AddCounter("parsleycove_stream_stays_total", ""))
+  , m_promptCrashReports(
+      aRegistry.AddCounter("parsleycove_prompt_crash_reports_total", ""))
 {
   for (std::size_t kind = 0; kind < kRequestKindNames.size(); ++kind) {
     const std::string label =
--- a/Source/Forwarding/ForwardMetrics.h
+++ b/Source/Forwarding/ForwardMetrics.h
@@ -59,6 +59,9 @@
   // pause.
   Counter& LeavingNotices() { return m_leavingNotices; }
   Counter& PauseNotices() { return m_pauseNotices; }
+  // Engines whose crash was reported with the requests that they had not begun
+  // to answer.
+  Counter& PromptCrashReports() { return m_promptCrashReports; }
   // Streams that went back to their silent engine, since no other served them.
   Counter& Stays() { return m_stays; }
   // Answers that were cut after their engine or a stage fell silent, without a
@@ -81,6 +84,7 @@
   Counter& m_pauseNotices;
   Counter& m_cutsAfterSilence;
   Counter& m_stays;
+  Counter& m_promptCrashReports;
 };
 
 } // namespace parsleycove
--- a/Source/Forwarding/ForwardServices.h
+++ b/Source/Forwarding/ForwardServices.h
@@ -15,6 +15,7 @@
 
 class EngineFailureDetector;
 class NoticeRecorder;
+class PromptPartReporter;
 
 // Used only by the thread that runs m_context.
 struct ForwardServices
@@ -29,6 +30,7 @@
   DeadlineMonitor& m_callerDeadlines;
   EngineFailureDetector& m_failureDetector;
   NoticeRecorder& m_notices;
+  PromptPartReporter& m_promptParts;
   DrainState& m_drain;
   DecisionLog& m_log;
   ForwardMetrics& m_metrics;
--- a/Source/Forwarding/ForwardedRequest.cxx
+++ b/Source/Forwarding/ForwardedRequest.cxx
@@ -22,7 +22,7 @@
   std::string_view m_text;
 };
 
-constexpr std::array<RefusalRow, 9> kRefusals{ {
+constexpr std::array<RefusalRow, 10> kRefusals{ {
   { RefusalCause::NoConfiguration,
     "no_configuration",
     "this VM has not received a configuration yet" },
@@ -38,6 +38,9 @@
   { RefusalCause::EndpointsPaused,
     "endpoints_paused",
     "the endpoints want no new work for now" },
+  { RefusalCause::CrashingPrompt,
+    "crashing_prompt",
+    "a part of the prompt crashes the endpoints" },
   { RefusalCause::OutOfTime, "out_of_time", "no time was left to send it" },
   { RefusalCause::Stopping, "stopping", "this VM is about to end" },
 } };
--- a/Source/Forwarding/ForwardedRequest.h
+++ b/Source/Forwarding/ForwardedRequest.h
@@ -24,6 +24,8 @@
   EndpointsRefuse,
   // Every endpoint that is left asked for a pause.
   EndpointsPaused,
+  // A part of the prompt crashes engines.
+  CrashingPrompt,
   OutOfTime,
   // This VM is shutting down.
   Stopping,
--- /dev/null
+++ b/Source/Forwarding/PromptPartReporter.h
@@ -0,0 +1,69 @@
+// Exchanges evidence about prompt parts that crash engines with the control
+// group, and decides whether a request may be sent.
+#pragma once
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <string_view>
+
+#include "Routing/PathSelector.h"
+#include "Routing/PromptPartGuard.h"
+#include "State/ControlPort.h"
+#include "Wire/Http.h"
+
+namespace parsleycove {
+
+class DecisionLog;
+class ForwardMetrics;
+
+// Used by one thread only.
+class PromptPartReporter
+{
+public:
+  using Parts = PromptPartGuard::Parts;
+
+  PromptPartReporter(asio::io_context& aContext,
+                     ControlPort& aControl,
+                     DecisionLog& aLog,
+                     ForwardMetrics& aMetrics,
+                     std::uint64_t aSeed);
+
+  // Records that an answer to a request with these parts has begun.
+  void RecordBegun(TimePoint aNow, Parts aParts);
+  // Records that an attempt on aPath ended before its first event.
+  void RecordUnanswered(TimePoint aNow,
+                        std::string_view aAttemptId,
+                        Parts aParts,
+                        const StagePath& aPath);
+  // Records the end of an engine that is certain.
+  void RecordLostEngine(TimePoint aNow, const Runner& aEngine);
+  // Returns true if answers have begun lately on each of the parts.
+  bool AreProved(TimePoint aNow, Parts aParts) const;
+
+  // Decides on a request by the table of the control group. Try: the request
+  // may be sent only if ClaimTrial grants it.
+  PartDecision Decide(Parts aParts) const;
+  // Asks the control group to let one request through although aPart is
+  // quarantined. Of all gateways' claims it grants one for each trial.
+  asio::awaitable<bool> ClaimTrial(std::string aPart, std::string aAttemptId);
+
+  // Sends what is due to the control group, and logs changes of the table.
+  void Flush(TimePoint aNow);
+
+private:
+  void SendReports(TimePoint aNow);
+  void SendClears(TimePoint aNow, const state::ConfigImageT& aImage);
+  void LogChanges(const state::ConfigImageT& aImage);
+  void Propose(TimePoint aNow, state::CommandT aCommand);
+
+  asio::io_context& m_context;
+  ControlPort& m_control;
+  DecisionLog& m_log;
+  ForwardMetrics& m_metrics;
+  PromptPartGuard m_guard;
+  // The quarantined parts that were logged.
+  std::set<std::string> m_quarantined;
+};
+
+} // namespace parsleycove
--- a/Source/Forwarding/RetryAfter.cxx
+++ b/Source/Forwarding/RetryAfter.cxx
@@ -35,6 +35,9 @@
       // Several calls of about 20 ms each are queued ahead, or will be when the
       // pause is over.
       return milliseconds(100);
+    case RefusalCause::CrashingPrompt:
+      // The next trial of the part is the pause.
+      return milliseconds(0);
     case RefusalCause::OutOfTime:
     case RefusalCause::Stopping:
       // Another VM serves the retry.
--- a/Source/Forwarding/StreamAttempt.cxx
+++ b/Source/Forwarding/StreamAttempt.cxx
@@ -8,6 +8,7 @@
 
 #include "Forwarding/EngineFailureDetector.h"
 #include "Forwarding/NoticeRecorder.h"
+#include "Forwarding/PromptPartReporter.h"
 
 namespace parsleycove {
 
@@ -291,6 +292,8 @@
   if (!m_hasSentHeader) {
     m_hasSentHeader = true;
     m_request.m_firstAnswerDelay = now - m_request.m_arrival;
+    m_services.m_promptParts.RecordBegun(now,
+                                         m_request.m_headers.m_sharedParts);
     m_services.m_metrics.RecordFirstAnswer(m_request.m_route->m_kind,
                                            m_request.m_firstAnswerDelay);
     out = MakeAnswerHeader(m_request, m_request.m_status, aCall.Answer(), -1);
@@ -331,6 +334,9 @@
   }
   m_lastEnd = end;
   m_request.m_lastFault = NameOfEnd(end);
+  if (!aCall.HasProgress()) {
+    RecordUnanswered(aCall);
+  }
   if (end == CallEnd::Stalled) {
     m_services.m_pool.CloseIdle(*aCall.Target());
   }
--- a/Source/Forwarding/StreamForwarder.cxx
+++ b/Source/Forwarding/StreamForwarder.cxx
@@ -8,6 +8,9 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "Forwarding/EngineFailureDetector.h"
+#include "Forwarding/PromptPartReporter.h"
+
 namespace parsleycove {
 
 namespace {
@@ -18,6 +21,9 @@
 constexpr std::size_t kMaxRefusals = 2;
 // Attempts of one request that may have run, whatever ended them.
 constexpr std::uint32_t kMaxExecutions = 4;
+// Engines that a request may lose before its first event, if a part of its
+// prompt is not known to be sound.
+constexpr std::size_t kMaxUnanswered = 1;
 constexpr Duration kMaxPathWait = std::chrono::milliseconds(1600);
 constexpr Duration kPathPollInterval = std::chrono::milliseconds(10);
 // A request waits for capacity at most for the first event target divided by
@@ -71,6 +77,10 @@
       co_await GiveUp(RefusalCause::OutOfTime);
       co_return;
     }
+    if (!m_hasSentHeader && !m_isTrial && !co_await IsPromptAllowed()) {
+      co_await GiveUp(RefusalCause::CrashingPrompt);
+      co_return;
+    }
     const PathChoice choice = ChoosePath();
     if (!choice.m_path && !m_silentCall.IsKept()) {
       if (!co_await WaitForPath(choice)) {
@@ -107,6 +117,39 @@
   }
 }
 
+asio::awaitable<bool>
+StreamForwarder::IsPromptAllowed()
+{
+  const PartDecision decision =
+    m_services.m_promptParts.Decide(m_request.m_headers.m_sharedParts);
+  if (decision.m_verdict == PartVerdict::Serve) {
+    co_return true;
+  }
+  if (decision.m_verdict == PartVerdict::Try) {
+    m_isTrial = co_await m_services.m_promptParts.ClaimTrial(
+      decision.m_part, std::string(m_request.m_headers.m_attemptId));
+  }
+  if (!m_isTrial) {
+    m_request.m_detail = "part " + decision.m_part;
+    m_request.m_availableAt = BootClock::now() + decision.m_untilTrial;
+  }
+  co_return m_isTrial;
+}
+
+void
+StreamForwarder::RecordUnanswered(const EndpointCall& aCall)
+{
+  const TimePoint now = BootClock::now();
+  m_services.m_promptParts.RecordUnanswered(now,
+                                            m_request.m_headers.m_attemptId,
+                                            m_request.m_headers.m_sharedParts,
+                                            *aCall.Path());
+  if (aCall.End() == CallEnd::Broken) {
+    ++m_unanswered;
+    m_services.m_failureDetector.ReportUnresponsive(now, aCall.Target());
+  }
+}
+
 RefusalCause
 StreamForwarder::CauseAfterRefusals()
 {
@@ -201,7 +244,11 @@
   if (m_request.m_caller->IsDisconnected()) {
     return true; // Run() handles the disconnect
   }
-  return true;
+  // A prompt that nobody has begun to answer may crash the next engine, too.
+  const std::size_t most = m_isTrial ? 0 : kMaxUnanswered;
+  return m_hasSentHeader || m_unanswered <= most ||
+         m_services.m_promptParts.AreProved(BootClock::now(),
+                                            m_request.m_headers.m_sharedParts);
 }
 
 bool
--- a/Source/Forwarding/StreamForwarder.h
+++ b/Source/Forwarding/StreamForwarder.h
@@ -40,6 +40,12 @@
   asio::awaitable<void> Run();
 
 private:
+  // Returns true if the prompt holds no part that crashes engines, or if this
+  // request may try it.
+  asio::awaitable<bool> IsPromptAllowed();
+  // Records that the attempt ended before its first event, and has its engine
+  // probed: the prompt may have crashed the engine.
+  void RecordUnanswered(const EndpointCall& aCall);
   PathChoice ChoosePath();
   // Returns the cause of a refusal after engines refused the request.
   RefusalCause CauseAfterRefusals();
@@ -94,6 +100,10 @@
   // Attempts that may have run: no endpoint has answered that they did not.
   std::uint32_t m_possibleExecutions = 0;
   std::size_t m_refusals = 0;
+  // Attempts whose engine was lost before the first event.
+  std::size_t m_unanswered = 0;
+  // The request is a trial of a quarantined part.
+  bool m_isTrial = false;
   // The answer's header was sent to the caller.
   bool m_hasSentHeader = false;
   // End of the wait for a path.
--- a/Source/Telemetry/DecisionEvent.h
+++ b/Source/Telemetry/DecisionEvent.h
@@ -28,6 +28,10 @@
   EndpointLeaving,
   EndpointPaused,
   EndpointReportRefused,
+  PromptCrashReported,
+  PromptPartQuarantined,
+  PromptPartCleared,
+  PromptPartTried,
   OrderSent,
   OrderAnswered,
   // One request.
@@ -42,7 +46,7 @@
   CallerGone,
 };
 
-inline constexpr std::array<EnumName<DecisionEvent>, 27> kDecisionEventNames{ {
+inline constexpr std::array<EnumName<DecisionEvent>, 31> kDecisionEventNames{ {
   { DecisionEvent::Started, "started" },
   { DecisionEvent::Stopping, "stopping" },
   { DecisionEvent::Stopped, "stopped" },
@@ -59,6 +63,10 @@
   { DecisionEvent::EndpointLeaving, "endpoint_leaving" },
   { DecisionEvent::EndpointPaused, "endpoint_paused" },
   { DecisionEvent::EndpointReportRefused, "endpoint_report_refused" },
+  { DecisionEvent::PromptCrashReported, "prompt_crash_reported" },
+  { DecisionEvent::PromptPartQuarantined, "prompt_part_quarantined" },
+  { DecisionEvent::PromptPartCleared, "prompt_part_cleared" },
+  { DecisionEvent::PromptPartTried, "prompt_part_tried" },
   { DecisionEvent::OrderSent, "order_sent" },
   { DecisionEvent::OrderAnswered, "order_answered" },
   { DecisionEvent::RequestRefused, "request_refused" },
--- a/Tests/Forwarding/CrashingPromptTest.cxx
+++ b/Tests/Forwarding/CrashingPromptTest.cxx
@@ -60,6 +60,24 @@
     return m_fixture->RunUntil([&] { return caller->IsClosed(); })
       ? caller->Received() : "no answer";
   }
+
+  // Applies reports of other gateways that quarantined the part long ago.
+  void QuarantineElsewhere(const std::string& aPart)
+  {
+    for (int i = 0; i < 3; ++i) {
+      state::ReportPromptCrashT report;
+      report.unix_ms = 1000;
+      report.endpoint = std::make_unique<state::EndpointRefT>();
+      report.endpoint->id = "other-" + std::to_string(i);
+      report.endpoint->incarnation = 1;
+      report.suspects.push_back(std::make_unique<state::CrashSuspectT>());
+      report.suspects[0]->attempt = "x" + std::to_string(i);
+      report.suspects[0]->parts = { aPart };
+      state::CommandT command;
+      command.body.Set(std::move(report));
+      m_fixture->m_control.Apply(command);
+    }
+  }
 };
 // clang-format on
 
@@ -92,3 +110,81 @@
   CheckAllEventsOnce(Ask("5aed:40,cafe:20"));
   CHECK_EQUAL(200, StatusOf(Ask("5aed:40")));
 }
+
+TEST(CrashingPrompt, IsRefusedAtOnceWithTheTimeOfTheNextTrial)
+{
+  constexpr int kEngines = 24;
+  Start(kEngines);
+  while (!m_fixture->m_sink.Has({ "prompt_part_quarantined", "bad" })) {
+    Ask("5aed:40,bad:20");
+    m_fixture->RunUntil([polls = 0]() mutable { return ++polls > 4; });
+  }
+  const int before = m_crashes;
+  const std::string answer = Ask("5aed:40,bad:20");
+  CHECK_EQUAL(503, StatusOf(answer));
+  const auto place = answer.find("Retry-After: ");
+  CHECK(place != std::string::npos);
+  CHECK(std::atof(answer.c_str() + place + 13) > 5);
+  CHECK_EQUAL(before, m_crashes);
+  CHECK(m_fixture->m_sink.Has({ "request_refused", "crashing_prompt" }));
+}
+
+TEST(CrashingPrompt, OneRequestEndsTwoEnginesAtMost)
+{
+  constexpr int kEngines = 8;
+  Start(kEngines);
+  CHECK_EQUAL(502, StatusOf(Ask("5aed:40,bad:20")));
+  CHECK(m_crashes <= 2);
+}
+
+TEST(CrashingPrompt, ARequestWhosePartsAreSoundIsSentToAThirdEngine)
+{
+  constexpr int kEngines = 8;
+  Start(kEngines);
+  CheckAllEventsOnce(Ask("5aed:40"));
+  int calls = 0;
+  for (StubEndpoint* engine : m_engines) {
+    engine->SetScript(WithEngineState([&](const HttpRequest& aRequest) {
+      return ++calls > 2 ? StreamAll(aRequest)
+                         : std::vector<StubStep>{ CloseNow() };
+    }));
+  }
+  CheckAllEventsOnce(Ask("5aed:40"));
+}
+
+TEST(CrashingPrompt, ConnectionsThatBreakWithoutACrashAreNoEvidence)
+{
+  constexpr int kEngines = 8;
+  Start(kEngines);
+  for (StubEndpoint* engine : m_engines) {
+    engine->SetScript(WithEngineState(
+      [](const HttpRequest&) { return std::vector<StubStep>{ CloseNow() }; }));
+  }
+  for (int i = 0; i < 12; ++i) {
+    CHECK_EQUAL(502, StatusOf(Ask("5aed:40,face:20")));
+  }
+  CHECK_FALSE(m_fixture->m_sink.Has({ "prompt_crash_reported" }));
+  CHECK(m_fixture->m_control.View()->Image().prompt_parts.empty());
+}
+
+TEST(CrashingPrompt, APartThatAnotherGatewaySuspectsIsClearedByAnAnswer)
+{
+  Start(2);
+  CheckAllEventsOnce(Ask("5aed:40,face:20"));
+  QuarantineElsewhere("face");
+  CHECK(m_fixture->RunUntil([&] {
+    return m_fixture->m_sink.Has({ "prompt_part_cleared", "face" });
+  }));
+  CheckAllEventsOnce(Ask("5aed:40,face:20"));
+}
+
+TEST(CrashingPrompt, ATrialIsGrantedOnceAndClearsThePart)
+{
+  Start(2);
+  QuarantineElsewhere("face");
+  CheckAllEventsOnce(Ask("5aed:40,face:20"));
+  CHECK(m_fixture->m_sink.Has({ "prompt_part_tried", "granted" }));
+  CHECK(m_fixture->RunUntil([&] {
+    return m_fixture->m_sink.Has({ "prompt_part_cleared", "face" });
+  }));
+}
