--- a/Source/Routing/PromptPartGuard.h
+++ b/Source/Routing/PromptPartGuard.h
@@ -16,6 +16,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -32,7 +33,11 @@
   std::uint64_t m_incarnation = 0;
 
   bool operator==(const EngineStart&) const = default;
-  auto operator<=>(const EngineStart&) const = default;
+  bool operator<(const EngineStart& aOther) const
+  {
+    return std::tie(m_id, m_incarnation) <
+           std::tie(aOther.m_id, aOther.m_incarnation);
+  }
 };
 
 // An attempt that ended before its first event.
