Forwarding: Read kept calls, and keep each of them until an event is relayed

A review of the kept calls found that the same cause could still cut answers:

- A kept call was closed as soon as its successor was sent to the same engine; if the engine refused it, the answer was cut 1.84 s after its last event.
- A single byte of the silent endpoint, or the end of an unframed answer, counted as going on or as broken off: a sound successor was ended, or a complete answer was lost.
- A second silent call was closed although the first one could break off.
- A call was not suspended while nothing was being read, and was aborted while its request was still being written.
- A caller who left just before a kept call was followed kept it running.

Kept calls are now read in the background; a call counts as going on with a whole event, or with its complete answer. All of them are kept until an event is relayed. A suspended read is cancelled by itself, so that the request is sent to its end. A stream that came back stays for 150 ms, twice as long each time, so that engines that refuse are not asked for ever. A plain answer that is complete moves no more, a reroute order that overlaps the suspension leaves the stream free for the next one, and a charged retry is not lost while no path is available.

--- a/Source/Forwarding/EndpointCall.cxx
+++ b/Source/Forwarding/EndpointCall.cxx
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
@@ -101,14 +102,9 @@
   if (m_end != CallEnd::None) {
     return;
   }
-  if (!m_written) {
-    Abort(aWhy);
-    return;
-  }
   m_end = aWhy;
   m_isSuspended = true;
-  beast::error_code ignored;
-  m_connection->m_socket.cancel(ignored);
+  m_cancelRead.emit(asio::cancellation_type::total);
 }
 
 bool
@@ -117,34 +113,15 @@
   return m_isSuspended && m_connection && m_connection->m_socket.is_open();
 }
 
-void
-EndpointCall::WatchWhileSuspended(std::function<void()> aOnReadable)
-{
-  m_onReadable = std::move(aOnReadable);
-  m_connection->m_socket.async_wait(
-    Tcp::socket::wait_read,
-    [self = shared_from_this()](const beast::error_code& aError) {
-      if (!aError && self->m_isSuspended && self->m_onReadable) {
-        std::exchange(self->m_onReadable, nullptr)();
-      }
-    });
-}
-
 bool
-EndpointCall::HasUnreadBytes() const
-{
-  beast::error_code error;
-  char byte = 0;
-  return m_connection->m_socket.receive(
-           asio::buffer(&byte, 1), Tcp::socket::message_peek, error) != 0;
-}
-
-void
 EndpointCall::Resume()
 {
+  if (!IsSuspended()) {
+    return false;
+  }
   m_isSuspended = false;
-  m_onReadable = nullptr;
   m_end = CallEnd::None;
+  return true;
 }
 
 void
@@ -227,9 +204,14 @@
 asio::awaitable<bool>
 EndpointCall::ReadMore()
 {
+  // The call may have ended while nothing was being read.
+  if (m_end != CallEnd::None) {
+    co_return false;
+  }
   beast::flat_buffer& buffer = m_connection->m_buffer;
   const auto [error, bytes] = co_await m_connection->m_socket.async_read_some(
-    buffer.prepare(kReadBytes), kAwait);
+    buffer.prepare(kReadBytes),
+    asio::bind_cancellation_slot(m_cancelRead.slot(), kAwait));
   buffer.commit(bytes);
   if (m_end != CallEnd::None) {
     co_return false;
--- a/Source/Forwarding/EndpointCall.h
+++ b/Source/Forwarding/EndpointCall.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 
+#include <boost/asio/cancellation_signal.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 
@@ -83,19 +84,14 @@
   bool SkipAnswer();
 
   void Abort(CallEnd aWhy);
-  // Ends the current wait like Abort, but keeps the connection, so that the
-  // call can go on after Resume if nobody else serves the request. A call whose
-  // request is not fully written is aborted.
+  // Ends the current read like Abort, but keeps the connection, and goes on
+  // sending the request, so that the call can go on after Resume.
   void Suspend(CallEnd aWhy);
   // Returns true if the call was suspended and its connection is still open.
   bool IsSuspended() const;
-  // Calls aOnReadable once if the endpoint sends something, or closes the
-  // connection, while the call is suspended.
-  void WatchWhileSuspended(std::function<void()> aOnReadable);
-  // Returns false at the end of the connection, too.
-  bool HasUnreadBytes() const;
-  // Continues a suspended call where it was interrupted.
-  void Resume();
+  // Lets a suspended call go on where it was interrupted. Returns false if the
+  // call is not suspended or its connection is closed.
+  bool Resume();
   // Returns the connection to the pool if the answer was complete and no bytes
   // follow it; closes the connection otherwise.
   void Release(TimePoint aNow);
@@ -179,7 +175,8 @@
   // where Deadline() ends the call.
   TimePoint m_finalDeadline{};
   std::function<bool()> m_moveClaim;
-  std::function<void()> m_onReadable;
+  // Cancels the pending read.
+  asio::cancellation_signal m_cancelRead;
   Duration m_averageArrivalGap{};
   bool m_atEnd = false;
 };
--- a/Source/Forwarding/PlainForwarder.cxx
+++ b/Source/Forwarding/PlainForwarder.cxx
@@ -5,7 +5,7 @@
 #include <utility>
 
 #include "Forwarding/NoticeRecorder.h"
-#include "Forwarding/SilentCall.h"
+#include "Forwarding/SilentCalls.h"
 
 namespace parsleycove {
 
@@ -42,6 +42,7 @@
     , m_services(aRequest.m_services)
     , m_serviceState(
         aRequest.m_services.m_routing.ServiceState(aRequest.m_service))
+    , m_silentCalls(aRequest.m_services.m_context)
   {
   }
 
@@ -72,7 +73,7 @@
       if (outcome == ForwardOutcome::Finished) {
         co_return;
       }
-      if (m_silentCall.HasAnswered() || !MayRetry(outcome)) {
+      if (m_silentCalls.HasAnswered() || !MayRetry(outcome)) {
         co_await End(RefusalCause::EndpointsRefuse);
         co_return;
       }
@@ -156,6 +157,9 @@
     call->SetDeadlines(ChooseMoveTime(aRunner), m_request.m_deadline);
     call->SetMoveClaim([this, aRunner] { return ClaimMove(aRunner); });
     m_body.clear();
+    if (m_silentCalls.HasAnswered()) {
+      call->Abort(CallEnd::Superseded);
+    }
     co_return co_await FollowCall(call, startedAt);
   }
 
@@ -164,11 +168,18 @@
                                              TimePoint aStartedAt)
   {
     m_request.m_call = aCall;
+    if (m_request.m_caller->IsDisconnected()) {
+      aCall->Abort(CallEnd::CallerGone);
+    }
     const ForwardOutcome outcome = co_await Receive(*aCall);
     m_request.m_call = nullptr;
     aCall->SetMoveClaim(nullptr);
     if (aCall->IsSuspended()) {
-      m_silentCall.Keep(aCall, std::move(m_body), [this] { EndSuccessor(); });
+      m_silentCalls.Keep(
+        aCall,
+        std::move(m_body),
+        [](const std::string&) { return false; },
+        [this] { EndSuccessor(); });
       co_return outcome;
     }
     const TimePoint now = BootClock::now();
@@ -226,7 +237,10 @@
   // Continues the call that was kept for its silence.
   asio::awaitable<ForwardOutcome> FollowSilentCall()
   {
-    const EndpointCallPtr call = m_silentCall.Resume(m_body);
+    const EndpointCallPtr call = co_await m_silentCalls.Resume(m_body);
+    if (!call) {
+      co_return ForwardOutcome::Failed;
+    }
     m_request.m_lastEndpoint = call->Target()->m_id;
     call->SetDeadline(m_request.m_deadline);
     co_return co_await FollowCall(call, call->SentAt());
@@ -236,7 +250,7 @@
   // was only silent may still answer.
   asio::awaitable<void> End(RefusalCause aCause)
   {
-    if (m_silentCall.IsKept() && !m_request.m_caller->IsDisconnected()) {
+    while (!m_silentCalls.IsEmpty() && !m_request.m_caller->IsDisconnected()) {
       const ForwardOutcome outcome = co_await FollowSilentCall();
       if (outcome == ForwardOutcome::Finished) {
         co_return;
@@ -250,6 +264,9 @@
     if (!co_await ReadMatchingAnswer(aCall, m_body)) {
       co_return co_await RecordBrokenCall(aCall);
     }
+    // The answer is complete, so the request moves no more.
+    aCall.SetMoveClaim(nullptr);
+    aCall.SetDeadlines(m_request.m_deadline, m_request.m_deadline);
     const EndpointCall::Header& answer = aCall.Answer();
     const unsigned status = answer.result_int();
     const AnswerHeaders headers =
@@ -446,8 +463,8 @@
   CallEnd m_lastEnd = CallEnd::None;
   // Body of the answer of the current call.
   std::string m_body;
-  // A call that was suspended for its silence, with its body so far.
-  SilentCall m_silentCall;
+  // Calls that were suspended for their silence, with their bodies so far.
+  SilentCalls m_silentCalls;
 };
 
 } // namespace
--- a/Source/Forwarding/StreamAttempt.cxx
+++ b/Source/Forwarding/StreamAttempt.cxx
@@ -29,9 +29,6 @@
 // Ejection time of an engine that no longer holds its layers; within this time
 // the engine announces the layers that it holds.
 constexpr Duration kMovedStageEjection = std::chrono::milliseconds(1300);
-// Time for which a stream that came back to its silent engine stays there: the
-// time after which engines that refused are asked again.
-constexpr Duration kMinStay = kRefusalEjection;
 constexpr std::string_view kLastChunk = "0\r\n\r\n";
 
 void
@@ -66,10 +63,6 @@
     }
     co_return AttemptOutcome::NotExecuted;
   }
-  if (m_silentCall.IsKept() && m_silentCall.Target().m_id == first->m_id) {
-    // An engine serves a request only once at a time.
-    m_silentCall.Drop();
-  }
   m_pathWaitUntil = TimePoint{};
   ++m_request.m_attempts;
   ++m_possibleExecutions;
@@ -83,7 +76,7 @@
   call->SetAverageArrivalGap(std::chrono::duration_cast<Duration>(
     std::chrono::duration<double, std::milli>(aPath->m_stepMs *
                                               kInitialGapSteps)));
-  if (m_silentCall.HasAnswered()) {
+  if (m_silentCalls.HasAnswered()) {
     call->Abort(CallEnd::Superseded);
   }
   co_return co_await FollowCall(call);
@@ -104,6 +97,9 @@
   m_request.m_call = aCall;
   aCall->SetMoveClaim([this] { return ClaimMove(); });
   m_services.m_failureDetector.TrackStream(aCall);
+  if (m_request.m_caller->IsDisconnected()) {
+    aCall->Abort(CallEnd::CallerGone);
+  }
   const AttemptOutcome outcome = co_await Receive(*aCall);
   m_request.m_path = aCall->Path();
   m_request.m_call = nullptr;
@@ -122,10 +118,14 @@
 asio::awaitable<AttemptOutcome>
 StreamForwarder::FollowSilentCall()
 {
-  std::string partialEvent;
-  const EndpointCallPtr call = m_silentCall.Resume(partialEvent);
-  m_moveNotBefore = BootClock::now() + kMinStay;
-  m_events.RestorePartialEvent(std::move(partialEvent));
+  std::string unusedBytes;
+  const EndpointCallPtr call = co_await m_silentCalls.Resume(unusedBytes);
+  if (!call) {
+    co_return AttemptOutcome::Broken;
+  }
+  m_moveNotBefore = BootClock::now() + m_stay;
+  m_stay *= 2;
+  m_events.RestorePartialEvent(std::move(unusedBytes));
   m_request.m_lastEndpoint = call->Target()->m_id;
   m_services.m_log.Write(DecisionEvent::StreamStays, [&](DecisionLine& aLine) {
     aLine.Add("id", m_request.m_headers.m_attemptId)
@@ -245,6 +245,13 @@
 {
   m_request.m_status = aCall.Answer().result_int();
   std::string bytes;
+  if (m_events.HasPartialEvent()) {
+    // A kept call may have read whole events meanwhile.
+    const bool isConnected = co_await RelayBytes(aCall, bytes);
+    if (!isConnected) {
+      co_return AttemptOutcome::Finished;
+    }
+  }
   while (co_await aCall.ReadBody(bytes)) {
     if (!co_await RelayBytes(aCall, bytes)) {
       co_return AttemptOutcome::Finished;
@@ -283,7 +290,7 @@
   if (m_events.ExtractEvents(aBytes, events) == 0) {
     co_return true;
   }
-  m_silentCall.Drop();
+  m_silentCalls.DropAll();
   const TimePoint now = BootClock::now();
   aCall.RecordEvents(now);
   aCall.MarkPrefillDone();
@@ -347,9 +354,14 @@
     std::erase(m_usedFirstRunners, aCall.Target()->m_id);
   }
   if (aCall.IsSuspended()) {
-    m_silentCall.Keep(aCall.shared_from_this(),
-                      std::move(partialEvent),
-                      [this] { EndSuccessor(); });
+    m_silentCalls.Keep(
+      aCall.shared_from_this(),
+      std::move(partialEvent),
+      [after = m_events.LastId()](const std::string& aUnusedBytes) {
+        std::string events;
+        return EventSplitter(after).ExtractEvents(aUnusedBytes, events) != 0;
+      },
+      [this] { EndSuccessor(); });
     return AttemptOutcome::Silent;
   }
   return AttemptOutcome::Broken;
--- a/Source/Forwarding/StreamForwarder.cxx
+++ b/Source/Forwarding/StreamForwarder.cxx
@@ -31,6 +31,9 @@
 constexpr int kFullWaitDivisor = 2;
 // How long a stream without a running attempt is kept open for the next one.
 constexpr Duration kMaxResumeWait = std::chrono::milliseconds(1800);
+// Time for which a stream that came back to its silent engine stays there at
+// first; doubles each time, so that engines that refuse are not asked for ever.
+constexpr Duration kMinStay = std::chrono::milliseconds(150);
 constexpr Duration kResumePollInterval = std::chrono::milliseconds(60);
 
 RefusalCause
@@ -59,6 +62,8 @@
   , m_serviceState(
       aRequest.m_services.m_routing.ServiceState(aRequest.m_service))
   , m_events(aRequest.m_headers.m_lastEventId)
+  , m_silentCalls(aRequest.m_services.m_context)
+  , m_stay(kMinStay)
 {
   m_request.m_expectedTokens = CountExpectedTokens(m_request.m_headers);
 }
@@ -82,7 +87,7 @@
       co_return;
     }
     const PathChoice choice = ChoosePath();
-    if (!choice.m_path && !m_silentCall.IsKept()) {
+    if (!choice.m_path && m_silentCalls.IsEmpty()) {
       if (!co_await WaitForPath(choice)) {
         m_request.m_availableAt = choice.m_availableAt;
         co_await GiveUp(CauseWithoutPath(choice));
@@ -90,9 +95,9 @@
       }
       continue;
     }
-    const bool mayStart =
-      choice.m_path && !m_silentCall.HasAnswered() && ClaimRetry();
-    if (!mayStart && !m_silentCall.IsKept()) {
+    const bool mayStart = choice.m_path && !m_silentCalls.HasAnswered() &&
+                          m_possibleExecutions < kMaxExecutions && ClaimRetry();
+    if (!mayStart && m_silentCalls.IsEmpty()) {
       if (!co_await WaitToResume()) {
         co_await GiveUp(CauseAfterRefusals());
         co_return;
@@ -103,13 +108,18 @@
     if (mayStart) {
       outcome = co_await RunAttempt(choice.m_path);
     }
-    if (m_silentCall.IsKept() && outcome != AttemptOutcome::Finished &&
-        (!mayStart || m_silentCall.HasAnswered() || !MayRetry(outcome))) {
+    const bool isFollowed =
+      outcome != AttemptOutcome::Finished && !m_silentCalls.IsEmpty() &&
+      (!mayStart || m_silentCalls.HasAnswered() || !MayRetry(outcome));
+    if (isFollowed) {
       outcome = co_await FollowSilentCall();
     }
     if (outcome == AttemptOutcome::Finished) {
       co_return;
     }
+    if (!m_silentCalls.IsEmpty()) {
+      continue;
+    }
     if (!MayRetry(outcome) && !co_await WaitToResume()) {
       co_await GiveUp(CauseAfterRefusals());
       co_return;
@@ -268,10 +278,12 @@
                        m_possibleExecutions < kMaxExecutions &&
                        !m_request.m_caller->IsDisconnected() &&
                        !m_request.IsOutOfTime() && ChoosePath().m_path;
+  if (!mayMove) {
+    return false;
+  }
   m_hasRetryClaim =
-    mayMove && (m_hasRetryClaim ||
-                m_serviceState.m_retries.Spend(
-                  BootClock::now(), m_services.m_routing.GatewayCount()));
+    m_hasRetryClaim || m_serviceState.m_retries.Spend(
+                         BootClock::now(), m_services.m_routing.GatewayCount());
   return m_hasRetryClaim;
 }
 
--- a/Source/Forwarding/StreamForwarder.h
+++ b/Source/Forwarding/StreamForwarder.h
@@ -7,7 +7,7 @@
 
 #include "Forwarding/EventSplitter.h"
 #include "Forwarding/ForwardedRequest.h"
-#include "Forwarding/SilentCall.h"
+#include "Forwarding/SilentCalls.h"
 
 namespace parsleycove {
 
@@ -112,11 +112,13 @@
   bool m_hasRetryClaim = false;
   // First runners of the attempts, except runners whose connection broke.
   std::vector<std::string> m_usedFirstRunners;
-  // A call that was suspended for its silence, with the bytes of the event that
-  // it was interrupted in. Invariant: no event was relayed since.
-  SilentCall m_silentCall;
+  // Calls that were suspended for their silence, with the bytes of the event
+  // that they were interrupted in.
+  SilentCalls m_silentCalls;
   // A stream that came back to its silent endpoint does not move before this.
   TimePoint m_moveNotBefore{};
+  // How long it stays there the next time.
+  Duration m_stay;
   TimePoint m_lastEventAt{};
   CallEnd m_lastEnd = CallEnd::None;
 };
--- a/Source/Forwarding/StreamRerouter.cxx
+++ b/Source/Forwarding/StreamRerouter.cxx
@@ -110,6 +110,7 @@
     m_queues[aFirstAddress].m_waiting.pop_front();
     const EndpointCallPtr stream = task.m_stream;
     if (stream->End() != CallEnd::None) {
+      stream->SetRerouting(false);
       continue;
     }
     try {
@@ -143,10 +144,11 @@
       m_dialect.MakeRerouteOrder(stream.AttemptId(), *aTask.m_path),
       kOrderTimeout,
       ConnectionChoice::Reuse);
-    if (stream.End() != CallEnd::None) {
-      co_return;
-    }
     if (!result.m_response) {
+      if (stream.End() != CallEnd::None) {
+        stream.SetRerouting(false);
+        co_return;
+      }
       break;
     }
     const RerouteAnswer answer = m_dialect.ParseRerouteAnswer(
@@ -157,6 +159,10 @@
       RecordOutcome(stream, "taken", aTask.m_startedAt);
       co_return;
     }
+    if (stream.End() != CallEnd::None) {
+      stream.SetRerouting(false);
+      co_return;
+    }
     outcome = "refused";
     const std::string fault = FindStageId(*aTask.m_path, answer.m_faultAddress);
     if (fault.empty()) {
