Soak: Let sound back ends fall silent, and check what callers get from them

What was missing: the soak harmed one thing at a time, no back end was silent and went on, and how a request ended was checked only if it was answered.

Change: back ends fall silent for about a second, several at once or all, beside changes of the configuration, reloads, graceful stops and back ends that refuse new work for a while. A request whose back ends, link and entry VM were not harmed gets a whole answer or a refusal until its deadline. Callers keep connections open until the process is gone, idle and in use; a stop that takes longer than its grace is a breach.

--- a/Tests/Soak/FaultProxy.cxx
+++ b/Tests/Soak/FaultProxy.cxx
@@ -1,6 +1,7 @@
 // A loopback TCP proxy that harms the connections it carries.
 #include "Soak/FaultProxy.h"
 
+#include <algorithm>
 #include <array>
 #include <string>
 #include <utility>
@@ -68,7 +69,7 @@
         co_return;
       }
       auto relay = std::make_shared<Relay>(std::move(socket));
-      if (m_fault == LinkFault::Refused) {
+      if (m_fault == LinkFault::Refused || m_isDown) {
         relay->Close(true);
         continue;
       }
@@ -118,6 +119,10 @@
         }
         continue;
       }
+      while (BootClock::now() < m_heldUntil) {
+        timer.expires_after(m_heldUntil - BootClock::now());
+        co_await timer.async_wait(kAwait);
+      }
       if (m_fault == LinkFault::Delayed && !error) {
         timer.expires_after(m_delay);
         co_await timer.async_wait(kAwait);
@@ -140,6 +145,8 @@
   const SocketAddress m_target;
   LinkFault m_fault = LinkFault::None;
   Duration m_delay{};
+  TimePoint m_heldUntil{};
+  bool m_isDown = false;
   std::vector<std::weak_ptr<Relay>> m_relays;
 };
 
@@ -169,6 +176,33 @@
   m_parts->m_delay = aDelay;
 }
 
+void
+FaultProxy::HoldUntil(TimePoint aUntil)
+{
+  m_parts->m_heldUntil = std::max(m_parts->m_heldUntil, aUntil);
+}
+
+TimePoint
+FaultProxy::HeldUntil() const
+{
+  return m_parts->m_heldUntil;
+}
+
+void
+FaultProxy::SetDown(bool aIsDown)
+{
+  m_parts->m_isDown = aIsDown;
+  if (aIsDown) {
+    ResetAll();
+  }
+}
+
+bool
+FaultProxy::IsDown() const
+{
+  return m_parts->m_isDown;
+}
+
 void
 FaultProxy::ResetAll()
 {
--- a/Tests/Soak/FaultProxy.h
+++ b/Tests/Soak/FaultProxy.h
@@ -37,6 +37,13 @@
   // Holds for open connections and new ones. A connection that was silent once
   // stays so for good, as after a network path that lost track of it.
   void SetFault(LinkFault aFault, Duration aDelay = {});
+  // Carries nothing before aUntil and everything, in its order, afterwards, as
+  // a process does that does not run for a while.
+  void HoldUntil(TimePoint aUntil);
+  TimePoint HeldUntil() const;
+  // While the target is down, connections are reset, whatever the fault.
+  void SetDown(bool aIsDown);
+  bool IsDown() const;
   // Resets all open connections.
   void ResetAll();
 
--- a/Tests/Soak/SoakBackend.cxx
+++ b/Tests/Soak/SoakBackend.cxx
@@ -18,8 +18,18 @@
 
 constexpr std::chrono::milliseconds kHeartbeatMs{ 400 };
 constexpr std::chrono::milliseconds kHeartbeatTimeoutMs{ 1000 };
-constexpr std::chrono::milliseconds kEventGapMs{ 15 };
+constexpr std::chrono::milliseconds kSilenceCheckMs{ 20 };
+constexpr std::chrono::milliseconds kPlainTimeMs{ 15 };
+// Gaps between the events of a stream are drawn in this range.
+constexpr int kLeastGapMs = 10;
+constexpr std::uint64_t kGapSpreadMs = 60;
 constexpr unsigned kHttp11 = 11;
+// Time for which a crashed engine is away.
+constexpr std::chrono::milliseconds kCrashMs{ 2000 };
+// One of so many answers ends with its connection, and one of so many streams
+// of these ends within an event.
+constexpr std::uint64_t kUnframedShare = 4;
+constexpr std::uint64_t kCutShare = 8;
 
 std::string
 MakeJsonAnswer(int aStatus, const std::string& aBody)
@@ -29,12 +39,40 @@
          std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
 }
 
+// Head of an answer that ends with its connection.
+std::string
+MakeUnframedHead(const std::string& aAttempt, const char* aType)
+{
+  return "HTTP/1.1 200 OK\r\nAttempt-Id: " + aAttempt +
+         "\r\nResponse-Signature: s1\r\nContent-Type: " + aType + "\r\n\r\n";
+}
+
+std::string
+MakeUnframedEvent(int aId)
+{
+  const std::string number = std::to_string(aId);
+  return "id: " + number + "\ndata: x" + number + "\n\n";
+}
+
+// Addresses of a path such as "127.0.0.1:80=0-2,127.0.0.1:81=2-4".
+std::vector<std::string>
+AddressesOf(const std::string& aPath)
+{
+  std::vector<std::string> addresses;
+  std::istringstream parts(aPath);
+  for (std::string part; std::getline(parts, part, ',');) {
+    addresses.push_back(part.substr(0, part.find('=')));
+  }
+  return addresses;
+}
+
 } // namespace
 
 SoakBackend::SoakBackend(boost::asio::io_context& aContext,
                          SoakLedger& aLedger,
                          std::string aId,
-                         bool aIsEngine)
+                         bool aIsEngine,
+                         std::uint64_t aSeed)
   : m_context(aContext)
   , m_ledger(aLedger)
   , m_id(std::move(aId))
@@ -42,17 +80,36 @@
   , m_stub(aContext)
   , m_proxy(aContext, { "127.0.0.1", m_stub.Port() })
   , m_client(aContext.get_executor())
+  , m_random(aSeed)
 {
   m_stub.SetScript(
     [this](const HttpRequest& aRequest) { return Answer(aRequest); });
 }
 
+void
+SoakBackend::FallSilent(Duration aLength)
+{
+  const TimePoint now = BootClock::now();
+  m_proxy.HoldUntil(now + aLength);
+  m_ledger.Silences().Note(Address(), now, now + aLength);
+}
+
+void
+SoakBackend::RefuseWork(Duration aLength)
+{
+  m_refusesUntil = std::max(m_refusesUntil, BootClock::now() + aLength);
+}
+
 void
 SoakBackend::NoteRun(const HttpRequest& aRequest)
 {
+  std::vector<std::string> path =
+    AddressesOf(std::string(aRequest["Hop-Count"]));
+  path.push_back(Address());
   m_ledger.NoteRun(std::string(aRequest["Attempt-Id"]),
                    std::string(aRequest["Tenant"]),
                    m_id,
+                   path,
                    BootClock::now());
 }
 
@@ -60,7 +117,8 @@
 SoakBackend::Answer(const HttpRequest& aRequest)
 {
   if (aRequest.target() == "/parsleycove/report") {
-    return { Send(MakeJsonAnswer(200, R"({"pace":1.0,"born":1})")) };
+    return { Send(MakeJsonAnswer(
+      200, R"({"pace":1.0,"born":)" + std::to_string(m_born) + "}")) };
   }
   if (aRequest.target() == "/parsleycove/order") {
     return AnswerOrder(aRequest);
@@ -69,11 +127,26 @@
   if (aRequest["Expect-Instance"] != m_id) {
     return { Send(MakeAnswer(attempt, 421, "", "Not-Executed: 1\r\n")) };
   }
-  if (m_isEngine) {
-    return AnswerStream(aRequest);
+  if (BootClock::now() < m_refusesUntil) {
+    return { Send(MakeAnswer(attempt, 503, "", "Not-Executed: 1\r\n")) };
   }
+  return m_isEngine ? AnswerStream(aRequest) : AnswerPlain(aRequest);
+}
+
+std::vector<StubStep>
+SoakBackend::AnswerPlain(const HttpRequest& aRequest)
+{
+  const std::string attempt(aRequest["Attempt-Id"]);
   NoteRun(aRequest);
-  return { Pause(kEventGapMs), Send(MakeAnswer(attempt, 200, attempt)) };
+  if (m_random.Below(kUnframedShare) == 0) {
+    const std::size_t half = m_random.Below(attempt.size() + 1);
+    return { Send(MakeUnframedHead(attempt, "text/plain") +
+                  attempt.substr(0, half)),
+             Pause(kPlainTimeMs),
+             Send(attempt.substr(half)),
+             CloseNow() };
+  }
+  return { Pause(kPlainTimeMs), Send(MakeAnswer(attempt, 200, attempt)) };
 }
 
 std::vector<StubStep>
@@ -85,17 +158,59 @@
                     " was sent along a path without every layer once");
   }
   NoteRun(aRequest);
+  if (aRequest[kSoakPartsHeader].find(kSoakCrashingPart) !=
+      std::string_view::npos) {
+    Crash();
+    return { Hang() };
+  }
   const std::string last(aRequest["Last-Event-Id"]);
-  std::vector<StubStep> steps{ Send(MakeStreamHead(attempt)) };
-  for (int id = last.empty() ? 1 : std::stoi(last) + 1; id <= kSoakEvents;
-       ++id) {
-    steps.push_back(Pause(kEventGapMs));
-    steps.push_back(Send(MakeEvent(id)));
+  const int first = last.empty() ? 1 : std::stoi(last) + 1;
+  const auto gap = std::chrono::milliseconds(
+    kLeastGapMs + static_cast<int>(m_random.Below(kGapSpreadMs)));
+  const bool isUnframed = m_random.Below(kUnframedShare) == 0;
+  const bool isCut = isUnframed && m_random.Below(kCutShare) == 0;
+  const int cutAt = first + static_cast<int>(m_random.Below(kSoakEvents));
+  std::vector<StubStep> steps{ Send(
+    isUnframed ? MakeUnframedHead(attempt, "text/event-stream")
+               : MakeStreamHead(attempt)) };
+  for (int id = first; id <= kSoakEvents; ++id) {
+    steps.push_back(Pause(gap));
+    const std::string event =
+      isUnframed ? MakeUnframedEvent(id) : MakeEvent(id);
+    if (isCut && id == cutAt) {
+      m_ledger.Excuse(attempt);
+      steps.push_back(
+        Send(event.substr(0, 1 + m_random.Below(event.size() - 1))));
+      break;
+    }
+    steps.push_back(Send(event));
   }
-  steps.push_back(Send(MakeStreamEnd()));
+  steps.push_back(isUnframed ? CloseNow() : Send(MakeStreamEnd()));
   return steps;
 }
 
+void
+SoakBackend::Crash()
+{
+  const TimePoint now = BootClock::now();
+  m_ledger.NoteCrash(now);
+  m_ledger.Harms().Note(Address(), now, now + kCrashMs);
+  m_first = 0;
+  m_end = 0;
+  m_sequence = 0;
+  ++m_born;
+  m_proxy.SetDown(true);
+  boost::asio::co_spawn(
+    m_context,
+    [this]() -> boost::asio::awaitable<void> {
+      boost::asio::steady_timer timer(m_context, kCrashMs);
+      co_await timer.async_wait(
+        boost::asio::as_tuple(boost::asio::use_awaitable));
+      m_proxy.SetDown(false);
+    },
+    boost::asio::detached);
+}
+
 bool
 SoakBackend::RunsEveryLayer(const std::string& aPath) const
 {
@@ -113,8 +228,7 @@
     }
     next = end;
   }
-  return next == kSoakLayers &&
-         aPath.starts_with(m_proxy.Address().ToString() + "=");
+  return next == kSoakLayers && aPath.starts_with(Address() + "=");
 }
 
 std::vector<StubStep>
@@ -134,13 +248,13 @@
 {
   boost::json::object report{
     { "service", m_isEngine ? "model" : "plain" },
-    { "address", m_proxy.Address().ToString() },
+    { "address", Address() },
     { "zone", "zone-a" },
     { "version", "v1" },
     { "slots", 64 },
     { "state", IsLeaving() ? "draining" : "ready" },
     { "cold-remaining-ms", 0 },
-    { "born", 1 },
+    { "born", m_born },
     { "sequence", ++m_sequence },
   };
   if (m_isEngine) {
@@ -167,6 +281,12 @@
 {
   boost::asio::steady_timer timer(m_context);
   while (!m_isStopped) {
+    if (m_proxy.IsDown() || BootClock::now() < m_proxy.HeldUntil()) {
+      timer.expires_after(kSilenceCheckMs);
+      co_await timer.async_wait(
+        boost::asio::as_tuple(boost::asio::use_awaitable));
+      continue;
+    }
     const SocketAddress& control = m_controls[m_turn % m_controls.size()];
     HttpRequest request(
       http::verb::put, "/parsleycove/instances/" + m_id, kHttp11);
--- a/Tests/Soak/SoakBackend.h
+++ b/Tests/Soak/SoakBackend.h
@@ -11,6 +11,7 @@
 
 #include "Forwarding/EndpointClient.h"
 #include "Forwarding/StubEndpoint.h"
+#include "Routing/Random.h"
 #include "Soak/FaultProxy.h"
 #include "Soak/SoakLedger.h"
 
@@ -19,6 +20,10 @@
 // Layers of the soak's model, and events of each of its streams.
 inline constexpr int kSoakLayers = 4;
 inline constexpr int kSoakEvents = 12;
+// Header by which callers name the parts of a prompt, and a part that crashes
+// each engine that begins to answer it.
+inline constexpr char kSoakPartsHeader[] = "Prompt-Prefix";
+inline constexpr char kSoakCrashingPart[] = "666:40";
 
 class SoakBackend
 {
@@ -26,10 +31,16 @@
   SoakBackend(boost::asio::io_context& aContext,
               SoakLedger& aLedger,
               std::string aId,
-              bool aIsEngine);
+              bool aIsEngine,
+              std::uint64_t aSeed);
 
   const std::string& Id() const { return m_id; }
   FaultProxy& Proxy() { return m_proxy; }
+  std::string Address() const { return m_proxy.Address().ToString(); }
+  // Is silent to everybody for a while and then goes on; harms nobody.
+  void FallSilent(Duration aLength);
+  // Refuses new requests for a while and goes on with those it has.
+  void RefuseWork(Duration aLength);
   // Announces itself to one control VM after the other, until Stop. When it
   // leaves, aOnLeaving is called once that was acknowledged.
   void Announce(std::vector<SocketAddress> aControls);
@@ -39,8 +50,11 @@
 
 private:
   std::vector<StubStep> Answer(const HttpRequest& aRequest);
+  std::vector<StubStep> AnswerPlain(const HttpRequest& aRequest);
   std::vector<StubStep> AnswerStream(const HttpRequest& aRequest);
   std::vector<StubStep> AnswerOrder(const HttpRequest& aRequest);
+  // The process ends and is back later as a new incarnation without layers.
+  void Crash();
   bool RunsEveryLayer(const std::string& aPath) const;
   void NoteRun(const HttpRequest& aRequest);
   std::string MakeReport();
@@ -53,11 +67,14 @@
   StubEndpoint m_stub;
   FaultProxy m_proxy;
   EndpointClient m_client;
+  Random m_random;
   std::vector<SocketAddress> m_controls;
   std::size_t m_turn = 0;
   int m_first = 0;
   int m_end = 0;
   int m_sequence = 0;
+  int m_born = 1;
+  TimePoint m_refusesUntil{};
   bool m_isStopped = false;
   std::function<void()> m_onLeaving;
 };
--- a/Tests/Soak/SoakCallers.cxx
+++ b/Tests/Soak/SoakCallers.cxx
@@ -3,8 +3,11 @@
 
 #include <utility>
 
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 #include "Soak/SoakBackend.h"
 
@@ -16,6 +19,20 @@
 constexpr std::chrono::milliseconds kStreamPatienceMs{ 8000 };
 constexpr unsigned kHttp11 = 11;
 
+constexpr std::chrono::milliseconds kReconnectMs{ 40 };
+// Pause of a held connection that is in use, for each entry VM.
+constexpr std::chrono::milliseconds kHeldPauseMs{ 60 };
+// Half of them are idle after their first request.
+constexpr int kHeldPerEntry = 6;
+// One of so many streams has a part that crashes engines.
+constexpr std::uint64_t kCrashingShare = 8;
+
+std::chrono::milliseconds
+PatienceOf(AttemptKind aKind)
+{
+  return aKind == AttemptKind::Stream ? kStreamPatienceMs : kPlainPatienceMs;
+}
+
 bool
 IsPromise(unsigned aStatus)
 {
@@ -26,26 +43,39 @@
 
 SoakCallers::SoakCallers(boost::asio::io_context& aContext,
                          SoakLedger& aLedger,
-                         std::vector<SocketAddress> aEntries,
-                         std::uint64_t aSeed)
+                         std::vector<SoakEntryDoor> aEntries,
+                         std::uint64_t aSeed,
+                         bool aHasCrashingParts)
   : m_context(aContext)
   , m_ledger(aLedger)
   , m_entries(std::move(aEntries))
   , m_client(aContext.get_executor())
   , m_random(aSeed)
+  , m_hasCrashingParts(aHasCrashingParts)
 {
 }
 
+SoakCallers::Errand
+SoakCallers::DrawErrand(const SoakEntryDoor& aEntry)
+{
+  Errand errand;
+  errand.m_attempt = "a" + std::to_string(++m_count);
+  errand.m_kind = static_cast<AttemptKind>(m_random.Below(3));
+  errand.m_key = m_random.Below(4) == 0 ? "k2" : "k1";
+  errand.m_entry = &aEntry;
+  errand.m_isCrashing = m_hasCrashingParts &&
+                        errand.m_kind == AttemptKind::Stream &&
+                        m_random.Below(kCrashingShare) == 0;
+  return errand;
+}
+
 void
 SoakCallers::Ask()
 {
-  const auto kind = static_cast<AttemptKind>(m_random.Below(3));
-  const std::string key = m_random.Below(4) == 0 ? "k2" : "k1";
-  const SocketAddress& entry = m_entries[m_random.Below(m_entries.size())];
   ++m_open;
   boost::asio::co_spawn(
     m_context,
-    Exchange("a" + std::to_string(++m_count), kind, key, entry),
+    Exchange(DrawErrand(m_entries[m_random.Below(m_entries.size())]), nullptr),
     [this](const std::exception_ptr& aFault) {
       --m_open;
       if (aFault) {
@@ -54,49 +84,125 @@
     });
 }
 
+void
+SoakCallers::Hold()
+{
+  m_isHolding = true;
+  for (const SoakEntryDoor& entry : m_entries) {
+    for (int i = 0; i < kHeldPerEntry; ++i) {
+      boost::asio::co_spawn(
+        m_context, UseHeld(entry, i % 2 == 0), boost::asio::detached);
+    }
+  }
+}
+
 boost::asio::awaitable<void>
-SoakCallers::Exchange(std::string aAttempt,
-                      AttemptKind aKind,
-                      std::string aKey,
-                      SocketAddress aEntry)
+SoakCallers::UseHeld(const SoakEntryDoor& aEntry, bool aIsIdle)
 {
-  const bool isStream = aKind == AttemptKind::Stream;
-  const auto patience = isStream ? kStreamPatienceMs : kPlainPatienceMs;
-  const std::string path = isStream                     ? "/stream/x"
-                           : aKind == AttemptKind::Safe ? "/safe/x"
-                                                        : "/unsafe/x";
+  HeldConnection connection(m_context.get_executor());
+  boost::asio::steady_timer timer(m_context);
+  while (m_isHolding) {
+    if (!connection.IsOpen() && !co_await connection.Connect(aEntry.m_direct)) {
+      timer.expires_after(kReconnectMs);
+      co_await timer.async_wait(
+        boost::asio::as_tuple(boost::asio::use_awaitable));
+      continue;
+    }
+    ++m_open;
+    Errand errand = DrawErrand(aEntry);
+    co_await Exchange(std::move(errand), &connection);
+    --m_open;
+    if (aIsIdle && connection.IsOpen()) {
+      co_await connection.AwaitEnd();
+    }
+    timer.expires_after(kHeldPauseMs * (1 + m_random.Below(m_entries.size())));
+    co_await timer.async_wait(
+      boost::asio::as_tuple(boost::asio::use_awaitable));
+  }
+}
+
+HttpRequest
+SoakCallers::MakeRequest(const Errand& aErrand) const
+{
+  const bool isStream = aErrand.m_kind == AttemptKind::Stream;
+  const std::string path = isStream                              ? "/stream/x"
+                           : aErrand.m_kind == AttemptKind::Safe ? "/safe/x"
+                                                                 : "/unsafe/x";
   HttpRequest request(http::verb::post, path, kHttp11);
   request.set(http::field::host, "one.example");
-  request.set("Attempt-Id", aAttempt);
-  request.set("Deadline-Ms", std::to_string(patience.count()));
-  request.set("Authorization", "Bearer " + aKey);
+  request.set("Attempt-Id", aErrand.m_attempt);
+  request.set("Deadline-Ms",
+              std::to_string(PatienceOf(aErrand.m_kind).count()));
+  request.set("Authorization", "Bearer " + aErrand.m_key);
   if (isStream) {
     request.set("Model", "m");
     request.set("Token-Usage", "100,24");
-    request.set("Prompt-Prefix", "1:100");
+    request.set(kSoakPartsHeader,
+                aErrand.m_isCrashing ? "1:60," + std::string(kSoakCrashingPart)
+                                     : "1:100");
   }
-  request.body() = "body of " + aAttempt;
+  request.body() = "body of " + aErrand.m_attempt;
   request.prepare_payload();
-  m_ledger.NoteSent(aAttempt, aKind, aKey, BootClock::now());
-  const CallResult result = co_await m_client.Call(
-    aEntry, std::move(request), patience, ConnectionChoice::Reuse);
-  if (!result.m_response) {
-    m_ledger.NoteUnserved();
+  return request;
+}
+
+boost::asio::awaitable<void>
+SoakCallers::Exchange(Errand aErrand, HeldConnection* aHeld)
+{
+  const auto patience = PatienceOf(aErrand.m_kind);
+  const TimePoint now = BootClock::now();
+  SoakAttempt sent;
+  sent.m_kind = aErrand.m_kind;
+  sent.m_key = aErrand.m_key;
+  sent.m_entry = aErrand.m_entry->m_name;
+  if (aHeld == nullptr) {
+    sent.m_link = aErrand.m_entry->m_link.ToString();
+  }
+  sent.m_sentAt = now;
+  sent.m_deadline = now + patience;
+  sent.m_isExcused = aErrand.m_isCrashing;
+  m_ledger.NoteSent(aErrand.m_attempt, std::move(sent));
+  HttpRequest request = MakeRequest(aErrand);
+  CallResult result;
+  if (aHeld != nullptr) {
+    result = co_await aHeld->Call(std::move(request), patience);
+  } else {
+    result = co_await m_client.Call(aErrand.m_entry->m_link,
+                                    std::move(request),
+                                    patience,
+                                    ConnectionChoice::Reuse);
+  }
+  if (result.m_response) {
+    CheckAnswer(aErrand, *result.m_response);
     co_return;
   }
-  const unsigned status = result.m_response->result_int();
+  const bool isBroken = result.m_reason.m_code == CallError::Broken;
+  m_ledger.NoteEnd(aErrand.m_attempt,
+                   isBroken ? AttemptEnd::BrokenOff : AttemptEnd::TimedOut,
+                   result.m_reason.m_text,
+                   BootClock::now());
+}
+
+void
+SoakCallers::CheckAnswer(const Errand& aErrand, const HttpResponse& aResponse)
+{
+  const std::string& attempt = aErrand.m_attempt;
+  const unsigned status = aResponse.result_int();
+  AttemptEnd end = AttemptEnd::Failed;
   if (status == 200) {
-    CheckSuccess(aAttempt, aKind, *result.m_response);
-    m_ledger.NoteServed();
+    CheckSuccess(attempt, aErrand.m_kind, aResponse);
+    end = AttemptEnd::Served;
   } else if (IsPromise(status)) {
-    m_ledger.NoteRefused(aAttempt);
-  } else {
-    m_ledger.NoteUnserved();
-    if (status == 404) {
-      m_ledger.Breach(aAttempt + " got 404 for a route that always was there");
-    } else if (status == 401 && aKey == "k1") {
-      m_ledger.Breach(aAttempt + " got 401 for a key that always was valid");
-    }
+    end = AttemptEnd::Refused;
+  }
+  m_ledger.NoteEnd(attempt,
+                   end,
+                   std::to_string(status) + " " + aResponse.body(),
+                   BootClock::now());
+  if (status == 404) {
+    m_ledger.Breach(attempt + " got 404 for a route that always was there");
+  } else if (status == 401 && aErrand.m_key == "k1") {
+    m_ledger.Breach(attempt + " got 401 for a key that always was valid");
   }
 }
 
--- a/Tests/Soak/SoakCallers.h
+++ b/Tests/Soak/SoakCallers.h
@@ -11,37 +11,66 @@
 
 #include "Forwarding/EndpointClient.h"
 #include "Routing/Random.h"
+#include "Soak/HeldConnection.h"
 #include "Soak/SoakLedger.h"
 
 namespace parsleycove {
 
+// How callers reach one entry VM.
+struct SoakEntryDoor
+{
+  std::string m_name;
+  // Through a link that may be harmed, and directly.
+  SocketAddress m_link;
+  SocketAddress m_direct;
+};
+
 class SoakCallers
 {
 public:
-  // aEntries: addresses by which callers reach the entry VMs.
+  // With aHasCrashingParts, some prompts have a part that crashes engines.
   SoakCallers(boost::asio::io_context& aContext,
               SoakLedger& aLedger,
-              std::vector<SocketAddress> aEntries,
-              std::uint64_t aSeed);
+              std::vector<SoakEntryDoor> aEntries,
+              std::uint64_t aSeed,
+              bool aHasCrashingParts);
 
   // One request to a random VM.
   void Ask();
+  // Keeps connections to each VM open until its process is gone, idle and in
+  // use, and opens them again, until Release.
+  void Hold();
+  void Release() { m_isHolding = false; }
   int Open() const { return m_open; }
 
 private:
-  boost::asio::awaitable<void> Exchange(std::string aAttempt,
-                                        AttemptKind aKind,
-                                        std::string aKey,
-                                        SocketAddress aEntry);
+  struct Errand
+  {
+    std::string m_attempt;
+    AttemptKind m_kind{};
+    std::string m_key;
+    const SoakEntryDoor* m_entry = nullptr;
+    bool m_isCrashing = false;
+  };
+
+  Errand DrawErrand(const SoakEntryDoor& aEntry);
+  HttpRequest MakeRequest(const Errand& aErrand) const;
+  // Over aHeld if it is not nullptr, otherwise through the link.
+  boost::asio::awaitable<void> Exchange(Errand aErrand, HeldConnection* aHeld);
+  boost::asio::awaitable<void> UseHeld(const SoakEntryDoor& aEntry,
+                                       bool aIsIdle);
+  void CheckAnswer(const Errand& aErrand, const HttpResponse& aResponse);
   void CheckSuccess(const std::string& aAttempt,
                     AttemptKind aKind,
                     const HttpResponse& aResponse);
 
   boost::asio::io_context& m_context;
   SoakLedger& m_ledger;
-  const std::vector<SocketAddress> m_entries;
+  const std::vector<SoakEntryDoor> m_entries;
   EndpointClient m_client;
   Random m_random;
+  const bool m_hasCrashingParts;
+  bool m_isHolding = false;
   std::uint64_t m_count = 0;
   int m_open = 0;
 };
--- a/Tests/Soak/SoakFleet.cxx
+++ b/Tests/Soak/SoakFleet.cxx
@@ -12,22 +12,36 @@
 constexpr std::uint16_t kReadinessPort = 18601;
 constexpr std::uint16_t kPeerPort = 18602;
 
+// Loopback networks of fleets with different seeds.
+constexpr std::uint64_t kFirstNetwork = 100;
+constexpr std::uint64_t kNetworks = 100;
+// How long a stopping VM still serves callers; half of the seeds have the short
+// time, so that a VM stops several times within one run.
+constexpr int kLongDrainMs = 3000;
+constexpr int kShortDrainMs = 700;
+
+} // namespace
+
 std::string
-ControlIp(std::size_t aVm)
+SoakFleet::ControlIp(std::size_t aVm) const
 {
-  return "127.77.1." + std::to_string(aVm + 1);
+  return "127." + std::to_string(kFirstNetwork + m_seed % kNetworks) + ".1." +
+         std::to_string(aVm + 1);
 }
 
 std::string
-EntryIp(std::size_t aVm)
+SoakFleet::EntryIp(std::size_t aVm) const
 {
-  return "127.77.2." + std::to_string(aVm + 1);
+  return "127." + std::to_string(kFirstNetwork + m_seed % kNetworks) + ".2." +
+         std::to_string(aVm + 1);
 }
 
-} // namespace
-
-SoakFleet::SoakFleet(const std::string& aProgram, std::string aFolder)
+SoakFleet::SoakFleet(const std::string& aProgram,
+                     std::string aFolder,
+                     std::size_t aEntries,
+                     std::uint64_t aSeed)
   : m_folder(std::move(aFolder))
+  , m_seed(aSeed)
 {
   for (std::size_t vm = 0; vm < kSoakControls; ++vm) {
     std::filesystem::create_directories(FolderOf(vm));
@@ -36,7 +50,7 @@
       ControlSettings(vm, true),
       m_folder + "/control-" + std::to_string(vm) + ".log"));
   }
-  for (std::size_t vm = 0; vm < kSoakEntries; ++vm) {
+  for (std::size_t vm = 0; vm < aEntries; ++vm) {
     m_entries.push_back(std::make_unique<SoakProcess>(
       aProgram,
       EntrySettings(vm),
@@ -94,7 +108,9 @@
            "PARSLEYCOVE_CONFIG_LEASE_MS=4200",
            "PARSLEYCOVE_RETRY_RATIO=0.2",
            "PARSLEYCOVE_RETRY_SLACK=200",
-           "PARSLEYCOVE_STOP_GRACE_MS=8000",
+           "PARSLEYCOVE_DRAIN_GRACE_MS=" +
+             std::to_string(m_seed % 2 == 0 ? kLongDrainMs : kShortDrainMs),
+           "PARSLEYCOVE_STOP_GRACE_MS=" + std::to_string(kSoakStopGraceMs),
            "PARSLEYCOVE_LOG_FILE=-" };
 }
 
--- a/Tests/Soak/SoakFleet.h
+++ b/Tests/Soak/SoakFleet.h
@@ -2,6 +2,7 @@
 // VMs, each at an IP number of its own on the loopback interface.
 #pragma once
 
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <vector>
@@ -12,12 +13,17 @@
 namespace parsleycove {
 
 inline constexpr std::size_t kSoakControls = 3;
-inline constexpr std::size_t kSoakEntries = 3;
+// An entry VM ends so long after the signal to stop at the latest.
+inline constexpr int kSoakStopGraceMs = 8000;
 
 class SoakFleet
 {
 public:
-  SoakFleet(const std::string& aProgram, std::string aFolder);
+  // Fleets whose seeds differ by less than 100 may run at the same time.
+  SoakFleet(const std::string& aProgram,
+            std::string aFolder,
+            std::size_t aEntries,
+            std::uint64_t aSeed);
 
   void StartAll();
   SoakProcess& Control(std::size_t aVm) { return *m_controls[aVm]; }
@@ -37,7 +43,11 @@
   std::vector<std::string> EntrySettings(std::size_t aVm) const;
   std::string Seeds() const;
 
+  std::string ControlIp(std::size_t aVm) const;
+  std::string EntryIp(std::size_t aVm) const;
+
   const std::string m_folder;
+  const std::uint64_t m_seed;
   std::vector<std::unique_ptr<SoakProcess>> m_controls;
   std::vector<std::unique_ptr<SoakProcess>> m_entries;
 };
--- a/Tests/Soak/SoakLedger.cxx
+++ b/Tests/Soak/SoakLedger.cxx
@@ -5,19 +5,27 @@
 
 namespace parsleycove {
 
+namespace {
+
+// Bounds of the users' platform for a part of a prompt that crashes engines: so
+// long after this many crashes, few requests with it reach an engine.
+constexpr std::chrono::seconds kPartKnownS{ 3 };
+constexpr int kCrashesToKnow = 5;
+constexpr int kMaxLateCrashes = 3;
+
+} // namespace
+
 void
-SoakLedger::NoteSent(const std::string& aAttempt,
-                     AttemptKind aKind,
-                     std::string aKey,
-                     TimePoint aNow)
+SoakLedger::NoteSent(const std::string& aAttempt, SoakAttempt aSent)
 {
-  m_attempts[aAttempt] = { aKind, std::move(aKey), aNow, 0, false };
+  m_attempts[aAttempt] = std::move(aSent);
 }
 
 void
 SoakLedger::NoteRun(const std::string& aAttempt,
                     const std::string& aAccount,
                     const std::string& aBackend,
+                    const std::vector<std::string>& aPath,
                     TimePoint aNow)
 {
   ++m_runs;
@@ -26,8 +34,9 @@
     Breach(aAttempt + " ran, but no caller sent it");
     return;
   }
-  Attempt& attempt = place->second;
+  SoakAttempt& attempt = place->second;
   ++attempt.m_runs;
+  attempt.m_backends.insert(aPath.begin(), aPath.end());
   const bool isOnce = attempt.m_kind == AttemptKind::Unsafe;
   if (isOnce && attempt.m_runs > 1) {
     Breach(aAttempt + " may run once and ran " +
@@ -52,16 +61,50 @@
 }
 
 void
-SoakLedger::NoteRefused(const std::string& aAttempt)
+SoakLedger::Excuse(const std::string& aAttempt)
 {
+  m_attempts[aAttempt].m_isExcused = true;
+}
+
+void
+SoakLedger::NoteEnd(const std::string& aAttempt,
+                    AttemptEnd aEnd,
+                    std::string aWhy,
+                    TimePoint aNow)
+{
+  SoakAttempt& attempt = m_attempts[aAttempt];
+  attempt.m_end = aEnd;
+  attempt.m_why = std::move(aWhy);
+  attempt.m_endedAt = aNow;
+  if (aEnd == AttemptEnd::Served) {
+    ++m_served;
+    m_servedStreams += attempt.m_kind == AttemptKind::Stream ? 1 : 0;
+    return;
+  }
   ++m_unserved;
-  Attempt& attempt = m_attempts[aAttempt];
-  attempt.m_isRefused = true;
-  if (attempt.m_kind == AttemptKind::Unsafe && attempt.m_runs != 0) {
+  attempt.m_isRefused = aEnd == AttemptEnd::Refused;
+  if (attempt.m_isRefused && attempt.m_kind == AttemptKind::Unsafe &&
+      attempt.m_runs != 0) {
     Breach(aAttempt + " has run, and its caller was told that it has not");
   }
 }
 
+void
+SoakLedger::NoteCrash(TimePoint aNow)
+{
+  if (++m_crashes == kCrashesToKnow) {
+    m_partKnownFrom = aNow + kPartKnownS;
+  }
+  if (m_crashes <= kCrashesToKnow || aNow <= m_partKnownFrom) {
+    return;
+  }
+  if (++m_lateCrashes == kMaxLateCrashes + 1) {
+    Breach("more than " + std::to_string(kMaxLateCrashes) +
+           " prompts with a part that crashes engines reached engines after "
+           "the part must be known");
+  }
+}
+
 void
 SoakLedger::SetKey(const std::string& aKey, std::string aAccount)
 {
--- a/Tests/Soak/SoakLedger.h
+++ b/Tests/Soak/SoakLedger.h
@@ -2,10 +2,12 @@
 #pragma once
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "Base/Clock.h"
+#include "Soak/SoakHarms.h"
 
 namespace parsleycove {
 
@@ -16,23 +18,58 @@
   Stream,
 };
 
+enum class AttemptEnd
+{
+  Open,
+  Served,
+  // With the promise that it has not run.
+  Refused,
+  // With another error.
+  Failed,
+  // The connection ended before a complete answer.
+  BrokenOff,
+  // The caller waited no longer, or could not send it.
+  TimedOut,
+};
+
+struct SoakAttempt
+{
+  AttemptKind m_kind{};
+  std::string m_key;
+  std::string m_entry;
+  // Address of the link to the entry VM; empty without one.
+  std::string m_link;
+  TimePoint m_sentAt{};
+  TimePoint m_deadline{};
+  TimePoint m_endedAt{};
+  AttemptEnd m_end = AttemptEnd::Open;
+  std::string m_why;
+  // Addresses of all back ends on its paths.
+  std::set<std::string> m_backends;
+  int m_runs = 0;
+  bool m_isRefused = false;
+  // Carries a part that crashes engines, or a back end broke its answer off.
+  bool m_isExcused = false;
+};
+
 // Breaches are kept as text; the soak fails with the first of them.
 class SoakLedger
 {
 public:
-  void NoteSent(const std::string& aAttempt,
-                AttemptKind aKind,
-                std::string aKey,
-                TimePoint aNow);
-  // A back end begins to work on it.
+  void NoteSent(const std::string& aAttempt, SoakAttempt aSent);
+  // A back end begins to work on it. aPath: addresses of all back ends of its
+  // path.
   void NoteRun(const std::string& aAttempt,
                const std::string& aAccount,
                const std::string& aBackend,
+               const std::vector<std::string>& aPath,
+               TimePoint aNow);
+  // Its back end harms it.
+  void Excuse(const std::string& aAttempt);
+  void NoteEnd(const std::string& aAttempt,
+               AttemptEnd aEnd,
+               std::string aWhy,
                TimePoint aNow);
-  // The caller was told that it has not run.
-  void NoteRefused(const std::string& aAttempt);
-  void NoteServed() { ++m_served; }
-  void NoteUnserved() { ++m_unserved; }
 
   // Only aAccount's requests are allowed with this key; none of those that are
   // sent after aUntil.
@@ -41,34 +78,53 @@
   // No request that is sent after aFrom may reach the back end.
   void NoteLeaving(const std::string& aBackend, TimePoint aFrom);
 
+  // A prompt with a part that crashes engines has reached one.
+  void NoteCrash(TimePoint aNow);
+
+  // What was harmed, which back ends were only silent, and which entry VMs were
+  // under a graceful stop.
+  SoakHarms& Harms() { return m_harms; }
+  const SoakHarms& Harms() const { return m_harms; }
+  SoakHarms& Silences() { return m_silences; }
+  const SoakHarms& Silences() const { return m_silences; }
+  SoakHarms& Stops() { return m_stops; }
+  const SoakHarms& Stops() const { return m_stops; }
+
   void Breach(std::string aText) { m_breaches.push_back(std::move(aText)); }
   const std::vector<std::string>& Breaches() const { return m_breaches; }
+  const std::map<std::string, SoakAttempt>& Attempts() const
+  {
+    return m_attempts;
+  }
   int Served() const { return m_served; }
+  int ServedStreams() const { return m_servedStreams; }
+  int Crashes() const { return m_crashes; }
+  int LateCrashes() const { return m_lateCrashes; }
   int Unserved() const { return m_unserved; }
   int Runs() const { return m_runs; }
 
 private:
-  struct Attempt
-  {
-    AttemptKind m_kind{};
-    std::string m_key;
-    TimePoint m_sentAt{};
-    int m_runs = 0;
-    bool m_isRefused = false;
-  };
   struct Key
   {
     std::string m_account;
     TimePoint m_until = TimePoint::max();
   };
 
-  std::map<std::string, Attempt> m_attempts;
+  std::map<std::string, SoakAttempt> m_attempts;
   std::map<std::string, Key> m_keys;
   std::map<std::string, TimePoint> m_leaving;
   std::vector<std::string> m_breaches;
+  SoakHarms m_harms;
+  SoakHarms m_silences;
+  SoakHarms m_stops;
   int m_served = 0;
+  int m_servedStreams = 0;
   int m_unserved = 0;
   int m_runs = 0;
+  int m_crashes = 0;
+  // Those after the time by which the gateways know the part.
+  int m_lateCrashes = 0;
+  TimePoint m_partKnownFrom{};
 };
 
 } // namespace parsleycove
--- a/Tests/Soak/SoakMain.cxx
+++ b/Tests/Soak/SoakMain.cxx
@@ -12,10 +12,15 @@
 
 using namespace parsleycove;
 
+constexpr std::size_t kMostEntries = 200;
+
 constexpr char kUsage[] =
   "usage: parsleycove-soak --program FILE [--seed N] [--seeds COUNT]\n"
-  "       [--seconds N] [--folder DIR] [--timed]\n"
+  "       [--seconds N] [--folder DIR] [--entries N] [--crashing-part]\n"
+  "       [--timed]\n"
   "--folder: logs and data are kept there, in a folder for each seed\n"
+  "--entries: number of entry processes, 1 to 200\n"
+  "--crashing-part: some prompts have a part that crashes engines\n"
   "--timed: also checks what is promised within a time\n";
 
 struct SoakRuns
@@ -33,6 +38,8 @@
                              { "seeds", required_argument, nullptr, 'n' },
                              { "seconds", required_argument, nullptr, 't' },
                              { "folder", required_argument, nullptr, 'f' },
+                             { "entries", required_argument, nullptr, 'e' },
+                             { "crashing-part", no_argument, nullptr, 'x' },
                              { "timed", no_argument, nullptr, 'c' },
                              {} };
   for (int name = 0;
@@ -54,6 +61,12 @@
       case 'f':
         aRuns.m_folder = optarg;
         break;
+      case 'e':
+        aRuns.m_options.m_entries = std::strtoull(optarg, nullptr, 10);
+        break;
+      case 'x':
+        aRuns.m_options.m_hasCrashingPart = true;
+        break;
       case 'c':
         aRuns.m_options.m_isTimed = true;
         break;
@@ -61,7 +74,9 @@
         return false;
     }
   }
-  return !aRuns.m_options.m_program.empty() && optind == argc;
+  return !aRuns.m_options.m_program.empty() && optind == argc &&
+         aRuns.m_options.m_entries >= 1 &&
+         aRuns.m_options.m_entries <= kMostEntries;
 }
 
 } // namespace
--- a/Tests/Soak/SoakProcess.h
+++ b/Tests/Soak/SoakProcess.h
@@ -26,6 +26,8 @@
   void Signal(int aSignal) const;
   // Reaps it if it has ended by itself or after a signal.
   bool IsRunning();
+  // 0 unless it is running.
+  pid_t Id() const { return m_pid; }
   void SetSettings(std::vector<std::string> aSettings)
   {
     m_settings = std::move(aSettings);
