Soak: Close the soak's connections in the processes it starts

Cause: a process that was started meanwhile had inherited the back end's socket, so the end never reached the gateway. The fault was the soak's, not the gateway's.

--- a/Tests/Soak/SoakProcess.cxx
+++ b/Tests/Soak/SoakProcess.cxx
@@ -42,6 +42,8 @@
   if (pid == 0) {
     dup2(log, STDOUT_FILENO);
     dup2(log, STDERR_FILENO);
+    // A connection of the soak that a child kept open would not end.
+    closefrom(STDERR_FILENO + 1);
     execve(m_program.c_str(), arguments.data(), settings.data());
     _exit(127);
   }
