--- a/Tests/Soak/SoakBackend.cxx
+++ b/Tests/Soak/SoakBackend.cxx
@@ -128,6 +128,7 @@
     return { Send(MakeAnswer(attempt, 421, "", "Not-Executed: 1\r\n")) };
   }
   if (BootClock::now() < m_refusesUntil) {
+    m_ledger.NoteStep(attempt, m_id + " refuses", BootClock::now());
     return { Send(MakeAnswer(attempt, 503, "", "Not-Executed: 1\r\n")) };
   }
   return m_isEngine ? AnswerStream(aRequest) : AnswerPlain(aRequest);
@@ -138,6 +139,7 @@
 {
   const std::string attempt(aRequest["Attempt-Id"]);
   NoteRun(aRequest);
+  m_ledger.NoteStep(attempt, m_id + " runs it", BootClock::now());
   if (m_random.Below(kUnframedShare) == 0) {
     const std::size_t half = m_random.Below(attempt.size() + 1);
     return { Send(MakeUnframedHead(attempt, "text/plain") +
@@ -185,6 +187,15 @@
     }
     steps.push_back(Send(event));
   }
+  m_ledger.NoteStep(
+    attempt,
+    m_id + (isUnframed ? " begins without length" : " begins in chunks") +
+      " after event " + std::to_string(first - 1),
+    BootClock::now());
+  steps.push_back(Await([this, attempt] {
+    m_ledger.NoteStep(attempt, m_id + " ends", BootClock::now());
+    return true;
+  }));
   steps.push_back(isUnframed ? CloseNow() : Send(MakeStreamEnd()));
   return steps;
 }
--- a/Tests/Soak/SoakEndCheck.cxx
+++ b/Tests/Soak/SoakEndCheck.cxx
@@ -82,6 +82,7 @@
     for (const std::string& backend : attempt.m_backends) {
       text += " " + backend;
     }
+    text += attempt.m_story;
     aLedger.Breach(text);
   }
   return counts;
--- a/Tests/Soak/SoakLedger.cxx
+++ b/Tests/Soak/SoakLedger.cxx
@@ -60,6 +60,17 @@
   }
 }
 
+void
+SoakLedger::NoteStep(const std::string& aAttempt,
+                     const std::string& aStep,
+                     TimePoint aNow)
+{
+  SoakAttempt& attempt = m_attempts[aAttempt];
+  const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(
+    aNow - attempt.m_sentAt);
+  attempt.m_story += ", " + std::to_string(ms.count()) + " ms " + aStep;
+}
+
 void
 SoakLedger::Excuse(const std::string& aAttempt)
 {
--- a/Tests/Soak/SoakLedger.h
+++ b/Tests/Soak/SoakLedger.h
@@ -44,6 +44,8 @@
   TimePoint m_endedAt{};
   AttemptEnd m_end = AttemptEnd::Open;
   std::string m_why;
+  // What back ends did with it, for a breach.
+  std::string m_story;
   // Addresses of all back ends on its paths.
   std::set<std::string> m_backends;
   int m_runs = 0;
@@ -64,6 +66,9 @@
                const std::string& aBackend,
                const std::vector<std::string>& aPath,
                TimePoint aNow);
+  void NoteStep(const std::string& aAttempt,
+                const std::string& aStep,
+                TimePoint aNow);
   // Its back end harms it.
   void Excuse(const std::string& aAttempt);
   void NoteEnd(const std::string& aAttempt,
