Soak: Close the port of a crashed engine and name the caller's own part last

A crashed engine refused its callers by a reset after the connection was made; a process that is gone refuses the connection itself. The last part of a prompt is the caller's own, so a part that crashes engines stands before it.

--- a/Tests/Soak/FaultProxy.cxx
+++ b/Tests/Soak/FaultProxy.cxx
@@ -69,7 +69,7 @@
         co_return;
       }
       auto relay = std::make_shared<Relay>(std::move(socket));
-      if (m_fault == LinkFault::Refused || m_isDown) {
+      if (m_fault == LinkFault::Refused) {
         relay->Close(true);
         continue;
       }
@@ -146,7 +146,7 @@
   LinkFault m_fault = LinkFault::None;
   Duration m_delay{};
   TimePoint m_heldUntil{};
-  bool m_isDown = false;
+  const Tcp::endpoint m_listen = m_acceptor.local_endpoint();
   std::vector<std::weak_ptr<Relay>> m_relays;
 };
 
@@ -166,7 +166,7 @@
 SocketAddress
 FaultProxy::Address() const
 {
-  return { "127.0.0.1", m_parts->m_acceptor.local_endpoint().port() };
+  return { "127.0.0.1", m_parts->m_listen.port() };
 }
 
 void
@@ -189,18 +189,36 @@
 }
 
 void
-FaultProxy::SetDown(bool aIsDown)
+FaultProxy::GoDown()
 {
-  m_parts->m_isDown = aIsDown;
-  if (aIsDown) {
-    ResetAll();
+  beast::error_code ignored;
+  m_parts->m_acceptor.close(ignored);
+  ResetAll();
+}
+
+bool
+FaultProxy::ComeUp()
+{
+  Tcp::acceptor& acceptor = m_parts->m_acceptor;
+  beast::error_code error;
+  acceptor.open(m_parts->m_listen.protocol(), error);
+  acceptor.set_option(asio::socket_base::reuse_address(true), error);
+  acceptor.bind(m_parts->m_listen, error);
+  if (!error) {
+    acceptor.listen(asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    acceptor.close(error);
+    return false;
   }
+  asio::co_spawn(m_parts->m_context, m_parts->Accept(), asio::detached);
+  return true;
 }
 
 bool
 FaultProxy::IsDown() const
 {
-  return m_parts->m_isDown;
+  return !m_parts->m_acceptor.is_open();
 }
 
 void
--- a/Tests/Soak/FaultProxy.h
+++ b/Tests/Soak/FaultProxy.h
@@ -41,8 +41,11 @@
   // a process does that does not run for a while.
   void HoldUntil(TimePoint aUntil);
   TimePoint HeldUntil() const;
-  // While the target is down, connections are reset, whatever the fault.
-  void SetDown(bool aIsDown);
+  // Resets all connections and listens no more until ComeUp, whatever the
+  // fault.
+  void GoDown();
+  // Returns false if another process has the port at the moment.
+  bool ComeUp();
   bool IsDown() const;
   // Resets all open connections.
   void ResetAll();
--- a/Tests/Soak/SoakBackend.cxx
+++ b/Tests/Soak/SoakBackend.cxx
@@ -210,16 +210,19 @@
   m_end = 0;
   m_sequence = 0;
   ++m_born;
-  m_proxy.SetDown(true);
-  boost::asio::co_spawn(
-    m_context,
-    [this]() -> boost::asio::awaitable<void> {
-      boost::asio::steady_timer timer(m_context, kCrashMs);
-      co_await timer.async_wait(
-        boost::asio::as_tuple(boost::asio::use_awaitable));
-      m_proxy.SetDown(false);
-    },
-    boost::asio::detached);
+  m_proxy.GoDown();
+  boost::asio::co_spawn(m_context, ComeBack(), boost::asio::detached);
+}
+
+boost::asio::awaitable<void>
+SoakBackend::ComeBack()
+{
+  boost::asio::steady_timer timer(m_context, kCrashMs);
+  do {
+    co_await timer.async_wait(
+      boost::asio::as_tuple(boost::asio::use_awaitable));
+    timer.expires_after(kSilenceCheckMs);
+  } while (!m_proxy.ComeUp());
 }
 
 bool
--- a/Tests/Soak/SoakBackend.h
+++ b/Tests/Soak/SoakBackend.h
@@ -20,10 +20,10 @@
 // Layers of the soak's model, and events of each of its streams.
 inline constexpr int kSoakLayers = 4;
 inline constexpr int kSoakEvents = 12;
-// Header by which callers name the parts of a prompt, and a part that crashes
-// each engine that begins to answer it.
+// Header by which callers name the parts of a prompt, the last one the caller's
+// own, and a part that crashes each engine that begins to answer it.
 inline constexpr char kSoakPartsHeader[] = "Prompt-Prefix";
-inline constexpr char kSoakCrashingPart[] = "666:40";
+inline constexpr char kSoakCrashingPart[] = "666:30";
 
 class SoakBackend
 {
@@ -55,6 +55,7 @@
   std::vector<StubStep> AnswerOrder(const HttpRequest& aRequest);
   // The process ends and is back later as a new incarnation without layers.
   void Crash();
+  boost::asio::awaitable<void> ComeBack();
   bool RunsEveryLayer(const std::string& aPath) const;
   void NoteRun(const HttpRequest& aRequest);
   std::string MakeReport();
--- a/Tests/Soak/SoakCallers.cxx
+++ b/Tests/Soak/SoakCallers.cxx
@@ -137,9 +137,10 @@
   if (isStream) {
     request.set("Model", "m");
     request.set("Token-Usage", "100,24");
+    const std::string middle =
+      aErrand.m_isCrashing ? std::string(kSoakCrashingPart) + "," : "";
     request.set(kSoakPartsHeader,
-                aErrand.m_isCrashing ? "1:60," + std::string(kSoakCrashingPart)
-                                     : "1:100");
+                "1:60," + middle + "f" + aErrand.m_attempt.substr(1) + ":10");
   }
   request.body() = "body of " + aErrand.m_attempt;
   request.prepare_payload();
