Control: Propose only commands about prompt parts that change the table

A crash, a clear or a due trial is proposed by up to 195 gateways at once, and each proposal was a log entry. The leader now applies them to a copy of the table first, with the commands that are on their way to the log, and answers those that would change nothing with the result that the state gives, without a log entry.

--- a/Source/Control/ReplicaNode.h
+++ b/Source/Control/ReplicaNode.h
@@ -19,6 +19,7 @@
 #include "Control/InboundLinks.h"
 #include "Control/LeaderMaintenance.h"
 #include "Control/MembershipRepair.h"
+#include "Control/PromptCommandFilter.h"
 #include "Control/ReplicaCore.h"
 #include "Control/ReplicaServiceOptions.h"
 #include "Store/DiskFiles.h"
@@ -102,6 +103,10 @@
   void ScheduleMaintenance();
   void PerformMaintenance();
   void RepairMembership(TimePoint aNow);
+  // The leader's result of a command that needs no log entry, std::nullopt if
+  // it is to be proposed.
+  std::optional<state::CommandResultT> AnswerWithoutEntry(
+    const state::CommandT& aCommand);
   // Returns whether enough voters hold the log to accept a routing document.
   bool CanAcceptDocuments() const;
   void ChangeMembers(consensus::MembershipT aNext,
@@ -120,6 +125,7 @@
   // Set only while this replica is the leader.
   std::optional<LeaderMaintenance> m_maintenance;
   FailureReportFilter m_failureReports;
+  PromptCommandFilter m_promptCommands;
   boost::asio::steady_timer m_tickTimer;
   boost::asio::steady_timer m_roundTimer;
   std::optional<TimePoint> m_roundAt; // when the next report round starts
--- a/Source/Control/ReplicaNodeGroup.cxx
+++ b/Source/Control/ReplicaNodeGroup.cxx
@@ -7,6 +7,7 @@
 #include "Consensus/MembershipRules.h"
 #include "Control/ReplicaNodeOptions.h"
 #include "State/CommandTime.h"
+#include "State/PromptPartTable.h"
 
 namespace parsleycove {
 
@@ -42,24 +43,39 @@
       !CanAcceptDocuments()) {
     return false;
   }
-  if (const auto* report = aCommand.body.AsSuspectEndpoint();
-      report != nullptr && IsLeader() &&
-      !m_failureReports.AcceptReport(
-        BootClock::now(), State().Config(), *report)) {
-    state::CommandResultT known;
-    known.code = state::ResultCode::Duplicate;
-    aHandler(std::move(known));
-    return true;
-  }
   // Commands carry the time of the leader's clock, not of the proposer's clock.
   state::CommandT stamped = aCommand;
   StampCommand(stamped, SystemClock().UnixMs());
+  if (auto known = AnswerWithoutEntry(stamped)) {
+    aHandler(std::move(*known));
+    return true;
+  }
   const bool taken =
     m_core->Propose(BootClock::now(), stamped, std::move(aHandler));
   RequestProcessing();
   return taken;
 }
 
+std::optional<state::CommandResultT>
+ReplicaNode::AnswerWithoutEntry(const state::CommandT& aCommand)
+{
+  if (!IsLeader()) {
+    return std::nullopt;
+  }
+  const TimePoint now = BootClock::now();
+  const state::ConfigImageT& image = State().Config();
+  if (IsPromptPartCommand(aCommand)) {
+    return m_promptCommands.AnswerWithoutEntry(now, image, aCommand);
+  }
+  const auto* report = aCommand.body.AsSuspectEndpoint();
+  if (report == nullptr || m_failureReports.AcceptReport(now, image, *report)) {
+    return std::nullopt;
+  }
+  state::CommandResultT known;
+  known.code = state::ResultCode::Duplicate;
+  return known;
+}
+
 bool
 ReplicaNode::CanAcceptDocuments() const
 {
--- a/Tests/State/PromptCommands.cxx
+++ b/Tests/State/PromptCommands.cxx
@@ -15,8 +15,9 @@
                 std::uint64_t aUnixMs)
 {
   state::ReportPromptCrashT report;
-  report.endpoint =
-    std::make_unique<state::EndpointRefT>(MakeRef(aEndpoint, aIncarnation));
+  report.endpoint = std::make_unique<state::EndpointRefT>();
+  report.endpoint->id = aEndpoint;
+  report.endpoint->incarnation = aIncarnation;
   for (const Suspect& suspect : aSuspects) {
     auto entry = std::make_unique<state::CrashSuspectT>();
     entry->attempt = suspect.m_attempt;
