State: Test rules of the prompt part table that no test missed

With the rule taken out, no test failed for: another report of a crash evicts its parts, quarantined parts give way last, a request that is not listed is chosen, a tie needs quarantine and equal numbers of crashes, and the times of holds. Each has a test now, and the times in the tests are figures instead of the constants. Adding crashes to listed parts before new ones had no effect of its own, since the parts of a report do not evict each other; one loop is left.

--- a/Source/State/PromptCrashReport.cxx
+++ b/Source/State/PromptCrashReport.cxx
@@ -204,16 +204,13 @@
   bool added = false;
   for (const std::string& id : m_suspectParts) {
     state::PromptPartT* part = FindEntity(m_parts, id);
-    if (part != nullptr && CanAdd(*part)) {
+    if (part == nullptr) {
+      added = AddNewPart(id) || added;
+    } else if (CanAdd(*part)) {
       AddCrash(*part);
       added = true;
     }
   }
-  for (const std::string& id : m_suspectParts) {
-    if (FindEntity(m_parts, id) == nullptr) {
-      added = AddNewPart(id) || added;
-    }
-  }
   return added;
 }
 
--- a/Source/State/PromptCrashReport.h
+++ b/Source/State/PromptCrashReport.h
@@ -45,7 +45,7 @@
   // the parts that were tied to one of them but were not there.
   bool AddToQuarantined();
   void ReleaseTied(const std::vector<state::PromptPartT*>& aGaining);
-  // Adds the crash to all suspects, those listed already first.
+  // Adds the crash to all suspects that can get it.
   bool AddToSuspects();
   bool AddNewPart(const std::string& aPart);
   void AddCrash(state::PromptPartT& aPart) const;
--- a/Tests/State/PromptPartBoundsTest.cxx
+++ b/Tests/State/PromptPartBoundsTest.cxx
@@ -173,6 +173,16 @@
   CHECK(Crash("e1", suspects) == ResultCode::Duplicate);
 }
 
+// Otherwise the reports of two gateways would evict each other's parts.
+TEST(PromptPartBounds, AnotherReportOfACrashDoesNotEvictItsParts)
+{
+  Crash("e1", { { "a1", MakeParts("x", 32) }, { "a2", MakeParts("y", 32) } });
+  CHECK_EQUAL(kMaxPromptParts, Count());
+  m_now += 10;
+  CHECK(Crash("e1", { { "b1", { "z" } } }) == ResultCode::Duplicate);
+  CHECK(Crash("e2", { { "b1", { "z" } } }) == ResultCode::Ok);
+}
+
 TEST(PromptPartBounds, APartHeldByAClearDoesNotGiveWayToItsOwnReport)
 {
   Crash("e1", { { "a1", { "held" } } });
@@ -200,6 +210,19 @@
   CHECK(Find("y0") != nullptr);
 }
 
+TEST(PromptPartBounds, OtherPartsGiveWayBeforeQuarantinedOnes)
+{
+  Quarantine(MakeParts("x", 32), "q");
+  Quarantine(MakeParts("y", 31), "r");
+  m_now += kCrashEvidenceMs + 1;
+  Crash("e1", { { "a1", { "young" } } });
+  CHECK_EQUAL(kMaxPromptParts, Count());
+  Crash("e2", { { "a2", { "new" } } });
+  CHECK(Find("young") == nullptr);
+  CHECK(Find("new") != nullptr);
+  CHECK(Find("x0") != nullptr);
+}
+
 TEST(PromptPartBounds, AQuarantinedPartKeepsItsRecentCrashes)
 {
   Quarantine({ "bad" }, "q");
--- a/Tests/State/PromptPartTableTest.cxx
+++ b/Tests/State/PromptPartTableTest.cxx
@@ -1,5 +1,7 @@
 // Tests of the rules for prompt parts that crash engines.
+#include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "State/Commands.h"
@@ -135,6 +137,15 @@
   CHECK(IsBlocked("bad"));
 }
 
+TEST(PromptPartTable, ARequestThatIsNotListedIsChosen)
+{
+  Crash("e1", { { "a1", { "bad" } } });
+  Crash("e2", { { "a1", { "bad" } }, { "a2", { "bad" } } });
+  CHECK_FALSE(IsBlocked("bad"));
+  Crash("e3", { { "a2", { "bad" } }, { "a3", { "bad" } } });
+  CHECK(IsBlocked("bad"));
+}
+
 TEST(PromptPartTable, ManyCrashesOfOneRequestLeaveRoomForOthers)
 {
   for (std::size_t engine = 0; engine < kMaxCrashesPerPart; ++engine) {
@@ -242,6 +253,23 @@
   STRCMP_EQUAL("one two ", ListTied("one").c_str());
 }
 
+TEST(PromptPartTable, OnlyQuarantinedPartsWithAllTheCrashesAreTied)
+{
+  Quarantine({ "more", "one", "open" });
+  state::ConfigImageT image = CopyPromptParts(m_config.Image());
+  const auto* one = FindEntity(image.prompt_parts, "one");
+  CHECK_EQUAL(3, FindTied(image, *one).size());
+  FindEntity(image.prompt_parts, "open")->quarantined_unix_ms = 0;
+  auto* more = FindEntity(image.prompt_parts, "more");
+  auto crash = std::make_unique<state::PromptCrashT>(*more->crashes.front());
+  crash->endpoint->incarnation = 2;
+  more->crashes.push_back(std::move(crash));
+  CHECK_EQUAL(1, FindTied(image, *one).size());
+  CHECK_EQUAL(1, FindTied(image, *more).size());
+  CHECK_EQUAL(0,
+              FindTied(image, *FindEntity(image.prompt_parts, "open")).size());
+}
+
 TEST(PromptPartTable, AClearSplitsATie)
 {
   Quarantine({ "one", "two" });
@@ -275,7 +303,7 @@
   CHECK_EQUAL(0, CountCrashes("bad"));
   CHECK(Clear({ "bad", "unknown" }) == ResultCode::Duplicate);
   CHECK(Clear({ "unknown" }) == ResultCode::NotFound);
-  m_now += kClearHoldMs - 1;
+  m_now += 30'000 - 1;
   CHECK(Crash("e1", { { "a1", { "bad" } } }) == ResultCode::Duplicate);
   m_now += 1;
   CHECK(Crash("e1", { { "a1", { "bad" } } }) == ResultCode::Ok);
@@ -287,7 +315,7 @@
   Crash("e1", { { "a1", { "bad", "once" } } });
   m_now += 1;
   Crash("e2", { { "a2", { "bad" } } });
-  m_now += kCrashEvidenceMs;
+  m_now += 60'000;
   Crash("e3", { { "a3", { "bad" } } });
   CHECK_FALSE(IsBlocked("bad"));
   CHECK_EQUAL(2, CountCrashes("bad"));
@@ -322,10 +350,7 @@
   CHECK_EQUAL(0, NextTrialUnixMs(*Find("bad")));
   Quarantine({ "bad" });
   std::uint32_t trials = 0;
-  for (const std::uint64_t delay : { kFirstTrialDelayMs,
-                                     kSecondTrialDelayMs,
-                                     kTrialDelayMs,
-                                     kTrialDelayMs }) {
+  for (const std::uint64_t delay : { 10'000, 60'000, 600'000, 600'000 }) {
     CHECK_EQUAL(m_now + delay, NextTrialUnixMs(*Find("bad")));
     m_now += delay - 1;
     CHECK(Try("bad") == ResultCode::Duplicate);
