State: Make the test of the chosen request fail without its rule

The test passed when the last request of a report was chosen instead of one that the part does not list yet. The report now names the listed request once first and once last; the test fails for either fixed choice.

--- a/Tests/State/PromptPartTableTest.cxx
+++ b/Tests/State/PromptPartTableTest.cxx
@@ -8,9 +8,7 @@
 #include "State/ConfigState.h"
 #include "State/NamedEntities.h"
 #include "State/PromptCommands.h"
-#include "State/PromptPartChecks.h"
 #include "State/PromptPartTable.h"
-#include "State/ReplicatedState.h"
 
 // Included last, since the leak detection of CppUTest redefines new.
 #include <CppUTest/TestHarness.h>
@@ -31,14 +29,12 @@
   ConfigState m_config;
   std::uint64_t m_index = 0;
   std::uint64_t m_now = kStart;
-  std::string m_text; // of the last result
 
   ResultCode Apply(const state::CommandT& aCommand)
   {
     const std::string before = PackConfig(CopyPromptParts(m_config.Image()));
     const bool expected = WouldChange(m_config.Image(), aCommand);
     const auto result = m_config.Apply(++m_index, aCommand);
-    m_text = result.text;
     const std::string after = PackConfig(CopyPromptParts(m_config.Image()));
     CHECK_EQUAL(expected, result.code == ResultCode::Ok);
     CHECK_EQUAL(expected, before != after);
@@ -142,7 +138,7 @@
   Crash("e1", { { "a1", { "bad" } } });
   Crash("e2", { { "a1", { "bad" } }, { "a2", { "bad" } } });
   CHECK_FALSE(IsBlocked("bad"));
-  Crash("e3", { { "a2", { "bad" } }, { "a3", { "bad" } } });
+  Crash("e3", { { "a3", { "bad" } }, { "a1", { "bad" } } });
   CHECK(IsBlocked("bad"));
 }
 
@@ -259,15 +255,15 @@
   state::ConfigImageT image = CopyPromptParts(m_config.Image());
   const auto* one = FindEntity(image.prompt_parts, "one");
   CHECK_EQUAL(3, FindTied(image, *one).size());
-  FindEntity(image.prompt_parts, "open")->quarantined_unix_ms = 0;
+  auto* open = FindEntity(image.prompt_parts, "open");
+  open->quarantined_unix_ms = 0;
   auto* more = FindEntity(image.prompt_parts, "more");
   auto crash = std::make_unique<state::PromptCrashT>(*more->crashes.front());
   crash->endpoint->incarnation = 2;
   more->crashes.push_back(std::move(crash));
   CHECK_EQUAL(1, FindTied(image, *one).size());
   CHECK_EQUAL(1, FindTied(image, *more).size());
-  CHECK_EQUAL(0,
-              FindTied(image, *FindEntity(image.prompt_parts, "open")).size());
+  CHECK_EQUAL(0, FindTied(image, *open).size());
 }
 
 TEST(PromptPartTable, AClearSplitsATie)
