--- a/Tests/State/PromptPartTableTest.cxx
+++ b/Tests/State/PromptPartTableTest.cxx
@@ -78,8 +78,8 @@
   void Quarantine(const std::vector<std::string>& aParts, const std::string& aEngines = "q")
   {
     for (int count = 0; count < 3; ++count) {
-      const std::string number = std::to_string(count);
-      Crash(aEngines + number, { { aEngines + "-attempt" + number, aParts } });
+      const std::string name = aEngines + std::to_string(count);
+      Crash(name, { { name, aParts } });
     }
   }
 };
