--- a/Tests/State/PromptPartTableTest.cxx
+++ b/Tests/State/PromptPartTableTest.cxx
@@ -1,14 +1,14 @@
 // Tests of the rules for prompt parts that crash engines.
+#include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "State/Commands.h"
 #include "State/ConfigState.h"
 #include "State/NamedEntities.h"
 #include "State/PromptCommands.h"
-#include "State/PromptPartChecks.h"
 #include "State/PromptPartTable.h"
-#include "State/ReplicatedState.h"
 
 // Included last, since the leak detection of CppUTest redefines new.
 #include <CppUTest/TestHarness.h>
@@ -29,14 +29,12 @@
   ConfigState m_config;
   std::uint64_t m_index = 0;
   std::uint64_t m_now = kStart;
-  std::string m_text; // of the last result
 
   ResultCode Apply(const state::CommandT& aCommand)
   {
     const std::string before = PackConfig(CopyPromptParts(m_config.Image()));
     const bool expected = WouldChange(m_config.Image(), aCommand);
     const auto result = m_config.Apply(++m_index, aCommand);
-    m_text = result.text;
     const std::string after = PackConfig(CopyPromptParts(m_config.Image()));
     CHECK_EQUAL(expected, result.code == ResultCode::Ok);
     CHECK_EQUAL(expected, before != after);
@@ -80,8 +78,8 @@
   void Quarantine(const std::vector<std::string>& aParts, const std::string& aEngines = "q")
   {
     for (int count = 0; count < 3; ++count) {
-      const std::string number = std::to_string(count);
-      Crash(aEngines + number, { { aEngines + "-attempt" + number, aParts } });
+      const std::string name = aEngines + std::to_string(count);
+      Crash(name, { { name, aParts } });
     }
   }
 };
@@ -135,6 +133,15 @@
   CHECK(IsBlocked("bad"));
 }
 
+TEST(PromptPartTable, ARequestThatIsNotListedIsChosen)
+{
+  Crash("e1", { { "a1", { "bad" } } });
+  Crash("e2", { { "a1", { "bad" } }, { "a2", { "bad" } } });
+  CHECK_FALSE(IsBlocked("bad"));
+  Crash("e3", { { "a3", { "bad" } }, { "a1", { "bad" } } });
+  CHECK(IsBlocked("bad"));
+}
+
 TEST(PromptPartTable, ManyCrashesOfOneRequestLeaveRoomForOthers)
 {
   for (std::size_t engine = 0; engine < kMaxCrashesPerPart; ++engine) {
@@ -242,6 +249,23 @@
   STRCMP_EQUAL("one two ", ListTied("one").c_str());
 }
 
+TEST(PromptPartTable, OnlyQuarantinedPartsWithAllTheCrashesAreTied)
+{
+  Quarantine({ "more", "one", "open" });
+  state::ConfigImageT image = CopyPromptParts(m_config.Image());
+  const auto* one = FindEntity(image.prompt_parts, "one");
+  CHECK_EQUAL(3, FindTied(image, *one).size());
+  auto* open = FindEntity(image.prompt_parts, "open");
+  open->quarantined_unix_ms = 0;
+  auto* more = FindEntity(image.prompt_parts, "more");
+  auto crash = std::make_unique<state::PromptCrashT>(*more->crashes.front());
+  crash->endpoint->incarnation = 2;
+  more->crashes.push_back(std::move(crash));
+  CHECK_EQUAL(1, FindTied(image, *one).size());
+  CHECK_EQUAL(1, FindTied(image, *more).size());
+  CHECK_EQUAL(0, FindTied(image, *open).size());
+}
+
 TEST(PromptPartTable, AClearSplitsATie)
 {
   Quarantine({ "one", "two" });
@@ -275,7 +299,7 @@
   CHECK_EQUAL(0, CountCrashes("bad"));
   CHECK(Clear({ "bad", "unknown" }) == ResultCode::Duplicate);
   CHECK(Clear({ "unknown" }) == ResultCode::NotFound);
-  m_now += kClearHoldMs - 1;
+  m_now += 30'000 - 1;
   CHECK(Crash("e1", { { "a1", { "bad" } } }) == ResultCode::Duplicate);
   m_now += 1;
   CHECK(Crash("e1", { { "a1", { "bad" } } }) == ResultCode::Ok);
@@ -287,7 +311,7 @@
   Crash("e1", { { "a1", { "bad", "once" } } });
   m_now += 1;
   Crash("e2", { { "a2", { "bad" } } });
-  m_now += kCrashEvidenceMs;
+  m_now += 60'000;
   Crash("e3", { { "a3", { "bad" } } });
   CHECK_FALSE(IsBlocked("bad"));
   CHECK_EQUAL(2, CountCrashes("bad"));
@@ -322,10 +346,7 @@
   CHECK_EQUAL(0, NextTrialUnixMs(*Find("bad")));
   Quarantine({ "bad" });
   std::uint32_t trials = 0;
-  for (const std::uint64_t delay : { kFirstTrialDelayMs,
-                                     kSecondTrialDelayMs,
-                                     kTrialDelayMs,
-                                     kTrialDelayMs }) {
+  for (const std::uint64_t delay : { 10'000, 60'000, 600'000, 600'000 }) {
     CHECK_EQUAL(m_now + delay, NextTrialUnixMs(*Find("bad")));
     m_now += delay - 1;
     CHECK(Try("bad") == ResultCode::Duplicate);
