--- a/Tests/Forwarding/SilentEngineTest.cxx
+++ b/Tests/Forwarding/SilentEngineTest.cxx
@@ -166,3 +166,37 @@
   CHECK_EQUAL(200, StatusOf(answer));
   CHECK(answer.ends_with("\r\n\r\nwhole body"));
 }
+
+TEST(SilentEngine, AnAnswerRefusedBeforeItFellSilentGoesOn)
+{
+  m_fixture->PutConfig();
+  int calls = 0;
+  const StubEndpoint* silent = nullptr;
+  for (int i = 0; i < 2; ++i) {
+    StubEndpoint& engine = m_fixture->AddEngine(0, 4);
+    engine.SetScript([&, self = &engine](
+                       const HttpRequest& aRequest) -> std::vector<StubStep> {
+      if (m_isSilent && silent == self) {
+        return { Await([this] { return !m_isSilent; }), CloseNow() };
+      }
+      if (aRequest.target() == "/parsleycove/report") {
+        return WithEngineState(StreamAll)(aRequest);
+      }
+      if (++calls != 2) {
+        return Refuse(aRequest);
+      }
+      silent = self;
+      m_isSilent = true;
+      return { Pause(std::chrono::milliseconds(1200)),
+               Await([this] {
+                 m_isSilent = false;
+                 return true;
+               }),
+               Send(MakeStreamHead(AttemptIdOf(aRequest)) + MakeEvent(1) +
+                    MakeEvent(2) + MakeEvent(3) + MakeEvent(4) + MakeEvent(5) +
+                    MakeStreamEnd()) };
+    });
+  }
+  m_fixture->Start();
+  CheckAllEventsOnce(Ask("/stream/x"));
+}
