Tests: Show answers that end with their connection

An answer, a stream too, may have neither a Content-Length nor chunks. It is complete if its connection ends in order; a reset, and an end inside an event, break it off.

The stub endpoint can reset its connection and can send bytes without end.

--- a/Tests/Forwarding/StubEndpoint.cxx
+++ b/Tests/Forwarding/StubEndpoint.cxx
@@ -47,6 +47,18 @@
   return { StubStep::Kind::Close, {}, {}, {} };
 }
 
+StubStep
+ResetNow()
+{
+  return { StubStep::Kind::Reset, {}, {}, {} };
+}
+
+StubStep
+Flood(std::string aBytes)
+{
+  return { StubStep::Kind::Flood, std::move(aBytes), {}, {} };
+}
+
 StubStep
 Hang()
 {
@@ -159,22 +171,47 @@
       case StubStep::Kind::Close:
         aSocket.close();
         co_return false;
-      case StubStep::Kind::Hang: {
-        char byte = 0;
-        const auto [error, bytes] =
-          co_await aSocket.async_read_some(asio::buffer(&byte, 1), kAwait);
-        m_abandoned += error ? 1 : 0;
+      case StubStep::Kind::Reset: {
+        beast::error_code ignored;
+        aSocket.set_option(asio::socket_base::linger(true, 0), ignored);
+        aSocket.close(ignored);
         co_return false;
       }
+      case StubStep::Kind::Flood: {
+        beast::error_code error;
+        while (!error && m_floodBytes < kMaxFloodBytes) {
+          const auto [failure, bytes] = co_await asio::async_write(
+            aSocket, asio::buffer(aStep.m_bytes), kAwait);
+          error = failure;
+          m_floodBytes += bytes;
+        }
+        if (error) {
+          ++m_abandoned;
+          co_return false;
+        }
+        co_return co_await WaitForEnd(aSocket);
+      }
+      case StubStep::Kind::Hang:
+        co_return co_await WaitForEnd(aSocket);
     }
     co_return false;
   }
 
+  asio::awaitable<bool> WaitForEnd(Tcp::socket& aSocket)
+  {
+    char byte = 0;
+    const auto [error, bytes] =
+      co_await aSocket.async_read_some(asio::buffer(&byte, 1), kAwait);
+    m_abandoned += error ? 1 : 0;
+    co_return false;
+  }
+
   asio::io_context& m_context;
   Tcp::acceptor m_acceptor;
   Script m_script;
   std::vector<HttpRequest> m_requests;
   std::vector<std::weak_ptr<Tcp::socket>> m_sockets;
+  std::size_t m_floodBytes = 0;
   int m_abandoned = 0;
   int m_connections = 0;
 };
@@ -232,4 +269,10 @@
   return m_parts->m_connections;
 }
 
+std::size_t
+StubEndpoint::FloodBytes() const
+{
+  return m_parts->m_floodBytes;
+}
+
 } // namespace parsleycove
--- a/Tests/Forwarding/StubEndpoint.h
+++ b/Tests/Forwarding/StubEndpoint.h
@@ -23,8 +23,13 @@
     Pause,
     // Waits until a condition holds.
     Await,
-    // Closes the connection.
+    // Closes the connection in order.
     Close,
+    // Resets the connection.
+    Reset,
+    // Sends its bytes again and again until the peer closes the connection, but
+    // not more than kMaxFloodBytes.
+    Flood,
     // Sends nothing more and keeps the connection open.
     Hang,
   };
@@ -44,8 +49,15 @@
 StubStep
 CloseNow();
 StubStep
+ResetNow();
+StubStep
+Flood(std::string aBytes);
+StubStep
 Hang();
 
+// Limits the memory that a failing test may cost its gateway.
+constexpr std::size_t kMaxFloodBytes = 48UL * 1024 * 1024;
+
 // Returns a complete answer with a signature.
 std::string
 MakeAnswer(const std::string& aAttemptId,
@@ -82,6 +94,8 @@
   // an answer.
   int Abandoned() const;
   int Connections() const;
+  // Returns the number of bytes sent by Flood.
+  std::size_t FloodBytes() const;
 
 private:
   struct Parts;
