Forwarding: Take the end of a silent endpoint's connection for the end of its answer

Seen in two new tests: an endpoint has sent its whole answer, without a length, and closes its connection in order a while later. Meanwhile the request was asked elsewhere because of the silence, and the other endpoint refuses. The caller got 504 for a safe request, and a stream with all five events was cut:

AnswerEnd.ASilentStreamThatEndsInOrderIsCompleteThoughOthersRefuse CHECK(IsComplete(aAnswer)) failed AnswerEnd.ASilentAnswerThatEndsInOrderIsCompleteThoughOthersRefuse expected <200> but was <504>

Cause: a kept call whose connection became readable without a byte was dropped as closed, though the end of the connection was the rest of the answer.

Change: the end in order of an answer that has no other end counts as its rest, unless a stream has a begun event, which makes it incomplete.

Both tests pass now, as does all of ForwardingTests.

--- a/Source/Forwarding/EndpointCall.cxx
+++ b/Source/Forwarding/EndpointCall.cxx
@@ -139,6 +139,17 @@
            asio::buffer(&byte, 1), Tcp::socket::message_peek, error) != 0;
 }
 
+bool
+EndpointCall::HasEndedWithConnection() const
+{
+  beast::error_code error;
+  char byte = 0;
+  m_connection->m_socket.receive(
+    asio::buffer(&byte, 1), Tcp::socket::message_peek, error);
+  return error == asio::error::eof && m_parser->is_header_done() &&
+         m_parser->need_eof();
+}
+
 void
 EndpointCall::Resume()
 {
--- a/Source/Forwarding/EndpointCall.h
+++ b/Source/Forwarding/EndpointCall.h
@@ -94,6 +94,9 @@
   void WatchWhileSuspended(std::function<void()> aOnReadable);
   // Returns false at the end of the connection, too.
   bool HasUnreadBytes() const;
+  // Returns true if the endpoint has closed the connection in order, and the
+  // answer has no other end than that of its connection.
+  bool HasEndedWithConnection() const;
   // Continues a suspended call where it was interrupted.
   void Resume();
   // Returns the connection to the pool if the answer was complete and no bytes
--- a/Source/Forwarding/PlainForwarder.cxx
+++ b/Source/Forwarding/PlainForwarder.cxx
@@ -168,7 +168,8 @@
     m_request.m_call = nullptr;
     aCall->SetMoveClaim(nullptr);
     if (aCall->IsSuspended()) {
-      m_silentCall.Keep(aCall, std::move(m_body), [this] { EndSuccessor(); });
+      m_silentCall.Keep(
+        aCall, std::move(m_body), true, [this] { EndSuccessor(); });
       co_return outcome;
     }
     const TimePoint now = BootClock::now();
--- a/Source/Forwarding/SilentCall.cxx
+++ b/Source/Forwarding/SilentCall.cxx
@@ -9,6 +9,7 @@
 void
 SilentCall::Keep(EndpointCallPtr aCall,
                  std::string aUnusedBytes,
+                 bool aMayEnd,
                  std::function<void()> aOnAnswer)
 {
   if (m_call) {
@@ -17,6 +18,7 @@
   }
   m_call = std::move(aCall);
   m_unusedBytes = std::move(aUnusedBytes);
+  m_mayEnd = aMayEnd;
   m_onAnswer = std::move(aOnAnswer);
   m_hasAnswered = false;
   m_call->WatchWhileSuspended([this] { OnReadable(); });
@@ -25,8 +27,9 @@
 void
 SilentCall::OnReadable()
 {
-  if (!m_call->HasUnreadBytes()) {
-    // The endpoint has closed the connection.
+  const bool isComplete = m_mayEnd && m_call->HasEndedWithConnection();
+  if (!isComplete && !m_call->HasUnreadBytes()) {
+    // The endpoint has closed the connection before the end of its answer.
     Drop();
     return;
   }
--- a/Source/Forwarding/SilentCall.h
+++ b/Source/Forwarding/SilentCall.h
@@ -22,9 +22,13 @@
   SilentCall& operator=(const SilentCall&) = delete;
 
   // Keeps a suspended call unless one is kept already: the first one is as far
-  // as all later ones. Calls aOnAnswer once when the endpoint goes on.
+  // as all later ones. Calls aOnAnswer once when the endpoint goes on. aMayEnd
+  // tells that the answer is complete if the endpoint sends nothing more and
+  // ends the connection in order; it counts only for an answer that has no
+  // other end.
   void Keep(EndpointCallPtr aCall,
             std::string aUnusedBytes,
+            bool aMayEnd,
             std::function<void()> aOnAnswer);
   // Resumes the kept call and gives it up. Sets aUnusedBytes to the bytes that
   // were kept with it.
@@ -33,7 +37,7 @@
   void Drop();
 
   bool IsKept() const { return m_call != nullptr; }
-  // Returns true if the endpoint has gone on with its answer.
+  // Returns true if the endpoint has gone on with its answer or completed it.
   bool HasAnswered() const { return m_hasAnswered; }
   // Requires IsKept().
   const Runner& Target() const { return *m_call->Target(); }
@@ -44,6 +48,7 @@
   EndpointCallPtr m_call;
   std::string m_unusedBytes;
   std::function<void()> m_onAnswer;
+  bool m_mayEnd = false;
   bool m_hasAnswered = false;
 };
 
--- a/Source/Forwarding/StreamAttempt.cxx
+++ b/Source/Forwarding/StreamAttempt.cxx
@@ -341,8 +341,10 @@
     std::erase(m_usedFirstRunners, aCall.Target()->m_id);
   }
   if (aCall.IsSuspended()) {
+    const bool mayEnd = partialEvent.empty();
     m_silentCall.Keep(aCall.shared_from_this(),
                       std::move(partialEvent),
+                      mayEnd,
                       [this] { EndSuccessor(); });
     return AttemptOutcome::Silent;
   }
--- a/Tests/Forwarding/AnswerEndTest.cxx
+++ b/Tests/Forwarding/AnswerEndTest.cxx
@@ -96,6 +96,13 @@
   {
     return { Send(MakeAnswer(AttemptIdOf(aRequest), 200, "second")) };
   }
+  // Refuses after the first endpoint has closed its connection.
+  static std::vector<StubStep> RefuseLater(const HttpRequest& aRequest)
+  {
+    return { Pause(std::chrono::milliseconds(100)),
+             Send(MakeAnswer(
+               AttemptIdOf(aRequest), 503, "", "Not-Executed: 1\r\n")) };
+  }
 
   std::unique_ptr<ForwardFixture::Caller> m_caller;
 };
@@ -194,3 +201,41 @@
   CHECK_FALSE(IsComplete(answer));
   CHECK_EQUAL(1, m_calls);
 }
+
+// The connection is closed while another endpoint is asked because of the
+// silence.
+TEST(AnswerEnd, ASilentAnswerThatEndsInOrderIsCompleteThoughOthersRefuse)
+{
+  Start(
+    false,
+    { Send("whole body"), Await([this] { return m_calls == 2; }), CloseNow() },
+    RefuseLater);
+  const std::string answer = m_fixture->SendRequest("GET", "/safe/x");
+  CHECK_EQUAL(200, StatusOf(answer));
+  CHECK(answer.ends_with("\r\n\r\nwhole body"));
+}
+
+TEST(AnswerEnd, ASilentStreamThatEndsInOrderIsCompleteThoughOthersRefuse)
+{
+  Start(true,
+        { Send(MakePlainEvents(5)),
+          Await([this] { return m_calls > 1; }),
+          CloseNow() },
+        RefuseLater);
+  CheckAllEventsOnce(AskStream("/stream/x"));
+}
+
+TEST(AnswerEnd, ASilentStreamThatEndsInsideAnEventLeavesItsSuccessorAlone)
+{
+  Start(true,
+        { Send(MakePlainEvents(3) + "id: 4\ndata: x"),
+          Await([this] { return m_calls > 1; }),
+          CloseNow() },
+        [](const HttpRequest& aRequest) {
+          std::vector<StubStep> steps = StreamAll(aRequest);
+          steps.insert(steps.begin(), Pause(std::chrono::milliseconds(100)));
+          return steps;
+        });
+  CheckAllEventsOnce(AskStream("/stream/x"));
+  CHECK_EQUAL(2, m_calls);
+}
