Forwarding: Bound the header of a chunk and the trailers of an answer

Seen in three new tests: an endpoint sends a chunk's size, a chunk extension or trailers without end. The gateway kept all of it until the request's deadline; the caller got 504 after 1 s:

EndlessAnswer.AChunkSizeWithoutEnd, AChunkExtensionWithoutEnd, TrailersWithoutEnd expected <502> but was <504>

Cause: the parser consumes nothing before the end of the line, or of the trailers, has arrived, and the call appended every read to the connection's buffer.

Change: a buffer that holds more than 64 KiB which the parser cannot take breaks the call (kMaxChunkHeaderBytes). The three tests pass now.

--- a/Source/Forwarding/EndpointCall.cxx
+++ b/Source/Forwarding/EndpointCall.cxx
@@ -16,6 +16,8 @@
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 constexpr std::uint32_t kMaxHeaderBytes = 64U * 1024;
 constexpr std::size_t kReadBytes = 16UL * 1024;
+// Limit of the size line of a chunk with its extensions, and of the trailers.
+constexpr std::size_t kMaxChunkHeaderBytes = 64UL * 1024;
 // Idle limit of connections to an endpoint that does not send a limit.
 constexpr Duration kDefaultIdle = std::chrono::seconds(30);
 // Idle connections are closed this long before the endpoint would close them.
@@ -328,6 +330,11 @@
       m_parser->put_eof(error);
       co_return error ? Fail(CallEnd::Broken) : false;
     }
+    // The parser keeps a chunk's header in the buffer until its end has
+    // arrived.
+    if (buffer.size() > kMaxChunkHeaderBytes) {
+      co_return Fail(CallEnd::Broken);
+    }
     if (!co_await ReadMore()) {
       co_return false;
     }
--- a/Tests/Forwarding/EndlessAnswerTest.cxx
+++ b/Tests/Forwarding/EndlessAnswerTest.cxx
@@ -29,6 +29,12 @@
          "\r\nResponse-Signature: s1\r\n";
 }
 
+std::string
+MakeChunkedHead(const HttpRequest& aRequest)
+{
+  return MakeOpenHead(aRequest) + "Transfer-Encoding: chunked\r\n\r\n";
+}
+
 std::vector<StubStep>
 FloodStatusLine(const HttpRequest& /*aRequest*/)
 {
@@ -59,6 +65,25 @@
   return { Flood(Repeat(MakeAnswer("other", 200, "theirs"))) };
 }
 
+std::vector<StubStep>
+FloodChunkSize(const HttpRequest& aRequest)
+{
+  return { Send(MakeChunkedHead(aRequest)), Flood(Repeat("0")) };
+}
+
+std::vector<StubStep>
+FloodChunkExtension(const HttpRequest& aRequest)
+{
+  return { Send(MakeChunkedHead(aRequest) + "5;name="), Flood(Repeat("x")) };
+}
+
+std::vector<StubStep>
+FloodTrailers(const HttpRequest& aRequest)
+{
+  return { Send(MakeChunkedHead(aRequest) + "0\r\n"),
+           Flood(Repeat("X-A: b\r\n")) };
+}
+
 std::vector<StubStep>
 FloodBody(const HttpRequest& aRequest)
 {
@@ -185,6 +210,24 @@
   CheckStream(FloodAnswersToOthers);
 }
 
+TEST(EndlessAnswer, AChunkSizeWithoutEnd)
+{
+  CheckPlain(FloodChunkSize);
+  CheckStream(FloodChunkSize);
+}
+
+TEST(EndlessAnswer, AChunkExtensionWithoutEnd)
+{
+  CheckPlain(FloodChunkExtension);
+  CheckStream(FloodChunkExtension);
+}
+
+TEST(EndlessAnswer, TrailersWithoutEnd)
+{
+  CheckPlain(FloodTrailers);
+  CheckStream(FloodTrailers);
+}
+
 TEST(EndlessAnswer, ABodyWithoutEnd)
 {
   CheckPlain(FloodBody);
