Forwarding: Count the header bytes that the parser has taken

Seen in a new test: an endpoint sends header fields without end, and each write ends with the first byte of the next field. The caller got 504 at the deadline, and every field stayed in memory:

EndlessAnswer.HeaderFieldsWithoutEndThatArriveOneByOne expected <502> but was <504>

Cause: the parser's limit of a header holds for bytes that it cannot take yet. It takes the complete fields of a read if fewer than three bytes remain, and these are not counted again.

Change: the call counts the bytes that were taken and breaks after 64 KiB, the same limit. The test passes now.

--- a/Source/Forwarding/EndpointCall.cxx
+++ b/Source/Forwarding/EndpointCall.cxx
@@ -232,6 +232,7 @@
 EndpointCall::StartParser()
 {
   m_parser.emplace();
+  m_headerBytes = 0;
   m_parser->header_limit(kMaxHeaderBytes);
   m_parser->body_limit(boost::none);
   m_parser->eager(false);
@@ -278,8 +279,12 @@
   while (!m_parser->is_header_done()) {
     if (buffer.size() != 0) {
       beast::error_code error;
-      buffer.consume(m_parser->put(buffer.data(), error));
-      if (error && error != http::error::need_more) {
+      const std::size_t used = m_parser->put(buffer.data(), error);
+      buffer.consume(used);
+      m_headerBytes += used;
+      // The parser's own limit does not count the fields it has taken before.
+      if ((error && error != http::error::need_more) ||
+          m_headerBytes > kMaxHeaderBytes) {
         co_return Fail(CallEnd::Broken);
       }
       if (m_parser->is_header_done()) {
--- a/Source/Forwarding/EndpointCall.h
+++ b/Source/Forwarding/EndpointCall.h
@@ -167,6 +167,8 @@
   // Null after the connection was returned to the pool.
   EndpointConnectionPtr m_connection;
   std::optional<Parser> m_parser;
+  // Bytes of the current answer's header that the parser has taken.
+  std::size_t m_headerBytes = 0;
   std::string m_header;
   std::string_view m_body;
   std::array<char, 8192> m_chunk{};
--- a/Tests/Forwarding/EndlessAnswerTest.cxx
+++ b/Tests/Forwarding/EndlessAnswerTest.cxx
@@ -53,6 +53,14 @@
   return { Send(MakeOpenHead(aRequest)), Flood(Repeat("X-A: b\r\n")) };
 }
 
+// Each write ends with the first byte of a field, which lets the parser take
+// the fields before it.
+std::vector<StubStep>
+FloodFieldsOneByOne(const HttpRequest& aRequest)
+{
+  return { Send(MakeOpenHead(aRequest) + "X"), Flood(": y\r\nX") };
+}
+
 std::vector<StubStep>
 FloodContinueHeads(const HttpRequest& /*aRequest*/)
 {
@@ -198,6 +206,12 @@
   CheckStream(FloodFields);
 }
 
+TEST(EndlessAnswer, HeaderFieldsWithoutEndThatArriveOneByOne)
+{
+  CheckPlain(FloodFieldsOneByOne);
+  CheckStream(FloodFieldsOneByOne);
+}
+
 TEST(EndlessAnswer, ContinueHeadsOneAfterTheOther)
 {
   CheckPlain(FloodContinueHeads);
