Forwarding: Take an error answer without end for broken

Seen in a new test: an engine answers 500 and a body without length that goes on and on. The gateway stopped reading at 1 MiB and relayed this part with a length of its own and the engine's signature, so that a cut answer looked complete:

EndlessAnswer.AnErrorBodyWithoutEnd expected <502> but was <500>

Change: more than 1 MiB (kMaxErrorBytes) breaks the call, like any broken answer: a resumable stream is asked for elsewhere, others get 502 without a signature.

--- a/Source/Forwarding/StreamAttempt.cxx
+++ b/Source/Forwarding/StreamAttempt.cxx
@@ -19,6 +19,8 @@
 constexpr unsigned kFirstClientError = 400;
 // A stream with more pending bytes than this and no end of an event is broken.
 constexpr std::size_t kMaxEventBytes = 1024UL * 1024;
+// An error answer with a longer body is broken.
+constexpr std::size_t kMaxErrorBytes = 1024UL * 1024;
 // Initial estimate of a stream's arrival gap, in decode steps of an idle path:
 // an event holds two tokens, and the engines may be busy.
 constexpr double kInitialGapSteps = 5;
@@ -215,7 +217,10 @@
 StreamForwarder::HandleErrorAnswer(EndpointCall& aCall)
 {
   std::string body;
-  while (co_await aCall.ReadBody(body) && body.size() < kMaxEventBytes) {
+  while (co_await aCall.ReadBody(body)) {
+    if (body.size() > kMaxErrorBytes) {
+      aCall.Abort(CallEnd::Broken);
+    }
   }
   const unsigned status = aCall.Answer().result_int();
   const bool mayRetry = m_request.m_route->m_isResumable &&
--- a/Tests/Forwarding/EndlessAnswerTest.cxx
+++ b/Tests/Forwarding/EndlessAnswerTest.cxx
@@ -98,6 +98,12 @@
   return { Send(MakeOpenHead(aRequest) + "\r\n"), Flood(Repeat("x")) };
 }
 
+std::vector<StubStep>
+FloodErrorBody(const HttpRequest& aRequest)
+{
+  return { Send(MakeOpenHead(aRequest, 500) + "\r\n"), Flood(Repeat("x")) };
+}
+
 } // namespace
 
 // clang-format off
@@ -285,3 +291,9 @@
   CHECK_FALSE(IsComplete(caller->Received()));
   CHECK(m_fixture->m_sink.Has({ "request_cut", "\"why\":\"overdue\"" }));
 }
+
+TEST(EndlessAnswer, AnErrorBodyWithoutEnd)
+{
+  CheckPlain(FloodErrorBody);
+  CheckStream(FloodErrorBody);
+}
