Forwarding: Give plain answers a limit of their own

Seen in a new test: an endpoint's answer of 100,000 bytes got 502 because the configuration allows callers' requests of 4,096 bytes:

PlainForward.AnAnswerMayBeLargerThanARequest expected <200> but was <502>

Change: an answer may have 8 MiB (kMaxAnswerBytes), or as much as a request where the configuration allows larger requests. The test passes now, and so does EndlessAnswer.ABodyWithoutEnd, which shows that the limit holds.

--- a/Source/Forwarding/PlainForwarder.cxx
+++ b/Source/Forwarding/PlainForwarder.cxx
@@ -18,6 +18,8 @@
 constexpr int kRetryTimeoutFactor = 5;
 constexpr Duration kMinRetryTimeout = std::chrono::milliseconds(45);
 constexpr std::size_t kMaxConnectFailures = 3;
+// A longer answer is broken, unless the limit of a caller's request is larger.
+constexpr std::size_t kMaxAnswerBytes = 8UL * 1024 * 1024;
 constexpr unsigned kBadGateway = 502;
 constexpr unsigned kGatewayTimeout = 504;
 constexpr unsigned kFirstServerError = 500;
@@ -282,6 +284,8 @@
                                            std::string& aBody)
   {
     constexpr int kMaxForeignAnswers = 2;
+    const std::size_t maxBytes =
+      std::max(kMaxAnswerBytes, m_request.m_config->Limits().m_maxBodyBytes);
     for (int i = 0; i <= kMaxForeignAnswers; ++i) {
       if (!co_await aCall.ReadHeader()) {
         co_return false;
@@ -289,7 +293,7 @@
       while (co_await aCall.ReadBody(aBody)) {
         // The whole body is buffered, since the answer must be complete before
         // its length is sent to the caller.
-        if (aBody.size() > m_request.m_config->Limits().m_maxBodyBytes) {
+        if (aBody.size() > maxBytes) {
           aCall.Abort(CallEnd::Broken);
         }
       }
--- a/Tests/Forwarding/PlainForwardTest.cxx
+++ b/Tests/Forwarding/PlainForwardTest.cxx
@@ -213,6 +213,19 @@
               StatusOf(m_fixture->SendRequest("POST", "/unsafe/x", "", "b")));
 }
 
+TEST(PlainForward, AnAnswerMayBeLargerThanARequest)
+{
+  const std::string body(100000, 'a');
+  StartTwo([&](const HttpRequest& aRequest) {
+    return std::vector<StubStep>{ Send(
+      MakeAnswer(AttemptIdOf(aRequest), 200, body)) };
+  });
+  const std::string answer =
+    m_fixture->SendRequest("POST", "/unsafe/x", "", "b");
+  CHECK_EQUAL(200, StatusOf(answer));
+  CHECK(answer.ends_with("\r\n\r\n" + body));
+}
+
 TEST(PlainForward, BytesThatAreNoAnswerAreContained)
 {
   StartTwo([](const HttpRequest&) {
