Forwarding: Bound the bytes that probes and orders buffer

Seen in a new test: an endpoint answers a probe or an order with a chunk extension or trailers without end. The client kept all of it until its time-out:

EndpointClient.AChunkHeaderWithoutEndBreaksTheCall CHECK_FALSE(result.m_hasTimedOut) failed

Change: the buffer of bytes that the parser cannot take yet is limited to 64 KiB (kMaxBufferedBytes). The test passes now. Heads and bodies without end broke the call before; two tests hold that.

--- a/Source/Forwarding/EndpointClient.cxx
+++ b/Source/Forwarding/EndpointClient.cxx
@@ -18,6 +18,9 @@
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(700);
 constexpr std::size_t kMaxIdlePerAddress = 64;
 constexpr std::size_t kMaxAnswerBytes = 8ULL * 1024 * 1024;
+// Limit of received bytes that the parser cannot take yet: a header, or the
+// size line of a chunk with its extensions, or the trailers.
+constexpr std::size_t kMaxBufferedBytes = 64ULL * 1024;
 constexpr unsigned kHttp11 = 11;
 
 CallResult
@@ -152,7 +155,7 @@
                           "sending to " + aAddress +
                             " failed: " + sendError.message());
   }
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer(kMaxBufferedBytes);
   http::response_parser<http::string_body> parser;
   parser.body_limit(kMaxAnswerBytes);
   const auto [readError, received] =
--- /dev/null
+++ b/Tests/Forwarding/EndpointClientTest.cxx
@@ -0,0 +1,90 @@
+// Tests of the client of probes and orders: bytes without end, bytes left over.
+#include "Forwarding/EndpointClient.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "Forwarding/StubEndpoint.h"
+
+// Last, since its leak macros redefine new.
+#include <CppUTest/TestHarness.h>
+
+using namespace parsleycove;
+
+namespace {
+
+constexpr std::chrono::seconds kCallTimeout{ 2 };
+const std::string kChunkedHead =
+  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+} // namespace
+
+// clang-format off
+TEST_GROUP(EndpointClient)
+{
+  // Returns the result of the last of aCalls calls that the endpoint answers by
+  // aSteps.
+  CallResult Call(const std::vector<StubStep>& aSteps, int aCalls = 1)
+  {
+    asio::io_context context;
+    StubEndpoint endpoint(context);
+    endpoint.SetScript([&](const HttpRequest&) { return aSteps; });
+    EndpointClient client(context.get_executor());
+    const SocketAddress address{ "127.0.0.1", endpoint.Port() };
+    std::optional<CallResult> result;
+    asio::co_spawn(
+      context,
+      [&]() -> asio::awaitable<void> {
+        CallResult last;
+        for (int i = 0; i < aCalls; ++i) {
+          last = co_await client.Call(
+            address,
+            EndpointClient::MakeJsonPost(address, "/x", "{}"),
+            kCallTimeout,
+            ConnectionChoice::Reuse);
+        }
+        result = std::move(last);
+      },
+      asio::detached);
+    while (!result) {
+      context.run_one();
+    }
+    m_connections = endpoint.Connections();
+    m_floodBytes = endpoint.FloodBytes();
+    return *result;
+  }
+  // Checks that the call ends before its time-out and before the flood.
+  void CheckBroken(const std::string& aBegin, const std::string& aAgain)
+  {
+    std::string again;
+    while (again.size() < 4096) {
+      again += aAgain;
+    }
+    const CallResult result = Call({ Send(aBegin), Flood(again) });
+    CHECK_FALSE(result.m_response.has_value());
+    CHECK_FALSE(result.m_hasTimedOut);
+    CHECK(result.m_reason.m_code == CallError::Broken);
+    CHECK(m_floodBytes < kMaxFloodBytes);
+  }
+
+  std::size_t m_floodBytes = 0;
+  int m_connections = 0;
+};
+// clang-format on
+
+TEST(EndpointClient, AHeadWithoutEndBreaksTheCall)
+{
+  CheckBroken("HTTP/1.1 200 ", "x");
+  CheckBroken("HTTP/1.1 200 OK\r\n", "X-A: b\r\n");
+}
+
+TEST(EndpointClient, ABodyWithoutEndBreaksTheCall)
+{
+  CheckBroken("HTTP/1.1 200 OK\r\n\r\n", "x");
+}
+
+TEST(EndpointClient, AChunkHeaderWithoutEndBreaksTheCall)
+{
+  CheckBroken(kChunkedHead + "5;name=", "x");
+  CheckBroken(kChunkedHead + "0\r\n", "X-A: b\r\n");
+}
