Forwarding: Close a probe's connection that holds bytes left over

Seen in a new test: an endpoint sends two answers to one probe or order in one packet. The bytes of the second were dropped with the call's buffer, and the connection was used again, so that the rest of such bytes would be taken for the answer to the next call:

EndpointClient.AConnectionWithBytesLeftOverIsNotUsedAgain expected <2> but was <1>

Change: only a connection without bytes left over is kept. The test passes now.

--- a/Source/Forwarding/EndpointClient.cxx
+++ b/Source/Forwarding/EndpointClient.cxx
@@ -174,7 +174,8 @@
   }
   CallResult result;
   result.m_response = parser.release();
-  if (result.m_response->keep_alive()) {
+  // Bytes left over would be taken for the next call's answer or lost.
+  if (result.m_response->keep_alive() && buffer.size() == 0) {
     AddIdle(aAddress, std::move(aConnection));
   }
   co_return result;
--- a/Tests/Forwarding/EndpointClientTest.cxx
+++ b/Tests/Forwarding/EndpointClientTest.cxx
@@ -88,3 +88,12 @@
   CheckBroken(kChunkedHead + "5;name=", "x");
   CheckBroken(kChunkedHead + "0\r\n", "X-A: b\r\n");
 }
+
+TEST(EndpointClient, AConnectionWithBytesLeftOverIsNotUsedAgain)
+{
+  const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+  Call({ Send(answer) }, 2);
+  CHECK_EQUAL(1, m_connections);
+  Call({ Send(answer + answer) }, 2);
+  CHECK_EQUAL(2, m_connections);
+}
