Forwarding: Search each byte of a begun event once

Cause: each piece searched the whole begun event for its end again. An event without end keeps the thread busy with this until it reaches its limit of 1 MiB.

Change: the splitter remembers how far it has searched. A second test holds that ends are found when they arrive byte by byte; it fails in a trial that leaves out the overlap of two searches.

--- a/Source/Forwarding/EventSplitter.cxx
+++ b/Source/Forwarding/EventSplitter.cxx
@@ -1,6 +1,7 @@
 // Splits a byte stream into complete events.
 #include "Forwarding/EventSplitter.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace parsleycove {
@@ -31,13 +32,15 @@
   return std::nullopt;
 }
 
+constexpr std::size_t kLongestEndBytes = 4;
+
 // Returns the length of the first event including its empty line, or 0 if the
-// event is incomplete.
+// event is incomplete. The end of the event must not start before aFrom.
 std::size_t
-FindEnd(std::string_view aBytes)
+FindEnd(std::string_view aBytes, std::size_t aFrom)
 {
-  const auto plain = aBytes.find("\n\n");
-  const auto carriage = aBytes.find("\r\n\r\n");
+  const auto plain = aBytes.find("\n\n", aFrom);
+  const auto carriage = aBytes.find("\r\n\r\n", aFrom);
   if (carriage < plain) {
     return carriage + 4;
   }
@@ -52,7 +55,10 @@
   m_pending.append(aBytes);
   std::string_view rest = m_pending;
   std::size_t taken = 0;
-  for (std::size_t end = FindEnd(rest); end != 0; end = FindEnd(rest)) {
+  const std::size_t from =
+    m_searched - std::min(m_searched, kLongestEndBytes - 1);
+  for (std::size_t end = FindEnd(rest, from); end != 0;
+       end = FindEnd(rest, 0)) {
     const std::string_view event = rest.substr(0, end);
     const auto id = ReadId(event);
     m_hasMissingEvent =
@@ -69,6 +75,7 @@
     ++taken;
   }
   m_pending.erase(0, m_pending.size() - rest.size());
+  m_searched = m_hasMissingEvent ? 0 : m_pending.size();
   return taken;
 }
 
--- a/Source/Forwarding/EventSplitter.h
+++ b/Source/Forwarding/EventSplitter.h
@@ -37,12 +37,14 @@
   void DiscardPartialEvent()
   {
     m_pending.clear();
+    m_searched = 0;
     m_hasMissingEvent = false;
   }
   // Removes the bytes of an incomplete event and returns them.
   std::string TakePartialEvent()
   {
     m_hasMissingEvent = false;
+    m_searched = 0;
     return std::exchange(m_pending, {});
   }
   // Puts back the bytes that TakePartialEvent returned. No event may have been
@@ -50,11 +52,14 @@
   void RestorePartialEvent(std::string aBytes)
   {
     m_pending = std::move(aBytes);
+    m_searched = 0;
   }
   std::optional<std::uint64_t> LastId() const { return m_lastId; }
 
 private:
   std::string m_pending;
+  // Bytes of m_pending in which no event ends.
+  std::size_t m_searched = 0;
   std::optional<std::uint64_t> m_lastId;
   bool m_hasMissingEvent = false;
 };
--- a/Tests/Forwarding/PartsTest.cxx
+++ b/Tests/Forwarding/PartsTest.cxx
@@ -1,4 +1,5 @@
 // Tests of the parts of Forwarding that need no connections.
+#include "Base/Clock.h"
 #include "Forwarding/EventSplitter.h"
 #include "Forwarding/FailureReportDecision.h"
 #include "Forwarding/ForwardedRequest.h"
@@ -33,6 +34,41 @@
   }
 }
 
+// Work that grows with the square of the event's length takes seconds here.
+TEST(EventSplitter, ALongEventInSmallPiecesCostsEachPieceOnlyOnce)
+{
+  constexpr std::size_t kEventBytes = 512UL * 1024;
+  const TimePoint before = BootClock::now();
+  EventSplitter splitter;
+  std::string out;
+  while (splitter.PendingBytes() < kEventBytes) {
+    CHECK_EQUAL(0U, splitter.ExtractEvents("data: x\n", out));
+  }
+  CHECK(BootClock::now() - before < std::chrono::seconds(1));
+  CHECK_EQUAL(1U, splitter.ExtractEvents("\n", out));
+  CHECK_EQUAL(kEventBytes + 1, out.size());
+}
+
+TEST(EventSplitter, FindsTheEndsOfEventsThatArriveByteByByte)
+{
+  for (const std::string end : { "\n\n", "\r\n\r\n" }) {
+    std::string events = "id: 1\ndata: a";
+    events.append(end).append("id: 2\ndata: b").append(end);
+    EventSplitter splitter;
+    std::string out;
+    for (const char byte : events) {
+      splitter.ExtractEvents(std::string_view(&byte, 1), out);
+    }
+    STRCMP_EQUAL(events.c_str(), out.c_str());
+    splitter.ExtractEvents("id: 3", out);
+    splitter.RestorePartialEvent(splitter.TakePartialEvent());
+    CHECK_EQUAL(1U, splitter.ExtractEvents(end, out));
+    splitter.ExtractEvents("id: 4", out);
+    splitter.DiscardPartialEvent();
+    CHECK_EQUAL(1U, splitter.ExtractEvents("id: 4\n\n", out));
+  }
+}
+
 TEST(EventSplitter, LeavesOutWhatWasDelivered)
 {
   EventSplitter splitter(2);
