--- a/Source/Forwarding/EndpointCall.cxx
+++ b/Source/Forwarding/EndpointCall.cxx
@@ -17,6 +17,8 @@
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 constexpr std::uint32_t kMaxHeaderBytes = 64U * 1024;
 constexpr std::size_t kReadBytes = 16UL * 1024;
+// Limit of the size line of a chunk with its extensions, and of the trailers.
+constexpr std::size_t kMaxChunkHeaderBytes = 64UL * 1024;
 // Idle limit of connections to an endpoint that does not send a limit.
 constexpr Duration kDefaultIdle = std::chrono::seconds(30);
 // Idle connections are closed this long before the endpoint would close them.
@@ -196,6 +198,7 @@
 EndpointCall::StartParser()
 {
   m_parser.emplace();
+  m_headerBytes = 0;
   m_parser->header_limit(kMaxHeaderBytes);
   m_parser->body_limit(boost::none);
   m_parser->eager(false);
@@ -247,8 +250,12 @@
   while (!m_parser->is_header_done()) {
     if (buffer.size() != 0) {
       beast::error_code error;
-      buffer.consume(m_parser->put(buffer.data(), error));
-      if (error && error != http::error::need_more) {
+      const std::size_t used = m_parser->put(buffer.data(), error);
+      buffer.consume(used);
+      m_headerBytes += used;
+      // The parser's own limit does not count the fields it has taken before.
+      if ((error && error != http::error::need_more) ||
+          m_headerBytes > kMaxHeaderBytes) {
         co_return Fail(CallEnd::Broken);
       }
       if (m_parser->is_header_done()) {
@@ -299,6 +306,11 @@
       m_parser->put_eof(error);
       co_return error ? Fail(CallEnd::Broken) : false;
     }
+    // The parser keeps a chunk's header in the buffer until its end has
+    // arrived.
+    if (buffer.size() > kMaxChunkHeaderBytes) {
+      co_return Fail(CallEnd::Broken);
+    }
     if (!co_await ReadMore()) {
       co_return false;
     }
--- a/Source/Forwarding/SilentCalls.cxx
+++ b/Source/Forwarding/SilentCalls.cxx
@@ -16,8 +16,8 @@
 namespace {
 
 constexpr unsigned kFirstClientError = 400;
-// A call with more unused bytes is closed.
-constexpr std::size_t kMaxUnusedBytes = 1024UL * 1024;
+// A call with more unused bytes is closed; the limit of whole plain answers.
+constexpr std::size_t kMaxUnusedBytes = 8UL * 1024 * 1024;
 
 } // namespace
 
@@ -68,23 +68,25 @@
       call.Abort(CallEnd::Broken);
       isOpen = false;
     }
-    isUsable = isOpen && aEntry->m_isUsable(aEntry->m_unusedBytes);
+    isUsable = isOpen && aEntry->m_isUsable(aEntry->m_unusedBytes, false);
   }
-  aEntry->m_state = StateAfterReading(*aEntry);
+  aEntry->m_state = StateAfterReading(*aEntry, !isOpen);
   if (aEntry->m_state == State::Answered && aEntry->m_onAnswer) {
     std::exchange(aEntry->m_onAnswer, nullptr)();
   }
 }
 
 SilentCalls::State
-SilentCalls::StateAfterReading(const Entry& aEntry)
+SilentCalls::StateAfterReading(const Entry& aEntry, bool aIsEnded)
 {
   if (aEntry.m_call->End() != CallEnd::None) {
     return State::Broken;
   }
-  return aEntry.m_call->Answer().result_int() < kFirstClientError
-           ? State::Answered
-           : State::Failed;
+  if (aEntry.m_call->Answer().result_int() >= kFirstClientError) {
+    return State::Failed;
+  }
+  return aEntry.m_isUsable(aEntry.m_unusedBytes, aIsEnded) ? State::Answered
+                                                           : State::Broken;
 }
 
 SilentCalls::EntryPtr
--- a/Source/Forwarding/SilentCalls.h
+++ b/Source/Forwarding/SilentCalls.h
@@ -20,9 +20,10 @@
 class SilentCalls
 {
 public:
-  // Returns true if the unused bytes of an answer serve the caller although the
-  // answer goes on.
-  using IsUsable = std::function<bool(const std::string& aUnusedBytes)>;
+  // Returns true if the unused bytes of an answer serve the caller. aIsEnded:
+  // the answer has ended in order.
+  using IsUsable =
+    std::function<bool(const std::string& aUnusedBytes, bool aIsEnded)>;
 
   explicit SilentCalls(asio::io_context& aContext);
   ~SilentCalls();
@@ -30,8 +31,8 @@
   SilentCalls& operator=(const SilentCalls&) = delete;
 
   // Keeps a suspended call with the bytes that were read and not used. Calls
-  // aOnAnswer once when the endpoint goes on: when aIsUsable holds, or when its
-  // answer is complete. Errors and refusals are kept without a call.
+  // aOnAnswer once when the endpoint goes on and aIsUsable holds. Errors and
+  // refusals are kept without a call.
   void Keep(EndpointCallPtr aCall,
             std::string aUnusedBytes,
             IsUsable aIsUsable,
@@ -61,7 +62,7 @@
   using EntryPtr = std::shared_ptr<Entry>;
 
   static asio::awaitable<void> Read(EntryPtr aEntry);
-  static State StateAfterReading(const Entry& aEntry);
+  static State StateAfterReading(const Entry& aEntry, bool aIsEnded);
   EntryPtr TakeBest();
 
   asio::io_context& m_context;
--- a/Source/Forwarding/StreamAttempt.cxx
+++ b/Source/Forwarding/StreamAttempt.cxx
@@ -20,6 +20,8 @@
 constexpr unsigned kFirstClientError = 400;
 // A stream with more pending bytes than this and no end of an event is broken.
 constexpr std::size_t kMaxEventBytes = 1024UL * 1024;
+// An error answer with a longer body is broken.
+constexpr std::size_t kMaxErrorBytes = 1024UL * 1024;
 // Initial estimate of a stream's arrival gap, in decode steps of an idle path:
 // an event holds two tokens, and the engines may be busy.
 constexpr double kInitialGapSteps = 5;
@@ -216,7 +218,10 @@
 StreamForwarder::HandleErrorAnswer(EndpointCall& aCall)
 {
   std::string body;
-  while (co_await aCall.ReadBody(body) && body.size() < kMaxEventBytes) {
+  while (co_await aCall.ReadBody(body)) {
+    if (body.size() > kMaxErrorBytes) {
+      aCall.Abort(CallEnd::Broken);
+    }
   }
   const unsigned status = aCall.Answer().result_int();
   const bool mayRetry = m_request.m_route->m_isResumable &&
@@ -357,9 +362,12 @@
     m_silentCalls.Keep(
       aCall.shared_from_this(),
       std::move(partialEvent),
-      [after = m_events.LastId()](const std::string& aUnusedBytes) {
+      [after = m_events.LastId()](const std::string& aUnusedBytes,
+                                  bool aIsEnded) {
         std::string events;
-        return EventSplitter(after).ExtractEvents(aUnusedBytes, events) != 0;
+        EventSplitter splitter(after);
+        return splitter.ExtractEvents(aUnusedBytes, events) != 0 ||
+               (aIsEnded && !splitter.HasPartialEvent());
       },
       [this] { EndSuccessor(); });
     return AttemptOutcome::Silent;
