Ctl: List the prompt parts that may crash engines

Operators could not see which parts are quarantined. The gateway's configuration answer has them, with their crashes, and parsleycovectl prompt-parts list prints them. The text of one part is tested; the new command has no test of its own.

--- a/Source/Ctl/CommandTable.cxx
+++ b/Source/Ctl/CommandTable.cxx
@@ -105,6 +105,14 @@
          "term",
          "sequence",
          "done" });
+  list("prompt-parts list",
+       kConfig,
+       "prompt_parts",
+       { "id",
+         "quarantined_unix_ms",
+         "trials",
+         "next_trial_unix_ms",
+         "cleared_unix_ms" });
   m_commands.push_back(std::make_unique<StatusCommand>());
   m_commands.push_back(std::make_unique<DrainCommand>());
   m_commands.push_back(std::make_unique<ShowShutdownDateCommand>());
--- a/Source/Gateway/ConfigHandlers.cxx
+++ b/Source/Gateway/ConfigHandlers.cxx
@@ -130,7 +130,9 @@
                      { "models", PrintAll(image.models, PrintModel) },
                      { "services", PrintAll(image.services, PrintService) },
                      { "endpoints", PrintAll(image.endpoints, PrintEndpoint) },
-                     { "orders", PrintAll(image.orders, PrintOrder) } };
+                     { "orders", PrintAll(image.orders, PrintOrder) },
+                     { "prompt_parts",
+                       PrintAll(image.prompt_parts, PrintPromptPart) } };
   const state::SettingsT none;
   const state::SettingsT& settings = image.settings ? *image.settings : none;
   body["settings"] = json::parse(PrintSettings(settings));
--- a/Source/State/ConfigJson.h
+++ b/Source/State/ConfigJson.h
@@ -35,6 +35,8 @@
 std::string
 PrintOrder(const state::EngineOrderT& aOrder);
 std::string
+PrintPromptPart(const state::PromptPartT& aPart);
+std::string
 PrintSettings(const state::SettingsT& aSettings);
 
 } // namespace parsleycove
--- a/Source/State/ConfigPrint.cxx
+++ b/Source/State/ConfigPrint.cxx
@@ -8,6 +8,7 @@
 
 #include "State/ConfigJson.h"
 #include "State/NamedEntities.h"
+#include "State/PromptPartTable.h"
 #include "State/StateNames.h"
 
 namespace parsleycove {
@@ -199,6 +200,27 @@
   return json::serialize(object);
 }
 
+std::string
+PrintPromptPart(const state::PromptPartT& aPart)
+{
+  json::array crashes;
+  for (const auto& crash : aPart.crashes) {
+    crashes.push_back(
+      json::object{ { "endpoint", ToJson(crash->endpoint->id) },
+                    { "incarnation", crash->endpoint->incarnation },
+                    { "attempt", ToJson(crash->attempt) },
+                    { "unix_ms", crash->unix_ms } });
+  }
+  const json::object object{ { "id", ToJson(aPart.id) },
+                             { "quarantined_unix_ms",
+                               aPart.quarantined_unix_ms },
+                             { "trials", aPart.trials },
+                             { "next_trial_unix_ms", NextTrialUnixMs(aPart) },
+                             { "cleared_unix_ms", aPart.cleared_unix_ms },
+                             { "crashes", std::move(crashes) } };
+  return json::serialize(object);
+}
+
 std::string
 PrintSettings(const state::SettingsT& aSettings)
 {
--- a/Tests/State/PromptPartReplicationTest.cxx
+++ b/Tests/State/PromptPartReplicationTest.cxx
@@ -8,6 +8,7 @@
 #include "State/CommandCodec.h"
 #include "State/CommandTime.h"
 #include "State/Commands.h"
+#include "State/ConfigJson.h"
 #include "State/ConfigState.h"
 #include "State/NamedEntities.h"
 #include "State/PromptCommands.h"
@@ -253,3 +254,16 @@
   Apply(report);
   CHECK_FALSE(WouldChange(m_state.Config(), report));
 }
+
+TEST(PromptPartReplication, OperatorsReadAPartAsJson)
+{
+  Quarantine({ "bad" });
+  Apply(MakeTryPart("bad", "a", kStart + kFirstTrialDelayMs));
+  STRCMP_EQUAL(
+    R"({"id":"bad","quarantined_unix_ms":1000000,"trials":1,)"
+    R"("next_trial_unix_ms":1070000,"cleared_unix_ms":0,"crashes":[)"
+    R"({"endpoint":"e","incarnation":1,"attempt":"a1","unix_ms":1000000},)"
+    R"({"endpoint":"e","incarnation":2,"attempt":"a2","unix_ms":1000000},)"
+    R"({"endpoint":"e","incarnation":3,"attempt":"a3","unix_ms":1000000}]})",
+    PrintPromptPart(*m_state.Config().prompt_parts.front()).c_str());
+}
