--- a/Source/Control/GroupMembershipClient.cxx
+++ b/Source/Control/GroupMembershipClient.cxx
@@ -1,32 +1,20 @@
 // Keeps this VM's replica in the membership of the replica group.
 #include "Control/GroupMembershipClient.h"
 
-#include <algorithm>
 #include <utility>
 
 #include <boost/asio/post.hpp>
 
+#include "Control/MembershipCheck.h"
+
 namespace parsleycove {
 
 namespace asio = boost::asio;
 
 namespace {
 
-// Used while this replica is not a member, or while the group does not answer.
-constexpr std::chrono::milliseconds kRetryIntervalMs{ 200 };
-// Used while this replica is a member.
-constexpr std::chrono::seconds kCheckIntervalS{ 2 };
 constexpr std::chrono::milliseconds kCallTimeoutMs{ 1500 };
 
-bool
-IsListed(const feed::StatusReplyT& aStatus, std::uint64_t aReplica)
-{
-  return std::any_of(
-    aStatus.replicas.begin(), aStatus.replicas.end(), [&](const auto& aRow) {
-      return aRow->replica == aReplica;
-    });
-}
-
 } // namespace
 
 struct GroupMembershipClient::Impl : std::enable_shared_from_this<Impl>
@@ -38,6 +26,7 @@
     : m_context(aContext)
     , m_port(aPort)
     , m_self(std::move(aSelf))
+    , m_check(m_self.replica)
     , m_log(std::move(aLog))
     , m_timer(aContext)
   {
@@ -70,49 +59,46 @@
       BootClock::now() + kCallTimeoutMs,
       [self = shared_from_this()](std::optional<feed::StatusReplyT> aStatus,
                                   const ControlReason& aReason) {
-        const bool known = aStatus && !aStatus->replicas.empty();
-        if (known && IsListed(*aStatus, self->m_self.replica)) {
-          self->m_lastFault.clear();
-          self->PostScheduleCheck(kCheckIntervalS);
-        } else if (known) {
+        const MembershipStep step =
+          self->m_check.OnStatus(aStatus ? &*aStatus : nullptr, aReason);
+        if (step.m_joins) {
           self->Join();
-        } else {
-          self->LogFault("cannot read the members of the group: " +
-                         aReason.m_text);
-          self->PostScheduleCheck(kRetryIntervalMs);
+          return;
         }
+        self->LogFault(step.m_fault);
+        self->PostScheduleCheck(step.m_wait);
       });
   }
 
   // Logs a fault unless the previous call had the same fault. m_lastFault needs
   // no lock, since one call of the port ends before the next one starts.
-  void LogFault(std::string aFault)
+  void LogFault(const std::string& aFault)
   {
-    if (aFault != m_lastFault) {
-      m_lastFault = std::move(aFault);
-      m_log(ControlLogLevel::Warning, m_lastFault);
+    if (aFault != m_lastFault && !aFault.empty()) {
+      m_log(ControlLogLevel::Warning, aFault);
     }
+    m_lastFault = aFault;
   }
 
   void Join()
   {
-    m_port.AddReplica(
-      m_self,
-      BootClock::now() + kCallTimeoutMs,
-      [self = shared_from_this()](const auto& aReply,
-                                  const ControlReason& aReason) {
-        if (!aReply || !aReply->ok) {
-          self->LogFault("the group did not add this "
-                         "replica: " +
-                         (aReply ? aReply->text : aReason.m_text));
-        }
-        self->PostScheduleCheck(kRetryIntervalMs);
-      });
+    m_port.AddReplica(m_self,
+                      BootClock::now() + kCallTimeoutMs,
+                      [self = shared_from_this()](
+                        const auto& aReply, const ControlReason& aReason) {
+                        const MembershipStep step = self->m_check.OnJoinReply(
+                          aReply ? &*aReply : nullptr, aReason);
+                        if (!step.m_fault.empty()) {
+                          self->LogFault(step.m_fault);
+                        }
+                        self->PostScheduleCheck(step.m_wait);
+                      });
   }
 
   asio::io_context& m_context;
   ControlPort& m_port;
   const feed::AddReplicaT m_self;
+  const MembershipCheck m_check;
   const ControlLog m_log;
   std::string m_lastFault;
   asio::steady_timer m_timer;
