Control: Log each change of the members and a group below its target

Nobody logged who became a learner, a voter or was removed, so the logs of the incident cannot tell what happened to the VM that stayed out; a fault of a replica outside its group was logged once and never again.

Now every replica logs each change of the members with the voters after it, the leader with its evidence; the leader repeats a line every 5 s while fewer voters answer than the target; a lasting fault of the membership calls is repeated every 5 s; voters, their target and members without a vote are metrics. No decision changes.

--- /dev/null
+++ b/Source/Control/GroupGauges.h
@@ -0,0 +1,22 @@
+// Figures of the replica group for the metrics.
+#pragma once
+
+#include <atomic>
+#include <cstddef>
+
+#include "Base/Clock.h"
+
+namespace parsleycove {
+
+// As one replica's log has the members. Written by the replica's thread, read
+// by any thread.
+struct GroupGauges
+{
+  std::atomic<std::size_t> m_voters{ 0 };
+  std::atomic<std::size_t> m_withoutVote{ 0 };
+  // Since when the member has had no vote that has had none for the longest
+  // time; TimePoint::max() if all members vote.
+  std::atomic<TimePoint> m_oldestWithoutVoteSince{ TimePoint::max() };
+};
+
+} // namespace parsleycove
--- a/Source/Control/GroupMembershipClient.cxx
+++ b/Source/Control/GroupMembershipClient.cxx
@@ -5,6 +5,7 @@
 
 #include <boost/asio/post.hpp>
 
+#include "Control/LineRepeater.h"
 #include "Control/MembershipCheck.h"
 
 namespace parsleycove {
@@ -14,6 +15,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds kCallTimeoutMs{ 1500 };
+// Interval of the log line for a fault that lasts.
+constexpr std::chrono::seconds kFaultLineS{ 5 };
 
 } // namespace
 
@@ -70,14 +73,13 @@
       });
   }
 
-  // Logs a fault unless the previous call had the same fault. m_lastFault needs
-  // no lock, since one call of the port ends before the next one starts.
+  // Logs a new fault, and a lasting one every kFaultLineS. m_faultLine needs no
+  // lock, since one call of the port ends before the next one starts.
   void LogFault(const std::string& aFault)
   {
-    if (aFault != m_lastFault && !aFault.empty()) {
+    if (m_faultLine.IsDue(BootClock::now(), aFault)) {
       m_log(ControlLogLevel::Warning, aFault);
     }
-    m_lastFault = aFault;
   }
 
   void Join()
@@ -100,7 +102,7 @@
   const feed::AddReplicaT m_self;
   const MembershipCheck m_check;
   const ControlLog m_log;
-  std::string m_lastFault;
+  LineRepeater m_faultLine{ kFaultLineS };
   asio::steady_timer m_timer;
   bool m_closed = false;
 };
--- a/Source/Control/MembershipRepair.cxx
+++ b/Source/Control/MembershipRepair.cxx
@@ -81,6 +81,20 @@
                      });
 }
 
+std::vector<std::uint64_t>
+MembershipRepair::ListUnresponsiveVoters(TimePoint aNow,
+                                         const consensus::MembershipT& aMembers,
+                                         std::uint64_t aSelf) const
+{
+  std::vector<std::uint64_t> replicas;
+  for (const auto& member : aMembers.members) {
+    if (member->voter && IsUnresponsive(aNow, *member, aSelf)) {
+      replicas.push_back(member->replica);
+    }
+  }
+  return replicas;
+}
+
 std::uint64_t
 MembershipRepair::FindMemberToRemove(TimePoint aNow,
                                      const consensus::MembershipT& aMembers,
--- a/Source/Control/MembershipRepair.h
+++ b/Source/Control/MembershipRepair.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <unordered_map>
+#include <vector>
 
 #include "Base/Clock.h"
 #include "ConsensusGenerated.h"
@@ -43,6 +44,11 @@
   std::uint64_t FindMemberToRemove(TimePoint aNow,
                                    const consensus::MembershipT& aMembers,
                                    std::uint64_t aSelf) const;
+  // Returns the voters that are unresponsive.
+  std::vector<std::uint64_t> ListUnresponsiveVoters(
+    TimePoint aNow,
+    const consensus::MembershipT& aMembers,
+    std::uint64_t aSelf) const;
   std::int64_t MsSinceMessage(TimePoint aNow, std::uint64_t aReplica) const;
 
 private:
--- a/Source/Control/ReplicaNode.cxx
+++ b/Source/Control/ReplicaNode.cxx
@@ -21,6 +21,8 @@
 // Interval of report rounds while a configuration change is not yet in force.
 constexpr std::chrono::milliseconds kBusyRoundMs{ 100 };
 constexpr std::chrono::milliseconds kMinTickMs{ 1 };
+// Interval of the log line for a group below its target.
+constexpr std::chrono::seconds kShortageLineS{ 5 };
 
 asio::steady_timer::duration
 ToTimer(Duration aDuration)
@@ -69,6 +71,8 @@
   , m_roundTimer(aContext)
   , m_maintenanceTimer(aContext)
   , m_repair({ aOptions.m_targetVoters, aOptions.m_memberTimeout })
+  , m_report(aOptions.m_targetVoters)
+  , m_shortageLine(kShortageLineS)
 {
 }
 
@@ -91,6 +95,7 @@
   if (!m_core) {
     return false;
   }
+  m_report.Start(BootClock::now(), m_core->Log().Members());
   m_feeds.OnStateReplaced();
   WireReason wireReason;
   if (!m_acceptor.Listen(m_options.m_listen, wireReason)) {
@@ -169,6 +174,7 @@
   }
   m_publishedApplied = m_core->AppliedIndex();
   UpdateRole();
+  ReportMembers();
   UpdatePeers();
   ScheduleTick();
 }
@@ -186,6 +192,7 @@
     m_maintenance.reset();
     if (leads) {
       m_repair.Start(BootClock::now());
+      m_lastRefusal.clear();
       Log(ControlLogLevel::Info,
           "became leader in term " + std::to_string(term));
       m_maintenance.emplace(MakeLeaderMaintenanceOptions(m_options),
--- a/Source/Control/ReplicaNode.h
+++ b/Source/Control/ReplicaNode.h
@@ -16,9 +16,12 @@
 
 #include "Control/FailureReportFilter.h"
 #include "Control/FeedServer.h"
+#include "Control/GroupGauges.h"
 #include "Control/InboundLinks.h"
 #include "Control/LeaderMaintenance.h"
+#include "Control/LineRepeater.h"
 #include "Control/MembershipRepair.h"
+#include "Control/MembershipReport.h"
 #include "Control/ReplicaCore.h"
 #include "Control/ReplicaServiceOptions.h"
 #include "Store/DiskFiles.h"
@@ -47,13 +50,15 @@
   bool Open(ControlServiceReason& aReason);
   void Close();
 
-  // IsLeader, LedTerm and PublishedApplied may be called from any thread.
+  // IsLeader, LedTerm, PublishedApplied and Gauges may be called from any
+  // thread.
   bool IsLeader() const { return m_leads.load(); }
   std::uint64_t LedTerm() const
   {
     return m_leads.load() ? m_publishedTerm.load() : 0;
   }
   std::uint64_t PublishedApplied() const { return m_publishedApplied.load(); }
+  const GroupGauges& Gauges() const { return m_gauges; }
 
   // ReplicaCoreListener
   void SendToPeer(consensus::PeerMessageT aMessage) override;
@@ -102,11 +107,20 @@
   void ScheduleMaintenance();
   void PerformMaintenance();
   void RepairMembership(TimePoint aNow);
+  // Logs the changes of the members and publishes the gauges.
+  void ReportMembers();
+  void ReportShortage(TimePoint aNow);
   // Returns whether enough voters hold the log to accept a routing document.
   bool CanAcceptDocuments() const;
+  // aEvidence tells for the log why aReplica is changed.
   void ChangeMembers(consensus::MembershipT aNext,
+                     std::uint64_t aReplica,
+                     std::string aEvidence,
                      std::string aDone,
                      const AdminHandler& aHandler);
+  void DropMember(std::uint64_t aReplica,
+                  std::string aEvidence,
+                  const AdminHandler& aHandler);
   void Log(ControlLogLevel aLevel, const std::string& aText) const;
 
   boost::asio::io_context& m_context;
@@ -136,6 +150,10 @@
   std::uint64_t m_inForceIndex = 0;
   std::uint32_t m_gatewayCount = 0;
   MembershipRepair m_repair;
+  MembershipReport m_report;
+  LineRepeater m_shortageLine;
+  std::string m_lastRefusal; // of a change of the members; empty if none
+  GroupGauges m_gauges;
   std::uint64_t m_configIndex = 0; // index of the last configuration change
   bool m_processingRequested = false;
   bool m_closed = false;
--- a/Source/Control/ReplicaNodeGroup.cxx
+++ b/Source/Control/ReplicaNodeGroup.cxx
@@ -94,12 +94,22 @@
   member->voter = false;
   next.members.push_back(std::move(member));
   ChangeMembers(std::move(next),
+                aRequest.replica,
+                "asked to be added",
                 "added as a learner; becomes a voter once it has caught up",
                 aHandler);
 }
 
 void
 ReplicaNode::RemoveMember(std::uint64_t aReplica, AdminHandler aHandler)
+{
+  DropMember(aReplica, "asked to be removed", aHandler);
+}
+
+void
+ReplicaNode::DropMember(std::uint64_t aReplica,
+                        std::string aEvidence,
+                        const AdminHandler& aHandler)
 {
   consensus::MembershipT next(m_core->Log().Members());
   if (FindMember(next, aReplica) == nullptr) {
@@ -109,11 +119,14 @@
   std::erase_if(next.members, [&](const auto& aMember) {
     return aMember->replica == aReplica;
   });
-  ChangeMembers(std::move(next), "removed", aHandler);
+  ChangeMembers(
+    std::move(next), aReplica, std::move(aEvidence), "removed", aHandler);
 }
 
 void
 ReplicaNode::ChangeMembers(consensus::MembershipT aNext,
+                           std::uint64_t aReplica,
+                           std::string aEvidence,
                            std::string aDone,
                            const AdminHandler& aHandler)
 {
@@ -135,7 +148,12 @@
           : MakeAdminReply(
               false, "leadership was lost, outcome unknown; check the status"));
     });
-  if (!taken) {
+  if (taken) {
+    m_report.SetEvidence(aReplica, std::move(aEvidence));
+    m_lastRefusal.clear();
+  } else {
+    m_lastRefusal = "member " + std::to_string(aReplica) + " (" + aEvidence +
+                    "): " + m_core->Log().LastReason().m_text;
     aHandler(MakeAdminReply(false, m_core->Log().LastReason().m_text));
   }
   RequestProcessing();
@@ -226,6 +244,7 @@
     ProposeCommand(command, [](const auto&) {});
   }
   RepairMembership(now);
+  ReportShortage(now);
 }
 
 void
@@ -235,7 +254,13 @@
   const consensus::MembershipT& members = log.Members();
   if (m_repair.NeedsVoter(aNow, members, m_options.m_replica)) {
     if (auto promoted = m_maintenance->FindPromotion(log)) {
-      ChangeMembers(std::move(*promoted), "promoted", [](const auto&) {});
+      const std::uint64_t learner = FindPromoted(members, *promoted);
+      ChangeMembers(std::move(*promoted),
+                    learner,
+                    "caught up to " + std::to_string(log.MatchIndex(learner)) +
+                      " of " + std::to_string(log.CommitIndex()),
+                    "promoted",
+                    [](const auto&) {});
       return;
     }
   }
@@ -244,14 +269,41 @@
   if (failed == 0) {
     return;
   }
+  const std::string evidence =
+    "silent for " + std::to_string(m_repair.MsSinceMessage(aNow, failed)) +
+    " ms";
   Log(ControlLogLevel::Warning,
-      "removing replica " + std::to_string(failed) + ", silent for " +
-        std::to_string(m_repair.MsSinceMessage(aNow, failed)) + " ms");
-  RemoveMember(failed, [this](const feed::AdminReplyT& aReply) {
+      "removing replica " + std::to_string(failed) + ", " + evidence);
+  DropMember(failed, evidence, [this](const feed::AdminReplyT& aReply) {
     if (!aReply.ok) {
       Log(ControlLogLevel::Info, "replica not removed: " + aReply.text);
     }
   });
 }
 
+void
+ReplicaNode::ReportMembers()
+{
+  for (const std::string& line :
+       m_report.Update(BootClock::now(), m_core->Log().Members())) {
+    Log(ControlLogLevel::Info, line);
+  }
+  m_gauges.m_voters = m_report.CountVoters();
+  m_gauges.m_withoutVote = m_report.CountWithoutVote();
+  m_gauges.m_oldestWithoutVoteSince = m_report.OldestWithoutVoteSince();
+}
+
+void
+ReplicaNode::ReportShortage(TimePoint aNow)
+{
+  const auto silent = m_repair.ListUnresponsiveVoters(
+    aNow, m_core->Log().Members(), m_options.m_replica);
+  const std::string text =
+    m_report.DescribeShortage(aNow, silent, m_lastRefusal);
+  // The line's figures change all the time, so only its presence counts.
+  if (m_shortageLine.IsDue(aNow, text.empty() ? "" : "below the target")) {
+    Log(ControlLogLevel::Warning, text);
+  }
+}
+
 } // namespace parsleycove
--- a/Source/Control/ReplicaService.cxx
+++ b/Source/Control/ReplicaService.cxx
@@ -111,4 +111,10 @@
   return m_thread->Node().PublishedApplied();
 }
 
+const GroupGauges&
+ReplicaService::Gauges() const
+{
+  return m_thread->Node().Gauges();
+}
+
 } // namespace parsleycove
--- a/Source/Control/ReplicaService.h
+++ b/Source/Control/ReplicaService.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <memory>
 
+#include "Control/GroupGauges.h"
 #include "Control/ReplicaServiceOptions.h"
 
 namespace parsleycove {
@@ -33,6 +34,8 @@
   // false. May be called from any thread.
   std::uint64_t LedTerm() const;
   std::uint64_t AppliedIndex() const;
+  // The members as this replica's log has them. May be read from any thread.
+  const GroupGauges& Gauges() const;
 
 private:
   class Thread;
--- a/Source/Daemon/ControlProcess.cxx
+++ b/Source/Daemon/ControlProcess.cxx
@@ -83,6 +83,31 @@
   return self;
 }
 
+void
+AddGroupMetrics(MetricRegistry& aMetrics,
+                const ReplicaService& aReplica,
+                std::size_t aTargetVoters)
+{
+  aMetrics.AddGauge("parsleycove_leads_term", "", [&aReplica] {
+    return static_cast<double>(aReplica.LedTerm());
+  });
+  aMetrics.AddGauge("parsleycove_voters", "", [&aReplica] {
+    return static_cast<double>(aReplica.Gauges().m_voters.load());
+  });
+  aMetrics.AddGauge("parsleycove_voters_target", "", [aTargetVoters] {
+    return static_cast<double>(aTargetVoters);
+  });
+  aMetrics.AddGauge("parsleycove_members_without_vote", "", [&aReplica] {
+    return static_cast<double>(aReplica.Gauges().m_withoutVote.load());
+  });
+  aMetrics.AddGauge("parsleycove_oldest_without_vote_seconds", "", [&aReplica] {
+    const TimePoint since = aReplica.Gauges().m_oldestWithoutVoteSince.load();
+    const Duration age =
+      since == TimePoint::max() ? Duration::zero() : BootClock::now() - since;
+    return std::chrono::duration<double>(age).count();
+  });
+}
+
 } // namespace
 
 DaemonExit
@@ -131,9 +156,7 @@
     Log(LogLevel::Error, "cannot start", { { "why", reason } });
     return DaemonExit::CannotStart;
   }
-  frame.Metrics().AddGauge("parsleycove_leads_term", "", [&] {
-    return static_cast<double>(replica->LedTerm());
-  });
+  AddGroupMetrics(frame.Metrics(), *replica, options.m_targetVoters);
   member.Start();
   placementController.Start();
   frame.Run();
--- a/Tests/Control/RepairEndToEndTest.cxx
+++ b/Tests/Control/RepairEndToEndTest.cxx
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <atomic>
 #include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 
@@ -44,11 +47,35 @@
                        [](const auto& aRow) { return aRow->voter; });
 }
 
+// Log lines of all replicas, which write from threads of their own.
+class LogLines
+{
+public:
+  void Add(const std::string& aLine)
+  {
+    const std::lock_guard lock(m_mutex);
+    m_lines.push_back(aLine);
+  }
+  bool Contain(const std::string& aText)
+  {
+    const std::lock_guard lock(m_mutex);
+    return std::any_of(
+      m_lines.begin(), m_lines.end(), [&](const std::string& aLine) {
+        return aLine.find(aText) != std::string::npos;
+      });
+  }
+
+private:
+  std::mutex m_mutex;
+  std::vector<std::string> m_lines;
+};
+
 } // namespace
 
 // clang-format off
 TEST_GROUP(RepairEndToEnd)
 {
+  LogLines m_lines; // before the cluster, whose threads write to it
   Cluster m_cluster;
   std::unique_ptr<ControlClient> m_client;
 
@@ -61,6 +88,9 @@
       options.m_targetVoters = aTarget;
       options.m_minDocumentVoters = aTarget;
       options.m_memberTimeout = std::chrono::milliseconds(1500);
+      options.m_log = [this](ControlLogLevel, const std::string& aText) {
+        m_lines.Add(aText);
+      };
       m_cluster.Start(i, /*aBootstrap=*/true);
     }
     m_client = std::make_unique<ControlClient>(
@@ -146,6 +176,10 @@
   });
   CHECK(repaired);
   CHECK(Propose(*m_client, MakeDocument(2)).m_value.has_value());
+  CHECK(m_lines.Contain("silent voters: " + std::to_string(lostId)));
+  CHECK(m_lines.Contain("evidence: asked to be added; voters 3, target 3"));
+  CHECK(m_lines.Contain("evidence: caught up to "));
+  CHECK(m_lines.Contain("-> no member; evidence: silent for "));
 }
 
 // Guards against a gateway that keeps an old configuration while the group is
