Control: Separate the decisions on the group's members from the leader's calls

FindAddition, FindRemoval, FindPromotion and FindRepair decide without input or output, and ReplicaDirectory adopts what an answer tells about the leader, so that a model can drive both.

--- a/Source/Control/ClientNodeCalls.cxx
+++ b/Source/Control/ClientNodeCalls.cxx
@@ -116,6 +116,7 @@
 void
 ClientNode::OnAnswer(const feed::FeedBodyUnion& aBody)
 {
+  m_directory.ApplyAnswer(aBody);
   switch (aBody.type) {
     case feed::FeedBody::ProposeReply:
       OnProposeReply(aBody);
@@ -165,12 +166,6 @@
   }
   if (reply.status == feed::ProposeStatus::NotLeader) {
     m_calls.RecordRejection(reply.id);
-    if (reply.leader_address.empty()) {
-      m_directory.SetLeader(std::nullopt);
-    } else {
-      m_directory.SetLeader(
-        SocketAddress{ reply.leader_address, reply.leader_port });
-    }
   }
   Retry(reply.id, kRetryDelayMs);
 }
--- a/Source/Control/LeaderMaintenance.cxx
+++ b/Source/Control/LeaderMaintenance.cxx
@@ -145,23 +145,4 @@
   return expired;
 }
 
-std::optional<consensus::MembershipT>
-LeaderMaintenance::FindPromotion(const Replica& aReplica) const
-{
-  const consensus::MembershipT& members = aReplica.Members();
-  for (std::size_t i = 0; i < members.members.size(); ++i) {
-    const consensus::MemberT& member = *members.members[i];
-    // The match index of a member covers only entries that it has synced.
-    const std::uint64_t match = aReplica.MatchIndex(member.replica);
-    const bool near =
-      match != 0 && match + m_options.m_maxLearnerLag >= aReplica.CommitIndex();
-    if (!member.voter && near) {
-      consensus::MembershipT next(members);
-      next.members[i]->voter = true;
-      return next;
-    }
-  }
-  return std::nullopt;
-}
-
 } // namespace parsleycove
--- a/Source/Control/LeaderMaintenance.h
+++ b/Source/Control/LeaderMaintenance.h
@@ -1,6 +1,5 @@
 // Performs the leader's work besides log replication: tracks the leases of
-// endpoints and gateways and the in-force index, and selects learners to
-// promote.
+// endpoints and gateways and the in-force index.
 #pragma once
 
 #include <cstdint>
@@ -20,9 +19,6 @@
   Duration m_configLease = std::chrono::milliseconds(3000);
   Duration m_endpointLease = std::chrono::seconds(10);
   Duration m_gatewayLease = std::chrono::seconds(15);
-  // A learner is promoted once it lags the commit index by at most this many
-  // entries.
-  std::uint64_t m_maxLearnerLag = 64;
 };
 
 // Kept for one term as leader. The next term starts with a new object.
@@ -53,10 +49,6 @@
   std::vector<state::CommandT> FindExpired(TimePoint aNow,
                                            std::uint64_t aUnixMs,
                                            const ReplicatedState& aState);
-  // Returns the membership with one learner promoted to voter, or std::nullopt
-  // if no learner has synced entries close enough to the commit index.
-  std::optional<consensus::MembershipT> FindPromotion(
-    const Replica& aReplica) const;
 
 private:
   // Returns the command for the expired gateway processes of this VM, or
--- /dev/null
+++ b/Source/Control/MembershipChange.h
@@ -0,0 +1,46 @@
+// The next change of the group's members.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "Consensus/Replica.h"
+#include "Control/MembershipRepair.h"
+#include "FeedGenerated.h"
+
+namespace parsleycove {
+
+struct MembershipChange
+{
+  consensus::MembershipT m_next;
+  std::uint64_t m_replica = 0; // the member that differs
+  std::string m_evidence;      // for the log
+};
+
+// Returns the members with this replica as a learner, or std::nullopt if it is
+// a member already.
+std::optional<MembershipChange>
+FindAddition(const consensus::MembershipT& aMembers,
+             const feed::AddReplicaT& aRequest);
+
+// Returns the members without this one, or std::nullopt if it is no member.
+std::optional<MembershipChange>
+FindRemoval(const consensus::MembershipT& aMembers,
+            std::uint64_t aReplica,
+            std::string aEvidence);
+
+// Returns the members with one learner promoted to voter, or std::nullopt if no
+// learner has synced entries close enough to the commit index.
+std::optional<MembershipChange>
+FindPromotion(const Replica& aLeader);
+
+// Returns what the leader changes next to keep the group at its target, or
+// std::nullopt if nothing is to be changed. The log may refuse the change.
+std::optional<MembershipChange>
+FindRepair(TimePoint aNow,
+           const Replica& aLeader,
+           const MembershipRepair& aRepair,
+           std::uint64_t aSelf);
+
+} // namespace parsleycove
--- a/Source/Control/ReplicaDirectory.cxx
+++ b/Source/Control/ReplicaDirectory.cxx
@@ -62,6 +62,20 @@
   m_leader = std::move(aLeader);
 }
 
+void
+ReplicaDirectory::ApplyAnswer(const feed::FeedBodyUnion& aAnswer)
+{
+  const auto* reply = aAnswer.AsProposeReply();
+  if (reply == nullptr || reply->status != feed::ProposeStatus::NotLeader) {
+    return;
+  }
+  if (reply->leader_address.empty()) {
+    m_leader.reset();
+  } else {
+    m_leader = { reply->leader_address, reply->leader_port };
+  }
+}
+
 void
 ReplicaDirectory::RecordFailure(TimePoint aNow, const SocketAddress& aAddress)
 {
--- a/Source/Control/ReplicaDirectory.h
+++ b/Source/Control/ReplicaDirectory.h
@@ -28,6 +28,8 @@
   void ApplyWelcome(const feed::WelcomeT& aWelcome);
   void SetLeader(std::optional<SocketAddress> aLeader);
   const std::optional<SocketAddress>& Leader() const { return m_leader; }
+  // Adopts what a replica's answer to a call tells about the leader.
+  void ApplyAnswer(const feed::FeedBodyUnion& aAnswer);
   void RecordFailure(TimePoint aNow, const SocketAddress& aAddress);
 
   // Prefers replicas without a recent failure, then members of the group, then
--- a/Source/Control/ReplicaNode.h
+++ b/Source/Control/ReplicaNode.h
@@ -20,6 +20,7 @@
 #include "Control/InboundLinks.h"
 #include "Control/LeaderMaintenance.h"
 #include "Control/LineRepeater.h"
+#include "Control/MembershipChange.h"
 #include "Control/MembershipRepair.h"
 #include "Control/MembershipReport.h"
 #include "Control/ReplicaCore.h"
@@ -112,15 +113,9 @@
   void ReportShortage(TimePoint aNow);
   // Returns whether enough voters hold the log to accept a routing document.
   bool CanAcceptDocuments() const;
-  // aEvidence tells for the log why aReplica is changed.
-  void ChangeMembers(consensus::MembershipT aNext,
-                     std::uint64_t aReplica,
-                     std::string aEvidence,
+  void ChangeMembers(MembershipChange aChange,
                      std::string aDone,
                      const AdminHandler& aHandler);
-  void DropMember(std::uint64_t aReplica,
-                  std::string aEvidence,
-                  const AdminHandler& aHandler);
   void Log(ControlLogLevel aLevel, const std::string& aText) const;
 
   boost::asio::io_context& m_context;
--- a/Source/Control/ReplicaNodeGroup.cxx
+++ b/Source/Control/ReplicaNodeGroup.cxx
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "Consensus/MembershipRules.h"
+#include "Control/MembershipChange.h"
 #include "Control/ReplicaNodeOptions.h"
 #include "State/CommandTime.h"
 
@@ -80,22 +81,12 @@
 void
 ReplicaNode::AddMember(const feed::AddReplicaT& aRequest, AdminHandler aHandler)
 {
-  consensus::MembershipT next(m_core->Log().Members());
-  if (FindMember(next, aRequest.replica) != nullptr) {
+  auto change = FindAddition(m_core->Log().Members(), aRequest);
+  if (!change) {
     aHandler(MakeAdminReply(true, "replica is already a member"));
     return;
   }
-  auto member = std::make_unique<consensus::MemberT>();
-  member->replica = aRequest.replica;
-  member->vm = aRequest.vm;
-  member->zone = aRequest.zone;
-  member->address = aRequest.address;
-  member->port = aRequest.port;
-  member->voter = false;
-  next.members.push_back(std::move(member));
-  ChangeMembers(std::move(next),
-                aRequest.replica,
-                "asked to be added",
+  ChangeMembers(std::move(*change),
                 "added as a learner; becomes a voter once it has caught up",
                 aHandler);
 }
@@ -103,30 +94,17 @@
 void
 ReplicaNode::RemoveMember(std::uint64_t aReplica, AdminHandler aHandler)
 {
-  DropMember(aReplica, "asked to be removed", aHandler);
-}
-
-void
-ReplicaNode::DropMember(std::uint64_t aReplica,
-                        std::string aEvidence,
-                        const AdminHandler& aHandler)
-{
-  consensus::MembershipT next(m_core->Log().Members());
-  if (FindMember(next, aReplica) == nullptr) {
+  auto change =
+    FindRemoval(m_core->Log().Members(), aReplica, "asked to be removed");
+  if (!change) {
     aHandler(MakeAdminReply(true, "replica is not a member"));
     return;
   }
-  std::erase_if(next.members, [&](const auto& aMember) {
-    return aMember->replica == aReplica;
-  });
-  ChangeMembers(
-    std::move(next), aReplica, std::move(aEvidence), "removed", aHandler);
+  ChangeMembers(std::move(*change), "removed", aHandler);
 }
 
 void
-ReplicaNode::ChangeMembers(consensus::MembershipT aNext,
-                           std::uint64_t aReplica,
-                           std::string aEvidence,
+ReplicaNode::ChangeMembers(MembershipChange aChange,
                            std::string aDone,
                            const AdminHandler& aHandler)
 {
@@ -139,7 +117,7 @@
   }
   const bool taken = m_core->ProposeMembership(
     BootClock::now(),
-    std::move(aNext),
+    std::move(aChange.m_next),
     [aHandler, done = std::move(aDone)](
       const std::optional<state::CommandResultT>& aResult) {
       aHandler(
@@ -149,10 +127,11 @@
               false, "leadership was lost, outcome unknown; check the status"));
     });
   if (taken) {
-    m_report.SetEvidence(aReplica, std::move(aEvidence));
+    m_report.SetEvidence(aChange.m_replica, std::move(aChange.m_evidence));
     m_lastRefusal.clear();
   } else {
-    m_lastRefusal = "member " + std::to_string(aReplica) + " (" + aEvidence +
+    m_lastRefusal = "member " + std::to_string(aChange.m_replica) + " (" +
+                    aChange.m_evidence +
                     "): " + m_core->Log().LastReason().m_text;
     aHandler(MakeAdminReply(false, m_core->Log().LastReason().m_text));
   }
@@ -251,34 +230,23 @@
 ReplicaNode::RepairMembership(TimePoint aNow)
 {
   const Replica& log = m_core->Log();
-  const consensus::MembershipT& members = log.Members();
-  if (m_repair.NeedsVoter(aNow, members, m_options.m_replica)) {
-    if (auto promoted = m_maintenance->FindPromotion(log)) {
-      const std::uint64_t learner = FindPromoted(members, *promoted);
-      ChangeMembers(std::move(*promoted),
-                    learner,
-                    "caught up to " + std::to_string(log.MatchIndex(learner)) +
-                      " of " + std::to_string(log.CommitIndex()),
-                    "promoted",
-                    [](const auto&) {});
-      return;
-    }
+  auto change = FindRepair(aNow, log, m_repair, m_options.m_replica);
+  if (!change) {
+    return;
   }
-  const std::uint64_t failed =
-    m_repair.FindMemberToRemove(aNow, members, m_options.m_replica);
-  if (failed == 0) {
+  if (FindMember(change->m_next, change->m_replica) != nullptr) {
+    ChangeMembers(std::move(*change), "promoted", [](const auto&) {});
     return;
   }
-  const std::string evidence =
-    "silent for " + std::to_string(m_repair.MsSinceMessage(aNow, failed)) +
-    " ms";
   Log(ControlLogLevel::Warning,
-      "removing replica " + std::to_string(failed) + ", " + evidence);
-  DropMember(failed, evidence, [this](const feed::AdminReplyT& aReply) {
-    if (!aReply.ok) {
-      Log(ControlLogLevel::Info, "replica not removed: " + aReply.text);
-    }
-  });
+      "removing replica " + std::to_string(change->m_replica) + ", " +
+        change->m_evidence);
+  ChangeMembers(
+    std::move(*change), "removed", [this](const feed::AdminReplyT& aReply) {
+      if (!aReply.ok) {
+        Log(ControlLogLevel::Info, "replica not removed: " + aReply.text);
+      }
+    });
 }
 
 void
