Control: Name the leader to a client whose call on the members is refused

Cause: a client whose link to the leader ends forgets the leader and sends its calls to the replica of its feed. That replica refused AddReplica and RemoveReplica without naming the leader, unlike proposals, so the client asked it again until its time-out, in every call, until a new feed or a change of the group. A VM that was cut from the leader only was therefore removed and stayed out; its one log line is the one of the incident. This is the suspected cause there: the logs of the incident do not show the path of the calls.

The refusal now names the leader, in two new fields at the end of AdminReply, and the client follows it. AReplicaThatIsNotTheLeaderNamesIt fails with the address left empty.

--- a/Source/Control/ReplicaDirectory.cxx
+++ b/Source/Control/ReplicaDirectory.cxx
@@ -65,14 +65,23 @@
 void
 ReplicaDirectory::ApplyAnswer(const feed::FeedBodyUnion& aAnswer)
 {
-  const auto* reply = aAnswer.AsProposeReply();
-  if (reply == nullptr || reply->status != feed::ProposeStatus::NotLeader) {
-    return;
+  const auto* proposal = aAnswer.AsProposeReply();
+  const auto* admin = aAnswer.AsAdminReply();
+  if (proposal != nullptr &&
+      proposal->status == feed::ProposeStatus::NotLeader) {
+    AdoptLeader(proposal->leader_address, proposal->leader_port);
+  } else if (admin != nullptr && admin->not_leader) {
+    AdoptLeader(admin->leader_address, admin->leader_port);
   }
-  if (reply->leader_address.empty()) {
+}
+
+void
+ReplicaDirectory::AdoptLeader(const std::string& aAddress, std::uint16_t aPort)
+{
+  if (aAddress.empty()) {
     m_leader.reset();
   } else {
-    m_leader = { reply->leader_address, reply->leader_port };
+    m_leader = { aAddress, aPort };
   }
 }
 
--- a/Source/Control/ReplicaDirectory.h
+++ b/Source/Control/ReplicaDirectory.h
@@ -49,6 +49,8 @@
     std::optional<TimePoint> m_failedAt;
   };
 
+  // An empty address means that the replica knows no leader.
+  void AdoptLeader(const std::string& aAddress, std::uint16_t aPort);
   Candidate* Find(const SocketAddress& aAddress);
   const Candidate* Find(const SocketAddress& aAddress) const;
   int Rank(TimePoint aNow, const Candidate& aCandidate) const;
--- a/Source/Control/ReplicaNodeGroup.cxx
+++ b/Source/Control/ReplicaNodeGroup.cxx
@@ -112,6 +112,10 @@
     feed::AdminReplyT reply =
       MakeAdminReply(false, "this replica is not the leader");
     reply.not_leader = true;
+    if (const auto leader = LeaderAddress()) {
+      reply.leader_address = leader->m_address;
+      reply.leader_port = leader->m_port;
+    }
     aHandler(std::move(reply));
     return;
   }
--- a/Source/Wire/Generated/FeedGenerated.h
+++ b/Source/Wire/Generated/FeedGenerated.h
@@ -2477,6 +2477,8 @@
   bool ok = false;
   std::string text{};
   bool not_leader = false;
+  std::string leader_address{};
+  uint16_t leader_port = 0;
 };
 
 struct AdminReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2487,7 +2489,9 @@
     VT_ID = 4,
     VT_OK = 6,
     VT_TEXT = 8,
-    VT_NOT_LEADER = 10
+    VT_NOT_LEADER = 10,
+    VT_LEADER_ADDRESS = 12,
+    VT_LEADER_PORT = 14
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -2501,6 +2505,12 @@
   bool not_leader() const {
     return GetField<uint8_t>(VT_NOT_LEADER, 0) != 0;
   }
+  const flatbuffers::String *leader_address() const {
+    return GetPointer<const flatbuffers::String *>(VT_LEADER_ADDRESS);
+  }
+  uint16_t leader_port() const {
+    return GetField<uint16_t>(VT_LEADER_PORT, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -2508,6 +2518,9 @@
            VerifyOffset(verifier, VT_TEXT) &&
            verifier.VerifyString(text()) &&
            VerifyField<uint8_t>(verifier, VT_NOT_LEADER, 1) &&
+           VerifyOffset(verifier, VT_LEADER_ADDRESS) &&
+           verifier.VerifyString(leader_address()) &&
+           VerifyField<uint16_t>(verifier, VT_LEADER_PORT, 2) &&
            verifier.EndTable();
   }
   AdminReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2531,6 +2544,12 @@
   void add_not_leader(bool not_leader) {
     fbb_.AddElement<uint8_t>(AdminReply::VT_NOT_LEADER, static_cast<uint8_t>(not_leader), 0);
   }
+  void add_leader_address(flatbuffers::Offset<flatbuffers::String> leader_address) {
+    fbb_.AddOffset(AdminReply::VT_LEADER_ADDRESS, leader_address);
+  }
+  void add_leader_port(uint16_t leader_port) {
+    fbb_.AddElement<uint16_t>(AdminReply::VT_LEADER_PORT, leader_port, 0);
+  }
   explicit AdminReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2547,10 +2566,14 @@
     uint64_t id = 0,
     bool ok = false,
     flatbuffers::Offset<flatbuffers::String> text = 0,
-    bool not_leader = false) {
+    bool not_leader = false,
+    flatbuffers::Offset<flatbuffers::String> leader_address = 0,
+    uint16_t leader_port = 0) {
   AdminReplyBuilder builder_(_fbb);
   builder_.add_id(id);
+  builder_.add_leader_address(leader_address);
   builder_.add_text(text);
+  builder_.add_leader_port(leader_port);
   builder_.add_not_leader(not_leader);
   builder_.add_ok(ok);
   return builder_.Finish();
@@ -2566,14 +2589,19 @@
     uint64_t id = 0,
     bool ok = false,
     const char *text = nullptr,
-    bool not_leader = false) {
+    bool not_leader = false,
+    const char *leader_address = nullptr,
+    uint16_t leader_port = 0) {
   auto text__ = text ? _fbb.CreateString(text) : 0;
+  auto leader_address__ = leader_address ? _fbb.CreateString(leader_address) : 0;
   return parsleycove::feed::CreateAdminReply(
       _fbb,
       id,
       ok,
       text__,
-      not_leader);
+      not_leader,
+      leader_address__,
+      leader_port);
 }
 
 flatbuffers::Offset<AdminReply> CreateAdminReply(flatbuffers::FlatBufferBuilder &_fbb, const AdminReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3554,6 +3582,8 @@
   { auto _e = ok(); _o->ok = _e; }
   { auto _e = text(); if (_e) _o->text = _e->str(); }
   { auto _e = not_leader(); _o->not_leader = _e; }
+  { auto _e = leader_address(); if (_e) _o->leader_address = _e->str(); }
+  { auto _e = leader_port(); _o->leader_port = _e; }
 }
 
 inline flatbuffers::Offset<AdminReply> AdminReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AdminReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3568,12 +3598,16 @@
   auto _ok = _o->ok;
   auto _text = _o->text.empty() ? 0 : _fbb.CreateString(_o->text);
   auto _not_leader = _o->not_leader;
+  auto _leader_address = _o->leader_address.empty() ? 0 : _fbb.CreateString(_o->leader_address);
+  auto _leader_port = _o->leader_port;
   return parsleycove::feed::CreateAdminReply(
       _fbb,
       _id,
       _ok,
       _text,
-      _not_leader);
+      _not_leader,
+      _leader_address,
+      _leader_port);
 }
 
 inline FeedMessageT *FeedMessage::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/Tests/Control/ClientPartsTest.cxx
+++ b/Tests/Control/ClientPartsTest.cxx
@@ -122,6 +122,30 @@
 
 TEST_GROUP(ReplicaDirectory){};
 
+// Guards against a client that cannot reach the leader any more after its link
+// to it ended: calls on the group's members found no leader again.
+TEST(ReplicaDirectory, ARejectedCallNamesTheLeader)
+{
+  ReplicaDirectory directory({ { "10.0.0.1", 1 } }, "zone-a", 1);
+  feed::AdminReplyT reply;
+  reply.not_leader = true;
+  reply.leader_address = "10.0.0.2";
+  reply.leader_port = 7000;
+  feed::FeedBodyUnion answer;
+  answer.Set(feed::AdminReplyT(reply));
+  directory.ApplyAnswer(answer);
+  CHECK(directory.Leader() == SocketAddress({ "10.0.0.2", 7000 }));
+  feed::ProposeReplyT applied;
+  applied.status = feed::ProposeStatus::Applied;
+  answer.Set(std::move(applied));
+  directory.ApplyAnswer(answer);
+  CHECK(directory.Leader() == SocketAddress({ "10.0.0.2", 7000 }));
+  reply.leader_address.clear();
+  answer.Set(feed::AdminReplyT(reply));
+  directory.ApplyAnswer(answer);
+  CHECK_FALSE(directory.Leader().has_value());
+}
+
 TEST(ReplicaDirectory, PrefersTheOwnZoneAndAvoidsWhatFailedLately)
 {
   ReplicaDirectory directory({ { "10.0.0.9", 7000 } }, "zone-b", 1);
--- a/Tests/Control/MembershipModelNetwork.cxx
+++ b/Tests/Control/MembershipModelNetwork.cxx
@@ -173,7 +173,10 @@
     return Deliver(aFromVm, std::move(reply));
   }
   if (replica.Role() != ReplicaRole::Leader) {
+    const feed::WelcomeT group = DescribeGroup(aAt);
     reply.not_leader = true;
+    reply.leader_address = group.leader_address;
+    reply.leader_port = group.leader_port;
     return Deliver(aFromVm, std::move(reply));
   }
   const std::uint64_t term = replica.Term();
--- a/Tests/Control/RepairEndToEndTest.cxx
+++ b/Tests/Control/RepairEndToEndTest.cxx
@@ -11,11 +11,14 @@
 
 #include "Control/Cluster.h"
 #include "Control/GroupMembershipClient.h"
+#include "Wire/FrameLink.h"
+#include "Wire/MessageCodec.h"
 
 // Included last, since the leak detection of CppUTest redefines new.
 #include <CppUTest/TestHarness.h>
 
 using namespace parsleycove;
+namespace asio = boost::asio;
 
 namespace {
 
@@ -70,6 +73,37 @@
   std::vector<std::string> m_lines;
 };
 
+// Sends one request over a link of its own and keeps the answer.
+class OneRequest final : public FrameLinkListener
+{
+public:
+  OneRequest(asio::io_context& aContext,
+             const SocketAddress& aTo,
+             feed::AddReplicaT aRequest)
+    : m_link(FrameLink::Connect(aContext, aTo, {}, *this))
+  {
+    m_link->Send(EncodeFeedBody(std::move(aRequest)));
+  }
+  ~OneRequest() override { m_link->Close(); }
+  OneRequest(const OneRequest&) = delete;
+  OneRequest& operator=(const OneRequest&) = delete;
+
+  void OnOpen(FrameLink&) override {}
+  void OnClosed(FrameLink&, const WireReason&) override {}
+  void OnFrame(FrameLink&, const ReceivedFrame& aFrame) override
+  {
+    const auto message = DecodeFeedFrame(aFrame.m_kind, aFrame.m_payload);
+    if (message && message->body.AsAdminReply() != nullptr) {
+      m_answer = *message->body.AsAdminReply();
+    }
+  }
+  const std::optional<feed::AdminReplyT>& Answer() const { return m_answer; }
+
+private:
+  FrameLink::Pointer m_link;
+  std::optional<feed::AdminReplyT> m_answer;
+};
+
 } // namespace
 
 // clang-format off
@@ -182,6 +216,29 @@
   CHECK(m_lines.Contain("-> no member; evidence: silent for "));
 }
 
+TEST(RepairEndToEnd, AReplicaThatIsNotTheLeaderNamesIt)
+{
+  StartAll(0);
+  CHECK(Propose(*m_client, MakeDocument(1)).m_value.has_value());
+  const std::size_t leader = m_cluster.WaitForLeader();
+  const std::size_t follower = (leader + 1) % 3;
+  const std::size_t spare = m_cluster.AddSpare(77, "zone-z");
+  boost::asio::io_context context;
+  // A follower may learn of a new leader a moment after it was elected.
+  const bool named = WaitUntil([&] {
+    OneRequest request(context, m_cluster.Address(follower), Describe(spare));
+    CHECK(WaitUntil([&] {
+      context.poll();
+      context.restart();
+      return request.Answer().has_value();
+    }));
+    const feed::AdminReplyT& answer = *request.Answer();
+    const SocketAddress to{ answer.leader_address, answer.leader_port };
+    return answer.not_leader && to == m_cluster.Address(leader);
+  });
+  CHECK(named);
+}
+
 // Guards against a gateway that keeps an old configuration while the group is
 // partitioned: a gateway stayed with a replica on the minority side for as long
 // as its lease ran.
