--- a/Source/Control/MembershipChange.cxx
+++ b/Source/Control/MembershipChange.cxx
@@ -8,14 +8,6 @@
 
 namespace parsleycove {
 
-namespace {
-
-// A learner is promoted once it lags the commit index by at most this many
-// entries.
-constexpr std::uint64_t kMaxLearnerLag = 64;
-
-} // namespace
-
 std::optional<MembershipChange>
 FindAddition(const consensus::MembershipT& aMembers,
              const feed::AddReplicaT& aRequest)
@@ -51,22 +43,26 @@
 }
 
 std::optional<MembershipChange>
-FindPromotion(const Replica& aLeader)
+FindPromotion(TimePoint aNow,
+              const Replica& aLeader,
+              const MembershipRepair& aRepair)
 {
   const consensus::MembershipT& members = aLeader.Members();
+  const std::uint64_t commit = aLeader.CommitIndex();
   for (std::size_t i = 0; i < members.members.size(); ++i) {
     const consensus::MemberT& member = *members.members[i];
     // The match index of a member covers only entries that it has synced.
     const std::uint64_t match = aLeader.MatchIndex(member.replica);
-    const bool near =
-      match != 0 && match + kMaxLearnerLag >= aLeader.CommitIndex();
-    if (!member.voter && near) {
-      MembershipChange change{ members,
-                               member.replica,
-                               "caught up to " + std::to_string(match) +
-                                 " of " +
-                                 std::to_string(aLeader.CommitIndex()) };
-      change.m_next.members[i]->voter = true;
+    if (member.voter || match == 0 || match < commit ||
+        !aRepair.IsResponsive(aNow, member.replica)) {
+      continue;
+    }
+    MembershipChange change{ members,
+                             member.replica,
+                             "caught up to " + std::to_string(match) + " of " +
+                               std::to_string(commit) };
+    change.m_next.members[i]->voter = true;
+    if (!FindChangeFault(members, change.m_next)) {
       return change;
     }
   }
@@ -81,16 +77,22 @@
 {
   const consensus::MembershipT& members = aLeader.Members();
   if (aRepair.NeedsVoter(aNow, members, aSelf)) {
-    if (auto promotion = FindPromotion(aLeader)) {
+    if (auto promotion = FindPromotion(aNow, aLeader, aRepair)) {
       return promotion;
     }
   }
-  const std::uint64_t failed = aRepair.FindMemberToRemove(aNow, members, aSelf);
-  return FindRemoval(members,
-                     failed,
-                     "silent for " +
-                       std::to_string(aRepair.MsSinceMessage(aNow, failed)) +
-                       " ms");
+  for (const std::uint64_t failed :
+       aRepair.ListMembersToRemove(aNow, members, aSelf)) {
+    auto removal = FindRemoval(
+      members,
+      failed,
+      "silent for " + std::to_string(aRepair.MsSinceMessage(aNow, failed)) +
+        " ms");
+    if (removal && !FindChangeFault(members, removal->m_next)) {
+      return removal;
+    }
+  }
+  return std::nullopt;
 }
 
 } // namespace parsleycove
--- a/Source/Control/MembershipChange.h
+++ b/Source/Control/MembershipChange.h
@@ -31,12 +31,17 @@
             std::string aEvidence);
 
 // Returns the members with one learner promoted to voter, or std::nullopt if no
-// learner has synced entries close enough to the commit index.
+// learner answers, has synced all committed entries and may vote by the rules
+// for memberships.
 std::optional<MembershipChange>
-FindPromotion(const Replica& aLeader);
+FindPromotion(TimePoint aNow,
+              const Replica& aLeader,
+              const MembershipRepair& aRepair);
 
 // Returns what the leader changes next to keep the group at its target, or
-// std::nullopt if nothing is to be changed. The log may refuse the change.
+// std::nullopt if nothing is to be changed. A change that the rules for
+// memberships forbid is passed over, so that it does not block the others. The
+// log may refuse the change for now.
 std::optional<MembershipChange>
 FindRepair(TimePoint aNow,
            const Replica& aLeader,
--- a/Source/Control/MembershipRepair.cxx
+++ b/Source/Control/MembershipRepair.cxx
@@ -13,6 +13,9 @@
 // A learner that has not caught up gets a longer time-out than a voter, since
 // it may be installing a snapshot.
 constexpr int kLearnerTimeoutFactor = 3;
+// A learner is promoted only if its last message is at most this share of the
+// time-out old: a lost learner with a vote would only raise the majority.
+constexpr int kPromotionShare = 3;
 
 } // namespace
 
@@ -95,22 +98,30 @@
   return replicas;
 }
 
-std::uint64_t
-MembershipRepair::FindMemberToRemove(TimePoint aNow,
-                                     const consensus::MembershipT& aMembers,
-                                     std::uint64_t aSelf) const
+std::vector<std::uint64_t>
+MembershipRepair::ListMembersToRemove(TimePoint aNow,
+                                      const consensus::MembershipT& aMembers,
+                                      std::uint64_t aSelf) const
 {
+  std::vector<std::uint64_t> replicas;
   if (m_options.m_targetVoters == 0) {
-    return 0;
+    return replicas;
   }
   const bool hasSpareVoter = CountVoters(aMembers) > m_options.m_targetVoters;
   for (const auto& member : aMembers.members) {
     const bool isRemovable = !member->voter || hasSpareVoter;
     if (isRemovable && IsUnresponsive(aNow, *member, aSelf)) {
-      return member->replica;
+      replicas.push_back(member->replica);
     }
   }
-  return 0;
+  return replicas;
+}
+
+bool
+MembershipRepair::IsResponsive(TimePoint aNow, std::uint64_t aReplica) const
+{
+  return TimeSinceMessage(aNow, aReplica) <
+         m_options.m_memberTimeout / kPromotionShare;
 }
 
 } // namespace parsleycove
--- a/Source/Control/MembershipRepair.h
+++ b/Source/Control/MembershipRepair.h
@@ -40,10 +40,14 @@
   bool NeedsVoter(TimePoint aNow,
                   const consensus::MembershipT& aMembers,
                   std::uint64_t aSelf) const;
-  // Returns the member to remove next, 0 if there is none.
-  std::uint64_t FindMemberToRemove(TimePoint aNow,
-                                   const consensus::MembershipT& aMembers,
-                                   std::uint64_t aSelf) const;
+  // Returns the members that may be removed, in the order of preference. One of
+  // them is removed at a time.
+  std::vector<std::uint64_t> ListMembersToRemove(
+    TimePoint aNow,
+    const consensus::MembershipT& aMembers,
+    std::uint64_t aSelf) const;
+  // Returns whether the replica sent a message recently enough to be promoted.
+  bool IsResponsive(TimePoint aNow, std::uint64_t aReplica) const;
   // Returns the voters that are unresponsive.
   std::vector<std::uint64_t> ListUnresponsiveVoters(
     TimePoint aNow,
--- a/Tests/Control/MembershipRepairTest.cxx
+++ b/Tests/Control/MembershipRepairTest.cxx
@@ -41,6 +41,15 @@
 {
   MembershipRepair m_repair{ { 5, std::chrono::seconds(3) } };
 
+  // Returns 0 if no member may be removed.
+  std::uint64_t FirstToRemove(TimePoint aNow,
+                              const consensus::MembershipT& aMembers,
+                              std::uint64_t aSelf)
+  {
+    const auto replicas =
+      m_repair.ListMembersToRemove(aNow, aMembers, aSelf);
+    return replicas.empty() ? 0 : replicas.front();
+  }
   // Records a message at aMs from every member except aSilent and the leader.
   void RecordMessages(int aMs, std::uint64_t aMembers, std::uint64_t aSilent)
   {
@@ -72,9 +81,8 @@
 {
   m_repair.Start(At(0));
   RecordMessages(4000, 6, 3);
-  CHECK_EQUAL(0U,
-              m_repair.FindMemberToRemove(At(4000), MakeGroup(5, 1), kSelf));
-  CHECK_EQUAL(3U, m_repair.FindMemberToRemove(At(4000), MakeGroup(6), kSelf));
+  CHECK_EQUAL(0U, FirstToRemove(At(4000), MakeGroup(5, 1), kSelf));
+  CHECK_EQUAL(3U, FirstToRemove(At(4000), MakeGroup(6), kSelf));
 }
 
 TEST(MembershipRepair, ANewLeaderDoesNotCountSilenceBeforeItsTerm)
@@ -82,18 +90,35 @@
   m_repair.Start(At(0));
   RecordMessages(100, 6, 0);
   m_repair.Start(At(9000));
-  CHECK_EQUAL(0U, m_repair.FindMemberToRemove(At(9100), MakeGroup(6), kSelf));
+  CHECK_EQUAL(0U, FirstToRemove(At(9100), MakeGroup(6), kSelf));
 }
 
 TEST(MembershipRepair, RemovesALearnerThatNeverCame)
 {
   m_repair.Start(At(0));
   RecordMessages(8000, 5, 0);
-  CHECK_EQUAL(0U,
-              m_repair.FindMemberToRemove(At(8000), MakeGroup(5, 1), kSelf));
+  CHECK_EQUAL(0U, FirstToRemove(At(8000), MakeGroup(5, 1), kSelf));
   RecordMessages(9500, 5, 0);
-  CHECK_EQUAL(6U,
-              m_repair.FindMemberToRemove(At(9500), MakeGroup(5, 1), kSelf));
+  CHECK_EQUAL(6U, FirstToRemove(At(9500), MakeGroup(5, 1), kSelf));
+}
+
+TEST(MembershipRepair, EachSilentMemberIsNamedInCaseOneMustStay)
+{
+  m_repair.Start(At(0));
+  RecordMessages(4000, 6, 3);
+  const auto replicas =
+    m_repair.ListMembersToRemove(At(9500), MakeGroup(6, 1), kSelf);
+  CHECK_EQUAL(6U, replicas.size());
+  CHECK_EQUAL(2U, replicas.front());
+  CHECK_EQUAL(7U, replicas.back());
+}
+
+TEST(MembershipRepair, ALearnerThatHasGoneSilentIsNotPromoted)
+{
+  m_repair.Start(At(0));
+  m_repair.RecordMessage(At(4000), 6);
+  CHECK(m_repair.IsResponsive(At(4999), 6));
+  CHECK_FALSE(m_repair.IsResponsive(At(5000), 6));
 }
 
 TEST(MembershipRepair, WithoutATargetOperatorsChangeMembers)
@@ -101,7 +126,8 @@
   MembershipRepair repair({ 0, std::chrono::seconds(3) });
   repair.Start(At(0));
   CHECK(repair.NeedsVoter(At(0), MakeGroup(5, 1), kSelf));
-  CHECK_EQUAL(0U, repair.FindMemberToRemove(At(60000), MakeGroup(6), kSelf));
+  CHECK_EQUAL(
+    0U, repair.ListMembersToRemove(At(60000), MakeGroup(6), kSelf).size());
 }
 
 // clang-format off
