Tests: Let the settings of the model name a replacement among the seeds

A VM that starts without a disk knows the seeds of its settings only. A deployment's settings name the VMs that exist.

--- a/Tests/Control/MembershipModel.cxx
+++ b/Tests/Control/MembershipModel.cxx
@@ -202,6 +202,15 @@
   m_vms[aVm].m_client.reset();
   const std::string zone = m_vms[aVm].m_zone;
   AddVm(m_cluster.Add(zone), zone);
+  std::replace(m_seeds.begin(),
+               m_seeds.end(),
+               m_vms[aVm].m_address,
+               m_vms.back().m_address);
+  for (Vm& vm : m_vms) {
+    if (vm.m_client) {
+      vm.m_client->AddSeeds(m_seeds);
+    }
+  }
   return m_vms.size() - 1;
 }
 
--- a/Tests/Control/MembershipModel.h
+++ b/Tests/Control/MembershipModel.h
@@ -32,8 +32,8 @@
   void Freeze(std::size_t aVm, Duration aFor);
   void Stop(std::size_t aVm, Duration aFor); // keeps its disk
   void LoseDisk(std::size_t aVm, Duration aDownFor);
-  // A new VM at another address takes the place of this one for good.
-  // Returns its number.
+  // A new VM at another address takes the place of this one for good, also
+  // among the seeds of the settings. Returns its number.
   std::size_t Replace(std::size_t aVm);
   // The calls of this VM are carried out, but the next aCount answers are lost.
   void LoseAnswers(std::size_t aVm, std::size_t aCount);
--- a/Tests/Control/ModelClient.h
+++ b/Tests/Control/ModelClient.h
@@ -56,6 +56,10 @@
               feed::AddReplicaT aSelf);
 
   void Step(TimePoint aNow);
+  void AddSeeds(const std::vector<SocketAddress>& aSeeds)
+  {
+    m_directory.AddSeeds(aSeeds);
+  }
   const std::string& LastFault() const { return m_lastFault; }
 
 private:
