--- a/Source/Control/MembershipChange.cxx
+++ b/Source/Control/MembershipChange.cxx
@@ -8,6 +8,25 @@
 
 namespace parsleycove {
 
+namespace {
+
+// Returns whether the rules for memberships allow the change. Otherwise sets
+// aPassedOver to the change and the reason.
+bool
+IsAllowed(const consensus::MembershipT& aMembers,
+          const MembershipChange& aChange,
+          std::string& aPassedOver)
+{
+  const auto fault = FindChangeFault(aMembers, aChange.m_next);
+  if (fault) {
+    aPassedOver = "member " + std::to_string(aChange.m_replica) + " (" +
+                  aChange.m_evidence + "): " + *fault;
+  }
+  return !fault;
+}
+
+} // namespace
+
 std::optional<MembershipChange>
 FindAddition(const consensus::MembershipT& aMembers,
              const feed::AddReplicaT& aRequest)
@@ -45,7 +64,8 @@
 std::optional<MembershipChange>
 FindPromotion(TimePoint aNow,
               const Replica& aLeader,
-              const MembershipRepair& aRepair)
+              const MembershipRepair& aRepair,
+              std::string& aPassedOver)
 {
   const consensus::MembershipT& members = aLeader.Members();
   const std::uint64_t commit = aLeader.CommitIndex();
@@ -62,7 +82,7 @@
                              "caught up to " + std::to_string(match) + " of " +
                                std::to_string(commit) };
     change.m_next.members[i]->voter = true;
-    if (!FindChangeFault(members, change.m_next)) {
+    if (IsAllowed(members, change, aPassedOver)) {
       return change;
     }
   }
@@ -73,11 +93,12 @@
 FindRepair(TimePoint aNow,
            const Replica& aLeader,
            const MembershipRepair& aRepair,
-           std::uint64_t aSelf)
+           std::uint64_t aSelf,
+           std::string& aPassedOver)
 {
   const consensus::MembershipT& members = aLeader.Members();
   if (aRepair.NeedsVoter(aNow, members, aSelf)) {
-    if (auto promotion = FindPromotion(aNow, aLeader, aRepair)) {
+    if (auto promotion = FindPromotion(aNow, aLeader, aRepair, aPassedOver)) {
       return promotion;
     }
   }
@@ -88,7 +109,7 @@
       failed,
       "silent for " + std::to_string(aRepair.MsSinceMessage(aNow, failed)) +
         " ms");
-    if (removal && !FindChangeFault(members, removal->m_next)) {
+    if (removal && IsAllowed(members, *removal, aPassedOver)) {
       return removal;
     }
   }
--- a/Source/Control/MembershipChange.h
+++ b/Source/Control/MembershipChange.h
@@ -32,20 +32,23 @@
 
 // Returns the members with one learner promoted to voter, or std::nullopt if no
 // learner answers, has synced all committed entries and may vote by the rules
-// for memberships.
+// for memberships. aPassedOver is as for FindRepair.
 std::optional<MembershipChange>
 FindPromotion(TimePoint aNow,
               const Replica& aLeader,
-              const MembershipRepair& aRepair);
+              const MembershipRepair& aRepair,
+              std::string& aPassedOver);
 
 // Returns what the leader changes next to keep the group at its target, or
 // std::nullopt if nothing is to be changed. A change that the rules for
 // memberships forbid is passed over, so that it does not block the others. The
-// log may refuse the change for now.
+// log may refuse the change for now. aPassedOver is set to the last change that
+// was passed over and why, for the log; it stays as it is if there was none.
 std::optional<MembershipChange>
 FindRepair(TimePoint aNow,
            const Replica& aLeader,
            const MembershipRepair& aRepair,
-           std::uint64_t aSelf);
+           std::uint64_t aSelf,
+           std::string& aPassedOver);
 
 } // namespace parsleycove
--- a/Source/Control/ReplicaNodeGroup.cxx
+++ b/Source/Control/ReplicaNodeGroup.cxx
@@ -234,7 +234,8 @@
 ReplicaNode::RepairMembership(TimePoint aNow)
 {
   const Replica& log = m_core->Log();
-  auto change = FindRepair(aNow, log, m_repair, m_options.m_replica);
+  auto change =
+    FindRepair(aNow, log, m_repair, m_options.m_replica, m_lastRefusal);
   if (!change) {
     return;
   }
--- a/Tests/Control/MembershipModel.cxx
+++ b/Tests/Control/MembershipModel.cxx
@@ -144,8 +144,9 @@
       !ReplicaOf(vm).HasLeaderLease(m_cluster.Now())) {
     return;
   }
-  if (auto change =
-        FindRepair(m_cluster.Now(), ReplicaOf(vm), vm.m_repair, vm.m_id)) {
+  std::string passedOver;
+  if (auto change = FindRepair(
+        m_cluster.Now(), ReplicaOf(vm), vm.m_repair, vm.m_id, passedOver)) {
     m_cluster.ProposeMembers(vm.m_id, std::move(change->m_next));
   }
 }
