--- a/Source/Control/ReplicaNodeGroup.cxx
+++ b/Source/Control/ReplicaNodeGroup.cxx
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "Consensus/MembershipRules.h"
+#include "Control/MembershipChange.h"
 #include "Control/ReplicaNodeOptions.h"
 #include "State/CommandTime.h"
 #include "State/PromptPartTable.h"
@@ -96,20 +97,12 @@
 void
 ReplicaNode::AddMember(const feed::AddReplicaT& aRequest, AdminHandler aHandler)
 {
-  consensus::MembershipT next(m_core->Log().Members());
-  if (FindMember(next, aRequest.replica) != nullptr) {
+  auto change = FindAddition(m_core->Log().Members(), aRequest);
+  if (!change) {
     aHandler(MakeAdminReply(true, "replica is already a member"));
     return;
   }
-  auto member = std::make_unique<consensus::MemberT>();
-  member->replica = aRequest.replica;
-  member->vm = aRequest.vm;
-  member->zone = aRequest.zone;
-  member->address = aRequest.address;
-  member->port = aRequest.port;
-  member->voter = false;
-  next.members.push_back(std::move(member));
-  ChangeMembers(std::move(next),
+  ChangeMembers(std::move(*change),
                 "added as a learner; becomes a voter once it has caught up",
                 aHandler);
 }
@@ -117,19 +110,17 @@
 void
 ReplicaNode::RemoveMember(std::uint64_t aReplica, AdminHandler aHandler)
 {
-  consensus::MembershipT next(m_core->Log().Members());
-  if (FindMember(next, aReplica) == nullptr) {
+  auto change =
+    FindRemoval(m_core->Log().Members(), aReplica, "asked to be removed");
+  if (!change) {
     aHandler(MakeAdminReply(true, "replica is not a member"));
     return;
   }
-  std::erase_if(next.members, [&](const auto& aMember) {
-    return aMember->replica == aReplica;
-  });
-  ChangeMembers(std::move(next), "removed", aHandler);
+  ChangeMembers(std::move(*change), "removed", aHandler);
 }
 
 void
-ReplicaNode::ChangeMembers(consensus::MembershipT aNext,
+ReplicaNode::ChangeMembers(MembershipChange aChange,
                            std::string aDone,
                            const AdminHandler& aHandler)
 {
@@ -137,12 +128,16 @@
     feed::AdminReplyT reply =
       MakeAdminReply(false, "this replica is not the leader");
     reply.not_leader = true;
+    if (const auto leader = LeaderAddress()) {
+      reply.leader_address = leader->m_address;
+      reply.leader_port = leader->m_port;
+    }
     aHandler(std::move(reply));
     return;
   }
   const bool taken = m_core->ProposeMembership(
     BootClock::now(),
-    std::move(aNext),
+    std::move(aChange.m_next),
     [aHandler, done = std::move(aDone)](
       const std::optional<state::CommandResultT>& aResult) {
       aHandler(
@@ -151,7 +146,13 @@
           : MakeAdminReply(
               false, "leadership was lost, outcome unknown; check the status"));
     });
-  if (!taken) {
+  if (taken) {
+    m_report.SetEvidence(aChange.m_replica, std::move(aChange.m_evidence));
+    m_lastRefusal.clear();
+  } else {
+    m_lastRefusal = "member " + std::to_string(aChange.m_replica) + " (" +
+                    aChange.m_evidence +
+                    "): " + m_core->Log().LastReason().m_text;
     aHandler(MakeAdminReply(false, m_core->Log().LastReason().m_text));
   }
   RequestProcessing();
@@ -242,32 +243,56 @@
     ProposeCommand(command, [](const auto&) {});
   }
   RepairMembership(now);
+  ReportShortage(now);
 }
 
 void
 ReplicaNode::RepairMembership(TimePoint aNow)
 {
   const Replica& log = m_core->Log();
-  const consensus::MembershipT& members = log.Members();
-  if (m_repair.NeedsVoter(aNow, members, m_options.m_replica)) {
-    if (auto promoted = m_maintenance->FindPromotion(log)) {
-      ChangeMembers(std::move(*promoted), "promoted", [](const auto&) {});
-      return;
-    }
+  auto change =
+    FindRepair(aNow, log, m_repair, m_options.m_replica, m_lastRefusal);
+  if (!change) {
+    return;
   }
-  const std::uint64_t failed =
-    m_repair.FindMemberToRemove(aNow, members, m_options.m_replica);
-  if (failed == 0) {
+  if (FindMember(change->m_next, change->m_replica) != nullptr) {
+    ChangeMembers(std::move(*change), "promoted", [](const auto&) {});
     return;
   }
   Log(ControlLogLevel::Warning,
-      "removing replica " + std::to_string(failed) + ", silent for " +
-        std::to_string(m_repair.MsSinceMessage(aNow, failed)) + " ms");
-  RemoveMember(failed, [this](const feed::AdminReplyT& aReply) {
-    if (!aReply.ok) {
-      Log(ControlLogLevel::Info, "replica not removed: " + aReply.text);
-    }
-  });
+      "removing replica " + std::to_string(change->m_replica) + ", " +
+        change->m_evidence);
+  ChangeMembers(
+    std::move(*change), "removed", [this](const feed::AdminReplyT& aReply) {
+      if (!aReply.ok) {
+        Log(ControlLogLevel::Info, "replica not removed: " + aReply.text);
+      }
+    });
+}
+
+void
+ReplicaNode::ReportMembers()
+{
+  for (const std::string& line :
+       m_report.Update(BootClock::now(), m_core->Log().Members())) {
+    Log(ControlLogLevel::Info, line);
+  }
+  m_gauges.m_voters = m_report.CountVoters();
+  m_gauges.m_withoutVote = m_report.CountWithoutVote();
+  m_gauges.m_oldestWithoutVoteSince = m_report.OldestWithoutVoteSince();
+}
+
+void
+ReplicaNode::ReportShortage(TimePoint aNow)
+{
+  const auto silent = m_repair.ListUnresponsiveVoters(
+    aNow, m_core->Log().Members(), m_options.m_replica);
+  const std::string text =
+    m_report.DescribeShortage(aNow, silent, m_lastRefusal);
+  // The line's figures change all the time, so only its presence counts.
+  if (m_shortageLine.IsDue(aNow, text.empty() ? "" : "below the target")) {
+    Log(ControlLogLevel::Warning, text);
+  }
 }
 
 } // namespace parsleycove
--- a/Tests/Control/RepairEndToEndTest.cxx
+++ b/Tests/Control/RepairEndToEndTest.cxx
@@ -3,16 +3,22 @@
 #include <algorithm>
 #include <atomic>
 #include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 
 #include "Control/Cluster.h"
 #include "Control/GroupMembershipClient.h"
+#include "Wire/FrameLink.h"
+#include "Wire/MessageCodec.h"
 
 // Included last, since the leak detection of CppUTest redefines new.
 #include <CppUTest/TestHarness.h>
 
 using namespace parsleycove;
+namespace asio = boost::asio;
 
 namespace {
 
@@ -44,11 +50,66 @@
                        [](const auto& aRow) { return aRow->voter; });
 }
 
+// Log lines of all replicas, which write from threads of their own.
+class LogLines
+{
+public:
+  void Add(const std::string& aLine)
+  {
+    const std::lock_guard lock(m_mutex);
+    m_lines.push_back(aLine);
+  }
+  bool Contain(const std::string& aText)
+  {
+    const std::lock_guard lock(m_mutex);
+    return std::any_of(
+      m_lines.begin(), m_lines.end(), [&](const std::string& aLine) {
+        return aLine.find(aText) != std::string::npos;
+      });
+  }
+
+private:
+  std::mutex m_mutex;
+  std::vector<std::string> m_lines;
+};
+
+// Sends one request over a link of its own and keeps the answer.
+class OneRequest final : public FrameLinkListener
+{
+public:
+  OneRequest(asio::io_context& aContext,
+             const SocketAddress& aTo,
+             feed::AddReplicaT aRequest)
+    : m_link(FrameLink::Connect(aContext, aTo, {}, *this))
+  {
+    m_link->Send(EncodeFeedBody(std::move(aRequest)));
+  }
+  ~OneRequest() override { m_link->Close(); }
+  OneRequest(const OneRequest&) = delete;
+  OneRequest& operator=(const OneRequest&) = delete;
+
+  void OnOpen(FrameLink&) override {}
+  void OnClosed(FrameLink&, const WireReason&) override {}
+  void OnFrame(FrameLink&, const ReceivedFrame& aFrame) override
+  {
+    const auto message = DecodeFeedFrame(aFrame.m_kind, aFrame.m_payload);
+    if (message && message->body.AsAdminReply() != nullptr) {
+      m_answer = *message->body.AsAdminReply();
+    }
+  }
+  const std::optional<feed::AdminReplyT>& Answer() const { return m_answer; }
+
+private:
+  FrameLink::Pointer m_link;
+  std::optional<feed::AdminReplyT> m_answer;
+};
+
 } // namespace
 
 // clang-format off
 TEST_GROUP(RepairEndToEnd)
 {
+  LogLines m_lines; // before the cluster, whose threads write to it
   Cluster m_cluster;
   std::unique_ptr<ControlClient> m_client;
 
@@ -61,6 +122,9 @@
       options.m_targetVoters = aTarget;
       options.m_minDocumentVoters = aTarget;
       options.m_memberTimeout = std::chrono::milliseconds(1500);
+      options.m_log = [this](ControlLogLevel, const std::string& aText) {
+        m_lines.Add(aText);
+      };
       m_cluster.Start(i, /*aBootstrap=*/true);
     }
     m_client = std::make_unique<ControlClient>(
@@ -146,6 +210,33 @@
   });
   CHECK(repaired);
   CHECK(Propose(*m_client, MakeDocument(2)).m_value.has_value());
+  CHECK(m_lines.Contain("silent voters: " + std::to_string(lostId)));
+  CHECK(m_lines.Contain("evidence: asked to be added; voters 3, target 3"));
+  CHECK(m_lines.Contain("evidence: caught up to "));
+  CHECK(m_lines.Contain("-> no member; evidence: silent for "));
+}
+
+TEST(RepairEndToEnd, AReplicaThatIsNotTheLeaderNamesIt)
+{
+  StartAll(0);
+  CHECK(Propose(*m_client, MakeDocument(1)).m_value.has_value());
+  const std::size_t leader = m_cluster.WaitForLeader();
+  const std::size_t follower = (leader + 1) % 3;
+  const std::size_t spare = m_cluster.AddSpare(77, "zone-z");
+  boost::asio::io_context context;
+  // A follower may learn of a new leader a moment after it was elected.
+  const bool named = WaitUntil([&] {
+    OneRequest request(context, m_cluster.Address(follower), Describe(spare));
+    CHECK(WaitUntil([&] {
+      context.poll();
+      context.restart();
+      return request.Answer().has_value();
+    }));
+    const feed::AdminReplyT& answer = *request.Answer();
+    const SocketAddress to{ answer.leader_address, answer.leader_port };
+    return answer.not_leader && to == m_cluster.Address(leader);
+  });
+  CHECK(named);
 }
 
 // Guards against a gateway that keeps an old configuration while the group is
