State: Grant trials of a prompt part at intervals of an hour after the second

A part that crashes engines for good would have got a fourth trial 21 minutes after its quarantine. The users' bound is three requests after the fifth crash; two trials and one stray request keep it for the first hour. The test's delays follow.

--- a/Source/State/PromptPartTable.h
+++ b/Source/State/PromptPartTable.h
@@ -23,7 +23,7 @@
 // one, and between all further ones.
 inline constexpr std::uint64_t kFirstTrialDelayMs = 10'000;
 inline constexpr std::uint64_t kSecondTrialDelayMs = 60'000;
-inline constexpr std::uint64_t kTrialDelayMs = 600'000;
+inline constexpr std::uint64_t kTrialDelayMs = 3'600'000;
 inline constexpr std::size_t kMaxPromptParts = 64;
 inline constexpr std::size_t kMaxCrashesPerPart = 8;
 
--- a/Tests/State/PromptPartTableTest.cxx
+++ b/Tests/State/PromptPartTableTest.cxx
@@ -346,7 +346,7 @@
   CHECK_EQUAL(0, NextTrialUnixMs(*Find("bad")));
   Quarantine({ "bad" });
   std::uint32_t trials = 0;
-  for (const std::uint64_t delay : { 10'000, 60'000, 600'000, 600'000 }) {
+  for (const std::uint64_t delay : { 10'000, 60'000, 3'600'000, 3'600'000 }) {
     CHECK_EQUAL(m_now + delay, NextTrialUnixMs(*Find("bad")));
     m_now += delay - 1;
     CHECK(Try("bad") == ResultCode::Duplicate);
