--- a/Source/Control/ReplicaDirectory.cxx
+++ b/Source/Control/ReplicaDirectory.cxx
@@ -62,6 +62,29 @@
   m_leader = std::move(aLeader);
 }
 
+void
+ReplicaDirectory::ApplyAnswer(const feed::FeedBodyUnion& aAnswer)
+{
+  const auto* proposal = aAnswer.AsProposeReply();
+  const auto* admin = aAnswer.AsAdminReply();
+  if (proposal != nullptr &&
+      proposal->status == feed::ProposeStatus::NotLeader) {
+    AdoptLeader(proposal->leader_address, proposal->leader_port);
+  } else if (admin != nullptr && admin->not_leader) {
+    AdoptLeader(admin->leader_address, admin->leader_port);
+  }
+}
+
+void
+ReplicaDirectory::AdoptLeader(const std::string& aAddress, std::uint16_t aPort)
+{
+  if (aAddress.empty()) {
+    m_leader.reset();
+  } else {
+    m_leader = { aAddress, aPort };
+  }
+}
+
 void
 ReplicaDirectory::RecordFailure(TimePoint aNow, const SocketAddress& aAddress)
 {
--- a/Source/Control/ReplicaNode.h
+++ b/Source/Control/ReplicaNode.h
@@ -16,9 +16,14 @@
 
 #include "Control/FailureReportFilter.h"
 #include "Control/FeedServer.h"
+#include "Control/GroupGauges.h"
 #include "Control/InboundLinks.h"
 #include "Control/LeaderMaintenance.h"
+#include "Control/LineRepeater.h"
+#include "Control/MembershipChange.h"
 #include "Control/MembershipRepair.h"
+#include "Control/MembershipReport.h"
+#include "Control/PromptCommandFilter.h"
 #include "Control/ReplicaCore.h"
 #include "Control/ReplicaServiceOptions.h"
 #include "Store/DiskFiles.h"
@@ -47,13 +52,15 @@
   bool Open(ControlServiceReason& aReason);
   void Close();
 
-  // IsLeader, LedTerm and PublishedApplied may be called from any thread.
+  // IsLeader, LedTerm, PublishedApplied and Gauges may be called from any
+  // thread.
   bool IsLeader() const { return m_leads.load(); }
   std::uint64_t LedTerm() const
   {
     return m_leads.load() ? m_publishedTerm.load() : 0;
   }
   std::uint64_t PublishedApplied() const { return m_publishedApplied.load(); }
+  const GroupGauges& Gauges() const { return m_gauges; }
 
   // ReplicaCoreListener
   void SendToPeer(consensus::PeerMessageT aMessage) override;
@@ -102,9 +109,16 @@
   void ScheduleMaintenance();
   void PerformMaintenance();
   void RepairMembership(TimePoint aNow);
+  // The leader's result of a command that needs no log entry, std::nullopt if
+  // it is to be proposed.
+  std::optional<state::CommandResultT> AnswerWithoutEntry(
+    const state::CommandT& aCommand);
+  // Logs the changes of the members and publishes the gauges.
+  void ReportMembers();
+  void ReportShortage(TimePoint aNow);
   // Returns whether enough voters hold the log to accept a routing document.
   bool CanAcceptDocuments() const;
-  void ChangeMembers(consensus::MembershipT aNext,
+  void ChangeMembers(MembershipChange aChange,
                      std::string aDone,
                      const AdminHandler& aHandler);
   void Log(ControlLogLevel aLevel, const std::string& aText) const;
@@ -120,6 +134,7 @@
   // Set only while this replica is the leader.
   std::optional<LeaderMaintenance> m_maintenance;
   FailureReportFilter m_failureReports;
+  PromptCommandFilter m_promptCommands;
   boost::asio::steady_timer m_tickTimer;
   boost::asio::steady_timer m_roundTimer;
   std::optional<TimePoint> m_roundAt; // when the next report round starts
@@ -136,6 +151,10 @@
   std::uint64_t m_inForceIndex = 0;
   std::uint32_t m_gatewayCount = 0;
   MembershipRepair m_repair;
+  MembershipReport m_report;
+  LineRepeater m_shortageLine;
+  std::string m_lastRefusal; // of a change of the members; empty if none
+  GroupGauges m_gauges;
   std::uint64_t m_configIndex = 0; // index of the last configuration change
   bool m_processingRequested = false;
   bool m_closed = false;
--- a/Source/Forwarding/EndpointCall.cxx
+++ b/Source/Forwarding/EndpointCall.cxx
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
@@ -16,6 +17,8 @@
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 constexpr std::uint32_t kMaxHeaderBytes = 64U * 1024;
 constexpr std::size_t kReadBytes = 16UL * 1024;
+// Limit of the size line of a chunk with its extensions, and of the trailers.
+constexpr std::size_t kMaxChunkHeaderBytes = 64UL * 1024;
 // Idle limit of connections to an endpoint that does not send a limit.
 constexpr Duration kDefaultIdle = std::chrono::seconds(30);
 // Idle connections are closed this long before the endpoint would close them.
@@ -101,14 +104,9 @@
   if (m_end != CallEnd::None) {
     return;
   }
-  if (!m_written) {
-    Abort(aWhy);
-    return;
-  }
   m_end = aWhy;
   m_isSuspended = true;
-  beast::error_code ignored;
-  m_connection->m_socket.cancel(ignored);
+  m_cancelRead.emit(asio::cancellation_type::total);
 }
 
 bool
@@ -117,34 +115,15 @@
   return m_isSuspended && m_connection && m_connection->m_socket.is_open();
 }
 
-void
-EndpointCall::WatchWhileSuspended(std::function<void()> aOnReadable)
-{
-  m_onReadable = std::move(aOnReadable);
-  m_connection->m_socket.async_wait(
-    Tcp::socket::wait_read,
-    [self = shared_from_this()](const beast::error_code& aError) {
-      if (!aError && self->m_isSuspended && self->m_onReadable) {
-        std::exchange(self->m_onReadable, nullptr)();
-      }
-    });
-}
-
 bool
-EndpointCall::HasUnreadBytes() const
-{
-  beast::error_code error;
-  char byte = 0;
-  return m_connection->m_socket.receive(
-           asio::buffer(&byte, 1), Tcp::socket::message_peek, error) != 0;
-}
-
-void
 EndpointCall::Resume()
 {
+  if (!IsSuspended()) {
+    return false;
+  }
   m_isSuspended = false;
-  m_onReadable = nullptr;
   m_end = CallEnd::None;
+  return true;
 }
 
 void
@@ -219,6 +198,7 @@
 EndpointCall::StartParser()
 {
   m_parser.emplace();
+  m_headerBytes = 0;
   m_parser->header_limit(kMaxHeaderBytes);
   m_parser->body_limit(boost::none);
   m_parser->eager(false);
@@ -227,9 +207,14 @@
 asio::awaitable<bool>
 EndpointCall::ReadMore()
 {
+  // The call may have ended while nothing was being read.
+  if (m_end != CallEnd::None) {
+    co_return false;
+  }
   beast::flat_buffer& buffer = m_connection->m_buffer;
   const auto [error, bytes] = co_await m_connection->m_socket.async_read_some(
-    buffer.prepare(kReadBytes), kAwait);
+    buffer.prepare(kReadBytes),
+    asio::bind_cancellation_slot(m_cancelRead.slot(), kAwait));
   buffer.commit(bytes);
   if (m_end != CallEnd::None) {
     co_return false;
@@ -265,8 +250,12 @@
   while (!m_parser->is_header_done()) {
     if (buffer.size() != 0) {
       beast::error_code error;
-      buffer.consume(m_parser->put(buffer.data(), error));
-      if (error && error != http::error::need_more) {
+      const std::size_t used = m_parser->put(buffer.data(), error);
+      buffer.consume(used);
+      m_headerBytes += used;
+      // The parser's own limit does not count the fields it has taken before.
+      if ((error && error != http::error::need_more) ||
+          m_headerBytes > kMaxHeaderBytes) {
         co_return Fail(CallEnd::Broken);
       }
       if (m_parser->is_header_done()) {
@@ -317,6 +306,11 @@
       m_parser->put_eof(error);
       co_return error ? Fail(CallEnd::Broken) : false;
     }
+    // The parser keeps a chunk's header in the buffer until its end has
+    // arrived.
+    if (buffer.size() > kMaxChunkHeaderBytes) {
+      co_return Fail(CallEnd::Broken);
+    }
     if (!co_await ReadMore()) {
       co_return false;
     }
--- a/Source/Forwarding/EndpointClient.cxx
+++ b/Source/Forwarding/EndpointClient.cxx
@@ -18,6 +18,9 @@
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(700);
 constexpr std::size_t kMaxIdlePerAddress = 64;
 constexpr std::size_t kMaxAnswerBytes = 8ULL * 1024 * 1024;
+// Limit of received bytes that the parser cannot take yet: a header, or the
+// size line of a chunk with its extensions, or the trailers.
+constexpr std::size_t kMaxBufferedBytes = 64ULL * 1024;
 constexpr unsigned kHttp11 = 11;
 
 CallResult
@@ -152,7 +155,7 @@
                           "sending to " + aAddress +
                             " failed: " + sendError.message());
   }
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer(kMaxBufferedBytes);
   http::response_parser<http::string_body> parser;
   parser.body_limit(kMaxAnswerBytes);
   const auto [readError, received] =
@@ -171,7 +174,8 @@
   }
   CallResult result;
   result.m_response = parser.release();
-  if (result.m_response->keep_alive()) {
+  // Bytes left over would be taken for the next call's answer or lost.
+  if (result.m_response->keep_alive() && buffer.size() == 0) {
     AddIdle(aAddress, std::move(aConnection));
   }
   co_return result;
--- a/Source/Forwarding/PlainForwarder.cxx
+++ b/Source/Forwarding/PlainForwarder.cxx
@@ -5,7 +5,7 @@
 #include <utility>
 
 #include "Forwarding/NoticeRecorder.h"
-#include "Forwarding/SilentCall.h"
+#include "Forwarding/SilentCalls.h"
 
 namespace parsleycove {
 
@@ -18,6 +18,8 @@
 constexpr int kRetryTimeoutFactor = 5;
 constexpr Duration kMinRetryTimeout = std::chrono::milliseconds(45);
 constexpr std::size_t kMaxConnectFailures = 3;
+// A longer answer is broken, unless the limit of a caller's request is larger.
+constexpr std::size_t kMaxAnswerBytes = 8UL * 1024 * 1024;
 constexpr unsigned kBadGateway = 502;
 constexpr unsigned kGatewayTimeout = 504;
 constexpr unsigned kFirstServerError = 500;
@@ -42,6 +44,7 @@
     , m_services(aRequest.m_services)
     , m_serviceState(
         aRequest.m_services.m_routing.ServiceState(aRequest.m_service))
+    , m_silentCalls(aRequest.m_services.m_context)
   {
   }
 
@@ -72,7 +75,7 @@
       if (outcome == ForwardOutcome::Finished) {
         co_return;
       }
-      if (m_silentCall.HasAnswered() || !MayRetry(outcome)) {
+      if (m_silentCalls.HasAnswered() || !MayRetry(outcome)) {
         co_await End(RefusalCause::EndpointsRefuse);
         co_return;
       }
@@ -156,6 +159,9 @@
     call->SetDeadlines(ChooseMoveTime(aRunner), m_request.m_deadline);
     call->SetMoveClaim([this, aRunner] { return ClaimMove(aRunner); });
     m_body.clear();
+    if (m_silentCalls.HasAnswered()) {
+      call->Abort(CallEnd::Superseded);
+    }
     co_return co_await FollowCall(call, startedAt);
   }
 
@@ -164,11 +170,18 @@
                                              TimePoint aStartedAt)
   {
     m_request.m_call = aCall;
+    if (m_request.m_caller->IsDisconnected()) {
+      aCall->Abort(CallEnd::CallerGone);
+    }
     const ForwardOutcome outcome = co_await Receive(*aCall);
     m_request.m_call = nullptr;
     aCall->SetMoveClaim(nullptr);
     if (aCall->IsSuspended()) {
-      m_silentCall.Keep(aCall, std::move(m_body), [this] { EndSuccessor(); });
+      m_silentCalls.Keep(
+        aCall,
+        std::move(m_body),
+        [](const std::string&, bool aIsEnded) { return aIsEnded; },
+        [this] { EndSuccessor(); });
       co_return outcome;
     }
     const TimePoint now = BootClock::now();
@@ -226,7 +239,10 @@
   // Continues the call that was kept for its silence.
   asio::awaitable<ForwardOutcome> FollowSilentCall()
   {
-    const EndpointCallPtr call = m_silentCall.Resume(m_body);
+    const EndpointCallPtr call = co_await m_silentCalls.Resume(m_body);
+    if (!call) {
+      co_return ForwardOutcome::Failed;
+    }
     m_request.m_lastEndpoint = call->Target()->m_id;
     call->SetDeadline(m_request.m_deadline);
     co_return co_await FollowCall(call, call->SentAt());
@@ -236,7 +252,7 @@
   // was only silent may still answer.
   asio::awaitable<void> End(RefusalCause aCause)
   {
-    if (m_silentCall.IsKept() && !m_request.m_caller->IsDisconnected()) {
+    while (!m_silentCalls.IsEmpty() && !m_request.m_caller->IsDisconnected()) {
       const ForwardOutcome outcome = co_await FollowSilentCall();
       if (outcome == ForwardOutcome::Finished) {
         co_return;
@@ -250,6 +266,9 @@
     if (!co_await ReadMatchingAnswer(aCall, m_body)) {
       co_return co_await RecordBrokenCall(aCall);
     }
+    // The answer is complete, so the request moves no more.
+    aCall.SetMoveClaim(nullptr);
+    aCall.SetDeadlines(m_request.m_deadline, m_request.m_deadline);
     const EndpointCall::Header& answer = aCall.Answer();
     const unsigned status = answer.result_int();
     const AnswerHeaders headers =
@@ -281,6 +300,8 @@
                                            std::string& aBody)
   {
     constexpr int kMaxForeignAnswers = 2;
+    const std::size_t maxBytes =
+      std::max(kMaxAnswerBytes, m_request.m_config->Limits().m_maxBodyBytes);
     for (int i = 0; i <= kMaxForeignAnswers; ++i) {
       if (!co_await aCall.ReadHeader()) {
         co_return false;
@@ -288,7 +309,7 @@
       while (co_await aCall.ReadBody(aBody)) {
         // The whole body is buffered, since the answer must be complete before
         // its length is sent to the caller.
-        if (aBody.size() > m_request.m_config->Limits().m_maxBodyBytes) {
+        if (aBody.size() > maxBytes) {
           aCall.Abort(CallEnd::Broken);
         }
       }
@@ -446,8 +467,8 @@
   CallEnd m_lastEnd = CallEnd::None;
   // Body of the answer of the current call.
   std::string m_body;
-  // A call that was suspended for its silence, with its body so far.
-  SilentCall m_silentCall;
+  // Calls that were suspended for their silence, with their bodies so far.
+  SilentCalls m_silentCalls;
 };
 
 } // namespace
--- a/Source/Forwarding/StreamAttempt.cxx
+++ b/Source/Forwarding/StreamAttempt.cxx
@@ -8,6 +8,7 @@
 
 #include "Forwarding/EngineFailureDetector.h"
 #include "Forwarding/NoticeRecorder.h"
+#include "Forwarding/PromptPartReporter.h"
 
 namespace parsleycove {
 
@@ -19,6 +20,8 @@
 constexpr unsigned kFirstClientError = 400;
 // A stream with more pending bytes than this and no end of an event is broken.
 constexpr std::size_t kMaxEventBytes = 1024UL * 1024;
+// An error answer with a longer body is broken.
+constexpr std::size_t kMaxErrorBytes = 1024UL * 1024;
 // Initial estimate of a stream's arrival gap, in decode steps of an idle path:
 // an event holds two tokens, and the engines may be busy.
 constexpr double kInitialGapSteps = 5;
@@ -28,9 +31,6 @@
 // Ejection time of an engine that no longer holds its layers; within this time
 // the engine announces the layers that it holds.
 constexpr Duration kMovedStageEjection = std::chrono::milliseconds(1300);
-// Time for which a stream that came back to its silent engine stays there: the
-// time after which engines that refused are asked again.
-constexpr Duration kMinStay = kRefusalEjection;
 constexpr std::string_view kLastChunk = "0\r\n\r\n";
 
 void
@@ -65,10 +65,6 @@
     }
     co_return AttemptOutcome::NotExecuted;
   }
-  if (m_silentCall.IsKept() && m_silentCall.Target().m_id == first->m_id) {
-    // An engine serves a request only once at a time.
-    m_silentCall.Drop();
-  }
   m_pathWaitUntil = TimePoint{};
   ++m_request.m_attempts;
   ++m_possibleExecutions;
@@ -82,7 +78,7 @@
   call->SetAverageArrivalGap(std::chrono::duration_cast<Duration>(
     std::chrono::duration<double, std::milli>(aPath->m_stepMs *
                                               kInitialGapSteps)));
-  if (m_silentCall.HasAnswered()) {
+  if (m_silentCalls.HasAnswered()) {
     call->Abort(CallEnd::Superseded);
   }
   co_return co_await FollowCall(call);
@@ -103,6 +99,9 @@
   m_request.m_call = aCall;
   aCall->SetMoveClaim([this] { return ClaimMove(); });
   m_services.m_failureDetector.TrackStream(aCall);
+  if (m_request.m_caller->IsDisconnected()) {
+    aCall->Abort(CallEnd::CallerGone);
+  }
   const AttemptOutcome outcome = co_await Receive(*aCall);
   m_request.m_path = aCall->Path();
   m_request.m_call = nullptr;
@@ -121,10 +120,14 @@
 asio::awaitable<AttemptOutcome>
 StreamForwarder::FollowSilentCall()
 {
-  std::string partialEvent;
-  const EndpointCallPtr call = m_silentCall.Resume(partialEvent);
-  m_moveNotBefore = BootClock::now() + kMinStay;
-  m_events.RestorePartialEvent(std::move(partialEvent));
+  std::string unusedBytes;
+  const EndpointCallPtr call = co_await m_silentCalls.Resume(unusedBytes);
+  if (!call) {
+    co_return AttemptOutcome::Broken;
+  }
+  m_moveNotBefore = BootClock::now() + m_stay;
+  m_stay *= 2;
+  m_events.RestorePartialEvent(std::move(unusedBytes));
   m_request.m_lastEndpoint = call->Target()->m_id;
   m_services.m_log.Write(DecisionEvent::StreamStays, [&](DecisionLine& aLine) {
     aLine.Add("id", m_request.m_headers.m_attemptId)
@@ -215,7 +218,10 @@
 StreamForwarder::HandleErrorAnswer(EndpointCall& aCall)
 {
   std::string body;
-  while (co_await aCall.ReadBody(body) && body.size() < kMaxEventBytes) {
+  while (co_await aCall.ReadBody(body)) {
+    if (body.size() > kMaxErrorBytes) {
+      aCall.Abort(CallEnd::Broken);
+    }
   }
   const unsigned status = aCall.Answer().result_int();
   const bool mayRetry = m_request.m_route->m_isResumable &&
@@ -244,6 +250,13 @@
 {
   m_request.m_status = aCall.Answer().result_int();
   std::string bytes;
+  if (m_events.HasPartialEvent()) {
+    // A kept call may have read whole events meanwhile.
+    const bool isConnected = co_await RelayBytes(aCall, bytes);
+    if (!isConnected) {
+      co_return AttemptOutcome::Finished;
+    }
+  }
   while (co_await aCall.ReadBody(bytes)) {
     if (!co_await RelayBytes(aCall, bytes)) {
       co_return AttemptOutcome::Finished;
@@ -282,7 +295,7 @@
   if (m_events.ExtractEvents(aBytes, events) == 0) {
     co_return true;
   }
-  m_silentCall.Drop();
+  m_silentCalls.DropAll();
   const TimePoint now = BootClock::now();
   aCall.RecordEvents(now);
   aCall.MarkPrefillDone();
@@ -291,6 +304,8 @@
   if (!m_hasSentHeader) {
     m_hasSentHeader = true;
     m_request.m_firstAnswerDelay = now - m_request.m_arrival;
+    m_services.m_promptParts.RecordBegun(now,
+                                         m_request.m_headers.m_sharedParts);
     m_services.m_metrics.RecordFirstAnswer(m_request.m_route->m_kind,
                                            m_request.m_firstAnswerDelay);
     out = MakeAnswerHeader(m_request, m_request.m_status, aCall.Answer(), -1);
@@ -331,6 +346,9 @@
   }
   m_lastEnd = end;
   m_request.m_lastFault = NameOfEnd(end);
+  if (!aCall.HasProgress()) {
+    RecordUnanswered(aCall);
+  }
   if (end == CallEnd::Stalled) {
     m_services.m_pool.CloseIdle(*aCall.Target());
   }
@@ -341,9 +359,17 @@
     std::erase(m_usedFirstRunners, aCall.Target()->m_id);
   }
   if (aCall.IsSuspended()) {
-    m_silentCall.Keep(aCall.shared_from_this(),
-                      std::move(partialEvent),
-                      [this] { EndSuccessor(); });
+    m_silentCalls.Keep(
+      aCall.shared_from_this(),
+      std::move(partialEvent),
+      [after = m_events.LastId()](const std::string& aUnusedBytes,
+                                  bool aIsEnded) {
+        std::string events;
+        EventSplitter splitter(after);
+        return splitter.ExtractEvents(aUnusedBytes, events) != 0 ||
+               (aIsEnded && !splitter.HasPartialEvent());
+      },
+      [this] { EndSuccessor(); });
     return AttemptOutcome::Silent;
   }
   return AttemptOutcome::Broken;
--- a/Source/Forwarding/StreamForwarder.cxx
+++ b/Source/Forwarding/StreamForwarder.cxx
@@ -8,6 +8,9 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "Forwarding/EngineFailureDetector.h"
+#include "Forwarding/PromptPartReporter.h"
+
 namespace parsleycove {
 
 namespace {
@@ -18,6 +21,9 @@
 constexpr std::size_t kMaxRefusals = 2;
 // Attempts of one request that may have run, whatever ended them.
 constexpr std::uint32_t kMaxExecutions = 4;
+// Engines that a request may lose before its first event, if a part of its
+// prompt is not known to be sound.
+constexpr std::size_t kMaxUnanswered = 1;
 constexpr Duration kMaxPathWait = std::chrono::milliseconds(1600);
 constexpr Duration kPathPollInterval = std::chrono::milliseconds(10);
 // A request waits for capacity at most for the first event target divided by
@@ -25,6 +31,9 @@
 constexpr int kFullWaitDivisor = 2;
 // How long a stream without a running attempt is kept open for the next one.
 constexpr Duration kMaxResumeWait = std::chrono::milliseconds(1800);
+// Time for which a stream that came back to its silent engine stays there at
+// first; doubles each time, so that engines that refuse are not asked for ever.
+constexpr Duration kMinStay = std::chrono::milliseconds(150);
 constexpr Duration kResumePollInterval = std::chrono::milliseconds(60);
 
 RefusalCause
@@ -53,6 +62,8 @@
   , m_serviceState(
       aRequest.m_services.m_routing.ServiceState(aRequest.m_service))
   , m_events(aRequest.m_headers.m_lastEventId)
+  , m_silentCalls(aRequest.m_services.m_context)
+  , m_stay(kMinStay)
 {
   m_request.m_expectedTokens = CountExpectedTokens(m_request.m_headers);
 }
@@ -71,8 +82,12 @@
       co_await GiveUp(RefusalCause::OutOfTime);
       co_return;
     }
+    if (!m_hasSentHeader && !m_isTrial && !co_await IsPromptAllowed()) {
+      co_await GiveUp(RefusalCause::CrashingPrompt);
+      co_return;
+    }
     const PathChoice choice = ChoosePath();
-    if (!choice.m_path && !m_silentCall.IsKept()) {
+    if (!choice.m_path && m_silentCalls.IsEmpty()) {
       if (!co_await WaitForPath(choice)) {
         m_request.m_availableAt = choice.m_availableAt;
         co_await GiveUp(CauseWithoutPath(choice));
@@ -80,9 +95,9 @@
       }
       continue;
     }
-    const bool mayStart =
-      choice.m_path && !m_silentCall.HasAnswered() && ClaimRetry();
-    if (!mayStart && !m_silentCall.IsKept()) {
+    const bool mayStart = choice.m_path && !m_silentCalls.HasAnswered() &&
+                          m_possibleExecutions < kMaxExecutions && ClaimRetry();
+    if (!mayStart && m_silentCalls.IsEmpty()) {
       if (!co_await WaitToResume()) {
         co_await GiveUp(CauseAfterRefusals());
         co_return;
@@ -93,13 +108,18 @@
     if (mayStart) {
       outcome = co_await RunAttempt(choice.m_path);
     }
-    if (m_silentCall.IsKept() && outcome != AttemptOutcome::Finished &&
-        (!mayStart || m_silentCall.HasAnswered() || !MayRetry(outcome))) {
+    const bool isFollowed =
+      outcome != AttemptOutcome::Finished && !m_silentCalls.IsEmpty() &&
+      (!mayStart || m_silentCalls.HasAnswered() || !MayRetry(outcome));
+    if (isFollowed) {
       outcome = co_await FollowSilentCall();
     }
     if (outcome == AttemptOutcome::Finished) {
       co_return;
     }
+    if (!m_silentCalls.IsEmpty()) {
+      continue;
+    }
     if (!MayRetry(outcome) && !co_await WaitToResume()) {
       co_await GiveUp(CauseAfterRefusals());
       co_return;
@@ -107,6 +127,39 @@
   }
 }
 
+asio::awaitable<bool>
+StreamForwarder::IsPromptAllowed()
+{
+  const PartDecision decision =
+    m_services.m_promptParts.Decide(m_request.m_headers.m_sharedParts);
+  if (decision.m_verdict == PartVerdict::Serve) {
+    co_return true;
+  }
+  if (decision.m_verdict == PartVerdict::Try) {
+    m_isTrial = co_await m_services.m_promptParts.ClaimTrial(
+      decision.m_part, std::string(m_request.m_headers.m_attemptId));
+  }
+  if (!m_isTrial) {
+    m_request.m_detail = "part " + decision.m_part;
+    m_request.m_availableAt = BootClock::now() + decision.m_untilTrial;
+  }
+  co_return m_isTrial;
+}
+
+void
+StreamForwarder::RecordUnanswered(const EndpointCall& aCall)
+{
+  const TimePoint now = BootClock::now();
+  m_services.m_promptParts.RecordUnanswered(now,
+                                            m_request.m_headers.m_attemptId,
+                                            m_request.m_headers.m_sharedParts,
+                                            *aCall.Path());
+  if (aCall.End() == CallEnd::Broken) {
+    ++m_unanswered;
+    m_services.m_failureDetector.ReportUnresponsive(now, aCall.Target());
+  }
+}
+
 RefusalCause
 StreamForwarder::CauseAfterRefusals()
 {
@@ -201,7 +254,11 @@
   if (m_request.m_caller->IsDisconnected()) {
     return true; // Run() handles the disconnect
   }
-  return true;
+  // A prompt that nobody has begun to answer may crash the next engine, too.
+  const std::size_t most = m_isTrial ? 0 : kMaxUnanswered;
+  return m_hasSentHeader || m_unanswered <= most ||
+         m_services.m_promptParts.AreProved(BootClock::now(),
+                                            m_request.m_headers.m_sharedParts);
 }
 
 bool
@@ -221,10 +278,12 @@
                        m_possibleExecutions < kMaxExecutions &&
                        !m_request.m_caller->IsDisconnected() &&
                        !m_request.IsOutOfTime() && ChoosePath().m_path;
+  if (!mayMove) {
+    return false;
+  }
   m_hasRetryClaim =
-    mayMove && (m_hasRetryClaim ||
-                m_serviceState.m_retries.Spend(
-                  BootClock::now(), m_services.m_routing.GatewayCount()));
+    m_hasRetryClaim || m_serviceState.m_retries.Spend(
+                         BootClock::now(), m_services.m_routing.GatewayCount());
   return m_hasRetryClaim;
 }
 
--- a/Source/Forwarding/StreamForwarder.h
+++ b/Source/Forwarding/StreamForwarder.h
@@ -7,7 +7,7 @@
 
 #include "Forwarding/EventSplitter.h"
 #include "Forwarding/ForwardedRequest.h"
-#include "Forwarding/SilentCall.h"
+#include "Forwarding/SilentCalls.h"
 
 namespace parsleycove {
 
@@ -40,6 +40,12 @@
   asio::awaitable<void> Run();
 
 private:
+  // Returns true if the prompt holds no part that crashes engines, or if this
+  // request may try it.
+  asio::awaitable<bool> IsPromptAllowed();
+  // Records that the attempt ended before its first event, and has its engine
+  // probed: the prompt may have crashed the engine.
+  void RecordUnanswered(const EndpointCall& aCall);
   PathChoice ChoosePath();
   // Returns the cause of a refusal after engines refused the request.
   RefusalCause CauseAfterRefusals();
@@ -94,6 +100,10 @@
   // Attempts that may have run: no endpoint has answered that they did not.
   std::uint32_t m_possibleExecutions = 0;
   std::size_t m_refusals = 0;
+  // Attempts whose engine was lost before the first event.
+  std::size_t m_unanswered = 0;
+  // The request is a trial of a quarantined part.
+  bool m_isTrial = false;
   // The answer's header was sent to the caller.
   bool m_hasSentHeader = false;
   // End of the wait for a path.
@@ -102,11 +112,13 @@
   bool m_hasRetryClaim = false;
   // First runners of the attempts, except runners whose connection broke.
   std::vector<std::string> m_usedFirstRunners;
-  // A call that was suspended for its silence, with the bytes of the event that
-  // it was interrupted in. Invariant: no event was relayed since.
-  SilentCall m_silentCall;
+  // Calls that were suspended for their silence, with the bytes of the event
+  // that they were interrupted in.
+  SilentCalls m_silentCalls;
   // A stream that came back to its silent endpoint does not move before this.
   TimePoint m_moveNotBefore{};
+  // How long it stays there the next time.
+  Duration m_stay;
   TimePoint m_lastEventAt{};
   CallEnd m_lastEnd = CallEnd::None;
 };
--- a/Tests/Soak/FaultProxy.cxx
+++ b/Tests/Soak/FaultProxy.cxx
@@ -1,6 +1,7 @@
 // A loopback TCP proxy that harms the connections it carries.
 #include "Soak/FaultProxy.h"
 
+#include <algorithm>
 #include <array>
 #include <string>
 #include <utility>
@@ -118,6 +119,10 @@
         }
         continue;
       }
+      while (BootClock::now() < m_heldUntil) {
+        timer.expires_after(m_heldUntil - BootClock::now());
+        co_await timer.async_wait(kAwait);
+      }
       if (m_fault == LinkFault::Delayed && !error) {
         timer.expires_after(m_delay);
         co_await timer.async_wait(kAwait);
@@ -140,6 +145,8 @@
   const SocketAddress m_target;
   LinkFault m_fault = LinkFault::None;
   Duration m_delay{};
+  TimePoint m_heldUntil{};
+  const Tcp::endpoint m_listen = m_acceptor.local_endpoint();
   std::vector<std::weak_ptr<Relay>> m_relays;
 };
 
@@ -159,7 +166,7 @@
 SocketAddress
 FaultProxy::Address() const
 {
-  return { "127.0.0.1", m_parts->m_acceptor.local_endpoint().port() };
+  return { "127.0.0.1", m_parts->m_listen.port() };
 }
 
 void
@@ -169,6 +176,51 @@
   m_parts->m_delay = aDelay;
 }
 
+void
+FaultProxy::HoldUntil(TimePoint aUntil)
+{
+  m_parts->m_heldUntil = std::max(m_parts->m_heldUntil, aUntil);
+}
+
+TimePoint
+FaultProxy::HeldUntil() const
+{
+  return m_parts->m_heldUntil;
+}
+
+void
+FaultProxy::GoDown()
+{
+  beast::error_code ignored;
+  m_parts->m_acceptor.close(ignored);
+  ResetAll();
+}
+
+bool
+FaultProxy::ComeUp()
+{
+  Tcp::acceptor& acceptor = m_parts->m_acceptor;
+  beast::error_code error;
+  acceptor.open(m_parts->m_listen.protocol(), error);
+  acceptor.set_option(asio::socket_base::reuse_address(true), error);
+  acceptor.bind(m_parts->m_listen, error);
+  if (!error) {
+    acceptor.listen(asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    acceptor.close(error);
+    return false;
+  }
+  asio::co_spawn(m_parts->m_context, m_parts->Accept(), asio::detached);
+  return true;
+}
+
+bool
+FaultProxy::IsDown() const
+{
+  return !m_parts->m_acceptor.is_open();
+}
+
 void
 FaultProxy::ResetAll()
 {
