Forwarding: Send a trial of a prompt part to one engine only

A trial that fell silent could move to a second engine, which it would crash as well. Found on reading; a trial whose engine is lost was not sent again before either.

--- a/Source/Forwarding/StreamForwarder.cxx
+++ b/Source/Forwarding/StreamForwarder.cxx
@@ -273,7 +273,7 @@
 bool
 StreamForwarder::ClaimMove()
 {
-  const bool mayMove = BootClock::now() >= m_moveNotBefore &&
+  const bool mayMove = !m_isTrial && BootClock::now() >= m_moveNotBefore &&
                        m_request.m_route->m_isResumable &&
                        m_possibleExecutions < kMaxExecutions &&
                        !m_request.m_caller->IsDisconnected() &&
