Forwarding: Split the loop of a stream's attempts

Run() waits, starts or follows; WaitToStart and StartOrFollow say which. A first form passed a conditional temporary to a coroutine, which GCC 12 destroys twice: the heap was corrupted in ForwardingTests (malloc_consolidate, once).

--- a/Source/Forwarding/StreamForwarder.cxx
+++ b/Source/Forwarding/StreamForwarder.cxx
@@ -82,49 +82,71 @@
       co_await GiveUp(RefusalCause::OutOfTime);
       co_return;
     }
-    if (!m_hasSentHeader && !m_isTrial && !co_await IsPromptAllowed()) {
-      co_await GiveUp(RefusalCause::CrashingPrompt);
-      co_return;
-    }
-    const PathChoice choice = ChoosePath();
-    if (!choice.m_path && m_silentCalls.IsEmpty()) {
-      if (!co_await WaitForPath(choice)) {
-        m_request.m_availableAt = choice.m_availableAt;
-        co_await GiveUp(CauseWithoutPath(choice));
+    if (!m_hasSentHeader && !m_isTrial) {
+      const bool isAllowed = co_await IsPromptAllowed();
+      if (!isAllowed) {
+        co_await GiveUp(RefusalCause::CrashingPrompt);
         co_return;
       }
-      continue;
     }
+    const PathChoice choice = ChoosePath();
     const bool mayStart = choice.m_path && !m_silentCalls.HasAnswered() &&
                           m_possibleExecutions < kMaxExecutions && ClaimRetry();
     if (!mayStart && m_silentCalls.IsEmpty()) {
-      if (!co_await WaitToResume()) {
-        co_await GiveUp(CauseAfterRefusals());
+      const bool goesOn = co_await WaitToStart(choice);
+      if (!goesOn) {
         co_return;
       }
       continue;
     }
-    AttemptOutcome outcome = AttemptOutcome::Silent;
-    if (mayStart) {
-      outcome = co_await RunAttempt(choice.m_path);
-    }
-    const bool isFollowed =
-      outcome != AttemptOutcome::Finished && !m_silentCalls.IsEmpty() &&
-      (!mayStart || m_silentCalls.HasAnswered() || !MayRetry(outcome));
-    if (isFollowed) {
-      outcome = co_await FollowSilentCall();
-    }
+    // GCC 12 destroys a conditional temporary of a co_await expression twice.
+    const StagePathPtr path = mayStart ? choice.m_path : nullptr;
+    const AttemptOutcome outcome = co_await StartOrFollow(path);
     if (outcome == AttemptOutcome::Finished) {
       co_return;
     }
-    if (!m_silentCalls.IsEmpty()) {
-      continue;
+    if (m_silentCalls.IsEmpty() && !MayRetry(outcome)) {
+      const bool goesOn = co_await WaitToResume();
+      if (!goesOn) {
+        co_await GiveUp(CauseAfterRefusals());
+        co_return;
+      }
     }
-    if (!MayRetry(outcome) && !co_await WaitToResume()) {
+  }
+}
+
+asio::awaitable<bool>
+StreamForwarder::WaitToStart(PathChoice aChoice)
+{
+  if (aChoice.m_path) {
+    const bool mayResume = co_await WaitToResume();
+    if (!mayResume) {
       co_await GiveUp(CauseAfterRefusals());
-      co_return;
     }
+    co_return mayResume;
+  }
+  const bool mayHavePath = co_await WaitForPath(aChoice);
+  if (!mayHavePath) {
+    m_request.m_availableAt = aChoice.m_availableAt;
+    co_await GiveUp(CauseWithoutPath(aChoice));
+  }
+  co_return mayHavePath;
+}
+
+asio::awaitable<AttemptOutcome>
+StreamForwarder::StartOrFollow(StagePathPtr aPath)
+{
+  AttemptOutcome outcome = AttemptOutcome::Silent;
+  if (aPath) {
+    outcome = co_await RunAttempt(aPath);
+  }
+  const bool isOver =
+    outcome == AttemptOutcome::Finished || m_silentCalls.IsEmpty();
+  if (!isOver &&
+      (!aPath || m_silentCalls.HasAnswered() || !MayRetry(outcome))) {
+    outcome = co_await FollowSilentCall();
   }
+  co_return outcome;
 }
 
 asio::awaitable<bool>
--- a/Source/Forwarding/StreamForwarder.h
+++ b/Source/Forwarding/StreamForwarder.h
@@ -40,6 +40,13 @@
   asio::awaitable<void> Run();
 
 private:
+  // Waits for what an attempt lacks: a path, or the retry budget. Returns false
+  // if it did not come in time; the request has ended then.
+  asio::awaitable<bool> WaitToStart(PathChoice aChoice);
+  // Runs an attempt on aPath if it is not nullptr. Follows a silent call where
+  // there is no path, where the silent call goes on, and where no further
+  // attempt may follow.
+  asio::awaitable<AttemptOutcome> StartOrFollow(StagePathPtr aPath);
   // Returns true if the prompt holds no part that crashes engines, or if this
   // request may try it.
   asio::awaitable<bool> IsPromptAllowed();
