Routing: Report crashed prompts only once an answer has begun

Its logs: four engines crashed before any answer had begun, so a part that all prompts share was listed with the same crashes as the one that crashed them; the shared one reached three crashes first, was put under quarantine, explained the other one away, and every request was refused until the trial 10 s later.

Before the first answer nothing tells such parts apart, so a gateway reports nothing until an answer on any shared part has begun there in the last 30 s; then the shared part is proved and left out. Two new tests fail without the condition and pass with it; tests of reports begin with an answer now, as their later steps need one.

--- a/Source/Routing/PromptPartGuard.cxx
+++ b/Source/Routing/PromptPartGuard.cxx
@@ -35,6 +35,9 @@
 void
 PromptPartGuard::RecordBegun(TimePoint aNow, Parts aParts)
 {
+  if (!aParts.empty()) {
+    m_lastProofAt = aNow;
+  }
   for (const std::string_view part : aParts) {
     const auto [entry, isNew] =
       m_proved.insert_or_assign(std::string(part), aNow);
@@ -55,6 +58,12 @@
   return entry != m_proved.end() && aNow - entry->second <= kProvedFor;
 }
 
+bool
+PromptPartGuard::HasAnyProof(TimePoint aNow) const
+{
+  return m_lastProofAt && aNow - *m_lastProofAt <= kProvedFor;
+}
+
 bool
 PromptPartGuard::AreProved(TimePoint aNow, Parts aParts) const
 {
@@ -117,7 +126,7 @@
       suspect->parts.push_back(part);
     }
   }
-  if (suspect->parts.empty()) {
+  if (suspect->parts.empty() || !HasAnyProof(aNow)) {
     return;
   }
   state::ReportPromptCrashT& report = m_reports[aEngine];
--- a/Source/Routing/PromptPartGuard.h
+++ b/Source/Routing/PromptPartGuard.h
@@ -13,6 +13,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -98,7 +99,8 @@
 
   // Returns the reports that are due, one for each lost engine, and forgets
   // them. Parts that are proved sound are left out, and requests without
-  // further parts.
+  // further parts. Without any proof nothing is reported: before the first
+  // answer, a part that all requests share looks like the one that crashes.
   std::vector<state::ReportPromptCrashT> TakeReports(TimePoint aNow);
   // Returns the parts of the control group's table that this gateway knows to
   // be sound and that are still suspected after a random delay.
@@ -119,6 +121,8 @@
   };
 
   bool IsProved(TimePoint aNow, std::string_view aPart) const;
+  // Returns true if an answer has begun lately on any prompt with shared parts.
+  bool HasAnyProof(TimePoint aNow) const;
   void Forget(TimePoint aNow);
   // Moves an attempt into the report of the engine.
   void AddSuspect(TimePoint aNow,
@@ -128,6 +132,8 @@
   Random m_random;
   // When an answer on the part last began.
   std::unordered_map<std::string, TimePoint> m_proved;
+  // When an answer last began; std::nullopt before the first one.
+  std::optional<TimePoint> m_lastProofAt;
   // The parts of m_proved in the order in which they were first proved.
   std::deque<std::string> m_order;
   std::deque<Unanswered> m_unanswered;
--- a/Tests/Forwarding/CrashingPromptTest.cxx
+++ b/Tests/Forwarding/CrashingPromptTest.cxx
@@ -115,6 +115,7 @@
 {
   constexpr int kEngines = 24;
   Start(kEngines);
+  CheckAllEventsOnce(Ask("5aed:40"));
   while (!m_fixture->m_sink.Has({ "prompt_part_quarantined", "bad" })) {
     Ask("5aed:40,bad:20");
     m_fixture->RunUntil([polls = 0]() mutable { return ++polls > 4; });
@@ -188,3 +189,20 @@
     return m_fixture->m_sink.Has({ "prompt_part_cleared", "face" });
   }));
 }
+
+TEST(CrashingPrompt, WhatAllRequestsShareIsNotBlamedForCrashesAtTheStart)
+{
+  constexpr int kEngines = 24;
+  Start(kEngines);
+  // No answer has begun yet, so nothing tells the two parts apart.
+  for (int i = 0; i < 4; ++i) {
+    Ask("5aed:40,bad:20");
+  }
+  CheckAllEventsOnce(Ask("5aed:40"));
+  while (!m_fixture->m_sink.Has({ "prompt_part_quarantined", "bad" })) {
+    Ask("5aed:40,bad:20");
+    m_fixture->RunUntil([polls = 0]() mutable { return ++polls > 4; });
+  }
+  CHECK_FALSE(m_fixture->m_sink.Has({ "prompt_part_quarantined", "5aed" }));
+  CheckAllEventsOnce(Ask("5aed:40"));
+}
--- a/Tests/Routing/PromptPartGuardTest.cxx
+++ b/Tests/Routing/PromptPartGuardTest.cxx
@@ -79,8 +79,29 @@
   CHECK(m_guard.TakeReports(m_now).empty());
 }
 
+TEST(PromptPartGuard, BeforeTheFirstAnswerNothingIsReported)
+{
+  for (int i = 0; i < 5; ++i) {
+    const std::string engine = "e" + std::to_string(i);
+    Lose("a" + std::to_string(i), { "shared", "bad" }, engine);
+    End(engine);
+  }
+  CHECK(m_guard.TakeReports(m_now).empty());
+  Begin("shared");
+  Lose("a9", { "shared", "bad" }, "e9");
+  End("e9");
+  const auto reports = m_guard.TakeReports(m_now);
+  CHECK_EQUAL(1U, reports.size());
+  CHECK_EQUAL(1U, reports[0].suspects[0]->parts.size());
+  m_now += PromptPartGuard::kProvedFor + milliseconds(1);
+  Lose("a10", { "bad" }, "e10");
+  End("e10");
+  CHECK(m_guard.TakeReports(m_now).empty());
+}
+
 TEST(PromptPartGuard, TheLossMayBeKnownBeforeTheAttemptEnds)
 {
+  Begin("shared");
   End("e1");
   m_now += milliseconds(500);
   Lose("a1", { "bad" }, "e1");
@@ -89,6 +110,7 @@
 
 TEST(PromptPartGuard, AnotherStartOfTheEngineIsNoEvidence)
 {
+  Begin("shared");
   Lose("a1", { "bad" }, "e1", 1);
   End("e1", 2);
   CHECK(m_guard.TakeReports(m_now).empty());
@@ -96,6 +118,7 @@
 
 TEST(PromptPartGuard, AnAttemptLongBeforeTheLossIsNoEvidence)
 {
+  Begin("shared");
   Lose("a1", { "bad" }, "e1");
   m_now += PromptPartGuard::kMatchWindow + milliseconds(1);
   End("e1");
@@ -104,6 +127,7 @@
 
 TEST(PromptPartGuard, AnEngineThatOnlyFallsSilentIsNoEvidence)
 {
+  Begin("shared");
   Lose("a1", { "bad" }, "e1");
   m_now += seconds(1);
   CHECK(m_guard.TakeReports(m_now).empty());
