Tests: Give test clusters ports that no outgoing connection takes

The port came from the range of outgoing connections, so one of another test took it while the replica was down. The ports are now below that range, in an order of their own for each process.

--- a/Tests/Control/Cluster.cxx
+++ b/Tests/Control/Cluster.cxx
@@ -95,10 +95,24 @@
 std::uint16_t
 FindFreePort()
 {
+  // Below the ports that the system gives to outgoing connections: one of these
+  // would take the port while a replica is down.
+  constexpr unsigned kFirstPort = 12'000;
+  constexpr unsigned kPorts = 20'000;
+  static std::atomic<unsigned> next{ static_cast<unsigned>(getpid()) * 61 };
   boost::asio::io_context context;
-  const boost::asio::ip::tcp::acceptor acceptor(
-    context, { boost::asio::ip::make_address("127.0.0.1"), 0 });
-  return acceptor.local_endpoint().port();
+  for (unsigned tries = 0; tries < kPorts; ++tries) {
+    const auto port =
+      static_cast<std::uint16_t>(kFirstPort + next.fetch_add(1) % kPorts);
+    boost::system::error_code error;
+    boost::asio::ip::tcp::acceptor acceptor(context);
+    acceptor.open(boost::asio::ip::tcp::v4(), error);
+    acceptor.bind({ boost::asio::ip::make_address("127.0.0.1"), port }, error);
+    if (!error) {
+      return port;
+    }
+  }
+  return 0;
 }
 
 std::string
