Telemetry: Log the limits that endpoints name, with what a VM sends them

To tell apart whether nobody reads a limit, every VM keeps it for itself, or retries come on top: endpoint_limited has the limit and this VM's rate of requests to the endpoint, as a stage of a path too. No routing decision uses either.

--- a/Source/Forwarding/ForwardDialect.h
+++ b/Source/Forwarding/ForwardDialect.h
@@ -83,6 +83,9 @@
   // The endpoint wants nothing more from this gateway for so long; std::nullopt
   // if it did not refuse the request or did not ask for a pause.
   std::optional<Duration> m_pause;
+  // Requests a second that the answering endpoint takes from all gateways
+  // together, at least 0; std::nullopt if it names no limit.
+  std::optional<double> m_requestLimit;
   // Name of a header that is given twice, unreadable or out of range; empty if
   // all are good. Such a header never keeps the answer from its caller.
   std::string_view m_unreadable;
--- a/Source/Forwarding/ForwardMetrics.cxx
+++ b/Source/Forwarding/ForwardMetrics.cxx
@@ -15,6 +15,8 @@
       aRegistry.AddCounter("parsleycove_endpoint_leaving_total", ""))
   , m_pauseNotices(
       aRegistry.AddCounter("parsleycove_endpoint_paused_total", ""))
+  , m_limitNotices(
+      aRegistry.AddCounter("parsleycove_endpoint_limits_total", ""))
   , m_cutsAfterSilence(
       aRegistry.AddCounter("parsleycove_cuts_after_silence_total", ""))
   , m_stays(aRegistry.AddCounter("parsleycove_stream_stays_total", ""))
--- a/Source/Forwarding/ForwardMetrics.h
+++ b/Source/Forwarding/ForwardMetrics.h
@@ -59,6 +59,8 @@
   // pause.
   Counter& LeavingNotices() { return m_leavingNotices; }
   Counter& PauseNotices() { return m_pauseNotices; }
+  // Limits of requests that endpoints named, each change of a limit counted.
+  Counter& LimitNotices() { return m_limitNotices; }
   // Engines whose crash was reported with the requests that they had not begun
   // to answer.
   Counter& PromptCrashReports() { return m_promptCrashReports; }
@@ -82,6 +84,7 @@
   Counter& m_newConnections;
   Counter& m_leavingNotices;
   Counter& m_pauseNotices;
+  Counter& m_limitNotices;
   Counter& m_cutsAfterSilence;
   Counter& m_stays;
   Counter& m_promptCrashReports;
--- a/Source/Forwarding/ForwardedRequest.cxx
+++ b/Source/Forwarding/ForwardedRequest.cxx
@@ -152,6 +152,18 @@
     });
 }
 
+void
+RecordSent(TimePoint aNow, const EndpointCall& aCall)
+{
+  if (!aCall.Path()) {
+    aCall.Target()->m_load->SentRequests().Record(aNow);
+    return;
+  }
+  for (const PathStage& stage : aCall.Path()->m_stages) {
+    stage.m_runner->m_load->SentRequests().Record(aNow);
+  }
+}
+
 } // namespace
 
 std::string_view
@@ -342,6 +354,7 @@
     aHeaders.m_account = aRequest.m_account->m_name;
   }
   call->Send(MakeForwardHeader(aRequest, aHeaders), aRequest.Http().body());
+  RecordSent(BootClock::now(), *call);
   if (aRequest.m_attempts != 0) {
     RecordRetry(aRequest, before, aHeaders.m_isResumed);
   }
--- a/Source/Forwarding/NoticeRecorder.cxx
+++ b/Source/Forwarding/NoticeRecorder.cxx
@@ -39,6 +39,9 @@
   if (aHeaders.m_isLeaving && isOwnAnswer) {
     RecordLeaving(*aAnswering, aHeaders.m_attemptId);
   }
+  if (isOwnAnswer) {
+    RecordLimit(aNow, *aAnswering, aHeaders);
+  }
   if (aHeaders.m_pause) {
     RecordPause(aNow, *aAnswering, aHeaders);
     if (aFaulty && aFaulty != aAnswering) {
@@ -82,6 +85,35 @@
   });
 }
 
+void
+NoticeRecorder::RecordLimit(TimePoint aNow,
+                            const Runner& aRunner,
+                            const AnswerHeaders& aHeaders)
+{
+  const auto known = m_limits.find(IncarnationKey(aRunner));
+  const bool isKnown = known != m_limits.end();
+  if (!aHeaders.m_requestLimit) {
+    if (isKnown) {
+      m_limits.erase(known);
+      m_log.Write(DecisionEvent::EndpointLimitEnded, [&](DecisionLine& aLine) {
+        aLine.Add("endpoint", aRunner.m_id).Add("id", aHeaders.m_attemptId);
+      });
+    }
+    return;
+  }
+  if (isKnown && known->second == *aHeaders.m_requestLimit) {
+    return;
+  }
+  m_limits[IncarnationKey(aRunner)] = *aHeaders.m_requestLimit;
+  ++m_metrics.LimitNotices();
+  m_log.Write(DecisionEvent::EndpointLimited, [&](DecisionLine& aLine) {
+    aLine.Add("endpoint", aRunner.m_id)
+      .AddDecimal("limit_per_s", *aHeaders.m_requestLimit)
+      .AddDecimal("sent_per_s", aRunner.m_load->SentRequests().PerSecond(aNow))
+      .Add("id", aHeaders.m_attemptId);
+  });
+}
+
 void
 NoticeRecorder::RecordFault(const Runner& aRunner,
                             const AnswerHeaders& aHeaders)
--- a/Source/Forwarding/NoticeRecorder.h
+++ b/Source/Forwarding/NoticeRecorder.h
@@ -1,7 +1,9 @@
 // Records what endpoints say in their answers about taking new work.
 #pragma once
 
+#include <cstdint>
 #include <string_view>
+#include <unordered_map>
 
 #include "Base/Clock.h"
 #include "Forwarding/ForwardDialect.h"
@@ -36,12 +38,17 @@
   void RecordPause(TimePoint aNow,
                    const Runner& aRunner,
                    const AnswerHeaders& aHeaders);
+  void RecordLimit(TimePoint aNow,
+                   const Runner& aRunner,
+                   const AnswerHeaders& aHeaders);
   void RecordFault(const Runner& aRunner, const AnswerHeaders& aHeaders);
 
   RoutingState& m_routing;
   ConnectionPool& m_pool;
   ForwardMetrics& m_metrics;
   DecisionLog& m_log;
+  // The limits that were logged last, by IncarnationKey().
+  std::unordered_map<std::uint64_t, double> m_limits;
 };
 
 } // namespace parsleycove
--- a/Source/Routing/RunnerLoad.h
+++ b/Source/Routing/RunnerLoad.h
@@ -8,6 +8,7 @@
 
 #include "Base/Clock.h"
 #include "Routing/EndpointNotice.h"
+#include "Routing/RequestRate.h"
 
 namespace parsleycove {
 
@@ -121,6 +122,10 @@
   void RecordSlowdown(TimePoint aNow, double aSlowdown);
 
   // What the endpoint has said about taking new work.
+  // Requests that this gateway sends to the endpoint, also as a stage of a
+  // path. Used by the thread of a ForwardGateway only.
+  RequestRate& SentRequests() { return m_sentRequests; }
+
   EndpointNotice& Notice() { return m_notice; }
   const EndpointNotice& Notice() const { return m_notice; }
 
@@ -147,6 +152,7 @@
   }
 
   EndpointNotice m_notice;
+  RequestRate m_sentRequests;
   std::atomic<std::int32_t> m_streams{ 0 };
   std::atomic<std::int32_t> m_steps{ 0 };
   std::atomic<std::int32_t> m_positions{ 0 };
--- a/Source/Telemetry/DecisionEvent.h
+++ b/Source/Telemetry/DecisionEvent.h
@@ -27,6 +27,8 @@
   EndpointCleared,
   EndpointLeaving,
   EndpointPaused,
+  EndpointLimited,
+  EndpointLimitEnded,
   EndpointReportRefused,
   PromptCrashReported,
   PromptPartQuarantined,
@@ -46,7 +48,7 @@
   CallerGone,
 };
 
-inline constexpr std::array<EnumName<DecisionEvent>, 31> kDecisionEventNames{ {
+inline constexpr std::array<EnumName<DecisionEvent>, 33> kDecisionEventNames{ {
   { DecisionEvent::Started, "started" },
   { DecisionEvent::Stopping, "stopping" },
   { DecisionEvent::Stopped, "stopped" },
@@ -62,6 +64,8 @@
   { DecisionEvent::EndpointCleared, "endpoint_cleared" },
   { DecisionEvent::EndpointLeaving, "endpoint_leaving" },
   { DecisionEvent::EndpointPaused, "endpoint_paused" },
+  { DecisionEvent::EndpointLimited, "endpoint_limited" },
+  { DecisionEvent::EndpointLimitEnded, "endpoint_limit_ended" },
   { DecisionEvent::EndpointReportRefused, "endpoint_report_refused" },
   { DecisionEvent::PromptCrashReported, "prompt_crash_reported" },
   { DecisionEvent::PromptPartQuarantined, "prompt_part_quarantined" },
--- a/Source/Telemetry/DecisionLog.cxx
+++ b/Source/Telemetry/DecisionLog.cxx
@@ -2,6 +2,8 @@
 #include "Telemetry/DecisionLog.h"
 
 #include <algorithm>
+#include <array>
+#include <cstdio>
 #include <utility>
 
 #include <log4cxx/asyncappender.h>
@@ -85,6 +87,16 @@
   return *this;
 }
 
+DecisionLine&
+DecisionLine::AddDecimal(std::string_view aKey, double aNumber)
+{
+  std::array<char, 40> text{};
+  const int length = std::snprintf(text.data(), text.size(), "%.3f", aNumber);
+  AddKey(aKey);
+  m_text.append(text.data(), static_cast<std::size_t>(std::max(length, 0)));
+  return *this;
+}
+
 DecisionLine&
 DecisionLine::AddMs(std::string_view aKey, Duration aDuration)
 {
--- a/Source/Telemetry/DecisionLog.h
+++ b/Source/Telemetry/DecisionLog.h
@@ -21,6 +21,8 @@
 
   DecisionLine& Add(std::string_view aKey, std::string_view aText);
   DecisionLine& Add(std::string_view aKey, std::int64_t aNumber);
+  // A finite number, with three decimals.
+  DecisionLine& AddDecimal(std::string_view aKey, double aNumber);
   // Whole milliseconds.
   DecisionLine& AddMs(std::string_view aKey, Duration aDuration);
 
--- a/Tests/Platform/DialectTest.cxx
+++ b/Tests/Platform/DialectTest.cxx
@@ -183,6 +183,38 @@
   CHECK(twice.m_unreadable == "Retry-After");
 }
 
+TEST(PlatformDialect, ReadsTheLimitOfAnyAnswer)
+{
+  for (const unsigned status : { 200U, 500U, 503U }) {
+    m_fields.set("Server-Limit", " 11.25 ");
+    const AnswerHeaders headers =
+      m_dialect.ParseAnswerHeaders(status, m_fields);
+    DOUBLES_EQUAL(11.25, headers.m_requestLimit.value(), 1e-9);
+    CHECK(headers.m_unreadable.empty());
+  }
+  m_fields.set("Server-Limit", "0");
+  DOUBLES_EQUAL(
+    0, m_dialect.ParseAnswerHeaders(200, m_fields).m_requestLimit.value(), 0);
+  m_fields.erase("Server-Limit");
+  CHECK_FALSE(
+    m_dialect.ParseAnswerHeaders(200, m_fields).m_requestLimit.has_value());
+}
+
+TEST(PlatformDialect, NamesALimitThatCannotBeReadAndTakesTheSmallestOfTwo)
+{
+  for (const char* text : { "", "-1", "many", "nan", "inf", "1e999", "1,5" }) {
+    m_fields.set("Server-Limit", text);
+    const AnswerHeaders headers = m_dialect.ParseAnswerHeaders(200, m_fields);
+    CHECK_TEXT(!headers.m_requestLimit.has_value(), text);
+    CHECK(headers.m_unreadable == "Server-Limit");
+  }
+  m_fields.set("Server-Limit", "7");
+  m_fields.insert("Server-Limit", "3.5");
+  const AnswerHeaders twice = m_dialect.ParseAnswerHeaders(200, m_fields);
+  DOUBLES_EQUAL(3.5, twice.m_requestLimit.value(), 1e-9);
+  CHECK(twice.m_unreadable == "Server-Limit");
+}
+
 TEST(PlatformDialect, ALeavingMarkThatCannotBeReadIsNamed)
 {
   for (const std::string& text :
