--- a/Tests/Forwarding/ForwardFixture.cxx
+++ b/Tests/Forwarding/ForwardFixture.cxx
@@ -46,6 +46,7 @@
 
 ForwardFixture::~ForwardFixture()
 {
+  m_secondGateway.reset();
   m_gateway.reset();
   m_endpoints.clear();
 }
@@ -163,6 +164,22 @@
   }
 }
 
+std::uint16_t
+ForwardFixture::StartSecondGateway()
+{
+  m_control.SetGatewayCount(2);
+  ForwardOptions options = m_options;
+  options.m_vm = "vm-2";
+  options.m_seed = m_options.m_seed + 1;
+  m_secondGateway = std::make_unique<ForwardGateway>(
+    m_context, options, m_dialect, m_codec, m_control, m_log, m_secondMetrics);
+  std::string reason;
+  if (!m_secondGateway->Start(reason)) {
+    std::abort();
+  }
+  return m_secondGateway->Port();
+}
+
 bool
 ForwardFixture::RunUntil(const std::function<bool()>& aCondition)
 {
@@ -216,18 +233,20 @@
 }
 
 std::unique_ptr<ForwardFixture::Caller>
-ForwardFixture::Connect()
+ForwardFixture::Connect(std::uint16_t aPort)
 {
-  return std::make_unique<Caller>(*this, m_gateway->Port());
+  return std::make_unique<Caller>(*this,
+                                  aPort != 0 ? aPort : m_gateway->Port());
 }
 
 std::string
 ForwardFixture::SendRequest(const std::string& aMethod,
                             const std::string& aPath,
                             const std::string& aExtraHeaders,
-                            const std::string& aBody)
+                            const std::string& aBody,
+                            std::uint16_t aPort)
 {
-  const auto caller = Connect();
+  const auto caller = Connect(aPort);
   caller->Send(MakeRequest(
     aMethod, aPath, aExtraHeaders + "Connection: close\r\n", aBody));
   if (!RunUntil([&] { return caller->IsClosed(); })) {
--- a/Tests/Forwarding/ForwardFixture.h
+++ b/Tests/Forwarding/ForwardFixture.h
@@ -42,6 +42,9 @@
   void AnnounceAgain(const StubEndpoint& aEndpoint);
   std::string IdOf(const StubEndpoint& aEndpoint) const;
   void Start();
+  // Starts a gateway of another VM on the same replicated state. Returns its
+  // port.
+  std::uint16_t StartSecondGateway();
 
   // A caller's connection to the gateway.
   class Caller
@@ -62,13 +65,15 @@
     bool m_closed = false;
   };
 
-  std::unique_ptr<Caller> Connect();
+  // aPort 0: the port of the first gateway.
+  std::unique_ptr<Caller> Connect(std::uint16_t aPort = 0);
   // Sends one request on a new connection and runs until the gateway closes the
   // connection. Returns all bytes received.
   std::string SendRequest(const std::string& aMethod,
                           const std::string& aPath,
                           const std::string& aExtraHeaders = {},
-                          const std::string& aBody = {});
+                          const std::string& aBody = {},
+                          std::uint16_t aPort = 0);
   // Runs until the condition holds. Returns false at a deadline that only a
   // failing test reaches.
   bool RunUntil(const std::function<bool()>& aCondition);
@@ -83,6 +88,8 @@
   MetricRegistry m_metrics;
   ForwardOptions m_options;
   std::unique_ptr<ForwardGateway> m_gateway;
+  MetricRegistry m_secondMetrics;
+  std::unique_ptr<ForwardGateway> m_secondGateway;
 
 private:
   void PutDocument(std::uint64_t aVersion, const std::string& aText);
--- a/Tests/Support/FakeControl.h
+++ b/Tests/Support/FakeControl.h
@@ -47,6 +47,7 @@
     m_confirm = std::move(aConfirm);
   }
   void SetLease(bool aHasLease) { m_hasLease = aHasLease; }
+  void SetGatewayCount(std::uint32_t aCount) { m_gatewayCount = aCount; }
 
   void Propose(state::CommandT aCommand,
                TimePoint aDeadline,
@@ -66,7 +67,7 @@
   boost::intrusive_ptr<const ClusterView> View() const override;
   bool HasLease(TimePoint aNow) const override;
   std::uint64_t InForceIndex() const override;
-  std::uint32_t GatewayCount() const override { return 1; }
+  std::uint32_t GatewayCount() const override { return m_gatewayCount; }
   void RenewEndpoint(const std::string& aId,
                      std::uint64_t aIncarnation) override;
   void AnnounceStopping() override;
@@ -79,6 +80,7 @@
   std::function<void(const state::CommandT&)> m_before;
   std::function<bool()> m_confirm;
   std::atomic<bool> m_hasLease{ true };
+  std::atomic<std::uint32_t> m_gatewayCount{ 1 };
   Publication<const ClusterView> m_view;
 };
 
