Telemetry: Log an identity of each request that fails

To tell whether one request crashes endpoints or many do: request_failed and request_cut have a hash of method, host, path, account and body.

--- a/Source/Forwarding/ForwardSession.cxx
+++ b/Source/Forwarding/ForwardSession.cxx
@@ -12,6 +12,7 @@
 #include "Forwarding/ForwardedRequest.h"
 #include "Forwarding/PlainForwarder.h"
 #include "Forwarding/StreamForwarder.h"
+#include "Routing/RequestIdentity.h"
 
 namespace parsleycove {
 
@@ -152,6 +153,7 @@
       }
     });
     if (co_await Prepare(request)) {
+      request.m_identity = Identify(request);
       if (request.m_route->m_kind == RequestKind::Streaming) {
         co_await ForwardStream(request);
       } else {
@@ -162,6 +164,20 @@
     RecordOutcome(request);
   }
 
+  static std::string Identify(const ForwardedRequest& aRequest)
+  {
+    const HttpRequest& http = aRequest.Http();
+    RequestContent content;
+    content.m_method = http.method_string();
+    content.m_host = http[http::field::host];
+    content.m_target = http.target();
+    content.m_body = http.body();
+    if (aRequest.m_account != nullptr) {
+      content.m_account = aRequest.m_account->m_name;
+    }
+    return IdentifyRequest(content);
+  }
+
   // Finds the route and the client account. Returns false if the request is not
   // forwarded; the caller has then been answered.
   asio::awaitable<bool> Prepare(ForwardedRequest& aRequest)
@@ -304,7 +320,7 @@
       }
       if (aRequest.m_end == RequestEnd::Cut ||
           aRequest.m_end == RequestEnd::Failed) {
-        AddPrompt(aLine, aRequest);
+        AddContent(aLine, aRequest);
       }
       aLine.Add("id", aRequest.m_headers.m_attemptId)
         .Add("route", aRequest.m_route ? aRequest.m_route->m_name : "")
@@ -340,9 +356,9 @@
            config ? static_cast<std::int64_t>(config->Version()) : 0);
   }
 
-  // The parts that the prompts of failed requests have in common may be why
-  // their engines crashed.
-  static void AddPrompt(DecisionLine& aLine, const ForwardedRequest& aRequest)
+  // What failed requests have in common, a part of their prompts or all of it,
+  // may be why their endpoints crashed.
+  static void AddContent(DecisionLine& aLine, const ForwardedRequest& aRequest)
   {
     std::string parts;
     for (const std::string_view part : aRequest.m_headers.m_sharedParts) {
@@ -351,6 +367,9 @@
     if (!parts.empty()) {
       aLine.Add("parts", parts);
     }
+    if (!aRequest.m_identity.empty()) {
+      aLine.Add("request", aRequest.m_identity);
+    }
   }
 
   ForwardServices& m_services;
--- a/Source/Forwarding/ForwardedRequest.h
+++ b/Source/Forwarding/ForwardedRequest.h
@@ -47,6 +47,8 @@
   CallerHeaders m_headers;
   TimePoint m_arrival;
   TimePoint m_deadline;
+  // See IdentifyRequest(); empty until the route and the account are known.
+  std::string m_identity;
 
   // Outcome of the request, for the log.
   RequestEnd m_end = RequestEnd::Failed;
