Routing: Quarantine whole requests that crash endpoints

Callers of a plain service were refused for seconds, again and again: one request ended all three endpoints each time that it came, 20 in a minute. A crash was charged to the endpoint alone; the quarantine knew parts of prompts only.

The request as a whole is one more part now, in the same reports, table, trials and proofs. Plain requests report as streams do; a new connection shows whether a plain endpoint is gone. Two attempts suffice for a whole request. Its neighbours, with another path, caller or body, go on.

Ruled out: retries as the cause (unsafe requests, never repeated, reached 12 further endpoints), and connections that break without a crash, which stay no evidence.

--- a/Source/Routing/RequestIdentity.cxx
+++ b/Source/Base/RequestIdentity.cxx
@@ -1,5 +1,5 @@
 // Names requests so that one which comes again is recognized.
-#include "Routing/RequestIdentity.h"
+#include "Base/RequestIdentity.h"
 
 #include <array>
 #include <cstdint>
@@ -27,7 +27,8 @@
   for (const std::string_view field : { aContent.m_method,
                                         aContent.m_host,
                                         aContent.m_target,
-                                        aContent.m_account }) {
+                                        aContent.m_account,
+                                        aContent.m_prompt }) {
     bytes.append(std::to_string(field.size())).append(":").append(field);
   }
   const std::uint64_t seed = XXH3_64bits(bytes.data(), bytes.size());
--- a/Source/Routing/RequestIdentity.h
+++ b/Source/Base/RequestIdentity.h
@@ -15,6 +15,8 @@
   std::string_view m_target;
   // Empty if the request belongs to no client account.
   std::string_view m_account;
+  // Parts of the prompt, where they are not in the body; may be empty.
+  std::string_view m_prompt;
   std::string_view m_body;
 };
 
--- a/Source/Forwarding/EndpointCall.h
+++ b/Source/Forwarding/EndpointCall.h
@@ -101,6 +101,11 @@
   void SetDeadlines(TimePoint aMoveAfter, TimePoint aDeadline);
   void OnDeadline(TimePoint aNow) override;
 
+  // Returns true once the header of an answer was read whole.
+  bool HasAnswerHeader() const
+  {
+    return m_parser && m_parser->is_header_done();
+  }
   const Header& Answer() const { return m_parser->get().base(); }
   CallEnd End() const { return m_end; }
   bool MayHaveArrived() const { return m_sent; }
--- a/Source/Forwarding/ForwardDialect.h
+++ b/Source/Forwarding/ForwardDialect.h
@@ -36,6 +36,8 @@
   std::uint32_t m_maxAnswerTokens = 0;
   // The caller's estimate; 0 if none was sent.
   std::uint32_t m_expectedAnswerTokens = 0;
+  // All parts of the prompt, as sent; empty if there is none.
+  std::string_view m_prompt;
   // Ids of the parts of the prompt that other requests may have, too, in order;
   // the last part belongs to this request alone and is left out.
   std::vector<std::string_view> m_sharedParts;
--- a/Source/Forwarding/ForwardGateway.cxx
+++ b/Source/Forwarding/ForwardGateway.cxx
@@ -9,6 +9,7 @@
 
 #include "Forwarding/AcceptLoop.h"
 #include "Forwarding/DeadlineMonitor.h"
+#include "Forwarding/EndpointChecker.h"
 #include "Forwarding/EngineFailureDetector.h"
 #include "Forwarding/ForwardSession.h"
 #include "Forwarding/HttpService.h"
@@ -50,6 +51,7 @@
     , m_limits(m_routing, aControl, aLog, m_metrics)
     , m_notices(m_routing, m_pool, m_limits, m_metrics, aLog)
     , m_promptParts(aContext, aControl, aLog, m_metrics, m_options.m_seed)
+    , m_endpointChecker(aContext, m_pool, m_callDeadlines, m_promptParts)
     , m_services{ aContext,
                   m_options,
                   aDialect,
@@ -58,6 +60,7 @@
                   m_callDeadlines,
                   m_callerDeadlines,
                   m_failureDetector,
+                  m_endpointChecker,
                   m_notices,
                   m_promptParts,
                   m_drain,
@@ -137,6 +140,7 @@
   LimitExchange m_limits;
   NoticeRecorder m_notices;
   PromptPartReporter m_promptParts;
+  EndpointChecker m_endpointChecker;
   ForwardServices m_services;
   AcceptLoop m_accept;
   HttpService m_readiness;
--- a/Source/Forwarding/ForwardServices.h
+++ b/Source/Forwarding/ForwardServices.h
@@ -13,6 +13,7 @@
 
 namespace parsleycove {
 
+class EndpointChecker;
 class EngineFailureDetector;
 class NoticeRecorder;
 class PromptPartReporter;
@@ -29,6 +30,7 @@
   DeadlineMonitor& m_callDeadlines;
   DeadlineMonitor& m_callerDeadlines;
   EngineFailureDetector& m_failureDetector;
+  EndpointChecker& m_endpointChecker;
   NoticeRecorder& m_notices;
   PromptPartReporter& m_promptParts;
   DrainState& m_drain;
--- a/Source/Forwarding/ForwardSession.cxx
+++ b/Source/Forwarding/ForwardSession.cxx
@@ -9,10 +9,10 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "Base/RequestIdentity.h"
 #include "Forwarding/ForwardedRequest.h"
 #include "Forwarding/PlainForwarder.h"
 #include "Forwarding/StreamForwarder.h"
-#include "Routing/RequestIdentity.h"
 
 namespace parsleycove {
 
@@ -171,6 +171,7 @@
     content.m_method = http.method_string();
     content.m_host = http[http::field::host];
     content.m_target = http.target();
+    content.m_prompt = aRequest.m_headers.m_prompt;
     content.m_body = http.body();
     if (aRequest.m_account != nullptr) {
       content.m_account = aRequest.m_account->m_name;
--- a/Source/Forwarding/ForwardedRequest.cxx
+++ b/Source/Forwarding/ForwardedRequest.cxx
@@ -6,6 +6,8 @@
 
 #include <boost/beast/http/rfc7230.hpp>
 
+#include "Base/RequestIdentity.h"
+#include "Forwarding/PromptPartReporter.h"
 #include "Forwarding/RetryAfter.h"
 
 namespace parsleycove {
@@ -22,7 +24,7 @@
   std::string_view m_text;
 };
 
-constexpr std::array<RefusalRow, 11> kRefusals{ {
+constexpr std::array<RefusalRow, 12> kRefusals{ {
   { RefusalCause::NoConfiguration,
     "no_configuration",
     "this VM has not received a configuration yet" },
@@ -44,6 +46,9 @@
   { RefusalCause::CrashingPrompt,
     "crashing_prompt",
     "a part of the prompt crashes the endpoints" },
+  { RefusalCause::CrashingRequest,
+    "crashing_request",
+    "this request crashes the endpoints" },
   { RefusalCause::OutOfTime, "out_of_time", "no time was left to send it" },
   { RefusalCause::Stopping, "stopping", "this VM is about to end" },
 } };
@@ -197,6 +202,14 @@
 
 } // namespace
 
+std::vector<std::string_view>
+ForwardedRequest::Parts() const
+{
+  std::vector<std::string_view> parts = m_headers.m_sharedParts;
+  parts.push_back(m_identity);
+  return parts;
+}
+
 std::string_view
 NameOfEnd(CallEnd aEnd)
 {
@@ -334,6 +347,33 @@
     kWriteTimeout);
 }
 
+asio::awaitable<bool>
+MayTryParts(ForwardedRequest& aRequest, bool& aIsTrial)
+{
+  PromptPartReporter& reporter = aRequest.m_services.m_promptParts;
+  const PartDecision decision = reporter.Decide(aRequest.Parts());
+  if (decision.m_verdict == PartVerdict::Serve) {
+    co_return true;
+  }
+  if (decision.m_verdict == PartVerdict::Try) {
+    aIsTrial = co_await reporter.ClaimTrial(
+      decision.m_part, std::string(aRequest.m_headers.m_attemptId));
+  }
+  if (!aIsTrial) {
+    aRequest.m_crashingPart = decision.m_part;
+    aRequest.m_detail = "part " + decision.m_part;
+    aRequest.m_availableAt = BootClock::now() + decision.m_untilTrial;
+  }
+  co_return aIsTrial;
+}
+
+RefusalCause
+CauseOfParts(const ForwardedRequest& aRequest)
+{
+  return IsWholeRequest(aRequest.m_crashingPart) ? RefusalCause::CrashingRequest
+                                                 : RefusalCause::CrashingPrompt;
+}
+
 asio::awaitable<void>
 Fail(ForwardedRequest& aRequest, unsigned aStatus, std::string aWhy)
 {
--- a/Source/Forwarding/ForwardedRequest.h
+++ b/Source/Forwarding/ForwardedRequest.h
@@ -28,6 +28,8 @@
   EndpointsLimited,
   // A part of the prompt crashes engines.
   CrashingPrompt,
+  // The request as a whole crashes endpoints.
+  CrashingRequest,
   OutOfTime,
   // This VM is shutting down.
   Stopping,
@@ -62,6 +64,8 @@
   std::string m_why;
   // Reason given by another component, such as the control group; may be empty.
   std::string m_detail;
+  // The part of this request that crashes endpoints; empty if none is known.
+  std::string m_crashingPart;
   // Why an answer that had begun was cut; empty otherwise. Refers to a string
   // literal.
   std::string_view m_cutCause;
@@ -83,6 +87,9 @@
   EndpointCallPtr m_call;
 
   const HttpRequest& Http() const { return m_caller->Request(); }
+  // Returns what may crash endpoints: the parts of the prompt that other
+  // requests may have, too, and the request as a whole.
+  std::vector<std::string_view> Parts() const;
   Duration TimeLeft() const { return m_deadline - BootClock::now(); }
   bool IsOutOfTime() const { return TimeLeft() <= Duration::zero(); }
 };
@@ -113,6 +120,16 @@
 asio::awaitable<void>
 Refuse(ForwardedRequest& aRequest, RefusalCause aCause);
 
+// Returns true if no part of the request crashes endpoints, or if the request
+// may try such a part; then aIsTrial is set, and the request is sent once only.
+// Sets the detail and the time of the refusal otherwise.
+asio::awaitable<bool>
+MayTryParts(ForwardedRequest& aRequest, bool& aIsTrial);
+
+// Returns the cause of a refusal after MayTryParts().
+RefusalCause
+CauseOfParts(const ForwardedRequest& aRequest);
+
 // Answers with an error of the caller, or with a failure that does not tell
 // whether the request ran.
 asio::awaitable<void>
--- a/Source/Forwarding/PlainForwarder.cxx
+++ b/Source/Forwarding/PlainForwarder.cxx
@@ -4,7 +4,9 @@
 #include <algorithm>
 #include <utility>
 
+#include "Forwarding/EndpointChecker.h"
 #include "Forwarding/NoticeRecorder.h"
+#include "Forwarding/PromptPartReporter.h"
 #include "Forwarding/SilentCalls.h"
 
 namespace parsleycove {
@@ -61,6 +63,12 @@
         co_await End(RefusalCause::OutOfTime);
         co_return;
       }
+      const bool isAllowed =
+        m_isTrial || co_await MayTryParts(m_request, m_isTrial);
+      if (!isAllowed) {
+        co_await End(CauseOfParts(m_request));
+        co_return;
+      }
       const RunnerPtr runner = PickEndpoint();
       if (!runner) {
         m_request.m_availableAt = m_services.m_routing.EndpointAvailableAt();
@@ -116,7 +124,10 @@
     const bool countAllows =
       m_connectFailures < kMaxConnectFailures &&
       m_possibleExecutions < m_request.m_route->m_maxAttempts;
-    return kindAllows && countAllows && !m_request.m_caller->IsDisconnected();
+    const bool trialAllows =
+      !m_isTrial || aOutcome == ForwardOutcome::NotExecuted;
+    return kindAllows && countAllows && trialAllows &&
+           !m_request.m_caller->IsDisconnected();
   }
 
   // Charges the retry budget once for each call that follows a sent one. As
@@ -209,7 +220,7 @@
 
   bool MayMove(const RunnerPtr& aRunner)
   {
-    return m_request.m_route->CanRetry() &&
+    return !m_isTrial && m_request.m_route->CanRetry() &&
            m_possibleExecutions < m_request.m_route->m_maxAttempts &&
            HasAlternative(aRunner);
   }
@@ -285,6 +296,9 @@
       aCall.Target(),
       nullptr,
       headers);
+    if (headers.m_isSigned) {
+      m_services.m_promptParts.RecordBegun(BootClock::now(), m_request.Parts());
+    }
     if (headers.m_isNotExecuted) {
       --m_possibleExecutions;
       m_request.m_lastFault = "endpoint_refused";
@@ -392,6 +406,14 @@
     }
     m_lastEnd = end;
     m_request.m_lastFault = NameOfEnd(end);
+    if (end == CallEnd::Broken && !aCall.HasAnswerHeader()) {
+      const TimePoint now = BootClock::now();
+      m_services.m_promptParts.RecordUnanswered(now,
+                                                m_request.m_headers.m_attemptId,
+                                                m_request.Parts(),
+                                                *aCall.Target());
+      m_services.m_endpointChecker.Check(now, aCall.Target());
+    }
     if (end == CallEnd::Overdue) {
       UpdateCircuit(*aCall.Target(), NameOfEnd(end), [&](TimePoint aNow) {
         aCall.Target()->m_load->RecordTimeout(aNow, aCall.SentAt());
@@ -471,6 +493,8 @@
   // executed.
   std::uint32_t m_possibleExecutions = 0;
   std::size_t m_connectFailures = 0;
+  // The request is a trial of a quarantined part, see MayTryParts().
+  bool m_isTrial = false;
   // The next call was charged to the retry budget and has not been sent.
   bool m_hasRetryClaim = false;
   CallEnd m_lastEnd = CallEnd::None;
--- a/Source/Forwarding/PromptPartReporter.cxx
+++ b/Source/Forwarding/PromptPartReporter.cxx
@@ -77,6 +77,19 @@
   m_guard.RecordUnanswered(aNow, std::move(attempt));
 }
 
+void
+PromptPartReporter::RecordUnanswered(TimePoint aNow,
+                                     std::string_view aAttemptId,
+                                     Parts aParts,
+                                     const Runner& aEndpoint)
+{
+  UnansweredAttempt attempt;
+  attempt.m_attemptId = aAttemptId;
+  attempt.m_parts.assign(aParts.begin(), aParts.end());
+  attempt.m_engines.push_back(StartOf(aEndpoint));
+  m_guard.RecordUnanswered(aNow, std::move(attempt));
+}
+
 void
 PromptPartReporter::RecordLostEngine(TimePoint aNow, const Runner& aEngine)
 {
--- a/Source/Forwarding/PromptPartReporter.h
+++ b/Source/Forwarding/PromptPartReporter.h
@@ -1,5 +1,6 @@
-// Exchanges evidence about prompt parts that crash engines with the control
-// group, and decides whether a request may be sent.
+// Exchanges evidence about parts of requests that crash endpoints with the
+// control group, and decides whether a request may be sent. A part is a piece
+// of a prompt, or the request as a whole.
 #pragma once
 
 #include <cstdint>
@@ -36,6 +37,12 @@
                         std::string_view aAttemptId,
                         Parts aParts,
                         const StagePath& aPath);
+  // Records that an attempt at an endpoint of a plain service ended before its
+  // answer began.
+  void RecordUnanswered(TimePoint aNow,
+                        std::string_view aAttemptId,
+                        Parts aParts,
+                        const Runner& aEndpoint);
   // Records the end of an engine that is certain.
   void RecordLostEngine(TimePoint aNow, const Runner& aEngine);
   // Returns true if answers have begun lately on each of the parts.
--- a/Source/Forwarding/RetryAfter.cxx
+++ b/Source/Forwarding/RetryAfter.cxx
@@ -38,6 +38,7 @@
     case RefusalCause::EndpointsLimited:
       // The next request that a limit allows is the end of the pause.
     case RefusalCause::CrashingPrompt:
+    case RefusalCause::CrashingRequest:
       // The next trial of the part is the end of the pause.
       return milliseconds(0);
     case RefusalCause::OutOfTime:
--- a/Source/Forwarding/StreamAttempt.cxx
+++ b/Source/Forwarding/StreamAttempt.cxx
@@ -306,8 +306,7 @@
   if (!m_hasSentHeader) {
     m_hasSentHeader = true;
     m_request.m_firstAnswerDelay = now - m_request.m_arrival;
-    m_services.m_promptParts.RecordBegun(now,
-                                         m_request.m_headers.m_sharedParts);
+    m_services.m_promptParts.RecordBegun(now, m_request.Parts());
     m_services.m_metrics.RecordFirstAnswer(m_request.m_route->m_kind,
                                            m_request.m_firstAnswerDelay);
     out = MakeAnswerHeader(m_request, m_request.m_status, aCall.Answer(), -1);
--- a/Source/Forwarding/StreamForwarder.cxx
+++ b/Source/Forwarding/StreamForwarder.cxx
@@ -86,9 +86,9 @@
       co_return;
     }
     if (!m_hasSentHeader && !m_isTrial) {
-      const bool isAllowed = co_await IsPromptAllowed();
+      const bool isAllowed = co_await MayTryParts(m_request, m_isTrial);
       if (!isAllowed) {
-        co_await GiveUp(RefusalCause::CrashingPrompt);
+        co_await GiveUp(CauseOfParts(m_request));
         co_return;
       }
     }
@@ -152,33 +152,12 @@
   co_return outcome;
 }
 
-asio::awaitable<bool>
-StreamForwarder::IsPromptAllowed()
-{
-  const PartDecision decision =
-    m_services.m_promptParts.Decide(m_request.m_headers.m_sharedParts);
-  if (decision.m_verdict == PartVerdict::Serve) {
-    co_return true;
-  }
-  if (decision.m_verdict == PartVerdict::Try) {
-    m_isTrial = co_await m_services.m_promptParts.ClaimTrial(
-      decision.m_part, std::string(m_request.m_headers.m_attemptId));
-  }
-  if (!m_isTrial) {
-    m_request.m_detail = "part " + decision.m_part;
-    m_request.m_availableAt = BootClock::now() + decision.m_untilTrial;
-  }
-  co_return m_isTrial;
-}
-
 void
 StreamForwarder::RecordUnanswered(const EndpointCall& aCall)
 {
   const TimePoint now = BootClock::now();
-  m_services.m_promptParts.RecordUnanswered(now,
-                                            m_request.m_headers.m_attemptId,
-                                            m_request.m_headers.m_sharedParts,
-                                            *aCall.Path());
+  m_services.m_promptParts.RecordUnanswered(
+    now, m_request.m_headers.m_attemptId, m_request.Parts(), *aCall.Path());
   if (aCall.End() == CallEnd::Broken) {
     ++m_unanswered;
     m_services.m_failureDetector.ReportUnresponsive(now, aCall.Target());
--- a/Source/Forwarding/StreamForwarder.h
+++ b/Source/Forwarding/StreamForwarder.h
@@ -47,9 +47,6 @@
   // there is no path, where the silent call goes on, and where no further
   // attempt may follow.
   asio::awaitable<AttemptOutcome> StartOrFollow(StagePathPtr aPath);
-  // Returns true if the prompt holds no part that crashes engines, or if this
-  // request may try it.
-  asio::awaitable<bool> IsPromptAllowed();
   // Records that the attempt ended before its first event, and has its engine
   // probed: the prompt may have crashed the engine.
   void RecordUnanswered(const EndpointCall& aCall);
@@ -109,7 +106,7 @@
   std::size_t m_refusals = 0;
   // Attempts whose engine was lost before the first event.
   std::size_t m_unanswered = 0;
-  // The request is a trial of a quarantined part.
+  // The request is a trial of a quarantined part, see MayTryParts().
   bool m_isTrial = false;
   // The answer's header was sent to the caller.
   bool m_hasSentHeader = false;
--- a/Source/Routing/PromptPartGuard.cxx
+++ b/Source/Routing/PromptPartGuard.cxx
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "Base/RequestIdentity.h"
 #include "State/PromptPartChecks.h"
 #include "State/PromptPartTable.h"
 
@@ -35,10 +36,10 @@
 void
 PromptPartGuard::RecordBegun(TimePoint aNow, Parts aParts)
 {
-  if (!aParts.empty()) {
-    m_lastProofAt = aNow;
-  }
   for (const std::string_view part : aParts) {
+    if (!IsWholeRequest(part)) {
+      m_lastProofAt = aNow;
+    }
     const auto [entry, isNew] =
       m_proved.insert_or_assign(std::string(part), aNow);
     if (isNew) {
@@ -120,13 +121,15 @@
 {
   auto suspect = std::make_unique<state::CrashSuspectT>();
   suspect->attempt = aAttempt.m_attemptId;
+  const bool hasAnyProof = HasAnyProof(aNow);
   for (const std::string& part : aAttempt.m_parts) {
-    if (!IsProved(aNow, part) && part.size() <= kMaxPromptIdLength &&
+    if ((hasAnyProof || IsWholeRequest(part)) && !IsProved(aNow, part) &&
+        part.size() <= kMaxPromptIdLength &&
         suspect->parts.size() < kMaxPartsPerSuspect) {
       suspect->parts.push_back(part);
     }
   }
-  if (suspect->parts.empty() || !HasAnyProof(aNow)) {
+  if (suspect->parts.empty()) {
     return;
   }
   state::ReportPromptCrashT& report = m_reports[aEngine];
--- a/Source/Routing/PromptPartGuard.h
+++ b/Source/Routing/PromptPartGuard.h
@@ -1,11 +1,14 @@
-// Finds the parts of prompts that crash engines, and keeps requests with such
-// a part away from the engines.
+// Finds the parts of requests that crash endpoints, and keeps requests with
+// such a part away from the endpoints.
 //
-// Fault pattern: one part of a prompt crashes each engine that begins to answer
-// it. Requests with the part arrive at all gateways, no two alike; the other
-// requests on the engine, and those that share further parts with them, are
-// sound. Every gateway reports which requests an engine had not begun to answer
-// when it crashed; the control group compares the reports.
+// Fault patterns: one part of a prompt crashes each engine that begins to
+// answer it, and requests with the part arrive at all gateways, no two alike;
+// or one request crashes each endpoint and comes again whole. The other
+// requests on the endpoint, and those that share further parts, the path or the
+// caller with them, are sound. So a part is a piece of a prompt, or the request
+// as a whole (Base/RequestIdentity.h). Every gateway reports which requests an
+// endpoint had not begun to answer when it crashed; the control group compares
+// the reports.
 #pragma once
 
 #include <cstddef>
@@ -27,7 +30,7 @@
 
 namespace parsleycove {
 
-// One start of an engine.
+// One start of an engine, or of an endpoint of a plain service.
 struct EngineStart
 {
   std::string m_id;
@@ -99,8 +102,9 @@
 
   // Returns the reports that are due, one for each lost engine, and forgets
   // them. Parts that are proved sound are left out, and requests without
-  // further parts. Without any proof nothing is reported: before the first
-  // answer, a part that all requests share looks like the one that crashes.
+  // further parts. Without any proof no part of a prompt is reported: before
+  // the first answer, a part that all requests share looks like the one that
+  // crashes.
   std::vector<state::ReportPromptCrashT> TakeReports(TimePoint aNow);
   // Returns the parts of the control group's table that this gateway knows to
   // be sound and that are still suspected after a random delay.
--- a/Source/State/PromptCrashReport.cxx
+++ b/Source/State/PromptCrashReport.cxx
@@ -3,6 +3,7 @@
 
 #include <set>
 
+#include "Base/RequestIdentity.h"
 #include "State/PromptPartTable.h"
 
 namespace parsleycove {
@@ -64,8 +65,11 @@
 bool
 HasEvidence(const state::PromptPartT& aPart)
 {
+  const std::size_t attempts = IsWholeRequest(aPart.id)
+                                 ? kAttemptsToQuarantineRequest
+                                 : kCrashesToQuarantine;
   return aPart.crashes.size() >= kCrashesToQuarantine &&
-         CountAttempts(aPart) >= kCrashesToQuarantine;
+         CountAttempts(aPart) >= attempts;
 }
 
 } // namespace
--- a/Source/State/PromptPartTable.h
+++ b/Source/State/PromptPartTable.h
@@ -1,4 +1,5 @@
-// Rules of the table of prompt parts that may crash engines.
+// Rules of the table of parts of requests that may crash endpoints: pieces of
+// prompts, and requests as a whole.
 //
 // Time is the commands' own, which the leader stamps: replicas and the copies
 // of the gateways apply the same commands and have to get equal tables.
@@ -15,6 +16,9 @@
 // Crashes of distinct endpoint incarnations and of distinct attempts that put a
 // part under quarantine.
 inline constexpr std::size_t kCrashesToQuarantine = 3;
+// Distinct attempts among the crashes of a whole request: all its attempts hold
+// the same, so that fewer of them show as much.
+inline constexpr std::size_t kAttemptsToQuarantineRequest = 2;
 // Older crashes of a part that is not quarantined are dropped.
 inline constexpr std::uint64_t kCrashEvidenceMs = 60'000;
 // For this long after a clear, reports add nothing to the part.
