--- a/Source/Routing/PathSelector.cxx
+++ b/Source/Routing/PathSelector.cxx
@@ -142,7 +142,7 @@
   if (aNow - m_plannedAt >= m_settings.m_replanInterval) {
     Plan(aNow);
   }
-  const PathChoice wanted = ChooseAmong(aNow, aRequest, QuotaRule::Ignore);
+  PathChoice wanted = ChooseAmong(aNow, aRequest, QuotaRule::Ignore);
   if (!wanted.m_path) {
     return wanted;
   }
