Routing: Send reports of crashes again until the control group answers

Reports are kept for 15 s and sent again; the table passes over what it has. The test fails without it.

--- a/Source/Forwarding/PromptPartReporter.cxx
+++ b/Source/Forwarding/PromptPartReporter.cxx
@@ -15,6 +15,10 @@
 namespace {
 
 constexpr Duration kProposeTimeout = std::chrono::milliseconds(800);
+// A control group without a leader for longer has restarted meanwhile; its VMs
+// take no new work without it.
+constexpr Duration kReportLifetime = std::chrono::seconds(15);
+constexpr std::size_t kMaxPending = 64;
 // Callers wait meanwhile; without an answer the request is refused.
 constexpr Duration kTrialTimeout = std::chrono::milliseconds(400);
 
@@ -136,6 +140,7 @@
 PromptPartReporter::Flush(TimePoint aNow)
 {
   SendReports(aNow);
+  SendPendingAgain(aNow);
   const auto view = m_control.View();
   SendClears(aNow, view->Image());
   LogChanges(view->Image());
@@ -152,7 +157,42 @@
         .Add("parts", ListParts(report));
     });
     report.unix_ms = SystemClock().UnixMs();
-    Propose(aNow, MakeCommand(std::move(report)));
+    if (m_pending.size() >= kMaxPending) {
+      m_pending.pop_front();
+    }
+    m_pending.push_back({ MakeCommand(std::move(report)),
+                          aNow,
+                          aNow,
+                          std::make_shared<std::atomic<bool>>(false) });
+    SendReport(aNow, m_pending.back());
+  }
+}
+
+void
+PromptPartReporter::SendReport(TimePoint aNow, PendingReport& aReport)
+{
+  aReport.m_sentAt = aNow;
+  m_control.Propose(aReport.m_command,
+                    aNow + kProposeTimeout,
+                    [isAnswered = aReport.m_isAnswered](
+                      const auto& aResult, const ControlReason& /*aReason*/) {
+                      if (aResult) {
+                        isAnswered->store(true);
+                      }
+                    });
+}
+
+void
+PromptPartReporter::SendPendingAgain(TimePoint aNow)
+{
+  std::erase_if(m_pending, [aNow](const PendingReport& aReport) {
+    return aReport.m_isAnswered->load() ||
+           aNow - aReport.m_firstSentAt >= kReportLifetime;
+  });
+  for (PendingReport& report : m_pending) {
+    if (aNow - report.m_sentAt >= kProposeTimeout) {
+      SendReport(aNow, report);
+    }
   }
 }
 
@@ -202,8 +242,7 @@
 void
 PromptPartReporter::Propose(TimePoint aNow, state::CommandT aCommand)
 {
-  // A lost report needs no retry: other gateways and further crashes report the
-  // same parts. A lost clear is due again after a while.
+  // A lost clear is due again after a while.
   m_control.Propose(
     std::move(aCommand),
     aNow + kProposeTimeout,
--- a/Source/Forwarding/PromptPartReporter.h
+++ b/Source/Forwarding/PromptPartReporter.h
@@ -3,7 +3,10 @@
 // of a prompt, or the request as a whole.
 #pragma once
 
+#include <atomic>
 #include <cstdint>
+#include <deque>
+#include <memory>
 #include <set>
 #include <string>
 #include <string_view>
@@ -59,7 +62,21 @@
   void Flush(TimePoint aNow);
 
 private:
+  // A report that the control group has not answered yet.
+  struct PendingReport
+  {
+    state::CommandT m_command;
+    TimePoint m_firstSentAt{};
+    TimePoint m_sentAt{};
+    // Set by the thread that calls the handlers.
+    std::shared_ptr<std::atomic<bool>> m_isAnswered;
+  };
+
   void SendReports(TimePoint aNow);
+  // Sends reports without an answer again, since a crash that is forgotten
+  // costs another endpoint. The control group passes over what it has already.
+  void SendPendingAgain(TimePoint aNow);
+  void SendReport(TimePoint aNow, PendingReport& aReport);
   void SendClears(TimePoint aNow, const state::ConfigImageT& aImage);
   void LogChanges(const state::ConfigImageT& aImage);
   void Propose(TimePoint aNow, state::CommandT aCommand);
@@ -69,6 +86,8 @@
   DecisionLog& m_log;
   ForwardMetrics& m_metrics;
   PromptPartGuard m_guard;
+  // Oldest first.
+  std::deque<PendingReport> m_pending;
   // The quarantined parts that were logged.
   std::set<std::string> m_quarantined;
 };
--- a/Tests/Forwarding/CrashingRequestTest.cxx
+++ b/Tests/Forwarding/CrashingRequestTest.cxx
@@ -146,6 +146,22 @@
   CHECK(m_fixture->m_sink.Has({ "request_refused", "crashing_request" }));
 }
 
+TEST(CrashingRequest, AReportThatWasLostIsSentAgain)
+{
+  StartPlain();
+  int lost = 0;
+  m_fixture->m_control.SetFate([&](const state::CommandT& aCommand) {
+    const bool isReport = aCommand.body.AsReportPromptCrash() != nullptr;
+    return isReport && ++lost <= 3 ? ProposalFate::Lost : ProposalFate::Applied;
+  });
+  AskAgain("/safe/bad");
+  AskAgain("/safe/bad");
+  CHECK(m_fixture->RunUntil([&] {
+    return m_fixture->m_sink.Has({ "prompt_part_quarantined", "request:" });
+  }));
+  CHECK_EQUAL(503, StatusOf(Ask("/safe/bad", kBad)));
+}
+
 TEST(CrashingRequest, ConnectionsThatBreakWithoutACrashAreNoEvidence)
 {
   StartPlain();
--- a/Tests/Soak/Soak.cxx
+++ b/Tests/Soak/Soak.cxx
@@ -123,6 +123,9 @@
     m_scene.m_operator->Change(m_scene.m_random.Below(3) != 0);
   });
   Repeat(kReadMs, [this] { m_scene.m_operator->ReadAll(); });
+  if (m_scene.m_options.m_hasLimits) {
+    NameLimits();
+  }
   m_faults.Begin();
   RunUntil([] { return false; }, m_scene.m_options.m_length);
   m_faults.End();
@@ -136,10 +139,29 @@
   return Report();
 }
 
+void
+Soak::NameLimits()
+{
+  bool isLimited = false;
+  for (const auto& backend : m_scene.m_backends) {
+    isLimited = !isLimited;
+    if (isLimited) {
+      const double perSecond = 2 + 4 * m_scene.m_random.Fraction();
+      m_scene.Say(backend->Id() + " names a limit of " +
+                  std::to_string(perSecond) + " a second");
+      backend->NameLimit(perSecond, m_scene.m_options.m_length);
+    }
+  }
+}
+
 bool
 Soak::Report()
 {
   SoakLedger& ledger = m_scene.m_ledger;
+  for (std::string& breach :
+       ledger.Limits().FindBreaches(ledger.Harms(), ledger.Stops())) {
+    ledger.Breach(std::move(breach));
+  }
   const SoakEndCounts ends = CheckEnds(ledger);
   std::cout << "seed " << m_scene.m_options.m_seed << ": " << m_faults.Count()
             << " faults, " << ledger.Served() << " served, "
@@ -148,7 +170,8 @@
             << "; without harm " << ends.m_sound << ", beside a silence "
             << ends.m_silent << ", of those in a graceful stop "
             << ends.m_silentInStop << "; crashes " << ledger.Crashes()
-            << ", late " << ledger.LateCrashes() << "\n";
+            << ", late " << ledger.LateCrashes() << "; under a limit "
+            << ledger.Limits().Requests() << "\n";
   for (const std::string& breach : ledger.Breaches()) {
     std::cout << "BROKEN: " << breach << "\n";
   }
--- a/Tests/Soak/Soak.h
+++ b/Tests/Soak/Soak.h
@@ -24,6 +24,8 @@
   void Start();
   bool IsServing();
   void CheckConfiguration();
+  // Half of the back ends name limits until the faults end.
+  void NameLimits();
   bool Report();
 
   SoakScene m_scene;
--- a/Tests/Soak/SoakBackend.cxx
+++ b/Tests/Soak/SoakBackend.cxx
@@ -100,6 +100,25 @@
   m_refusesUntil = std::max(m_refusesUntil, BootClock::now() + aLength);
 }
 
+void
+SoakBackend::NameLimit(double aPerSecond, Duration aLength)
+{
+  const TimePoint now = BootClock::now();
+  m_limit = aPerSecond;
+  m_limitUntil = now + aLength;
+  m_ledger.Limits().NoteLimit(m_id, aPerSecond, now, m_limitUntil);
+}
+
+std::string
+SoakBackend::WithLimit(std::string aHead) const
+{
+  if (BootClock::now() < m_limitUntil) {
+    aHead.insert(aHead.find("\r\n") + 2,
+                 "Server-Limit: " + std::to_string(m_limit) + "\r\n");
+  }
+  return aHead;
+}
+
 void
 SoakBackend::NoteRun(const HttpRequest& aRequest)
 {
@@ -124,12 +143,14 @@
     return AnswerOrder(aRequest);
   }
   const std::string attempt(aRequest["Attempt-Id"]);
+  m_ledger.NoteReached(attempt, m_id, BootClock::now());
   if (aRequest["Expect-Instance"] != m_id) {
     return { Send(MakeAnswer(attempt, 421, "", "Not-Executed: 1\r\n")) };
   }
   if (BootClock::now() < m_refusesUntil) {
     m_ledger.NoteStep(attempt, m_id + " refuses", BootClock::now());
-    return { Send(MakeAnswer(attempt, 503, "", "Not-Executed: 1\r\n")) };
+    return { Send(
+      WithLimit(MakeAnswer(attempt, 503, "", "Not-Executed: 1\r\n"))) };
   }
   return m_isEngine ? AnswerStream(aRequest) : AnswerPlain(aRequest);
 }
@@ -140,15 +161,21 @@
   const std::string attempt(aRequest["Attempt-Id"]);
   NoteRun(aRequest);
   m_ledger.NoteStep(attempt, m_id + " runs it", BootClock::now());
+  if (aRequest.target().ends_with(kSoakCrash)) {
+    m_ledger.NoteRequestCrash(BootClock::now());
+    Crash();
+    return { Hang() };
+  }
   if (m_random.Below(kUnframedShare) == 0) {
     const std::size_t half = m_random.Below(attempt.size() + 1);
-    return { Send(MakeUnframedHead(attempt, "text/plain") +
+    return { Send(WithLimit(MakeUnframedHead(attempt, "text/plain")) +
                   attempt.substr(0, half)),
              Pause(kPlainTimeMs),
              Send(attempt.substr(half)),
              CloseNow() };
   }
-  return { Pause(kPlainTimeMs), Send(MakeAnswer(attempt, 200, attempt)) };
+  return { Pause(kPlainTimeMs),
+           Send(WithLimit(MakeAnswer(attempt, 200, attempt))) };
 }
 
 std::vector<StubStep>
@@ -162,6 +189,12 @@
   NoteRun(aRequest);
   if (aRequest[kSoakPartsHeader].find(kSoakCrashingPart) !=
       std::string_view::npos) {
+    m_ledger.NotePartCrash(BootClock::now());
+    Crash();
+    return { Hang() };
+  }
+  if (aRequest.target().ends_with(kSoakCrash)) {
+    m_ledger.NoteRequestCrash(BootClock::now());
     Crash();
     return { Hang() };
   }
@@ -173,8 +206,8 @@
   const bool isCut = isUnframed && m_random.Below(kCutShare) == 0;
   const int cutAt = first + static_cast<int>(m_random.Below(kSoakEvents));
   std::vector<StubStep> steps{ Send(
-    isUnframed ? MakeUnframedHead(attempt, "text/event-stream")
-               : MakeStreamHead(attempt)) };
+    WithLimit(isUnframed ? MakeUnframedHead(attempt, "text/event-stream")
+                         : MakeStreamHead(attempt))) };
   for (int id = first; id <= kSoakEvents; ++id) {
     steps.push_back(Pause(gap));
     const std::string event =
@@ -204,7 +237,6 @@
 SoakBackend::Crash()
 {
   const TimePoint now = BootClock::now();
-  m_ledger.NoteCrash(now);
   m_ledger.Harms().Note(Address(), now, now + kCrashMs);
   m_first = 0;
   m_end = 0;
--- a/Tests/Soak/SoakBackend.h
+++ b/Tests/Soak/SoakBackend.h
@@ -25,6 +25,9 @@
 inline constexpr char kSoakPartsHeader[] = "Prompt-Prefix";
 inline constexpr char kSoakCrashingPart[] = "666:30";
 
+// End of the path of the request that crashes each back end that runs it.
+inline constexpr char kSoakCrash[] = "-crash";
+
 class SoakBackend
 {
 public:
@@ -41,6 +44,8 @@
   void FallSilent(Duration aLength);
   // Refuses new requests for a while and goes on with those it has.
   void RefuseWork(Duration aLength);
+  // Names a limit of requests a second in its answers for a while.
+  void NameLimit(double aPerSecond, Duration aLength);
   // Announces itself to one control VM after the other, until Stop. When it
   // leaves, aOnLeaving is called once that was acknowledged.
   void Announce(std::vector<SocketAddress> aControls);
@@ -58,6 +63,8 @@
   boost::asio::awaitable<void> ComeBack();
   bool RunsEveryLayer(const std::string& aPath) const;
   void NoteRun(const HttpRequest& aRequest);
+  // Adds the limit that the back end names now to the head of an answer.
+  std::string WithLimit(std::string aHead) const;
   std::string MakeReport();
   boost::asio::awaitable<void> KeepAnnouncing();
 
@@ -76,6 +83,8 @@
   int m_sequence = 0;
   int m_born = 1;
   TimePoint m_refusesUntil{};
+  double m_limit = 0;
+  TimePoint m_limitUntil{};
   bool m_isStopped = false;
   std::function<void()> m_onLeaving;
 };
--- a/Tests/Soak/SoakCallers.cxx
+++ b/Tests/Soak/SoakCallers.cxx
@@ -26,6 +26,8 @@
 constexpr int kHeldPerEntry = 6;
 // One of so many streams has a part that crashes engines.
 constexpr std::uint64_t kCrashingShare = 8;
+// One of so many requests is the one that comes again.
+constexpr std::uint64_t kRepeatShare = 24;
 
 std::chrono::milliseconds
 PatienceOf(AttemptKind aKind)
@@ -45,13 +47,13 @@
                          SoakLedger& aLedger,
                          std::vector<SoakEntryDoor> aEntries,
                          std::uint64_t aSeed,
-                         bool aHasCrashingParts)
+                         SoakCrashing aCrashing)
   : m_context(aContext)
   , m_ledger(aLedger)
   , m_entries(std::move(aEntries))
   , m_client(aContext.get_executor())
   , m_random(aSeed)
-  , m_hasCrashingParts(aHasCrashingParts)
+  , m_crashing(aCrashing)
 {
 }
 
@@ -63,9 +65,14 @@
   errand.m_kind = static_cast<AttemptKind>(m_random.Below(3));
   errand.m_key = m_random.Below(4) == 0 ? "k2" : "k1";
   errand.m_entry = &aEntry;
-  errand.m_isCrashing = m_hasCrashingParts &&
+  errand.m_isCrashing = m_crashing.m_hasPart &&
                         errand.m_kind == AttemptKind::Stream &&
                         m_random.Below(kCrashingShare) == 0;
+  if (m_crashing.m_request && m_random.Below(kRepeatShare) == 0) {
+    errand.m_kind = *m_crashing.m_request;
+    errand.m_key = "k1";
+    errand.m_isRepeat = true;
+  }
   return errand;
 }
 
@@ -128,7 +135,8 @@
   const std::string path = isStream                              ? "/stream/x"
                            : aErrand.m_kind == AttemptKind::Safe ? "/safe/x"
                                                                  : "/unsafe/x";
-  HttpRequest request(http::verb::post, path, kHttp11);
+  HttpRequest request(
+    http::verb::post, aErrand.m_isRepeat ? path + kSoakCrash : path, kHttp11);
   request.set(http::field::host, "one.example");
   request.set("Attempt-Id", aErrand.m_attempt);
   request.set("Deadline-Ms",
@@ -140,9 +148,12 @@
     const std::string middle =
       aErrand.m_isCrashing ? std::string(kSoakCrashingPart) + "," : "";
     request.set(kSoakPartsHeader,
-                "1:60," + middle + "f" + aErrand.m_attempt.substr(1) + ":10");
+                "1:60," + middle + "f" +
+                  (aErrand.m_isRepeat ? "0" : aErrand.m_attempt.substr(1)) +
+                  ":10");
   }
-  request.body() = "body of " + aErrand.m_attempt;
+  request.body() =
+    aErrand.m_isRepeat ? "the same" : "body of " + aErrand.m_attempt;
   request.prepare_payload();
   return request;
 }
@@ -161,7 +172,7 @@
   }
   sent.m_sentAt = now;
   sent.m_deadline = now + patience;
-  sent.m_isExcused = aErrand.m_isCrashing;
+  sent.m_isExcused = aErrand.m_isCrashing || aErrand.m_isRepeat;
   m_ledger.NoteSent(aErrand.m_attempt, std::move(sent));
   HttpRequest request = MakeRequest(aErrand);
   CallResult result;
--- a/Tests/Soak/SoakCallers.h
+++ b/Tests/Soak/SoakCallers.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,15 +26,23 @@
   SocketAddress m_direct;
 };
 
+// Which requests crash back ends.
+struct SoakCrashing
+{
+  // Some prompts with a part that does.
+  bool m_hasPart = false;
+  // One request of this kind, which comes again whole.
+  std::optional<AttemptKind> m_request;
+};
+
 class SoakCallers
 {
 public:
-  // With aHasCrashingParts, some prompts have a part that crashes engines.
   SoakCallers(boost::asio::io_context& aContext,
               SoakLedger& aLedger,
               std::vector<SoakEntryDoor> aEntries,
               std::uint64_t aSeed,
-              bool aHasCrashingParts);
+              SoakCrashing aCrashing);
 
   // One request to a random VM.
   void Ask();
@@ -51,6 +60,8 @@
     std::string m_key;
     const SoakEntryDoor* m_entry = nullptr;
     bool m_isCrashing = false;
+    // Equal to all others of its kind, but for its attempt.
+    bool m_isRepeat = false;
   };
 
   Errand DrawErrand(const SoakEntryDoor& aEntry);
@@ -69,7 +80,7 @@
   const std::vector<SoakEntryDoor> m_entries;
   EndpointClient m_client;
   Random m_random;
-  const bool m_hasCrashingParts;
+  const SoakCrashing m_crashing;
   bool m_isHolding = false;
   std::uint64_t m_count = 0;
   int m_open = 0;
--- a/Tests/Soak/SoakLedger.cxx
+++ b/Tests/Soak/SoakLedger.cxx
@@ -7,10 +7,12 @@
 
 namespace {
 
-// Bounds of the users' platform for a part of a prompt that crashes engines: so
-// long after this many crashes, few requests with it reach an engine.
-constexpr std::chrono::seconds kPartKnownS{ 3 };
-constexpr int kCrashesToKnow = 5;
+// Bounds of the users' platform for a part of a prompt, and for a whole
+// request, that crashes back ends: so long after this many crashes, few
+// requests with it reach one.
+constexpr std::chrono::seconds kKnownS{ 3 };
+constexpr int kPartCrashesToKnow = 5;
+constexpr int kRequestCrashesToKnow = 3;
 constexpr int kMaxLateCrashes = 3;
 
 } // namespace
@@ -101,21 +103,41 @@
 }
 
 void
-SoakLedger::NoteCrash(TimePoint aNow)
+SoakLedger::NotePartCrash(TimePoint aNow)
 {
-  if (++m_crashes == kCrashesToKnow) {
-    m_partKnownFrom = aNow + kPartKnownS;
+  NoteCrash(aNow, kPartCrashesToKnow);
+}
+
+void
+SoakLedger::NoteRequestCrash(TimePoint aNow)
+{
+  NoteCrash(aNow, kRequestCrashesToKnow);
+}
+
+void
+SoakLedger::NoteCrash(TimePoint aNow, int aCrashesToKnow)
+{
+  if (++m_crashes == aCrashesToKnow) {
+    m_knownFrom = aNow + kKnownS;
   }
-  if (m_crashes <= kCrashesToKnow || aNow <= m_partKnownFrom) {
+  if (m_crashes <= aCrashesToKnow || aNow <= m_knownFrom) {
     return;
   }
   if (++m_lateCrashes == kMaxLateCrashes + 1) {
     Breach("more than " + std::to_string(kMaxLateCrashes) +
-           " prompts with a part that crashes engines reached engines after "
-           "the part must be known");
+           " requests that crash back ends reached them after their part must "
+           "be known");
   }
 }
 
+void
+SoakLedger::NoteReached(const std::string& aAttempt,
+                        const std::string& aBackend,
+                        TimePoint aNow)
+{
+  m_limits.NoteRequest(aBackend, m_attempts[aAttempt].m_entry, aNow);
+}
+
 void
 SoakLedger::SetKey(const std::string& aKey, std::string aAccount)
 {
--- a/Tests/Soak/SoakLedger.h
+++ b/Tests/Soak/SoakLedger.h
@@ -8,6 +8,7 @@
 
 #include "Base/Clock.h"
 #include "Soak/SoakHarms.h"
+#include "Soak/SoakLimits.h"
 
 namespace parsleycove {
 
@@ -84,7 +85,13 @@
   void NoteLeaving(const std::string& aBackend, TimePoint aFrom);
 
   // A prompt with a part that crashes engines has reached one.
-  void NoteCrash(TimePoint aNow);
+  void NotePartCrash(TimePoint aNow);
+  // The request that comes again has crashed a back end.
+  void NoteRequestCrash(TimePoint aNow);
+  // A request has reached a back end, whether it runs or not.
+  void NoteReached(const std::string& aAttempt,
+                   const std::string& aBackend,
+                   TimePoint aNow);
 
   // What was harmed, which back ends were only silent, and which entry VMs were
   // under a graceful stop.
@@ -92,6 +99,8 @@
   const SoakHarms& Harms() const { return m_harms; }
   SoakHarms& Silences() { return m_silences; }
   const SoakHarms& Silences() const { return m_silences; }
+  SoakLimits& Limits() { return m_limits; }
+  const SoakLimits& Limits() const { return m_limits; }
   SoakHarms& Stops() { return m_stops; }
   const SoakHarms& Stops() const { return m_stops; }
 
@@ -109,6 +118,8 @@
   int Runs() const { return m_runs; }
 
 private:
+  void NoteCrash(TimePoint aNow, int aCrashesToKnow);
+
   struct Key
   {
     std::string m_account;
@@ -122,14 +133,15 @@
   SoakHarms m_harms;
   SoakHarms m_silences;
   SoakHarms m_stops;
+  SoakLimits m_limits;
   int m_served = 0;
   int m_servedStreams = 0;
   int m_unserved = 0;
   int m_runs = 0;
   int m_crashes = 0;
-  // Those after the time by which the gateways know the part.
+  // Those after the time by which the gateways know what crashes back ends.
   int m_lateCrashes = 0;
-  TimePoint m_partKnownFrom{};
+  TimePoint m_knownFrom{};
 };
 
 } // namespace parsleycove
--- a/Tests/Soak/SoakMain.cxx
+++ b/Tests/Soak/SoakMain.cxx
@@ -17,10 +17,12 @@
 constexpr char kUsage[] =
   "usage: parsleycove-soak --program FILE [--seed N] [--seeds COUNT]\n"
   "       [--seconds N] [--folder DIR] [--entries N] [--crashing-part]\n"
-  "       [--timed]\n"
+  "       [--crashing-request] [--limits] [--timed]\n"
   "--folder: logs and data are kept there, in a folder for each seed\n"
   "--entries: number of entry processes, 1 to 200\n"
   "--crashing-part: some prompts have a part that crashes engines\n"
+  "--crashing-request: one request comes again and crashes back ends\n"
+  "--limits: some back ends name limits of requests\n"
   "--timed: also checks what is promised within a time\n";
 
 struct SoakRuns
@@ -40,6 +42,8 @@
                              { "folder", required_argument, nullptr, 'f' },
                              { "entries", required_argument, nullptr, 'e' },
                              { "crashing-part", no_argument, nullptr, 'x' },
+                             { "crashing-request", no_argument, nullptr, 'r' },
+                             { "limits", no_argument, nullptr, 'l' },
                              { "timed", no_argument, nullptr, 'c' },
                              {} };
   for (int name = 0;
@@ -67,6 +71,12 @@
       case 'x':
         aRuns.m_options.m_hasCrashingPart = true;
         break;
+      case 'r':
+        aRuns.m_options.m_hasCrashingRequest = true;
+        break;
+      case 'l':
+        aRuns.m_options.m_hasLimits = true;
+        break;
       case 'c':
         aRuns.m_options.m_isTimed = true;
         break;
--- a/Tests/Soak/SoakScene.cxx
+++ b/Tests/Soak/SoakScene.cxx
@@ -8,6 +8,22 @@
 
 namespace parsleycove {
 
+namespace {
+
+SoakCrashing
+DrawCrashing(const SoakOptions& aOptions)
+{
+  SoakCrashing crashing;
+  crashing.m_hasPart = aOptions.m_hasCrashingPart;
+  if (aOptions.m_hasCrashingRequest) {
+    crashing.m_request =
+      aOptions.m_seed % 2 == 0 ? AttemptKind::Stream : AttemptKind::Safe;
+  }
+  return crashing;
+}
+
+} // namespace
+
 SoakScene::SoakScene(SoakOptions aOptions)
   : m_options(std::move(aOptions))
   , m_random(m_options.m_seed)
@@ -30,7 +46,7 @@
                                             m_ledger,
                                             std::move(doors),
                                             m_options.m_seed + 1,
-                                            m_options.m_hasCrashingPart);
+                                            DrawCrashing(m_options));
 }
 
 std::vector<SocketAddress>
--- a/Tests/Soak/SoakScene.h
+++ b/Tests/Soak/SoakScene.h
@@ -30,6 +30,10 @@
   bool m_isTimed = false;
   // Some prompts have a part that crashes each engine that answers them.
   bool m_hasCrashingPart = false;
+  // One request comes again and again and crashes each back end that runs it.
+  bool m_hasCrashingRequest = false;
+  // Some back ends name limits of requests.
+  bool m_hasLimits = false;
 };
 
 // Invariant: runs on the thread of its context.
