--- a/Source/Forwarding/PromptPartReporter.cxx
+++ b/Source/Forwarding/PromptPartReporter.cxx
@@ -15,8 +15,8 @@
 namespace {
 
 constexpr Duration kProposeTimeout = std::chrono::milliseconds(800);
-// A control group without a leader for longer has restarted meanwhile; its VMs
-// take no new work without it.
+// A report is of no use later: by then the request has crashed further
+// endpoints, and these crashes are reported.
 constexpr Duration kReportLifetime = std::chrono::seconds(15);
 constexpr std::size_t kMaxPending = 64;
 // Callers wait meanwhile; without an answer the request is refused.
