Telemetry: Log what a VM that suspects an endpoint still hears of the others

To tell a VM that lost its own links from an endpoint that failed: endpoint_suspected has the number of other endpoints that have answered this VM lately and how late its own checks run, endpoint_reported names the VM and its evidence. No decision uses any of it.

--- a/Source/Forwarding/EngineFailureDetector.cxx
+++ b/Source/Forwarding/EngineFailureDetector.cxx
@@ -21,6 +21,9 @@
 // Streams leave engines with a slowdown factor above this: repeating the
 // prefill on another engine costs about a tenth of a stream.
 constexpr double kSlowdownToLeave = 2.5;
+// An endpoint that has answered within this time counts as answering in the
+// log.
+constexpr Duration kAnsweringWindow = std::chrono::milliseconds(500);
 
 } // namespace
 
@@ -449,10 +452,28 @@
     aLine.Add("endpoint", aRunner.m_id)
       .Add("address", aRunner.m_address.ToString())
       .Add("why", aWhy)
+      .Add("others_answering", CountAnsweringOthers(aRunner))
+      .AddMs("late_ms", m_deadlines->LastCheckDelay())
       .AddMs("avoid_ms", aCircuitOpenTime);
   });
 }
 
+std::int64_t
+EngineFailureDetector::CountAnsweringOthers(const Runner& aRunner) const
+{
+  const RunnerTable* table = m_routing->Runners();
+  if (table == nullptr) {
+    return 0;
+  }
+  const TimePoint since = BootClock::now() - kAnsweringWindow;
+  const auto& runners = table->Runners();
+  return std::count_if(
+    runners.begin(), runners.end(), [&](const RunnerPtr& aOther) {
+      return aOther->m_id != aRunner.m_id &&
+             aOther->m_load->AnsweredAt() >= since;
+    });
+}
+
 void
 EngineFailureDetector::MoveOffFailed(TimePoint aNow)
 {
--- a/Source/Forwarding/EngineFailureDetector.h
+++ b/Source/Forwarding/EngineFailureDetector.h
@@ -159,6 +159,8 @@
   void LogSuspected(const Runner& aRunner,
                     std::string_view aWhy,
                     Duration aCircuitOpenTime);
+  // Returns how many other endpoints have answered this VM lately.
+  std::int64_t CountAnsweringOthers(const Runner& aRunner) const;
   // Moves stalled streams with a failed stage to other paths.
   void MoveOffFailed(TimePoint aNow);
   void MarkFailed(TimePoint aNow,
--- a/Source/Forwarding/RoutingState.cxx
+++ b/Source/Forwarding/RoutingState.cxx
@@ -180,6 +180,11 @@
   if (aEvidence == FailureEvidence::Timeout && !IsInLocalZone(aRunner)) {
     suspect.unsure_gateway = m_options.m_vm;
   }
+  m_log.Write(DecisionEvent::EndpointReported, [&](DecisionLine& aLine) {
+    aLine.Add("endpoint", aRunner.m_id)
+      .Add("evidence",
+           aEvidence == FailureEvidence::Certain ? "certain" : "timeout");
+  });
   state::CommandT command;
   command.body.Set(std::move(suspect));
   // A lost report needs no retry here: other gateways detect the failure
--- a/Source/Telemetry/DecisionEvent.h
+++ b/Source/Telemetry/DecisionEvent.h
@@ -30,6 +30,9 @@
   EndpointLimited,
   EndpointLimitEnded,
   EndpointReportRefused,
+  EndpointReported,
+  EndpointsUnreached,
+  EndpointsReached,
   PromptCrashReported,
   PromptPartQuarantined,
   PromptPartCleared,
@@ -39,6 +42,7 @@
   // One request.
   RequestRefused,
   RequestSentAgain,
+  RequestPassedOn,
   StreamResumed,
   StreamRerouted,
   StreamStays,
@@ -48,7 +52,7 @@
   CallerGone,
 };
 
-inline constexpr std::array<EnumName<DecisionEvent>, 33> kDecisionEventNames{ {
+inline constexpr std::array<EnumName<DecisionEvent>, 37> kDecisionEventNames{ {
   { DecisionEvent::Started, "started" },
   { DecisionEvent::Stopping, "stopping" },
   { DecisionEvent::Stopped, "stopped" },
@@ -67,6 +71,9 @@
   { DecisionEvent::EndpointLimited, "endpoint_limited" },
   { DecisionEvent::EndpointLimitEnded, "endpoint_limit_ended" },
   { DecisionEvent::EndpointReportRefused, "endpoint_report_refused" },
+  { DecisionEvent::EndpointReported, "endpoint_reported" },
+  { DecisionEvent::EndpointsUnreached, "endpoints_unreached" },
+  { DecisionEvent::EndpointsReached, "endpoints_reached" },
   { DecisionEvent::PromptCrashReported, "prompt_crash_reported" },
   { DecisionEvent::PromptPartQuarantined, "prompt_part_quarantined" },
   { DecisionEvent::PromptPartCleared, "prompt_part_cleared" },
@@ -75,6 +82,7 @@
   { DecisionEvent::OrderAnswered, "order_answered" },
   { DecisionEvent::RequestRefused, "request_refused" },
   { DecisionEvent::RequestSentAgain, "request_sent_again" },
+  { DecisionEvent::RequestPassedOn, "request_passed_on" },
   { DecisionEvent::StreamResumed, "stream_resumed" },
   { DecisionEvent::StreamRerouted, "stream_rerouted" },
   { DecisionEvent::StreamStays, "stream_stays" },
