Tests: Show that a VM without endpoints serves nobody and has sound engines rebuilt

A gateway whose links to the endpoints refuse, hang, or refuse new connections only, beside one that reaches them; and the leader's orders for an engine that answers it.

--- a/Tests/Forwarding/ForwardFixture.cxx
+++ b/Tests/Forwarding/ForwardFixture.cxx
@@ -50,6 +50,7 @@
 {
   m_secondGateway.reset();
   m_gateway.reset();
+  m_links.clear();
   m_endpoints.clear();
 }
 
@@ -159,13 +160,42 @@
 ForwardFixture::Start()
 {
   m_gateway = std::make_unique<ForwardGateway>(
-    m_context, m_options, m_dialect, m_codec, m_control, m_log, m_metrics);
+    m_context, m_options, m_dialect, m_codec, m_rewired, m_log, m_metrics);
   std::string reason;
   if (!m_gateway->Start(reason)) {
     std::abort();
   }
 }
 
+void
+ForwardFixture::LinkFirstGateway()
+{
+  for (const StubEndpoint& endpoint : m_endpoints) {
+    const EndpointLink& link =
+      m_links.emplace_back(m_context, endpoint.Port());
+    m_rewired.Rewire(endpoint.Port(), link.Port());
+  }
+}
+
+void
+ForwardFixture::SetLinks(LinkState aState)
+{
+  for (EndpointLink& link : m_links) {
+    link.Set(aState);
+  }
+}
+
+EndpointLink&
+ForwardFixture::LinkOf(const StubEndpoint& aEndpoint)
+{
+  for (std::size_t i = 0; i < m_links.size(); ++i) {
+    if (&m_endpoints[i] == &aEndpoint) {
+      return m_links[i];
+    }
+  }
+  std::abort();
+}
+
 std::uint16_t
 ForwardFixture::StartSecondGateway()
 {
--- a/Tests/Forwarding/ForwardFixture.h
+++ b/Tests/Forwarding/ForwardFixture.h
@@ -12,11 +12,13 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include "ConfigDocument.h"
+#include "Forwarding/EndpointLink.h"
 #include "Forwarding/ForwardGateway.h"
 #include "Forwarding/StubEndpoint.h"
 #include "PlatformDialect.h"
 #include "Support/FakeControl.h"
 #include "Support/MemorySink.h"
+#include "Support/RewiredControl.h"
 
 namespace parsleycove {
 
@@ -42,6 +44,12 @@
   void AnnounceAgain(const StubEndpoint& aEndpoint);
   std::string IdOf(const StubEndpoint& aEndpoint) const;
   void Start();
+  // Leads the first gateway's way to every endpoint over a link that can be cut.
+  // Called before Start(), after the endpoints were added.
+  void LinkFirstGateway();
+  void SetLinks(LinkState aState);
+  // Returns the link of the first gateway to the endpoint.
+  EndpointLink& LinkOf(const StubEndpoint& aEndpoint);
   // Starts a gateway of another VM on the same replicated state. Returns its
   // port.
   std::uint16_t StartSecondGateway();
@@ -83,6 +91,8 @@
 
   boost::asio::io_context m_context;
   FakeControl m_control;
+  // The control group as the first gateway sees it.
+  RewiredControl m_rewired{ m_control };
   MemorySink m_sink;
   DecisionLog m_log{ "vm-1", m_sink };
   MetricRegistry m_metrics;
@@ -98,6 +108,8 @@
   const platform::PlatformDialect m_dialect{};
   const platform::ConfigDocument m_codec{};
   std::deque<StubEndpoint> m_endpoints;
+  // In the order of m_endpoints; empty unless LinkFirstGateway() was called.
+  std::deque<EndpointLink> m_links;
 };
 
 // Returns a request as a caller sends it.
--- a/Tests/Placement/PlacementTrackerTest.cxx
+++ b/Tests/Placement/PlacementTrackerTest.cxx
@@ -117,6 +117,23 @@
   CHECK_FALSE(m_tracker.CollectDueOrders(At(2.5), m_model, engines).empty());
 }
 
+// Guards against rebuilding sound engines: VMs that lost their links to all
+// engines report them without end, and the engines answer the leader.
+TEST(PlacementTracker, AnEngineThatAnswersTheLeaderKeepsItsLayers)
+{
+  CollectDueOrders(0);
+  ReportAsHeld(CollectDueOrders(1));
+  const auto engines = MakeEnginesWithSuspect("b-small-2");
+  for (double second = 2; second < 14; second += 0.2) {
+    CHECK_EQUAL(
+      0U, m_tracker.CollectDueOrders(At(second), m_model, engines).size());
+    for (const RunnerPtr& engine :
+         m_tracker.CollectEnginesToProbe(At(second), engines)) {
+      m_tracker.RecordProbeResult(*engine, EngineProbeResult::Answered);
+    }
+  }
+}
+
 // Guards against replacing an engine over one lost probe: two probes without an
 // answer confirm a failure.
 TEST(PlacementTracker, AnEngineThatIsSilentOnceIsAskedAgain)
