Placement: Leave an engine its layers while it answers the leader

Callers of all VMs had late streams while six of nine VMs were cut off from the endpoints: the leader ordered other engines to hold the layers of sound ones. The log shows the cause: for each suspected engine the leader writes "it answers the leader" ten to twenty times a second, and 1.6 s after the first report it gives its layers away all the same, since the reports come again faster than the engine's own announcements. Class: what a VM sees of an endpoint is taken for the endpoint's state.

Now an engine whose last probe by the leader was answered is not presumed failed. An engine that does not answer the leader, or that the leader has not asked, is treated as before. An answering engine is asked every 0.6 s instead of every 0.15 s.

--- a/Source/Placement/PlacementTracker.cxx
+++ b/Source/Placement/PlacementTracker.cxx
@@ -65,6 +65,9 @@
 PlacementTracker::IsPresumedFailed(TimePoint aNow,
                                    const Suspicion& aSuspicion) const
 {
+  if (aSuspicion.m_isAnswering) {
+    return false;
+  }
   const Duration age = aNow - aSuspicion.m_suspectedAt;
   const bool isConfirmed =
     aSuspicion.m_isUnreachable ||
@@ -84,7 +87,9 @@
       suspicion != nullptr && !suspicion->m_isProbePending &&
       !suspicion->m_isUnreachable &&
       suspicion->m_unansweredProbes < m_settings.m_unansweredProbeLimit &&
-      aNow - suspicion->m_probedAt >= m_settings.m_probeInterval;
+      aNow - suspicion->m_probedAt >= (suspicion->m_isAnswering
+                                         ? m_settings.m_answeredProbeInterval
+                                         : m_settings.m_probeInterval);
     if (needsProbe) {
       suspicion->m_isProbePending = true;
       suspicion->m_probedAt = aNow;
@@ -106,6 +111,7 @@
   Suspicion& suspicion = found->second;
   suspicion.m_isProbePending = false;
   suspicion.m_isUnreachable = aResult == EngineProbeResult::Unreachable;
+  suspicion.m_isAnswering = aResult == EngineProbeResult::Answered;
   suspicion.m_unansweredProbes = aResult == EngineProbeResult::Answered
                                    ? 0
                                    : suspicion.m_unansweredProbes + 1;
--- a/Source/Placement/PlacementTracker.h
+++ b/Source/Placement/PlacementTracker.h
@@ -48,6 +48,8 @@
   int m_unansweredProbeLimit = 2;
   // Time from one probe of an engine to the next.
   Duration m_probeInterval = std::chrono::milliseconds(150);
+  // The same after an answer.
+  Duration m_answeredProbeInterval = std::chrono::milliseconds(600);
   // Layer borders between the remaining engines move only once an engine has
   // been suspected for this time, because most crashes last 3 to 5 s.
   Duration m_repartitionDelay = std::chrono::milliseconds(5500);
@@ -113,6 +115,9 @@
     // Successive probes of the leader without an answer.
     int m_unansweredProbes = 0;
     bool m_isUnreachable = false;
+    // The leader's last probe was answered: what the gateways miss are their
+    // own links to the engine.
+    bool m_isAnswering = false;
   };
 
   // Adds, restarts or removes the suspicion against aEngine. Returns nullptr if
