Forwarding: Check an engine that another VM reports instead of avoiding it

VMs that reached every engine logged "another VM found that the engine failed" 83 times in 9 s of the incident and left sound engines for 1.5 s each time: an engine without streams of this VM was avoided on the word of another VM if it had not answered for 0.4 s.

Now such an engine is probed, once while the report stands. An engine with streams of this VM is judged by these streams, as before.

The price is one probe for each VM and failed engine that it has no streams through.

--- a/Source/Forwarding/EngineFailureDetector.cxx
+++ b/Source/Forwarding/EngineFailureDetector.cxx
@@ -194,8 +194,7 @@
     if (!runner->m_isSuspected || !isUsable) {
       continue;
     }
-    switch (EvaluateFailureReport(CollectEvidence(aNow, *runner),
-                                  m_settings.m_recentAnswerWindow)) {
+    switch (EvaluateFailureReport(CollectEvidence(aNow, *runner))) {
       case FailureReportDecision::Accept:
         AcceptReport(aNow, runner);
         break;
--- a/Source/Forwarding/EngineFailureDetector.h
+++ b/Source/Forwarding/EngineFailureDetector.h
@@ -50,9 +50,6 @@
   // is probed again; doubles with each failure up to m_maxCircuitOpenTime.
   Duration m_minCircuitOpenTime = std::chrono::milliseconds(500);
   Duration m_maxCircuitOpenTime = std::chrono::seconds(4);
-  // A failure report from another gateway about an engine without streams is
-  // not accepted if the engine has answered within this time.
-  Duration m_recentAnswerWindow = std::chrono::milliseconds(400);
   // How long an accepted failure report keeps the circuit open; a live engine
   // announces itself within 1.2 s.
   Duration m_reportValidity = std::chrono::milliseconds(1500);
--- a/Source/Forwarding/FailureReportDecision.cxx
+++ b/Source/Forwarding/FailureReportDecision.cxx
@@ -4,15 +4,14 @@
 namespace parsleycove {
 
 FailureReportDecision
-EvaluateFailureReport(const LocalEvidence& aEvidence, Duration aRecentWindow)
+EvaluateFailureReport(const LocalEvidence& aEvidence)
 {
   if (aEvidence.m_hasStreams) {
     return aEvidence.m_silentFor > aEvidence.m_stallThreshold
              ? FailureReportDecision::Accept
              : FailureReportDecision::Ignore;
   }
-  return aEvidence.m_silentFor >= aRecentWindow ? FailureReportDecision::Accept
-                                                : FailureReportDecision::Probe;
+  return FailureReportDecision::Probe;
 }
 
 } // namespace parsleycove
--- a/Source/Forwarding/FailureReportDecision.h
+++ b/Source/Forwarding/FailureReportDecision.h
@@ -32,8 +32,9 @@
   Duration m_stallThreshold{};
 };
 
-// An engine without streams that has answered within aRecentWindow is probed.
+// An engine without streams is probed: nothing that this VM has seen speaks
+// against the engine.
 FailureReportDecision
-EvaluateFailureReport(const LocalEvidence& aEvidence, Duration aRecentWindow);
+EvaluateFailureReport(const LocalEvidence& aEvidence);
 
 } // namespace parsleycove
