State: List the VMs that take callers, with the services they do not reach

A VM without links to the endpoints has to know which other VMs have them. Nothing reads the list yet.

--- a/Source/Gateway/ConfigHandlers.cxx
+++ b/Source/Gateway/ConfigHandlers.cxx
@@ -133,7 +133,8 @@
     { "endpoints", PrintAll(image.endpoints, PrintEndpoint) },
     { "orders", PrintAll(image.orders, PrintOrder) },
     { "prompt_parts", PrintAll(image.prompt_parts, PrintPromptPart) },
-    { "endpoint_limits", PrintAll(image.endpoint_limits, PrintEndpointLimit) }
+    { "endpoint_limits", PrintAll(image.endpoint_limits, PrintEndpointLimit) },
+    { "gateways", PrintAll(image.gateways, PrintGateway) }
   };
   const state::SettingsT none;
   const state::SettingsT& settings = image.settings ? *image.settings : none;
--- a/Source/State/CommandTime.cxx
+++ b/Source/State/CommandTime.cxx
@@ -35,6 +35,8 @@
       return &aBody.AsTryPromptPart()->unix_ms;
     case state::CommandBody::ClaimEndpointLimits:
       return &aBody.AsClaimEndpointLimits()->unix_ms;
+    case state::CommandBody::AnnounceGateway:
+      return &aBody.AsAnnounceGateway()->unix_ms;
     default:
       return nullptr;
   }
--- a/Source/State/ConfigJson.h
+++ b/Source/State/ConfigJson.h
@@ -39,6 +39,8 @@
 std::string
 PrintEndpointLimit(const state::EndpointLimitT& aLimit);
 std::string
+PrintGateway(const state::EntryGatewayT& aGateway);
+std::string
 PrintSettings(const state::SettingsT& aSettings);
 
 } // namespace parsleycove
--- a/Source/State/ConfigPrint.cxx
+++ b/Source/State/ConfigPrint.cxx
@@ -238,6 +238,21 @@
   return json::serialize(object);
 }
 
+std::string
+PrintGateway(const state::EntryGatewayT& aGateway)
+{
+  json::array unreached;
+  for (const std::string& service : aGateway.unreached) {
+    unreached.push_back(ToJson(service));
+  }
+  const json::object object{
+    { "vm", ToJson(aGateway.vm) },           { "zone", ToJson(aGateway.zone) },
+    { "address", ToJson(aGateway.address) }, { "port", aGateway.port },
+    { "unreached", std::move(unreached) },   { "unix_ms", aGateway.unix_ms }
+  };
+  return json::serialize(object);
+}
+
 std::string
 PrintSettings(const state::SettingsT& aSettings)
 {
--- a/Source/State/ConfigState.cxx
+++ b/Source/State/ConfigState.cxx
@@ -8,6 +8,7 @@
 #include "State/ChangeValidator.h"
 #include "State/EndpointLimitTable.h"
 #include "State/EndpointRegistry.h"
+#include "State/EntryGatewayTable.h"
 #include "State/NamedEntities.h"
 #include "State/OrderBook.h"
 #include "State/PromptPartTable.h"
@@ -48,6 +49,7 @@
     case state::CommandBody::ClearPromptParts:
     case state::CommandBody::TryPromptPart:
     case state::CommandBody::ClaimEndpointLimits:
+    case state::CommandBody::AnnounceGateway:
       return aCommand.body.value != nullptr;
     default:
       return false;
@@ -73,6 +75,7 @@
   SortEntities(m_image.orders);
   SortEntities(m_image.prompt_parts);
   SortEntities(m_image.endpoint_limits);
+  SortEntities(m_image.gateways);
   for (const auto& account : m_image.accounts) {
     m_accountOfKey.emplace(account->key_hash, account->name);
   }
@@ -131,6 +134,9 @@
       ApplyClaimEndpointLimits(
         m_image, *aCommand.body.AsClaimEndpointLimits(), result);
       break;
+    case state::CommandBody::AnnounceGateway:
+      ApplyAnnounceGateway(m_image, *aCommand.body.AsAnnounceGateway(), result);
+      break;
     case state::CommandBody::PutDocument:
       PutDocument(*aCommand.body.AsPutDocument(), result);
       break;
--- a/Source/State/NamedEntities.h
+++ b/Source/State/NamedEntities.h
@@ -52,6 +52,12 @@
   return aEntity.gateway;
 }
 
+inline const std::string&
+NameOfEntity(const state::EntryGatewayT& aEntity)
+{
+  return aEntity.vm;
+}
+
 // Returns the position of the name, or the one at which it belongs.
 template<typename List>
 auto
--- a/Source/State/ReplicatedState.cxx
+++ b/Source/State/ReplicatedState.cxx
@@ -141,6 +141,7 @@
     case state::CommandBody::ClearPromptParts:
     case state::CommandBody::TryPromptPart:
     case state::CommandBody::ClaimEndpointLimits:
+    case state::CommandBody::AnnounceGateway:
       return m_config.Apply(aIndex, aCommand, m_lastUnixMs);
     default:
       break;
--- a/Source/State/StateImage.cxx
+++ b/Source/State/StateImage.cxx
@@ -27,7 +27,8 @@
     IsSortedAndUnique(aConfig.models) && IsSortedAndUnique(aConfig.services) &&
     IsSortedAndUnique(aConfig.endpoints) && IsSortedAndUnique(aConfig.orders) &&
     IsSortedAndUnique(aConfig.prompt_parts) && HasSoundPromptParts(aConfig) &&
-    IsSortedAndUnique(aConfig.endpoint_limits) && HasSoundLimits(aConfig);
+    IsSortedAndUnique(aConfig.endpoint_limits) &&
+    IsSortedAndUnique(aConfig.gateways) && HasSoundLimits(aConfig);
   return sorted && std::all_of(aConfig.orders.begin(),
                                aConfig.orders.end(),
                                [](const auto& aOrder) {
--- a/Source/Wire/Generated/StateGenerated.h
+++ b/Source/Wire/Generated/StateGenerated.h
@@ -56,6 +56,10 @@
 struct EndpointLimitBuilder;
 struct EndpointLimitT;
 
+struct EntryGateway;
+struct EntryGatewayBuilder;
+struct EntryGatewayT;
+
 struct Settings;
 struct SettingsBuilder;
 struct SettingsT;
@@ -112,6 +116,10 @@
 struct ClaimEndpointLimitsBuilder;
 struct ClaimEndpointLimitsT;
 
+struct AnnounceGateway;
+struct AnnounceGatewayBuilder;
+struct AnnounceGatewayT;
+
 struct StoredAnswer;
 struct StoredAnswerBuilder;
 struct StoredAnswerT;
@@ -373,11 +381,12 @@
   ClearPromptParts = 17,
   TryPromptPart = 18,
   ClaimEndpointLimits = 19,
+  AnnounceGateway = 20,
   MIN = NONE,
-  MAX = ClaimEndpointLimits
+  MAX = AnnounceGateway
 };
 
-inline const CommandBody (&EnumValuesCommandBody())[20] {
+inline const CommandBody (&EnumValuesCommandBody())[21] {
   static const CommandBody values[] = {
     CommandBody::NONE,
     CommandBody::ApplyChange,
@@ -398,13 +407,14 @@
     CommandBody::ReportPromptCrash,
     CommandBody::ClearPromptParts,
     CommandBody::TryPromptPart,
-    CommandBody::ClaimEndpointLimits
+    CommandBody::ClaimEndpointLimits,
+    CommandBody::AnnounceGateway
   };
   return values;
 }
 
 inline const char * const *EnumNamesCommandBody() {
-  static const char * const names[21] = {
+  static const char * const names[22] = {
     "NONE",
     "ApplyChange",
     "AnnounceEndpoint",
@@ -425,13 +435,14 @@
     "ClearPromptParts",
     "TryPromptPart",
     "ClaimEndpointLimits",
+    "AnnounceGateway",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameCommandBody(CommandBody e) {
-  if (flatbuffers::IsOutRange(e, CommandBody::NONE, CommandBody::ClaimEndpointLimits)) return "";
+  if (flatbuffers::IsOutRange(e, CommandBody::NONE, CommandBody::AnnounceGateway)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesCommandBody()[index];
 }
@@ -516,6 +527,10 @@
   static const CommandBody enum_value = CommandBody::ClaimEndpointLimits;
 };
 
+template<> struct CommandBodyTraits<parsleycove::state::AnnounceGateway> {
+  static const CommandBody enum_value = CommandBody::AnnounceGateway;
+};
+
 template<typename T> struct CommandBodyUnionTraits {
   static const CommandBody enum_value = CommandBody::NONE;
 };
@@ -596,6 +611,10 @@
   static const CommandBody enum_value = CommandBody::ClaimEndpointLimits;
 };
 
+template<> struct CommandBodyUnionTraits<parsleycove::state::AnnounceGatewayT> {
+  static const CommandBody enum_value = CommandBody::AnnounceGateway;
+};
+
 struct CommandBodyUnion {
   CommandBody type;
   void *value;
@@ -778,6 +797,14 @@
     return type == CommandBody::ClaimEndpointLimits ?
       reinterpret_cast<const parsleycove::state::ClaimEndpointLimitsT *>(value) : nullptr;
   }
+  parsleycove::state::AnnounceGatewayT *AsAnnounceGateway() {
+    return type == CommandBody::AnnounceGateway ?
+      reinterpret_cast<parsleycove::state::AnnounceGatewayT *>(value) : nullptr;
+  }
+  const parsleycove::state::AnnounceGatewayT *AsAnnounceGateway() const {
+    return type == CommandBody::AnnounceGateway ?
+      reinterpret_cast<const parsleycove::state::AnnounceGatewayT *>(value) : nullptr;
+  }
 };
 
 bool VerifyCommandBody(flatbuffers::Verifier &verifier, const void *obj, CommandBody type);
@@ -2090,6 +2117,146 @@
 
 flatbuffers::Offset<EndpointLimit> CreateEndpointLimit(flatbuffers::FlatBufferBuilder &_fbb, const EndpointLimitT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct EntryGatewayT : public flatbuffers::NativeTable {
+  typedef EntryGateway TableType;
+  std::string vm{};
+  std::string zone{};
+  std::string address{};
+  uint16_t port = 0;
+  std::vector<std::string> unreached{};
+  uint64_t unix_ms = 0;
+};
+
+struct EntryGateway FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef EntryGatewayT NativeTableType;
+  typedef EntryGatewayBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_VM = 4,
+    VT_ZONE = 6,
+    VT_ADDRESS = 8,
+    VT_PORT = 10,
+    VT_UNREACHED = 12,
+    VT_UNIX_MS = 14
+  };
+  const flatbuffers::String *vm() const {
+    return GetPointer<const flatbuffers::String *>(VT_VM);
+  }
+  const flatbuffers::String *zone() const {
+    return GetPointer<const flatbuffers::String *>(VT_ZONE);
+  }
+  const flatbuffers::String *address() const {
+    return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
+  }
+  uint16_t port() const {
+    return GetField<uint16_t>(VT_PORT, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *unreached() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_UNREACHED);
+  }
+  uint64_t unix_ms() const {
+    return GetField<uint64_t>(VT_UNIX_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_VM) &&
+           verifier.VerifyString(vm()) &&
+           VerifyOffset(verifier, VT_ZONE) &&
+           verifier.VerifyString(zone()) &&
+           VerifyOffset(verifier, VT_ADDRESS) &&
+           verifier.VerifyString(address()) &&
+           VerifyField<uint16_t>(verifier, VT_PORT, 2) &&
+           VerifyOffset(verifier, VT_UNREACHED) &&
+           verifier.VerifyVector(unreached()) &&
+           verifier.VerifyVectorOfStrings(unreached()) &&
+           VerifyField<uint64_t>(verifier, VT_UNIX_MS, 8) &&
+           verifier.EndTable();
+  }
+  EntryGatewayT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(EntryGatewayT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<EntryGateway> Pack(flatbuffers::FlatBufferBuilder &_fbb, const EntryGatewayT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct EntryGatewayBuilder {
+  typedef EntryGateway Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_vm(flatbuffers::Offset<flatbuffers::String> vm) {
+    fbb_.AddOffset(EntryGateway::VT_VM, vm);
+  }
+  void add_zone(flatbuffers::Offset<flatbuffers::String> zone) {
+    fbb_.AddOffset(EntryGateway::VT_ZONE, zone);
+  }
+  void add_address(flatbuffers::Offset<flatbuffers::String> address) {
+    fbb_.AddOffset(EntryGateway::VT_ADDRESS, address);
+  }
+  void add_port(uint16_t port) {
+    fbb_.AddElement<uint16_t>(EntryGateway::VT_PORT, port, 0);
+  }
+  void add_unreached(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> unreached) {
+    fbb_.AddOffset(EntryGateway::VT_UNREACHED, unreached);
+  }
+  void add_unix_ms(uint64_t unix_ms) {
+    fbb_.AddElement<uint64_t>(EntryGateway::VT_UNIX_MS, unix_ms, 0);
+  }
+  explicit EntryGatewayBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<EntryGateway> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<EntryGateway>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<EntryGateway> CreateEntryGateway(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> vm = 0,
+    flatbuffers::Offset<flatbuffers::String> zone = 0,
+    flatbuffers::Offset<flatbuffers::String> address = 0,
+    uint16_t port = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> unreached = 0,
+    uint64_t unix_ms = 0) {
+  EntryGatewayBuilder builder_(_fbb);
+  builder_.add_unix_ms(unix_ms);
+  builder_.add_unreached(unreached);
+  builder_.add_address(address);
+  builder_.add_zone(zone);
+  builder_.add_vm(vm);
+  builder_.add_port(port);
+  return builder_.Finish();
+}
+
+struct EntryGateway::Traits {
+  using type = EntryGateway;
+  static auto constexpr Create = CreateEntryGateway;
+};
+
+inline flatbuffers::Offset<EntryGateway> CreateEntryGatewayDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *vm = nullptr,
+    const char *zone = nullptr,
+    const char *address = nullptr,
+    uint16_t port = 0,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *unreached = nullptr,
+    uint64_t unix_ms = 0) {
+  auto vm__ = vm ? _fbb.CreateString(vm) : 0;
+  auto zone__ = zone ? _fbb.CreateString(zone) : 0;
+  auto address__ = address ? _fbb.CreateString(address) : 0;
+  auto unreached__ = unreached ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*unreached) : 0;
+  return parsleycove::state::CreateEntryGateway(
+      _fbb,
+      vm__,
+      zone__,
+      address__,
+      port,
+      unreached__,
+      unix_ms);
+}
+
+flatbuffers::Offset<EntryGateway> CreateEntryGateway(flatbuffers::FlatBufferBuilder &_fbb, const EntryGatewayT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct SettingsT : public flatbuffers::NativeTable {
   typedef Settings TableType;
   uint64_t shutdown_unix_ms = 0;
@@ -3399,6 +3566,91 @@
 
 flatbuffers::Offset<ClaimEndpointLimits> CreateClaimEndpointLimits(flatbuffers::FlatBufferBuilder &_fbb, const ClaimEndpointLimitsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct AnnounceGatewayT : public flatbuffers::NativeTable {
+  typedef AnnounceGateway TableType;
+  std::unique_ptr<parsleycove::state::EntryGatewayT> gateway{};
+  bool leaving = false;
+  uint64_t unix_ms = 0;
+  AnnounceGatewayT() = default;
+  AnnounceGatewayT(const AnnounceGatewayT &o);
+  AnnounceGatewayT(AnnounceGatewayT&&) FLATBUFFERS_NOEXCEPT = default;
+  AnnounceGatewayT &operator=(AnnounceGatewayT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct AnnounceGateway FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef AnnounceGatewayT NativeTableType;
+  typedef AnnounceGatewayBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_GATEWAY = 4,
+    VT_LEAVING = 6,
+    VT_UNIX_MS = 8
+  };
+  const parsleycove::state::EntryGateway *gateway() const {
+    return GetPointer<const parsleycove::state::EntryGateway *>(VT_GATEWAY);
+  }
+  bool leaving() const {
+    return GetField<uint8_t>(VT_LEAVING, 0) != 0;
+  }
+  uint64_t unix_ms() const {
+    return GetField<uint64_t>(VT_UNIX_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_GATEWAY) &&
+           verifier.VerifyTable(gateway()) &&
+           VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
+           VerifyField<uint64_t>(verifier, VT_UNIX_MS, 8) &&
+           verifier.EndTable();
+  }
+  AnnounceGatewayT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(AnnounceGatewayT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<AnnounceGateway> Pack(flatbuffers::FlatBufferBuilder &_fbb, const AnnounceGatewayT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct AnnounceGatewayBuilder {
+  typedef AnnounceGateway Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_gateway(flatbuffers::Offset<parsleycove::state::EntryGateway> gateway) {
+    fbb_.AddOffset(AnnounceGateway::VT_GATEWAY, gateway);
+  }
+  void add_leaving(bool leaving) {
+    fbb_.AddElement<uint8_t>(AnnounceGateway::VT_LEAVING, static_cast<uint8_t>(leaving), 0);
+  }
+  void add_unix_ms(uint64_t unix_ms) {
+    fbb_.AddElement<uint64_t>(AnnounceGateway::VT_UNIX_MS, unix_ms, 0);
+  }
+  explicit AnnounceGatewayBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<AnnounceGateway> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<AnnounceGateway>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<AnnounceGateway> CreateAnnounceGateway(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<parsleycove::state::EntryGateway> gateway = 0,
+    bool leaving = false,
+    uint64_t unix_ms = 0) {
+  AnnounceGatewayBuilder builder_(_fbb);
+  builder_.add_unix_ms(unix_ms);
+  builder_.add_gateway(gateway);
+  builder_.add_leaving(leaving);
+  return builder_.Finish();
+}
+
+struct AnnounceGateway::Traits {
+  using type = AnnounceGateway;
+  static auto constexpr Create = CreateAnnounceGateway;
+};
+
+flatbuffers::Offset<AnnounceGateway> CreateAnnounceGateway(flatbuffers::FlatBufferBuilder &_fbb, const AnnounceGatewayT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct StoredAnswerT : public flatbuffers::NativeTable {
   typedef StoredAnswer TableType;
   uint16_t status = 0;
@@ -4904,6 +5156,9 @@
   const parsleycove::state::ClaimEndpointLimits *body_as_ClaimEndpointLimits() const {
     return body_type() == parsleycove::state::CommandBody::ClaimEndpointLimits ? static_cast<const parsleycove::state::ClaimEndpointLimits *>(body()) : nullptr;
   }
+  const parsleycove::state::AnnounceGateway *body_as_AnnounceGateway() const {
+    return body_type() == parsleycove::state::CommandBody::AnnounceGateway ? static_cast<const parsleycove::state::AnnounceGateway *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -4992,6 +5247,10 @@
   return body_as_ClaimEndpointLimits();
 }
 
+template<> inline const parsleycove::state::AnnounceGateway *Command::body_as<parsleycove::state::AnnounceGateway>() const {
+  return body_as_AnnounceGateway();
+}
+
 struct CommandBuilder {
   typedef Command Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -5223,6 +5482,7 @@
   std::unique_ptr<parsleycove::state::RoutingDocumentT> document{};
   std::vector<std::unique_ptr<parsleycove::state::PromptPartT>> prompt_parts{};
   std::vector<std::unique_ptr<parsleycove::state::EndpointLimitT>> endpoint_limits{};
+  std::vector<std::unique_ptr<parsleycove::state::EntryGatewayT>> gateways{};
   ConfigImageT() = default;
   ConfigImageT(const ConfigImageT &o);
   ConfigImageT(ConfigImageT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -5245,7 +5505,8 @@
     VT_SETTINGS = 20,
     VT_DOCUMENT = 22,
     VT_PROMPT_PARTS = 24,
-    VT_ENDPOINT_LIMITS = 26
+    VT_ENDPOINT_LIMITS = 26,
+    VT_GATEWAYS = 28
   };
   uint64_t revision() const {
     return GetField<uint64_t>(VT_REVISION, 0);
@@ -5283,6 +5544,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<parsleycove::state::EndpointLimit>> *endpoint_limits() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<parsleycove::state::EndpointLimit>> *>(VT_ENDPOINT_LIMITS);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<parsleycove::state::EntryGateway>> *gateways() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<parsleycove::state::EntryGateway>> *>(VT_GATEWAYS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
@@ -5315,6 +5579,9 @@
            VerifyOffset(verifier, VT_ENDPOINT_LIMITS) &&
            verifier.VerifyVector(endpoint_limits()) &&
            verifier.VerifyVectorOfTables(endpoint_limits()) &&
+           VerifyOffset(verifier, VT_GATEWAYS) &&
+           verifier.VerifyVector(gateways()) &&
+           verifier.VerifyVectorOfTables(gateways()) &&
            verifier.EndTable();
   }
   ConfigImageT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -5362,6 +5629,9 @@
   void add_endpoint_limits(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<parsleycove::state::EndpointLimit>>> endpoint_limits) {
     fbb_.AddOffset(ConfigImage::VT_ENDPOINT_LIMITS, endpoint_limits);
   }
+  void add_gateways(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<parsleycove::state::EntryGateway>>> gateways) {
+    fbb_.AddOffset(ConfigImage::VT_GATEWAYS, gateways);
+  }
   explicit ConfigImageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -5386,10 +5656,12 @@
     flatbuffers::Offset<parsleycove::state::Settings> settings = 0,
     flatbuffers::Offset<parsleycove::state::RoutingDocument> document = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<parsleycove::state::PromptPart>>> prompt_parts = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<parsleycove::state::EndpointLimit>>> endpoint_limits = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<parsleycove::state::EndpointLimit>>> endpoint_limits = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<parsleycove::state::EntryGateway>>> gateways = 0) {
   ConfigImageBuilder builder_(_fbb);
   builder_.add_index(index);
   builder_.add_revision(revision);
+  builder_.add_gateways(gateways);
   builder_.add_endpoint_limits(endpoint_limits);
   builder_.add_prompt_parts(prompt_parts);
   builder_.add_document(document);
@@ -5421,7 +5693,8 @@
     flatbuffers::Offset<parsleycove::state::Settings> settings = 0,
     flatbuffers::Offset<parsleycove::state::RoutingDocument> document = 0,
     const std::vector<flatbuffers::Offset<parsleycove::state::PromptPart>> *prompt_parts = nullptr,
-    const std::vector<flatbuffers::Offset<parsleycove::state::EndpointLimit>> *endpoint_limits = nullptr) {
+    const std::vector<flatbuffers::Offset<parsleycove::state::EndpointLimit>> *endpoint_limits = nullptr,
+    const std::vector<flatbuffers::Offset<parsleycove::state::EntryGateway>> *gateways = nullptr) {
   auto classes__ = classes ? _fbb.CreateVector<flatbuffers::Offset<parsleycove::state::WorkClass>>(*classes) : 0;
   auto accounts__ = accounts ? _fbb.CreateVector<flatbuffers::Offset<parsleycove::state::ClientAccount>>(*accounts) : 0;
   auto models__ = models ? _fbb.CreateVector<flatbuffers::Offset<parsleycove::state::Model>>(*models) : 0;
@@ -5430,6 +5703,7 @@
   auto orders__ = orders ? _fbb.CreateVector<flatbuffers::Offset<parsleycove::state::EngineOrder>>(*orders) : 0;
   auto prompt_parts__ = prompt_parts ? _fbb.CreateVector<flatbuffers::Offset<parsleycove::state::PromptPart>>(*prompt_parts) : 0;
   auto endpoint_limits__ = endpoint_limits ? _fbb.CreateVector<flatbuffers::Offset<parsleycove::state::EndpointLimit>>(*endpoint_limits) : 0;
+  auto gateways__ = gateways ? _fbb.CreateVector<flatbuffers::Offset<parsleycove::state::EntryGateway>>(*gateways) : 0;
   return parsleycove::state::CreateConfigImage(
       _fbb,
       revision,
@@ -5443,7 +5717,8 @@
       settings,
       document,
       prompt_parts__,
-      endpoint_limits__);
+      endpoint_limits__,
+      gateways__);
 }
 
 flatbuffers::Offset<ConfigImage> CreateConfigImage(flatbuffers::FlatBufferBuilder &_fbb, const ConfigImageT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6335,6 +6610,47 @@
       _shares);
 }
 
+inline EntryGatewayT *EntryGateway::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<EntryGatewayT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void EntryGateway::UnPackTo(EntryGatewayT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = vm(); if (_e) _o->vm = _e->str(); }
+  { auto _e = zone(); if (_e) _o->zone = _e->str(); }
+  { auto _e = address(); if (_e) _o->address = _e->str(); }
+  { auto _e = port(); _o->port = _e; }
+  { auto _e = unreached(); if (_e) { _o->unreached.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->unreached[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = unix_ms(); _o->unix_ms = _e; }
+}
+
+inline flatbuffers::Offset<EntryGateway> EntryGateway::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EntryGatewayT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateEntryGateway(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<EntryGateway> CreateEntryGateway(flatbuffers::FlatBufferBuilder &_fbb, const EntryGatewayT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EntryGatewayT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _vm = _o->vm.empty() ? 0 : _fbb.CreateString(_o->vm);
+  auto _zone = _o->zone.empty() ? 0 : _fbb.CreateString(_o->zone);
+  auto _address = _o->address.empty() ? 0 : _fbb.CreateString(_o->address);
+  auto _port = _o->port;
+  auto _unreached = _o->unreached.size() ? _fbb.CreateVectorOfStrings(_o->unreached) : 0;
+  auto _unix_ms = _o->unix_ms;
+  return parsleycove::state::CreateEntryGateway(
+      _fbb,
+      _vm,
+      _zone,
+      _address,
+      _port,
+      _unreached,
+      _unix_ms);
+}
+
 inline SettingsT *Settings::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<SettingsT>();
   UnPackTo(_o.get(), _resolver);
@@ -6902,6 +7218,51 @@
       _unix_ms);
 }
 
+inline AnnounceGatewayT::AnnounceGatewayT(const AnnounceGatewayT &o)
+      : gateway((o.gateway) ? new parsleycove::state::EntryGatewayT(*o.gateway) : nullptr),
+        leaving(o.leaving),
+        unix_ms(o.unix_ms) {
+}
+
+inline AnnounceGatewayT &AnnounceGatewayT::operator=(AnnounceGatewayT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(gateway, o.gateway);
+  std::swap(leaving, o.leaving);
+  std::swap(unix_ms, o.unix_ms);
+  return *this;
+}
+
+inline AnnounceGatewayT *AnnounceGateway::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<AnnounceGatewayT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void AnnounceGateway::UnPackTo(AnnounceGatewayT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = gateway(); if (_e) _o->gateway = std::unique_ptr<parsleycove::state::EntryGatewayT>(_e->UnPack(_resolver)); }
+  { auto _e = leaving(); _o->leaving = _e; }
+  { auto _e = unix_ms(); _o->unix_ms = _e; }
+}
+
+inline flatbuffers::Offset<AnnounceGateway> AnnounceGateway::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AnnounceGatewayT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateAnnounceGateway(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<AnnounceGateway> CreateAnnounceGateway(flatbuffers::FlatBufferBuilder &_fbb, const AnnounceGatewayT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const AnnounceGatewayT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _gateway = _o->gateway ? CreateEntryGateway(_fbb, _o->gateway.get(), _rehasher) : 0;
+  auto _leaving = _o->leaving;
+  auto _unix_ms = _o->unix_ms;
+  return parsleycove::state::CreateAnnounceGateway(
+      _fbb,
+      _gateway,
+      _leaving,
+      _unix_ms);
+}
+
 inline StoredAnswerT *StoredAnswer::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<StoredAnswerT>();
   UnPackTo(_o.get(), _resolver);
@@ -7575,6 +7936,8 @@
   for (const auto &prompt_parts_ : o.prompt_parts) { prompt_parts.emplace_back((prompt_parts_) ? new parsleycove::state::PromptPartT(*prompt_parts_) : nullptr); }
   endpoint_limits.reserve(o.endpoint_limits.size());
   for (const auto &endpoint_limits_ : o.endpoint_limits) { endpoint_limits.emplace_back((endpoint_limits_) ? new parsleycove::state::EndpointLimitT(*endpoint_limits_) : nullptr); }
+  gateways.reserve(o.gateways.size());
+  for (const auto &gateways_ : o.gateways) { gateways.emplace_back((gateways_) ? new parsleycove::state::EntryGatewayT(*gateways_) : nullptr); }
 }
 
 inline ConfigImageT &ConfigImageT::operator=(ConfigImageT o) FLATBUFFERS_NOEXCEPT {
@@ -7590,6 +7953,7 @@
   std::swap(document, o.document);
   std::swap(prompt_parts, o.prompt_parts);
   std::swap(endpoint_limits, o.endpoint_limits);
+  std::swap(gateways, o.gateways);
   return *this;
 }
 
@@ -7614,6 +7978,7 @@
   { auto _e = document(); if (_e) _o->document = std::unique_ptr<parsleycove::state::RoutingDocumentT>(_e->UnPack(_resolver)); }
   { auto _e = prompt_parts(); if (_e) { _o->prompt_parts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->prompt_parts[_i] = std::unique_ptr<parsleycove::state::PromptPartT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = endpoint_limits(); if (_e) { _o->endpoint_limits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->endpoint_limits[_i] = std::unique_ptr<parsleycove::state::EndpointLimitT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = gateways(); if (_e) { _o->gateways.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->gateways[_i] = std::unique_ptr<parsleycove::state::EntryGatewayT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<ConfigImage> ConfigImage::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ConfigImageT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7636,6 +8001,7 @@
   auto _document = _o->document ? CreateRoutingDocument(_fbb, _o->document.get(), _rehasher) : 0;
   auto _prompt_parts = _o->prompt_parts.size() ? _fbb.CreateVector<flatbuffers::Offset<parsleycove::state::PromptPart>> (_o->prompt_parts.size(), [](size_t i, _VectorArgs *__va) { return CreatePromptPart(*__va->__fbb, __va->__o->prompt_parts[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _endpoint_limits = _o->endpoint_limits.size() ? _fbb.CreateVector<flatbuffers::Offset<parsleycove::state::EndpointLimit>> (_o->endpoint_limits.size(), [](size_t i, _VectorArgs *__va) { return CreateEndpointLimit(*__va->__fbb, __va->__o->endpoint_limits[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _gateways = _o->gateways.size() ? _fbb.CreateVector<flatbuffers::Offset<parsleycove::state::EntryGateway>> (_o->gateways.size(), [](size_t i, _VectorArgs *__va) { return CreateEntryGateway(*__va->__fbb, __va->__o->gateways[i].get(), __va->__rehasher); }, &_va ) : 0;
   return parsleycove::state::CreateConfigImage(
       _fbb,
       _revision,
@@ -7649,7 +8015,8 @@
       _settings,
       _document,
       _prompt_parts,
-      _endpoint_limits);
+      _endpoint_limits,
+      _gateways);
 }
 
 inline ChangeRecordT::ChangeRecordT(const ChangeRecordT &o)
@@ -7925,6 +8292,10 @@
       auto ptr = reinterpret_cast<const parsleycove::state::ClaimEndpointLimits *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case CommandBody::AnnounceGateway: {
+      auto ptr = reinterpret_cast<const parsleycove::state::AnnounceGateway *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -8020,6 +8391,10 @@
       auto ptr = reinterpret_cast<const parsleycove::state::ClaimEndpointLimits *>(obj);
       return ptr->UnPack(resolver);
     }
+    case CommandBody::AnnounceGateway: {
+      auto ptr = reinterpret_cast<const parsleycove::state::AnnounceGateway *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -8103,6 +8478,10 @@
       auto ptr = reinterpret_cast<const parsleycove::state::ClaimEndpointLimitsT *>(value);
       return CreateClaimEndpointLimits(_fbb, ptr, _rehasher).Union();
     }
+    case CommandBody::AnnounceGateway: {
+      auto ptr = reinterpret_cast<const parsleycove::state::AnnounceGatewayT *>(value);
+      return CreateAnnounceGateway(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -8185,6 +8564,10 @@
       value = new parsleycove::state::ClaimEndpointLimitsT(*reinterpret_cast<parsleycove::state::ClaimEndpointLimitsT *>(u.value));
       break;
     }
+    case CommandBody::AnnounceGateway: {
+      value = new parsleycove::state::AnnounceGatewayT(*reinterpret_cast<parsleycove::state::AnnounceGatewayT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -8287,6 +8670,11 @@
       delete ptr;
       break;
     }
+    case CommandBody::AnnounceGateway: {
+      auto ptr = reinterpret_cast<parsleycove::state::AnnounceGatewayT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
