Forwarding: Report an endpoint only where another one was reached since

Cause: a VM takes what it sees of an endpoint for the endpoint's state.

Reports now wait for a witness, another endpoint of the service that was reached after the failure; in a busy fleet that is the next event of any stream, in a quiet one a connection is tried. What an engine says itself, by an answer of another start or an error, needs none.

Ruled out: confirmation by a second VM, since most of a zone may be cut off.

--- a/Source/Forwarding/EndpointChecker.cxx
+++ b/Source/Forwarding/EndpointChecker.cxx
@@ -4,7 +4,7 @@
 #include <memory>
 
 #include "Forwarding/EndpointCall.h"
-#include "Forwarding/PromptPartReporter.h"
+#include "Forwarding/ReachMonitor.h"
 #include "Telemetry/LoggedSpawn.h"
 
 namespace parsleycove {
@@ -19,11 +19,11 @@
 EndpointChecker::EndpointChecker(asio::io_context& aContext,
                                  ConnectionPool& aPool,
                                  DeadlineMonitor& aDeadlines,
-                                 PromptPartReporter& aPromptParts)
+                                 ReachMonitor& aReach)
   : m_context(aContext)
   , m_pool(aPool)
   , m_deadlines(aDeadlines)
-  , m_promptParts(aPromptParts)
+  , m_reach(aReach)
 {
 }
 
@@ -49,9 +49,11 @@
   const bool isConnected = co_await call->Connect(kConnectTimeout);
   const TimePoint now = BootClock::now();
   if (isConnected) {
+    ReachMonitor::RecordReached(now, *aRunner);
     call->Abort(CallEnd::Superseded);
   } else if (!call->HasConnectTimedOut()) {
-    m_promptParts.RecordLostEngine(now, *aRunner);
+    m_reach.RecordUnreached(now, *aRunner);
+    m_reach.ReportFailure(now, aRunner, FailureEvidence::Certain);
   }
   call->Release(now);
 }
--- a/Source/Forwarding/EndpointChecker.h
+++ b/Source/Forwarding/EndpointChecker.h
@@ -16,7 +16,7 @@
 
 class ConnectionPool;
 class DeadlineMonitor;
-class PromptPartReporter;
+class ReachMonitor;
 
 // Used by one thread only.
 class EndpointChecker
@@ -25,7 +25,7 @@
   EndpointChecker(asio::io_context& aContext,
                   ConnectionPool& aPool,
                   DeadlineMonitor& aDeadlines,
-                  PromptPartReporter& aPromptParts);
+                  ReachMonitor& aReach);
 
   // Tries a new connection, unless one was tried a moment ago, and records the
   // endpoint as lost if it is refused. A missing answer shows nothing.
@@ -37,7 +37,7 @@
   asio::io_context& m_context;
   ConnectionPool& m_pool;
   DeadlineMonitor& m_deadlines;
-  PromptPartReporter& m_promptParts;
+  ReachMonitor& m_reach;
   // When a connection was last tried, by IncarnationKey(); older entries than
   // the interval between two are dropped.
   std::unordered_map<std::uint64_t, TimePoint> m_triedAt;
--- a/Source/Forwarding/EngineFailureDetector.cxx
+++ b/Source/Forwarding/EngineFailureDetector.cxx
@@ -7,6 +7,7 @@
 #include "Forwarding/LimitExchange.h"
 #include "Forwarding/NoticeRecorder.h"
 #include "Forwarding/PromptPartReporter.h"
+#include "Forwarding/ReachMonitor.h"
 #include "Telemetry/LoggedSpawn.h"
 
 namespace parsleycove {
@@ -47,7 +48,8 @@
                               DeadlineMonitor& aDeadlines,
                               NoticeRecorder& aNotices,
                               PromptPartReporter& aPromptParts,
-                              LimitExchange& aLimits)
+                              LimitExchange& aLimits,
+                              ReachMonitor& aReach)
 {
   m_routing = &aRouting;
   m_metrics = &aMetrics;
@@ -55,6 +57,7 @@
   m_notices = &aNotices;
   m_promptParts = &aPromptParts;
   m_limits = &aLimits;
+  m_reach = &aReach;
   m_rerouter.Attach(aRouting, aMetrics);
 }
 
@@ -87,6 +90,7 @@
     ProbeIfSilent(aNow, activity);
   }
   ProbeSuspected(aNow);
+  m_reach->Check(aNow);
   m_promptParts->Flush(aNow);
   m_limits->Flush(aNow);
   for (const RunnerPtr& engine : m_routing->Limits().TakeSilent(aNow)) {
@@ -160,10 +164,12 @@
       ? std::max(m_settings.m_minMoveDelay,
                  aStream->AverageArrivalGap() * m_settings.m_moveAfterGaps)
       : m_settings.m_moveAfterSend;
+  // The VM that took a stream over moves it itself as long as the VM runs.
+  const bool isPassedOn = aStream->Path()->IsPassedOn();
   if (silent >= m_settings.m_leaveFailedAfter &&
       HasFailedStage(aNow, *aStream)) {
     m_rerouter.MoveOffFailedStage(aStream);
-  } else if (silent >= moveAfter && aStream->ClaimMove()) {
+  } else if (silent >= moveAfter && !isPassedOn && aStream->ClaimMove()) {
     aStream->Suspend(CallEnd::Stalled);
   }
 }
@@ -271,14 +277,21 @@
     const Runner* listed =
       table ? table->FindRunner(health.m_runner->m_id) : nullptr;
     const bool isRemoved =
-      listed == nullptr ||
-      listed->m_incarnation != health.m_runner->m_incarnation;
+      !health.m_runner->m_isGateway &&
+      (listed == nullptr ||
+       listed->m_incarnation != health.m_runner->m_incarnation);
     if (isRemoved && !health.m_isProbing) {
       entry = m_health.erase(entry);
       continue;
     }
     const CircuitState circuit = health.m_runner->m_load->Circuit(aNow);
-    const bool isReportedFailed = !isRemoved && listed->m_isSuspected;
+    const bool isReportedFailed = listed != nullptr && listed->m_isSuspected;
+    if (health.m_runner->m_isGateway && circuit != CircuitState::Open &&
+        !health.m_isProbing) {
+      // Its next request tries it.
+      entry = m_health.erase(entry);
+      continue;
+    }
     if (health.m_isSuspectedByReport && !isReportedFailed) {
       // The engine has announced itself since the report.
       health.m_isSuspectedByReport = false;
@@ -322,15 +335,18 @@
   m_health[IncarnationKey(*aRunner)].m_runner = aRunner;
   std::optional<EngineState> state;
   if (result.m_response && result.m_response->result_int() == kOk) {
-    state = m_dialect.ParseEngineState(result.m_response->body());
+    state = aRunner->m_isGateway
+              ? EngineState{}
+              : m_dialect.ParseEngineState(result.m_response->body());
   }
   const TimePoint now = BootClock::now();
   // A restarted engine answers, but has lost the state of its streams.
   const bool hasRestarted = state && state->m_incarnation &&
                             *state->m_incarnation != aRunner->m_incarnation;
   if (hasRestarted) {
-    MarkFailed(
-      now, aRunner, FailureEvidence::Certain, "the engine has started again");
+    MarkFailed(now, aRunner, "the engine has started again");
+  } else if (state && aRunner->m_isGateway) {
+    MarkAlive(aRunner, *state);
   } else if (state) {
     m_notices->Record(
       now,
@@ -341,15 +357,15 @@
                                    result.m_response->base()));
     MarkAlive(aRunner, *state);
   } else if (result.m_response) {
-    MarkFailed(
-      now, aRunner, FailureEvidence::Certain, "unexpected answer to a probe");
+    MarkFailed(now, aRunner, "unexpected answer to a probe");
   } else if (IsConclusive(sentAt, result) &&
              aRunner->m_load->AnsweredAt() < firstSentAt) {
-    MarkFailed(now,
-               aRunner,
-               result.m_hasTimedOut ? FailureEvidence::Timeout
-                                    : FailureEvidence::Certain,
-               result.m_reason.m_text);
+    MarkUnreached(now,
+                  result.m_hasTimedOut ? sentAt : now,
+                  aRunner,
+                  result.m_hasTimedOut ? FailureEvidence::Timeout
+                                       : FailureEvidence::Certain,
+                  result.m_reason.m_text);
   }
 }
 
@@ -417,14 +433,40 @@
                                      const RunnerPtr& aRunner,
                                      std::string_view aWhy)
 {
-  MarkFailed(aNow, aRunner, FailureEvidence::Certain, aWhy);
+  MarkUnreached(aNow, aNow, aRunner, FailureEvidence::Certain, aWhy);
+}
+
+void
+EngineFailureDetector::MarkUnreached(TimePoint aNow,
+                                     TimePoint aSince,
+                                     const RunnerPtr& aRunner,
+                                     FailureEvidence aEvidence,
+                                     std::string_view aWhy)
+{
+  OpenCircuit(aNow, aRunner, aWhy);
+  if (!aRunner->m_isGateway) {
+    m_reach->RecordUnreached(aSince, *aRunner);
+    m_reach->ReportFailure(aSince, aRunner, aEvidence);
+  }
 }
 
 void
 EngineFailureDetector::MarkFailed(TimePoint aNow,
                                   const RunnerPtr& aRunner,
-                                  FailureEvidence aEvidence,
                                   std::string_view aWhy)
+{
+  ReachMonitor::RecordReached(aNow, *aRunner);
+  OpenCircuit(aNow, aRunner, aWhy);
+  if (!aRunner->m_isGateway) {
+    m_routing->ReportFailure(*aRunner, FailureEvidence::Certain);
+    m_promptParts->RecordLostEngine(aNow, *aRunner);
+  }
+}
+
+void
+EngineFailureDetector::OpenCircuit(TimePoint aNow,
+                                   const RunnerPtr& aRunner,
+                                   std::string_view aWhy)
 {
   EngineHealth& health = m_health[IncarnationKey(*aRunner)];
   health.m_runner = aRunner;
@@ -433,10 +475,6 @@
                                         m_settings.m_maxCircuitOpenTime);
   aRunner->m_load->OpenCircuitFor(aNow, health.m_circuitOpenTime);
   m_routing->InvalidatePaths();
-  m_routing->ReportFailure(*aRunner, aEvidence);
-  if (aEvidence == FailureEvidence::Certain) {
-    m_promptParts->RecordLostEngine(aNow, *aRunner);
-  }
   health.m_isSuspectedByReport = false;
   LogSuspected(*aRunner, aWhy, health.m_circuitOpenTime);
   MoveOffFailed(aNow);
--- a/Source/Forwarding/EngineFailureDetector.h
+++ b/Source/Forwarding/EngineFailureDetector.h
@@ -19,6 +19,7 @@
 namespace parsleycove {
 
 class LimitExchange;
+class ReachMonitor;
 
 struct EngineFailureDetectorSettings
 {
@@ -73,7 +74,8 @@
               DeadlineMonitor& aDeadlines,
               NoticeRecorder& aNotices,
               PromptPartReporter& aPromptParts,
-              LimitExchange& aLimits);
+              LimitExchange& aLimits,
+              ReachMonitor& aReach);
 
   // Monitors a stream until its call ends.
   void TrackStream(const EndpointCallPtr& aStream);
@@ -160,10 +162,20 @@
   std::int64_t CountAnsweringOthers(const Runner& aRunner) const;
   // Moves stalled streams with a failed stage to other paths.
   void MoveOffFailed(TimePoint aNow);
+  // Avoids an engine that an attempt begun at aSince did not reach, and reports
+  // it as failed once a witness shows that this VM's links work.
+  void MarkUnreached(TimePoint aNow,
+                     TimePoint aSince,
+                     const RunnerPtr& aRunner,
+                     FailureEvidence aEvidence,
+                     std::string_view aWhy);
+  // Avoids an engine whose own answer shows that it has failed, and reports it.
   void MarkFailed(TimePoint aNow,
                   const RunnerPtr& aRunner,
-                  FailureEvidence aEvidence,
                   std::string_view aWhy);
+  void OpenCircuit(TimePoint aNow,
+                   const RunnerPtr& aRunner,
+                   std::string_view aWhy);
 
   asio::io_context& m_context;
   const ForwardDialect& m_dialect;
@@ -175,6 +187,7 @@
   NoticeRecorder* m_notices = nullptr;
   PromptPartReporter* m_promptParts = nullptr;
   LimitExchange* m_limits = nullptr;
+  ReachMonitor* m_reach = nullptr;
   EndpointClient m_client;
   StreamRerouter m_rerouter;
   std::vector<std::weak_ptr<EndpointCall>> m_streams;
--- a/Source/Forwarding/ForwardGateway.cxx
+++ b/Source/Forwarding/ForwardGateway.cxx
@@ -16,6 +16,7 @@
 #include "Forwarding/LimitExchange.h"
 #include "Forwarding/NoticeRecorder.h"
 #include "Forwarding/PromptPartReporter.h"
+#include "Forwarding/ReachMonitor.h"
 
 namespace parsleycove {
 
@@ -51,7 +52,15 @@
     , m_limits(m_routing, aControl, aLog, m_metrics)
     , m_notices(m_routing, m_pool, m_limits, m_metrics, aLog)
     , m_promptParts(aContext, aControl, aLog, m_metrics, m_options.m_seed)
-    , m_endpointChecker(aContext, m_pool, m_callDeadlines, m_promptParts)
+    , m_reach(aContext,
+              m_options,
+              aDialect,
+              m_routing,
+              aControl,
+              m_promptParts,
+              aLog,
+              m_metrics)
+    , m_endpointChecker(aContext, m_pool, m_callDeadlines, m_reach)
     , m_services{ aContext,
                   m_options,
                   aDialect,
@@ -63,6 +72,7 @@
                   m_endpointChecker,
                   m_notices,
                   m_promptParts,
+                  m_reach,
                   m_drain,
                   aLog,
                   m_metrics }
@@ -76,7 +86,8 @@
                              m_callDeadlines,
                              m_notices,
                              m_promptParts,
-                             m_limits);
+                             m_limits,
+                             m_reach);
     m_callDeadlines.SetObserver(
       [this](TimePoint aNow) { m_failureDetector.Check(aNow); });
   }
@@ -140,6 +151,7 @@
   LimitExchange m_limits;
   NoticeRecorder m_notices;
   PromptPartReporter m_promptParts;
+  ReachMonitor m_reach;
   EndpointChecker m_endpointChecker;
   ForwardServices m_services;
   AcceptLoop m_accept;
--- a/Source/Forwarding/ForwardMetrics.cxx
+++ b/Source/Forwarding/ForwardMetrics.cxx
@@ -22,6 +22,11 @@
   , m_stays(aRegistry.AddCounter("parsleycove_stream_stays_total", ""))
   , m_promptCrashReports(
       aRegistry.AddCounter("parsleycove_prompt_crash_reports_total", ""))
+  , m_lostServices(aRegistry.AddCounter("parsleycove_services_lost_total", ""))
+  , m_passedOn(aRegistry.AddCounter("parsleycove_passed_on_total", ""))
+  , m_takenOver(aRegistry.AddCounter("parsleycove_taken_over_total", ""))
+  , m_passedOnAnswers(
+      aRegistry.AddHistogram("parsleycove_passed_on_answer_seconds", ""))
 {
   for (std::size_t kind = 0; kind < kRequestKindNames.size(); ++kind) {
     const std::string label =
--- a/Source/Forwarding/ForwardMetrics.h
+++ b/Source/Forwarding/ForwardMetrics.h
@@ -69,6 +69,17 @@
   // Answers that were cut after their engine or a stage fell silent, without a
   // broken connection.
   Counter& CutsAfterSilence() { return m_cutsAfterSilence; }
+  // Services none of whose endpoints this VM reached, each time counted.
+  Counter& LostServices() { return m_lostServices; }
+  // Requests passed on to another VM, each VM counted, and requests taken over
+  // from another VM.
+  Counter& PassedOn() { return m_passedOn; }
+  Counter& TakenOver() { return m_takenOver; }
+  // Records the time to the first answer of a request that was passed on.
+  void RecordPassedOnAnswer(Duration aTaken)
+  {
+    m_passedOnAnswers.Record(aTaken);
+  }
   Counter& NewConnections() { return m_newConnections; }
 
 private:
@@ -88,6 +99,10 @@
   Counter& m_cutsAfterSilence;
   Counter& m_stays;
   Counter& m_promptCrashReports;
+  Counter& m_lostServices;
+  Counter& m_passedOn;
+  Counter& m_takenOver;
+  LatencyHistogram& m_passedOnAnswers;
 };
 
 } // namespace parsleycove
--- a/Source/Forwarding/ForwardServices.h
+++ b/Source/Forwarding/ForwardServices.h
@@ -17,6 +17,7 @@
 class EngineFailureDetector;
 class NoticeRecorder;
 class PromptPartReporter;
+class ReachMonitor;
 
 // Used only by the thread that runs m_context.
 struct ForwardServices
@@ -33,6 +34,7 @@
   EndpointChecker& m_endpointChecker;
   NoticeRecorder& m_notices;
   PromptPartReporter& m_promptParts;
+  ReachMonitor& m_reach;
   DrainState& m_drain;
   DecisionLog& m_log;
   ForwardMetrics& m_metrics;
--- a/Source/Forwarding/ForwardedRequest.cxx
+++ b/Source/Forwarding/ForwardedRequest.cxx
@@ -8,6 +8,7 @@
 
 #include "Base/RequestIdentity.h"
 #include "Forwarding/PromptPartReporter.h"
+#include "Forwarding/ReachMonitor.h"
 #include "Forwarding/RetryAfter.h"
 
 namespace parsleycove {
@@ -406,9 +407,16 @@
   QuotaClaim quota(BootClock::now(), *aRunner, call->Path().get());
   const std::string before =
     std::exchange(aRequest.m_lastEndpoint, aRunner->m_id);
+  const TimePoint connectedAt = BootClock::now();
   const bool connected = co_await call->Connect(aConnectTimeout);
   if (call->IsNewConnection()) {
     ++services.m_metrics.NewConnections();
+    if (connected) {
+      ReachMonitor::RecordReached(BootClock::now(), *aRunner);
+    } else if (call->End() == CallEnd::NotConnected) {
+      services.m_reach.RecordUnreached(
+        call->HasConnectTimedOut() ? connectedAt : BootClock::now(), *aRunner);
+    }
   }
   if (!connected || aRequest.m_caller->IsDisconnected()) {
     aRequest.m_lastFault = NameOfEnd(call->End());
--- a/Source/Routing/PathSelector.cxx
+++ b/Source/Routing/PathSelector.cxx
@@ -23,9 +23,20 @@
 constexpr double kCrossingCost = 10;
 // Higher than all other costs together, so that a full path is never chosen.
 constexpr double kFullCost = 1e6;
+// Estimate for a path that another VM chooses: a decode step on usual engines.
+constexpr double kPassedOnStepMs = 10;
 
 } // namespace
 
+StagePathPtr
+MakePassedOnPath(RunnerPtr aGateway)
+{
+  boost::intrusive_ptr<StagePath> path(new StagePath);
+  path->m_stages.push_back({ std::move(aGateway), {}, 0 });
+  path->m_stepMs = kPassedOnStepMs;
+  return path;
+}
+
 bool
 StagePath::Uses(const std::string& aRunner) const
 {
--- a/Source/Routing/PathSelector.h
+++ b/Source/Routing/PathSelector.h
@@ -53,6 +53,8 @@
   double m_unsharedFraction = 1;
 
   const Runner& First() const { return *m_stages.front().m_runner; }
+  // Returns true if another VM takes the request over and chooses the engines.
+  bool IsPassedOn() const { return First().m_isGateway; }
   bool Uses(const std::string& aRunner) const;
   // Returns the ids of the engines with their layers, for logs.
   std::string Describe() const;
@@ -60,6 +62,10 @@
 
 using StagePathPtr = boost::intrusive_ptr<const StagePath>;
 
+// Returns the path of a request that aGateway takes over.
+StagePathPtr
+MakePassedOnPath(RunnerPtr aGateway);
+
 struct PathRequest
 {
   // Tokens of the prompt and the expected answer together.
--- a/Source/Routing/Runner.h
+++ b/Source/Routing/Runner.h
@@ -39,6 +39,8 @@
   // True if a gateway reported the endpoint as failed and the endpoint has not
   // announced itself since.
   bool m_isSuspected = false;
+  // Another VM that takes requests over and calls the endpoints for them.
+  bool m_isGateway = false;
   // For managed engines: number of layers held from m_firstLayer on.
   std::uint32_t m_layerCount = 0;
   double m_tokensPerSecond = 0;
--- a/Source/Routing/RunnerLoad.cxx
+++ b/Source/Routing/RunnerLoad.cxx
@@ -189,6 +189,26 @@
   m_openUntilNs.store(0, std::memory_order_relaxed);
 }
 
+void
+RunnerLoad::ResetCircuit()
+{
+  m_failures.store(0, std::memory_order_relaxed);
+  m_openUntilNs.store(0, std::memory_order_relaxed);
+}
+
+void
+RunnerLoad::RecordReached(TimePoint aNow)
+{
+  m_reachedAtNs.store(ToNs(aNow), std::memory_order_relaxed);
+}
+
+void
+RunnerLoad::RecordUnreached(TimePoint aSince)
+{
+  m_unreachedAtNs.store(std::max(ToNs(aSince), Load(m_unreachedAtNs)),
+                        std::memory_order_relaxed);
+}
+
 void
 RunnerLoad::EjectFor(TimePoint aNow, Duration aFor)
 {
--- a/Source/Routing/RunnerLoad.h
+++ b/Source/Routing/RunnerLoad.h
@@ -1,6 +1,7 @@
 // Tracks load and health of one endpoint, as far as this process knows them.
 #pragma once
 
+#include <algorithm>
 #include <atomic>
 #include <cstdint>
 
@@ -106,12 +107,30 @@
   }
   // Closes the circuit, because the endpoint has shown that it is alive.
   void CloseCircuit(TimePoint aNow);
+  // Forgets the failures so far, because they were not the endpoint's.
+  void ResetCircuit();
   // Records that the endpoint answered; leaves the circuit as it is.
   void RecordAnswer(TimePoint aNow)
   {
     m_answeredAtNs.store(aNow.time_since_epoch().count(),
                          std::memory_order_relaxed);
   }
+  // Records that this VM reached the endpoint, or that an attempt begun at
+  // aSince did not: the connection was refused, broken or without an answer in
+  // time.
+  void RecordReached(TimePoint aNow);
+  void RecordUnreached(TimePoint aSince);
+  // Returns when this VM last reached the endpoint, by a connection or by an
+  // answer, or the clock's epoch.
+  TimePoint ReachedAt() const
+  {
+    return std::max(TimePoint(Duration(Load(m_reachedAtNs))), AnsweredAt());
+  }
+  // Returns when the last attempt that failed began, or the clock's epoch.
+  TimePoint UnreachedAt() const
+  {
+    return TimePoint(Duration(Load(m_unreachedAtNs)));
+  }
   // Records the time between two consecutive events of a stream whose path
   // begins at this engine.
   void RecordEventGap(TimePoint aNow, Duration aGap);
@@ -174,6 +193,9 @@
   std::atomic<std::int64_t> m_slowdownAtNs{ 0 };
   // Time of the last answer; zero if there was none.
   std::atomic<std::int64_t> m_answeredAtNs{ 0 };
+  // Zero if there was none.
+  std::atomic<std::int64_t> m_reachedAtNs{ 0 };
+  std::atomic<std::int64_t> m_unreachedAtNs{ 0 };
   // Time since which no answer has come while steps were outstanding.
   std::atomic<std::int64_t> m_waitingSinceNs{ 0 };
   // Reported streams that do not belong to this process.
