--- a/Source/Daemon/DaemonSettings.cxx
+++ b/Source/Daemon/DaemonSettings.cxx
@@ -206,6 +206,9 @@
   options.m_seed = aEpoch ^ HashId(options.m_vm);
   options.m_listen = aChecker.Address(SettingId::Listen);
   options.m_readiness = aChecker.Address(SettingId::ReadinessListen);
+  if (aReader.IsGiven(SettingId::TakeoverListen)) {
+    options.m_takeover = aChecker.Address(SettingId::TakeoverListen);
+  }
   options.m_drainGrace =
     aChecker.Milliseconds(SettingId::DrainGraceMs, 0, kMaxMs, Rounding::Up);
   options.m_stopGrace =
--- a/Source/Daemon/SettingTable.cxx
+++ b/Source/Daemon/SettingTable.cxx
@@ -126,6 +126,13 @@
     "127.0.0.1:8081",
     "an IP number with a port",
     "address at which an entry VM tells the balancer whether it is ready" },
+  { SettingId::TakeoverListen,
+    "takeover-listen",
+    "PARSLEYCOVE_TAKEOVER_LISTEN",
+    "",
+    "an IP number with a port",
+    "address at which an entry VM takes requests over from VMs that reach no "
+    "endpoint; without it the VM takes none over" },
   { SettingId::MetricsListen,
     "metrics-listen",
     "PARSLEYCOVE_METRICS_LISTEN",
--- a/Source/Daemon/SettingTable.h
+++ b/Source/Daemon/SettingTable.h
@@ -28,6 +28,7 @@
   Role,
   SettingsFile,
   ReadinessListen,
+  TakeoverListen,
   MetricsListen,
   PeerPort,
   FirstStart,
@@ -55,7 +56,7 @@
 };
 
 inline constexpr std::string_view kVariablePrefix = "PARSLEYCOVE_";
-inline constexpr std::size_t kSettingCount = 33;
+inline constexpr std::size_t kSettingCount = 34;
 
 extern const std::array<SettingRow, kSettingCount> kSettings;
 
--- a/Source/Forwarding/ForwardDialect.h
+++ b/Source/Forwarding/ForwardDialect.h
@@ -121,6 +121,11 @@
   virtual CallerHeaders ParseCallerHeaders(const Fields& aFields) const = 0;
   // Returns true for a caller's header that is not forwarded unchanged.
   virtual bool IsReplacedHeader(std::string_view aName) const = 0;
+  // Returns true for the header with the caller's key.
+  virtual bool IsAccountHeader(std::string_view aName) const = 0;
+  // Returns true for a header by which an endpoint tells the VM that called it
+  // about its own state.
+  virtual bool IsNoticeHeader(std::string_view aName) const = 0;
   // Appends the header lines of a forwarded request to aOut.
   virtual void WriteForwardHeaders(std::string& aOut,
                                    const ForwardHeaders& aHeaders) const = 0;
--- a/Source/Forwarding/ForwardGateway.cxx
+++ b/Source/Forwarding/ForwardGateway.cxx
@@ -77,6 +77,7 @@
                   aLog,
                   m_metrics }
     , m_accept(aContext, m_options.m_maxConnections)
+    , m_takeover(aContext, m_options.m_maxConnections)
     , m_readiness(aContext,
                   [this](const HttpRequest&) { return AnswerReadiness(); })
     , m_maintenanceTimer(aContext)
@@ -108,12 +109,12 @@
            m_routing.Config() != nullptr && m_routing.HasLease(aNow);
   }
 
-  asio::awaitable<void> Serve(Tcp::socket aSocket)
+  asio::awaitable<void> Serve(Tcp::socket aSocket, SessionKind aKind)
   {
     auto caller = std::make_shared<CallerConnection>(std::move(aSocket));
     m_callerDeadlines.Add(*caller);
     m_callers.push_back(caller);
-    co_await RunForwardSession(m_services, caller);
+    co_await RunForwardSession(m_services, caller, aKind);
   }
 
   void RunMaintenance()
@@ -155,6 +156,8 @@
   EndpointChecker m_endpointChecker;
   ForwardServices m_services;
   AcceptLoop m_accept;
+  // Takes connections of other VMs that pass requests on.
+  AcceptLoop m_takeover;
   HttpService m_readiness;
   asio::steady_timer m_maintenanceTimer;
   std::vector<std::weak_ptr<CallerConnection>> m_callers;
@@ -188,8 +191,20 @@
       !parts.m_readiness.Open(parts.m_options.m_readiness, aReason)) {
     return false;
   }
-  parts.m_accept.Start(
-    [&parts](Tcp::socket aSocket) { return parts.Serve(std::move(aSocket)); });
+  parts.m_accept.Start([&parts](Tcp::socket aSocket) {
+    return parts.Serve(std::move(aSocket), SessionKind::Caller);
+  });
+  if (parts.m_options.m_takeover) {
+    SocketAddress address = *parts.m_options.m_takeover;
+    if (!parts.m_takeover.Open(address, aReason)) {
+      return false;
+    }
+    parts.m_takeover.Start([&parts](Tcp::socket aSocket) {
+      return parts.Serve(std::move(aSocket), SessionKind::Gateway);
+    });
+    address.m_port = parts.m_takeover.Port();
+    parts.m_reach.Announce(address);
+  }
   parts.RunMaintenance();
   return true;
 }
@@ -205,6 +220,7 @@
 {
   m_parts->m_stopBegunAt = BootClock::now();
   m_parts->m_drain.Begin(m_parts->m_stopBegunAt);
+  m_parts->m_reach.AnnounceStopping();
 }
 
 bool
--- a/Source/Forwarding/ForwardOptions.h
+++ b/Source/Forwarding/ForwardOptions.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "Base/Clock.h"
@@ -20,6 +21,9 @@
   // Address of the readiness check for the balancer; metrics have their own
   // port.
   SocketAddress m_readiness;
+  // Address at which other VMs pass requests on to this VM; without it this VM
+  // takes none over.
+  std::optional<SocketAddress> m_takeover;
   std::size_t m_maxConnections = 3000;
   // How long new connections may still arrive after a stop begins. The balancer
   // checks readiness every second and stops sending callers after two failed
--- a/Source/Forwarding/ForwardSession.cxx
+++ b/Source/Forwarding/ForwardSession.cxx
@@ -12,12 +12,14 @@
 #include "Base/RequestIdentity.h"
 #include "Forwarding/ForwardedRequest.h"
 #include "Forwarding/PlainForwarder.h"
+#include "Forwarding/ReachMonitor.h"
 #include "Forwarding/StreamForwarder.h"
 
 namespace parsleycove {
 
 namespace {
 
+constexpr unsigned kOk = 200;
 constexpr unsigned kBadRequest = 400;
 constexpr unsigned kUnauthorized = 401;
 constexpr unsigned kNotFound = 404;
@@ -30,6 +32,9 @@
 // After a start, an election and the first confirmation by a quorum take about
 // a second.
 constexpr Duration kMaxConfigurationWait = std::chrono::milliseconds(2500);
+constexpr Duration kWriteTimeout = std::chrono::seconds(5);
+// A VM whose loop runs later than this has no room for requests of others.
+constexpr Duration kMaxTakeoverDelay = std::chrono::milliseconds(60);
 // A quorum answers within one or two round trips; an election takes about a
 // second.
 constexpr Duration kMaxConfirmWait = std::chrono::milliseconds(800);
@@ -103,9 +108,12 @@
 class ForwardSession
 {
 public:
-  ForwardSession(ForwardServices& aServices, CallerConnectionPtr aCaller)
+  ForwardSession(ForwardServices& aServices,
+                 CallerConnectionPtr aCaller,
+                 SessionKind aKind)
     : m_services(aServices)
     , m_caller(std::move(aCaller))
+    , m_kind(aKind)
   {
   }
 
@@ -122,7 +130,12 @@
         co_await AnswerReadFailure(StatusOf(end));
         break;
       }
-      co_await Serve();
+      if (m_kind == SessionKind::Gateway &&
+          m_caller->Request()[kPassedOnHeader].empty()) {
+        co_await AnswerProbe();
+      } else {
+        co_await Serve();
+      }
       if (m_caller->ClosesAfterAnswer() || m_caller->IsDisconnected()) {
         break;
       }
@@ -139,6 +152,16 @@
     co_await Fail(request, aStatus, "the request cannot be read");
   }
 
+  // Tells another VM that this process runs.
+  asio::awaitable<void> AnswerProbe()
+  {
+    ForwardedRequest request{ m_services, m_caller };
+    request.m_arrival = BootClock::now();
+    co_await m_caller->Write(
+      MakeGatewayAnswer(request, kOk, "running\n", Duration::zero()),
+      kWriteTimeout);
+  }
+
   asio::awaitable<void> Serve()
   {
     const ActiveRequest active(m_services.m_drain);
@@ -196,7 +219,14 @@
       co_await Refuse(aRequest, RefusalCause::Stopping);
       co_return false;
     }
-    co_await WaitForConfiguration(aRequest);
+    if (m_kind == SessionKind::Gateway) {
+      const bool isTaken = co_await TakeOver(aRequest);
+      if (!isTaken) {
+        co_return false;
+      }
+    } else {
+      co_await WaitForConfiguration(aRequest);
+    }
     if (routing.Config() == nullptr) {
       co_await Refuse(aRequest, RefusalCause::NoConfiguration);
       co_return false;
@@ -223,11 +253,41 @@
         co_return false;
     }
     aRequest.m_service = routing.ChooseService(*aRequest.m_route);
+    if (m_kind == SessionKind::Gateway &&
+        m_services.m_reach.IsUnreached(aRequest.m_service)) {
+      co_await Refuse(aRequest, RefusalCause::EndpointsUnreached);
+      co_return false;
+    }
     aRequest.m_deadline = std::min(
       aRequest.m_deadline, aRequest.m_arrival + aRequest.m_route->m_timeout);
     co_return true;
   }
 
+  // Prepares a request that another VM passed on. Returns false if this VM
+  // refuses it, without a wait: the other VM tries the next one.
+  asio::awaitable<bool> TakeOver(ForwardedRequest& aRequest)
+  {
+    aRequest.m_passedOn = ParsePassedOn(aRequest.Http()[kPassedOnHeader]);
+    if (!aRequest.m_passedOn) {
+      co_await Fail(
+        aRequest, kBadRequest, "the passed-on header is unreadable");
+      co_return false;
+    }
+    aRequest.m_attempts = aRequest.m_passedOn->m_attempts;
+    aRequest.m_isCounted = aRequest.m_passedOn->m_isCounted;
+    ++m_services.m_metrics.TakenOver();
+    m_services.m_routing.Refresh(aRequest.m_arrival);
+    if (m_services.m_callDeadlines.LastCheckDelay() > kMaxTakeoverDelay) {
+      co_await Refuse(aRequest, RefusalCause::Overloaded);
+      co_return false;
+    }
+    if (!m_services.m_routing.HasLease(aRequest.m_arrival)) {
+      co_await Refuse(aRequest, RefusalCause::NoLease);
+      co_return false;
+    }
+    co_return true;
+  }
+
   // Waits until this VM has a configuration and a lease. Load pattern: all VMs
   // restart at once, or the control group elects a leader. The configuration
   // arrives within about a second; a caller that is refused instead retries too
@@ -329,6 +389,8 @@
         .Add("account", aRequest.m_account ? aRequest.m_account->m_name : "")
         .Add("service", aRequest.m_service)
         .Add("endpoint", aRequest.m_lastEndpoint)
+        .Add("taken_over_from",
+             aRequest.m_passedOn ? aRequest.m_passedOn->m_vm : "")
         .Add("status", aRequest.m_status)
         .Add("why", aRequest.m_why)
         .Add("last_fault", aRequest.m_lastFault)
@@ -375,14 +437,17 @@
 
   ForwardServices& m_services;
   CallerConnectionPtr m_caller;
+  const SessionKind m_kind;
 };
 
 } // namespace
 
 asio::awaitable<void>
-RunForwardSession(ForwardServices& aServices, CallerConnectionPtr aCaller)
+RunForwardSession(ForwardServices& aServices,
+                  CallerConnectionPtr aCaller,
+                  SessionKind aKind)
 {
-  ForwardSession session(aServices, std::move(aCaller));
+  ForwardSession session(aServices, std::move(aCaller), aKind);
   co_await session.Run();
 }
 
--- a/Source/Forwarding/ForwardSession.h
+++ b/Source/Forwarding/ForwardSession.h
@@ -6,7 +6,16 @@
 
 namespace parsleycove {
 
+enum class SessionKind
+{
+  Caller,
+  // Another VM passes requests on.
+  Gateway,
+};
+
 asio::awaitable<void>
-RunForwardSession(ForwardServices& aServices, CallerConnectionPtr aCaller);
+RunForwardSession(ForwardServices& aServices,
+                  CallerConnectionPtr aCaller,
+                  SessionKind aKind = SessionKind::Caller);
 
 } // namespace parsleycove
--- a/Source/Forwarding/ForwardedRequest.cxx
+++ b/Source/Forwarding/ForwardedRequest.cxx
@@ -25,7 +25,7 @@
   std::string_view m_text;
 };
 
-constexpr std::array<RefusalRow, 12> kRefusals{ {
+constexpr std::array<RefusalRow, 14> kRefusals{ {
   { RefusalCause::NoConfiguration,
     "no_configuration",
     "this VM has not received a configuration yet" },
@@ -52,6 +52,12 @@
     "this request crashes the endpoints" },
   { RefusalCause::OutOfTime, "out_of_time", "no time was left to send it" },
   { RefusalCause::Stopping, "stopping", "this VM is about to end" },
+  { RefusalCause::EndpointsUnreached,
+    "endpoints_unreached",
+    "this VM reaches no endpoint of the service" },
+  { RefusalCause::Overloaded,
+    "overloaded",
+    "this VM takes no more requests over from other VMs" },
 } };
 
 const RefusalRow&
@@ -223,23 +229,67 @@
   return FindRefusal(aCause).m_name;
 }
 
+std::optional<RefusalCause>
+ReadHelperRefusal(const EndpointCall::Header& aAnswer)
+{
+  const std::string_view name = aAnswer[kRefusedForHeader];
+  for (const RefusalRow& row : kRefusals) {
+    if (aAnswer.result_int() == kUnavailable && row.m_name == name) {
+      return row.m_cause;
+    }
+  }
+  return std::nullopt;
+}
+
+bool
+IsHelperFault(RefusalCause aCause)
+{
+  return aCause == RefusalCause::NoConfiguration ||
+         aCause == RefusalCause::NoLease || aCause == RefusalCause::Stopping ||
+         aCause == RefusalCause::EndpointsUnreached ||
+         aCause == RefusalCause::Overloaded;
+}
+
+bool
+MustPassOn(const ForwardedRequest& aRequest)
+{
+  return !aRequest.m_passedOn &&
+         aRequest.m_services.m_reach.IsUnreached(aRequest.m_service);
+}
+
 std::string
 MakeForwardHeader(const ForwardedRequest& aRequest,
                   const ForwardHeaders& aHeaders)
 {
   const HttpRequest& request = aRequest.Http();
   const ForwardDialect& dialect = aRequest.m_services.m_dialect;
+  const bool isPassedOn =
+    aHeaders.m_runner != nullptr && aHeaders.m_runner->m_isGateway;
   std::string out;
   out.append(request.method_string()).append(" ");
   out.append(request.target()).append(" HTTP/1.1\r\n");
   for (const auto& field : request) {
     const std::string_view name = field.name_string();
-    if (!IsHopByHop(field.name()) && !dialect.IsReplacedHeader(name) &&
+    const bool isReplaced = dialect.IsReplacedHeader(name) &&
+                            !(isPassedOn && dialect.IsAccountHeader(name));
+    if (!IsHopByHop(field.name()) && !isReplaced && !IsPassedOnHeader(name) &&
         !IsNamedByConnection(request, name)) {
       AppendField(out, name, field.value());
     }
   }
-  dialect.WriteForwardHeaders(out, aHeaders);
+  if (isPassedOn) {
+    ForwardHeaders headers;
+    headers.m_timeLeft = aHeaders.m_timeLeft;
+    headers.m_lastEventId = aHeaders.m_lastEventId;
+    dialect.WriteForwardHeaders(out, headers);
+    AppendField(out,
+                kPassedOnHeader,
+                FormatPassedOn({ aRequest.m_services.m_options.m_vm,
+                                 aRequest.m_attempts,
+                                 aRequest.m_isCounted }));
+  } else {
+    dialect.WriteForwardHeaders(out, aHeaders);
+  }
   const bool hasBody = !request.body().empty() ||
                        request.has_content_length() || request.chunked();
   if (hasBody) {
@@ -263,9 +313,11 @@
     out, aStatus, isEndpointStatus ? reason : std::string_view{});
   for (const auto& field : aAnswer) {
     const std::string_view name = field.name_string();
+    // An endpoint's notices are for the VM that called the endpoint.
     const bool isDropped =
       IsHopByHop(field.name()) || IsNamedByConnection(aAnswer, name) ||
-      (!isEndpointStatus && dialect.IsSignatureHeader(name));
+      (!isEndpointStatus && dialect.IsSignatureHeader(name)) ||
+      (aRequest.m_passedOn && dialect.IsNoticeHeader(name));
     if (!isDropped) {
       AppendField(out, name, field.value());
     }
@@ -293,6 +345,9 @@
   if (aRetryAfter > Duration::zero()) {
     AppendField(out, "Retry-After", FormatSeconds(aRetryAfter));
   }
+  if (aRequest.m_passedOn && aRequest.m_end == RequestEnd::Refused) {
+    AppendField(out, kRefusedForHeader, aRequest.m_why);
+  }
   AppendField(out, "Content-Type", "text/plain");
   AppendField(out, "Content-Length", std::to_string(aText.size()));
   AppendConnection(out, aRequest);
@@ -435,6 +490,17 @@
   }
   call->Send(MakeForwardHeader(aRequest, aHeaders), aRequest.Http().body());
   quota.Spend(BootClock::now());
+  if (aRunner->m_isGateway) {
+    ++services.m_metrics.PassedOn();
+    services.m_log.Write(DecisionEvent::RequestPassedOn,
+                         [&](DecisionLine& aLine) {
+                           aLine.Add("id", aRequest.m_headers.m_attemptId)
+                             .Add("to", aRunner->m_id)
+                             .Add("service", aRequest.m_service)
+                             .Add("attempts", aRequest.m_attempts)
+                             .AddMs("left_ms", aRequest.TimeLeft());
+                         });
+  }
   if (aRequest.m_attempts != 0) {
     RecordRetry(aRequest, before, aHeaders.m_isResumed);
   }
--- a/Source/Forwarding/ForwardedRequest.h
+++ b/Source/Forwarding/ForwardedRequest.h
@@ -1,6 +1,7 @@
 // State and answers of one attempt of a caller, from its arrival to its end.
 #pragma once
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -8,6 +9,7 @@
 #include "Forwarding/CallerConnection.h"
 #include "Forwarding/EndpointCall.h"
 #include "Forwarding/ForwardServices.h"
+#include "Forwarding/PassedOnHeader.h"
 #include "Routing/RoutingConfig.h"
 
 namespace parsleycove {
@@ -33,6 +35,10 @@
   OutOfTime,
   // This VM is shutting down.
   Stopping,
+  // This VM reaches no endpoint of the service and knows no VM that does.
+  EndpointsUnreached,
+  // This VM is too busy to take requests over from other VMs.
+  Overloaded,
 };
 
 // A request, its routing decision and its outcome.
@@ -52,10 +58,15 @@
   // See IdentifyRequest(); empty until the route and the account are known.
   std::string m_identity;
 
+  // Set if another VM passed the request on to this one.
+  std::optional<PassedOnHeader> m_passedOn;
+
   // Outcome of the request, for the log.
   RequestEnd m_end = RequestEnd::Failed;
   unsigned m_status = 0;
   unsigned m_attempts = 0;
+  // The request counts as one for the retry budget of the service.
+  bool m_isCounted = false;
   unsigned m_resumes = 0;
   std::string m_lastEndpoint;
   // Why the last attempt to send the request failed; empty if none failed.
@@ -94,11 +105,28 @@
   bool IsOutOfTime() const { return TimeLeft() <= Duration::zero(); }
 };
 
-// Returns the header of the request that is sent to an endpoint.
+// Returns the header of the request that is sent to an endpoint, or to the VM
+// that takes the request over if aHeaders.m_runner is one.
 std::string
 MakeForwardHeader(const ForwardedRequest& aRequest,
                   const ForwardHeaders& aHeaders);
 
+// Returns the cause if the answer is a refusal by the VM that the request was
+// passed on to.
+std::optional<RefusalCause>
+ReadHelperRefusal(const EndpointCall::Header& aAnswer);
+
+// Returns true if a VM that refused for this cause cannot serve the request
+// itself, so that another VM may.
+bool
+IsHelperFault(RefusalCause aCause);
+
+// Returns true if the request is to be passed on to another VM, because this VM
+// reaches no endpoint of its service. A request that was passed on to this VM
+// is not passed on again.
+bool
+MustPassOn(const ForwardedRequest& aRequest);
+
 // Returns the header of an endpoint's answer for the caller, without the
 // signature if aStatus differs from the endpoint's status. A negative length
 // starts a chunked body.
--- a/Source/Forwarding/PlainForwarder.cxx
+++ b/Source/Forwarding/PlainForwarder.cxx
@@ -2,11 +2,13 @@
 #include "Forwarding/PlainForwarder.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 #include "Forwarding/EndpointChecker.h"
 #include "Forwarding/NoticeRecorder.h"
 #include "Forwarding/PromptPartReporter.h"
+#include "Forwarding/ReachMonitor.h"
 #include "Forwarding/SilentCalls.h"
 
 namespace parsleycove {
@@ -19,6 +21,8 @@
 // this multiple of the service's average latency.
 constexpr int kRetryTimeoutFactor = 5;
 constexpr Duration kMinRetryTimeout = std::chrono::milliseconds(45);
+// The same for a request that another VM took over, which retries it itself.
+constexpr Duration kMinHelperTimeout = std::chrono::milliseconds(250);
 constexpr std::size_t kMaxConnectFailures = 3;
 // A longer answer is broken, unless the limit of a caller's request is larger.
 constexpr std::size_t kMaxAnswerBytes = 8UL * 1024 * 1024;
@@ -52,7 +56,10 @@
 
   asio::awaitable<void> Run()
   {
-    m_serviceState.m_retries.RecordRequest(BootClock::now());
+    if (!m_request.m_isCounted && !MustPassOn(m_request)) {
+      m_request.m_isCounted = true;
+      m_serviceState.m_retries.RecordRequest(BootClock::now());
+    }
     m_serviceState.m_returns.RecordArrival(BootClock::now());
     for (;;) {
       if (m_request.m_caller->IsDisconnected()) {
@@ -64,7 +71,7 @@
         co_return;
       }
       // GCC 12 destroys a conditional temporary of a co_await expression twice.
-      if (!m_isTrial) {
+      if (!m_isTrial && !MustPassOn(m_request)) {
         const bool isAllowed = co_await MayTryParts(m_request, m_isTrial);
         if (!isAllowed) {
           co_await End(CauseOfParts(m_request));
@@ -77,7 +84,7 @@
         co_await End(FindCauseWithoutEndpoint());
         co_return;
       }
-      if (!ClaimRetry()) {
+      if (!runner->m_isGateway && !ClaimRetry()) {
         co_await End(RefusalCause::EndpointsRefuse);
         co_return;
       }
@@ -85,16 +92,26 @@
       if (outcome == ForwardOutcome::Finished) {
         co_return;
       }
+      if (m_helperCause) {
+        co_await End(*m_helperCause);
+        co_return;
+      }
       if (m_silentCalls.HasAnswered() || !MayRetry(outcome)) {
-        co_await End(RefusalCause::EndpointsRefuse);
+        co_await End(MustPassOn(m_request) ? RefusalCause::EndpointsUnreached
+                                           : RefusalCause::EndpointsRefuse);
         co_return;
       }
     }
   }
 
 private:
+  // Returns another VM where this VM reaches no endpoint of the service.
   RunnerPtr PickEndpoint()
   {
+    if (MustPassOn(m_request)) {
+      return m_services.m_reach.PickHelper(
+        BootClock::now(), m_request.m_service, m_request.m_excluded);
+    }
     PickRequest request;
     request.m_service = m_request.m_service;
     request.m_excluded = m_request.m_excluded;
@@ -121,6 +138,9 @@
 
   bool MayRetry(ForwardOutcome aOutcome)
   {
+    if (MustPassOn(m_request) && !std::exchange(m_isPassedOn, true)) {
+      m_connectFailures = 0;
+    }
     const bool kindAllows =
       aOutcome == ForwardOutcome::NotExecuted || m_request.m_route->CanRetry();
     const bool countAllows =
@@ -144,6 +164,9 @@
 
   RefusalCause FindCauseWithoutEndpoint() const
   {
+    if (MustPassOn(m_request)) {
+      return RefusalCause::EndpointsUnreached;
+    }
     if (m_services.m_routing.EndpointPickReason().m_code ==
         PickError::AllLimited) {
       return RefusalCause::EndpointsLimited;
@@ -224,25 +247,35 @@
   {
     return !m_isTrial && m_request.m_route->CanRetry() &&
            m_possibleExecutions < m_request.m_route->m_maxAttempts &&
-           HasAlternative(aRunner);
+           (aRunner->m_isGateway ? HasOtherHelper() : HasAlternative(aRunner));
+  }
+
+  bool HasOtherHelper()
+  {
+    return m_services.m_reach.PickHelper(BootClock::now(),
+                                         m_request.m_service,
+                                         m_request.m_excluded) != nullptr;
   }
 
   // Returns true if the request may be sent to another endpoint now, and
   // charges the retry budget for it.
   bool ClaimMove(const RunnerPtr& aRunner)
   {
+    if (m_request.m_call) {
+      m_services.m_reach.RecordWaiting(m_request.m_call->SentAt(), *aRunner);
+    }
     return !m_request.m_caller->IsDisconnected() && MayMove(aRunner) &&
-           ClaimRetry();
+           (aRunner->m_isGateway || MustPassOn(m_request) || ClaimRetry());
   }
 
+  // Returns when the call counts as silent.
   TimePoint ChooseMoveTime(const RunnerPtr& aRunner)
   {
-    if (!MayMove(aRunner)) {
-      return m_request.m_deadline;
-    }
-    const Duration retryTimeout = std::max<Duration>(
-      kMinRetryTimeout, m_serviceState.m_averageLatency * kRetryTimeoutFactor);
-    return BootClock::now() + retryTimeout;
+    const Duration least =
+      aRunner->m_isGateway ? kMinHelperTimeout : kMinRetryTimeout;
+    return BootClock::now() +
+           std::max<Duration>(
+             least, m_serviceState.m_averageLatency * kRetryTimeoutFactor);
   }
 
   // Ends the current call, since the silent endpoint goes on.
@@ -291,6 +324,10 @@
     const unsigned status = answer.result_int();
     const AnswerHeaders headers =
       m_services.m_dialect.ParseAnswerHeaders(status, answer);
+    if (aCall.Target()->m_isGateway) {
+      co_return co_await HandleHelperAnswer(aCall, headers);
+    }
+    ReachMonitor::RecordReached(BootClock::now(), *aCall.Target());
     RecordLoad(*aCall.Target(), headers);
     m_services.m_notices.Record(
       BootClock::now(),
@@ -319,6 +356,30 @@
     co_return ForwardOutcome::Finished;
   }
 
+  // Delivers the answer of the VM that took the request over, unless that VM
+  // refused it.
+  asio::awaitable<ForwardOutcome> HandleHelperAnswer(
+    EndpointCall& aCall,
+    const AnswerHeaders& aHeaders)
+  {
+    const auto cause = ReadHelperRefusal(aCall.Answer());
+    if (!cause) {
+      m_services.m_metrics.RecordPassedOnAnswer(BootClock::now() -
+                                                m_request.m_arrival);
+      co_await DeliverAnswer(aCall, aHeaders, std::move(m_body));
+      co_return ForwardOutcome::Finished;
+    }
+    --m_possibleExecutions;
+    --m_request.m_attempts;
+    m_request.m_lastFault = NameOfCause(*cause);
+    if (!IsHelperFault(*cause)) {
+      m_helperCause = cause;
+      m_request.m_availableAt =
+        BootClock::now() + aHeaders.m_pause.value_or(Duration::zero());
+    }
+    co_return ForwardOutcome::NotExecuted;
+  }
+
   // Reads the complete answer to this request and skips answers to other
   // requests. Returns false if the call ended before the answer was complete.
   asio::awaitable<bool> ReadMatchingAnswer(EndpointCall& aCall,
@@ -408,7 +469,8 @@
     }
     m_lastEnd = end;
     m_request.m_lastFault = NameOfEnd(end);
-    if (end == CallEnd::Broken && !aCall.HasAnswerHeader()) {
+    if (end == CallEnd::Broken && !aCall.HasAnswerHeader() &&
+        !aCall.Target()->m_isGateway) {
       const TimePoint now = BootClock::now();
       m_services.m_promptParts.RecordUnanswered(now,
                                                 m_request.m_headers.m_attemptId,
@@ -497,6 +559,10 @@
   std::size_t m_connectFailures = 0;
   // The request is a trial of a quarantined part, see MayTryParts().
   bool m_isTrial = false;
+  // The request is passed on from now on.
+  bool m_isPassedOn = false;
+  // Why the VM that reaches the service refused the request.
+  std::optional<RefusalCause> m_helperCause;
   // The next call was charged to the retry budget and has not been sent.
   bool m_hasRetryClaim = false;
   CallEnd m_lastEnd = CallEnd::None;
--- a/Source/Forwarding/RetryAfter.cxx
+++ b/Source/Forwarding/RetryAfter.cxx
@@ -41,8 +41,12 @@
     case RefusalCause::CrashingRequest:
       // The next trial of the part is the end of the pause.
       return milliseconds(0);
+    case RefusalCause::EndpointsUnreached:
+      // No VM in touch is known, and links stay lost for seconds.
+      return milliseconds(400);
     case RefusalCause::OutOfTime:
     case RefusalCause::Stopping:
+    case RefusalCause::Overloaded:
       // Another VM serves the retry.
       return milliseconds(20);
   }
--- a/Source/Forwarding/StreamAttempt.cxx
+++ b/Source/Forwarding/StreamAttempt.cxx
@@ -9,6 +9,7 @@
 #include "Forwarding/EngineFailureDetector.h"
 #include "Forwarding/NoticeRecorder.h"
 #include "Forwarding/PromptPartReporter.h"
+#include "Forwarding/ReachMonitor.h"
 
 namespace parsleycove {
 
@@ -71,7 +72,8 @@
   ++m_possibleExecutions;
   m_hasRetryClaim = false;
   call->SetDeadline(m_request.m_deadline);
-  if (std::find(m_usedFirstRunners.begin(),
+  if (!first->m_isGateway &&
+      std::find(m_usedFirstRunners.begin(),
                 m_usedFirstRunners.end(),
                 first->m_id) == m_usedFirstRunners.end()) {
     m_usedFirstRunners.push_back(first->m_id);
@@ -170,6 +172,16 @@
     aCall.Abort(CallEnd::Foreign);
     co_return RecordBrokenCall(aCall);
   }
+  if (aCall.Target()->m_isGateway) {
+    if (const auto cause = ReadHelperRefusal(answer)) {
+      co_return HandleHelperRefusal(aCall, *cause, headers);
+    }
+    if (status >= kFirstClientError || !headers.m_isSigned) {
+      co_return co_await HandleErrorAnswer(aCall);
+    }
+    co_return co_await RelayEvents(aCall);
+  }
+  ReachMonitor::RecordReached(BootClock::now(), *aCall.Target());
   if (headers.m_load) {
     aCall.Target()->m_load->RecordReport(
       BootClock::now(), headers.m_load->m_waiting, headers.m_load->m_running);
@@ -216,6 +228,25 @@
   return AttemptOutcome::NotExecuted;
 }
 
+AttemptOutcome
+StreamForwarder::HandleHelperRefusal(const EndpointCall& aCall,
+                                     RefusalCause aCause,
+                                     const AnswerHeaders& aHeaders)
+{
+  --m_possibleExecutions;
+  --m_request.m_attempts;
+  m_request.m_excluded.push_back(aCall.Target()->m_id);
+  m_request.m_lastFault = NameOfCause(aCause);
+  if (IsHelperFault(aCause)) {
+    aCall.Target()->m_load->EjectFor(BootClock::now(), kRefusalEjection);
+  } else {
+    m_helperCause = aCause;
+    m_request.m_availableAt =
+      BootClock::now() + aHeaders.m_pause.value_or(Duration::zero());
+  }
+  return AttemptOutcome::NotExecuted;
+}
+
 asio::awaitable<AttemptOutcome>
 StreamForwarder::HandleErrorAnswer(EndpointCall& aCall)
 {
@@ -226,7 +257,9 @@
     }
   }
   const unsigned status = aCall.Answer().result_int();
-  const bool mayRetry = m_request.m_route->m_isResumable &&
+  // The VM that took the request over has tried other endpoints.
+  const bool mayRetry = !aCall.Target()->m_isGateway &&
+                        m_request.m_route->m_isResumable &&
                         m_possibleExecutions < m_request.m_route->m_maxAttempts;
   if (m_hasSentHeader || mayRetry || aCall.End() != CallEnd::None) {
     m_request.m_excluded.push_back(aCall.Target()->m_id);
@@ -309,6 +342,9 @@
     m_services.m_promptParts.RecordBegun(now, m_request.Parts());
     m_services.m_metrics.RecordFirstAnswer(m_request.m_route->m_kind,
                                            m_request.m_firstAnswerDelay);
+    if (aCall.Target()->m_isGateway) {
+      m_services.m_metrics.RecordPassedOnAnswer(m_request.m_firstAnswerDelay);
+    }
     out = MakeAnswerHeader(m_request, m_request.m_status, aCall.Answer(), -1);
   } else {
     m_request.m_longestGap =
@@ -347,7 +383,7 @@
   }
   m_lastEnd = end;
   m_request.m_lastFault = NameOfEnd(end);
-  if (!aCall.HasProgress()) {
+  if (!aCall.HasProgress() && !aCall.Target()->m_isGateway) {
     RecordUnanswered(aCall);
   }
   if (end == CallEnd::Stalled) {
--- a/Source/Forwarding/StreamForwarder.cxx
+++ b/Source/Forwarding/StreamForwarder.cxx
@@ -10,6 +10,7 @@
 
 #include "Forwarding/EngineFailureDetector.h"
 #include "Forwarding/PromptPartReporter.h"
+#include "Forwarding/ReachMonitor.h"
 
 namespace parsleycove {
 
@@ -74,7 +75,10 @@
 asio::awaitable<void>
 StreamForwarder::Run()
 {
-  m_serviceState.m_retries.RecordRequest(BootClock::now());
+  if (!m_request.m_isCounted && !MustPassOn(m_request)) {
+    m_request.m_isCounted = true;
+    m_serviceState.m_retries.RecordRequest(BootClock::now());
+  }
   m_serviceState.m_returns.RecordArrival(BootClock::now());
   for (;;) {
     if (m_request.m_caller->IsDisconnected()) {
@@ -85,7 +89,7 @@
       co_await GiveUp(RefusalCause::OutOfTime);
       co_return;
     }
-    if (!m_hasSentHeader && !m_isTrial) {
+    if (!m_hasSentHeader && !m_isTrial && !MustPassOn(m_request)) {
       const bool isAllowed = co_await MayTryParts(m_request, m_isTrial);
       if (!isAllowed) {
         co_await GiveUp(CauseOfParts(m_request));
@@ -94,7 +98,8 @@
     }
     const PathChoice choice = ChoosePath();
     const bool mayStart = choice.m_path && !m_silentCalls.HasAnswered() &&
-                          m_possibleExecutions < kMaxExecutions && ClaimRetry();
+                          m_possibleExecutions < kMaxExecutions &&
+                          (choice.m_path->IsPassedOn() || ClaimRetry());
     if (!mayStart && m_silentCalls.IsEmpty()) {
       const bool goesOn = co_await WaitToStart(choice);
       if (!goesOn) {
@@ -108,6 +113,10 @@
     if (outcome == AttemptOutcome::Finished) {
       co_return;
     }
+    if (m_helperCause) {
+      co_await GiveUp(*std::exchange(m_helperCause, std::nullopt));
+      co_return;
+    }
     if (m_silentCalls.IsEmpty() && !MayRetry(outcome)) {
       const bool goesOn = co_await WaitToResume();
       if (!goesOn) {
@@ -131,7 +140,8 @@
   const bool mayHavePath = co_await WaitForPath(aChoice);
   if (!mayHavePath) {
     m_request.m_availableAt = aChoice.m_availableAt;
-    co_await GiveUp(CauseWithoutPath(aChoice));
+    co_await GiveUp(MustPassOn(m_request) ? RefusalCause::EndpointsUnreached
+                                          : CauseWithoutPath(aChoice));
   }
   co_return mayHavePath;
 }
@@ -167,6 +177,9 @@
 RefusalCause
 StreamForwarder::CauseAfterRefusals()
 {
+  if (MustPassOn(m_request)) {
+    return RefusalCause::EndpointsUnreached;
+  }
   const PathChoice next = ChoosePath();
   if (next.m_path || next.m_availableAt == TimePoint{}) {
     return RefusalCause::EndpointsRefuse;
@@ -177,6 +190,27 @@
 
 PathChoice
 StreamForwarder::ChoosePath()
+{
+  PathChoice choice;
+  if (!MustPassOn(m_request)) {
+    choice = ChooseOwnPath();
+    const bool mayHelp =
+      !choice.m_path && !choice.m_isFull && !choice.m_isLimited &&
+      choice.m_availableAt == TimePoint{} && !m_request.m_passedOn &&
+      m_services.m_reach.HasLostLinks(m_request.m_service);
+    if (!mayHelp) {
+      return choice;
+    }
+  }
+  if (RunnerPtr helper = m_services.m_reach.PickHelper(
+        BootClock::now(), m_request.m_service, m_request.m_excluded)) {
+    choice.m_path = MakePassedOnPath(std::move(helper));
+  }
+  return choice;
+}
+
+PathChoice
+StreamForwarder::ChooseOwnPath()
 {
   PathRequest request;
   request.m_tokens = m_request.m_expectedTokens;
@@ -216,7 +250,9 @@
         : kMaxPathWait;
     m_pathWaitUntil = now + std::min<Duration>(most, m_request.TimeLeft() / 3);
   }
-  if (aChoice.m_isLimited || now >= m_pathWaitUntil ||
+  // A stream that has begun is worth a wait for the links.
+  const bool isHopeless = MustPassOn(m_request) && !m_hasSentHeader;
+  if (isHopeless || aChoice.m_isLimited || now >= m_pathWaitUntil ||
       aChoice.m_availableAt > m_pathWaitUntil) {
     co_return false;
   }
@@ -250,6 +286,9 @@
 bool
 StreamForwarder::MayRetry(AttemptOutcome aOutcome)
 {
+  if (MustPassOn(m_request) && !std::exchange(m_isPassedOn, true)) {
+    m_refusals = 0;
+  }
   if (aOutcome == AttemptOutcome::NotExecuted && ++m_refusals > kMaxRefusals) {
     return false;
   }
@@ -280,14 +319,17 @@
 bool
 StreamForwarder::ClaimMove()
 {
-  const bool mayMove = !m_isTrial && BootClock::now() >= m_moveNotBefore &&
-                       m_request.m_route->m_isResumable &&
-                       m_possibleExecutions < kMaxExecutions &&
-                       !m_request.m_caller->IsDisconnected() &&
-                       !m_request.IsOutOfTime() && ChoosePath().m_path;
-  if (!mayMove) {
+  const bool mayMove =
+    !m_isTrial && BootClock::now() >= m_moveNotBefore &&
+    m_request.m_route->m_isResumable && m_possibleExecutions < kMaxExecutions &&
+    !m_request.m_caller->IsDisconnected() && !m_request.IsOutOfTime();
+  const StagePathPtr path = mayMove ? ChoosePath().m_path : nullptr;
+  if (!path) {
     return false;
   }
+  if (path->IsPassedOn()) {
+    return true;
+  }
   m_hasRetryClaim =
     m_hasRetryClaim || m_serviceState.m_retries.Spend(
                          BootClock::now(), m_services.m_routing.GatewayCount());
--- a/Source/Forwarding/StreamForwarder.h
+++ b/Source/Forwarding/StreamForwarder.h
@@ -1,6 +1,7 @@
 // Forwards requests whose answer is a stream of events.
 #pragma once
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -50,7 +51,14 @@
   // Records that the attempt ended before its first event, and has its engine
   // probed: the prompt may have crashed the engine.
   void RecordUnanswered(const EndpointCall& aCall);
+  // Chooses a path of this VM, or another VM where this VM reaches no endpoint
+  // of the service.
   PathChoice ChoosePath();
+  PathChoice ChooseOwnPath();
+  // Handles a refusal by the VM that the request was passed on to.
+  AttemptOutcome HandleHelperRefusal(const EndpointCall& aCall,
+                                     RefusalCause aCause,
+                                     const AnswerHeaders& aHeaders);
   // Returns the cause of a refusal after engines refused the request.
   RefusalCause CauseAfterRefusals();
   // Waits for a path for a limited time: another engine loads the layers of a
@@ -108,6 +116,10 @@
   std::size_t m_unanswered = 0;
   // The request is a trial of a quarantined part, see MayTryParts().
   bool m_isTrial = false;
+  // The request is passed on from now on.
+  bool m_isPassedOn = false;
+  // Why the VM that reaches the service refused the request.
+  std::optional<RefusalCause> m_helperCause;
   // The answer's header was sent to the caller.
   bool m_hasSentHeader = false;
   // The present attempt was counted as demand for engines with a limit.
--- a/Tests/Forwarding/CutOffVmTest.cxx
+++ b/Tests/Forwarding/CutOffVmTest.cxx
@@ -156,9 +156,8 @@
     callers.back()->Send(
       MakeRequest("POST", "/stream/x", kPromptHeader, "prompt"));
   }
-  CHECK(m_fixture->RunUntil([&] {
-    return AttemptsAt(*m_engine) + AttemptsAt(*m_otherEngine) == 4;
-  }));
+  CHECK(m_fixture->RunUntil(
+    [&] { return AttemptsAt(*m_engine) + AttemptsAt(*m_otherEngine) == 4; }));
   SetEngineScripts(StreamAll);
   m_fixture->SetLinks(LinkState::Refuse);
   CountServed("/stream/x");
@@ -170,8 +169,9 @@
 {
   Start(false);
   CountServed("/stream/x");
-  m_engine->Stop();
-  m_fixture->LinkOf(*m_engine).Set(LinkState::Refuse);
+  StubEndpoint& used = AttemptsAt(*m_engine) != 0 ? *m_engine : *m_otherEngine;
+  used.Stop();
+  m_fixture->LinkOf(used).Set(LinkState::Refuse);
   CountServed("/stream/x");
   CHECK(m_fixture->RunUntil([&] { return m_engineReports != 0; }));
 }
@@ -216,9 +216,8 @@
   m_otherPlain->SetScript(hang);
   const auto caller = m_fixture->Connect();
   caller->Send(MakeRequest("POST", "/unsafe/x", "Connection: close\r\n", "b"));
-  CHECK(m_fixture->RunUntil([&] {
-    return AttemptsAt(*m_plain) + AttemptsAt(*m_otherPlain) == 1;
-  }));
+  CHECK(m_fixture->RunUntil(
+    [&] { return AttemptsAt(*m_plain) + AttemptsAt(*m_otherPlain) == 1; }));
   m_fixture->SetLinks(LinkState::Refuse);
   CHECK(m_fixture->RunUntil([&] { return caller->IsClosed(); }));
   CHECK_EQUAL(502, StatusOf(caller->Received()));
--- a/Tests/Forwarding/EndpointLink.cxx
+++ b/Tests/Forwarding/EndpointLink.cxx
@@ -2,6 +2,7 @@
 #include "Forwarding/EndpointLink.h"
 
 #include <array>
+#include <list>
 #include <string>
 #include <utility>
 #include <vector>
@@ -51,41 +52,40 @@
 
   void Accept()
   {
-    m_acceptor.async_accept([self = shared_from_this()](error_code aError,
-                                                        Tcp::socket aSocket) {
-      if (aError) {
-        return;
-      }
-      ++self->m_accepted;
-      auto connection = std::make_shared<Connection>(std::move(aSocket));
-      error_code failed;
-      connection->m_far.connect({ kLoopback, self->m_target }, failed);
-      if (!failed) {
-        self->m_connections.push_back(connection);
-        self->Pass(connection, true);
-        self->Pass(connection, false);
-      }
-      self->Accept();
-    });
+    m_acceptor.async_accept(
+      [self = shared_from_this()](error_code aError, Tcp::socket aSocket) {
+        if (aError) {
+          return;
+        }
+        ++self->m_accepted;
+        auto connection = std::make_shared<Connection>(std::move(aSocket));
+        error_code failed;
+        connection->m_far.connect({ kLoopback, self->m_target }, failed);
+        if (!failed) {
+          self->m_connections.push_back(connection);
+          self->Pass(connection, true);
+          self->Pass(connection, false);
+        }
+        self->Accept();
+      });
   }
 
   void Pass(const ConnectionPtr& aConnection, bool aFromNear)
   {
     Tcp::socket& from = aFromNear ? aConnection->m_near : aConnection->m_far;
     auto& buffer = aFromNear ? aConnection->m_fromNear : aConnection->m_fromFar;
-    from.async_read_some(
-      asio::buffer(buffer),
-      [self = shared_from_this(), aConnection, aFromNear](error_code aError,
-                                                          std::size_t aBytes) {
-        if (aError) {
-          if (self->m_state != LinkState::Silent) {
-            Close(*aConnection);
-          }
-          return;
-        }
-        self->Forward(aConnection, aFromNear, aBytes);
-        self->Pass(aConnection, aFromNear);
-      });
+    from.async_read_some(asio::buffer(buffer),
+                         [self = shared_from_this(), aConnection, aFromNear](
+                           error_code aError, std::size_t aBytes) {
+                           if (aError) {
+                             if (self->m_state != LinkState::Silent) {
+                               Close(*aConnection);
+                             }
+                             return;
+                           }
+                           self->Forward(aConnection, aFromNear, aBytes);
+                           self->Pass(aConnection, aFromNear);
+                         });
   }
 
   void Forward(const ConnectionPtr& aConnection,
@@ -131,20 +131,40 @@
     m_connections.clear();
   }
 
+  void Listen(int aBacklog)
+  {
+    const Tcp::endpoint local(kLoopback, m_port);
+    m_acceptor.open(local.protocol());
+    m_acceptor.set_option(Tcp::acceptor::reuse_address(true));
+    m_acceptor.bind(local);
+    m_acceptor.listen(aBacklog);
+  }
+
+  // Leaves no place in the queue of connections, so that the system drops the
+  // first packet of further ones.
+  void FillQueue()
+  {
+    for (int i = 0; i < 2; ++i) {
+      Tcp::socket& filler = m_fillers.emplace_back(m_acceptor.get_executor());
+      filler.async_connect({ kLoopback, m_port }, [](error_code) {});
+    }
+  }
+
   void Set(LinkState aState)
   {
     const bool wasListening = m_acceptor.is_open();
+    const bool hasHung = m_state == LinkState::Silent;
     m_state = aState;
-    const bool refuses =
-      aState == LinkState::Refuse || aState == LinkState::RefuseNew;
-    if (refuses && wasListening) {
+    if (wasListening && aState != LinkState::Open) {
+      m_acceptor.close();
+    }
+    if (aState == LinkState::Silent) {
+      Listen(0);
+      FillQueue();
+    } else if (aState == LinkState::Open && (!wasListening || hasHung)) {
       m_acceptor.close();
-    } else if (!refuses && !wasListening) {
-      const Tcp::endpoint local(kLoopback, m_port);
-      m_acceptor.open(local.protocol());
-      m_acceptor.set_option(Tcp::acceptor::reuse_address(true));
-      m_acceptor.bind(local);
-      m_acceptor.listen();
+      m_fillers.clear();
+      Listen(asio::socket_base::max_listen_connections);
       Accept();
     }
     if (aState == LinkState::Refuse) {
@@ -163,6 +183,7 @@
   LinkState m_state = LinkState::Open;
   int m_accepted = 0;
   std::vector<ConnectionPtr> m_connections;
+  std::list<Tcp::socket> m_fillers;
 };
 
 EndpointLink::EndpointLink(asio::io_context& aContext, std::uint16_t aTarget)
--- a/Tests/Forwarding/ForwardFixture.cxx
+++ b/Tests/Forwarding/ForwardFixture.cxx
@@ -43,6 +43,7 @@
   m_options.m_zone = "zone-a";
   m_options.m_listen = { "127.0.0.1", 0 };
   m_options.m_readiness = { "127.0.0.1", 0 };
+  m_options.m_takeover = SocketAddress{ "127.0.0.1", 0 };
   m_options.m_drainGrace = std::chrono::milliseconds(100);
 }
 
@@ -171,8 +172,7 @@
 ForwardFixture::LinkFirstGateway()
 {
   for (const StubEndpoint& endpoint : m_endpoints) {
-    const EndpointLink& link =
-      m_links.emplace_back(m_context, endpoint.Port());
+    const EndpointLink& link = m_links.emplace_back(m_context, endpoint.Port());
     m_rewired.Rewire(endpoint.Port(), link.Port());
   }
 }
--- a/Tests/Forwarding/ForwardFixture.h
+++ b/Tests/Forwarding/ForwardFixture.h
@@ -44,8 +44,8 @@
   void AnnounceAgain(const StubEndpoint& aEndpoint);
   std::string IdOf(const StubEndpoint& aEndpoint) const;
   void Start();
-  // Leads the first gateway's way to every endpoint over a link that can be cut.
-  // Called before Start(), after the endpoints were added.
+  // Leads the first gateway's way to every endpoint over a link that can be
+  // cut. Called before Start(), after the endpoints were added.
   void LinkFirstGateway();
   void SetLinks(LinkState aState);
   // Returns the link of the first gateway to the endpoint.
--- a/Tests/Soak/FaultProxy.cxx
+++ b/Tests/Soak/FaultProxy.cxx
@@ -45,6 +45,9 @@
   Tcp::socket m_target;
   // Lost data once: carries nothing any more.
   bool m_isMute = false;
+  // Fault of this connection's caller.
+  LinkFault m_fault = LinkFault::None;
+  std::uint16_t m_port = 0;
 };
 
 using RelayPtr = std::shared_ptr<Relay>;
@@ -69,7 +72,10 @@
         co_return;
       }
       auto relay = std::make_shared<Relay>(std::move(socket));
-      if (m_fault == LinkFault::Refused) {
+      beast::error_code ignored;
+      relay->m_port = relay->m_caller.remote_endpoint(ignored).port();
+      relay->m_fault = FaultOf(*relay);
+      if (Refuses(m_fault) || Refuses(relay->m_fault)) {
         relay->Close(true);
         continue;
       }
@@ -95,10 +101,32 @@
     co_await Carry(aRelay, true);
   }
 
-  bool Loses(bool aIsAnswer) const
+  static bool Refuses(LinkFault aFault)
+  {
+    return aFault == LinkFault::Refused || aFault == LinkFault::RefusedNew;
+  }
+
+  static bool Loses(LinkFault aFault, bool aIsAnswer)
   {
-    return m_fault == LinkFault::Silent ||
-           (m_fault == LinkFault::AnswersSilent && aIsAnswer);
+    return aFault == LinkFault::Silent ||
+           (aFault == LinkFault::AnswersSilent && aIsAnswer);
+  }
+
+  LinkFault FaultOf(const Relay& aRelay) const
+  {
+    return m_faultOf ? m_faultOf(aRelay.m_port) : LinkFault::None;
+  }
+
+  void CheckCallers()
+  {
+    for (const auto& weak : m_relays) {
+      if (const RelayPtr relay = weak.lock()) {
+        relay->m_fault = FaultOf(*relay);
+        if (relay->m_fault == LinkFault::Refused) {
+          relay->Close(true);
+        }
+      }
+    }
   }
 
   asio::awaitable<void> Carry(RelayPtr aRelay, bool aIsAnswer)
@@ -111,7 +139,8 @@
     for (;;) {
       const auto [error, size] =
         co_await from.async_read_some(asio::buffer(bytes), kAwait);
-      aRelay->m_isMute = aRelay->m_isMute || Loses(aIsAnswer);
+      aRelay->m_isMute = aRelay->m_isMute || Loses(m_fault, aIsAnswer) ||
+                         Loses(aRelay->m_fault, aIsAnswer);
       if (aRelay->m_isMute && error != asio::error::operation_aborted) {
         // Neither data nor an end passes; the other side must find out itself.
         if (error) {
@@ -144,6 +173,7 @@
   Tcp::acceptor m_acceptor;
   const SocketAddress m_target;
   LinkFault m_fault = LinkFault::None;
+  std::function<LinkFault(std::uint16_t)> m_faultOf;
   Duration m_delay{};
   TimePoint m_heldUntil{};
   const Tcp::endpoint m_listen = m_acceptor.local_endpoint();
@@ -176,6 +206,18 @@
   m_parts->m_delay = aDelay;
 }
 
+void
+FaultProxy::SetCallerFault(std::function<LinkFault(std::uint16_t)> aFaultOf)
+{
+  m_parts->m_faultOf = std::move(aFaultOf);
+}
+
+void
+FaultProxy::CheckCallers()
+{
+  m_parts->CheckCallers();
+}
+
 void
 FaultProxy::HoldUntil(TimePoint aUntil)
 {
--- a/Tests/Soak/FaultProxy.h
+++ b/Tests/Soak/FaultProxy.h
@@ -1,6 +1,8 @@
 // A loopback TCP proxy that harms the connections it carries.
 #pragma once
 
+#include <cstdint>
+#include <functional>
 #include <memory>
 #include <vector>
 
@@ -22,6 +24,8 @@
   AnswersSilent,
   // Connections are refused by an immediate reset.
   Refused,
+  // As refused, but open connections go on.
+  RefusedNew,
 };
 
 // Runs on the thread of its context.
@@ -37,6 +41,11 @@
   // Holds for open connections and new ones. A connection that was silent once
   // stays so for good, as after a network path that lost track of it.
   void SetFault(LinkFault aFault, Duration aDelay = {});
+  // Sets the function that tells the fault of a connection by the port of its
+  // caller, in addition to the fault of all; asked for each new connection, and
+  // for the open ones at CheckCallers().
+  void SetCallerFault(std::function<LinkFault(std::uint16_t)> aFaultOf);
+  void CheckCallers();
   // Carries nothing before aUntil and everything, in its order, afterwards, as
   // a process does that does not run for a while.
   void HoldUntil(TimePoint aUntil);
--- a/Tests/Soak/Soak.cxx
+++ b/Tests/Soak/Soak.cxx
@@ -19,6 +19,9 @@
 constexpr milliseconds kAskMs{ 8 };
 constexpr milliseconds kReadMs{ 300 };
 constexpr milliseconds kChangeMs{ 700 };
+// Lost links are noticed, and other VMs serve, well within the 3 s that the
+// users' platform allows.
+constexpr milliseconds kCutSettlingMs{ 1500 };
 constexpr int kEngines = 4;
 constexpr int kPlain = 2;
 constexpr int kServedToRecover = 60;
@@ -162,6 +165,10 @@
        ledger.Limits().FindBreaches(ledger.Harms(), ledger.Stops())) {
     ledger.Breach(std::move(breach));
   }
+  for (std::string& breach :
+       m_scene.m_cuts.FindBreaches(ledger, kCutSettlingMs)) {
+    ledger.Breach(std::move(breach));
+  }
   const SoakEndCounts ends = CheckEnds(ledger);
   std::cout << "seed " << m_scene.m_options.m_seed << ": " << m_faults.Count()
             << " faults, " << ledger.Served() << " served, "
@@ -171,7 +178,8 @@
             << ends.m_silent << ", of those in a graceful stop "
             << ends.m_silentInStop << "; crashes " << ledger.Crashes()
             << ", late " << ledger.LateCrashes() << "; under a limit "
-            << ledger.Limits().Requests() << "\n";
+            << ledger.Limits().Requests() << "; "
+            << m_scene.m_cuts.Describe(ledger, kCutSettlingMs) << "\n";
   for (const std::string& breach : ledger.Breaches()) {
     std::cout << "BROKEN: " << breach << "\n";
   }
--- a/Tests/Soak/SoakFaults.cxx
+++ b/Tests/Soak/SoakFaults.cxx
@@ -2,6 +2,7 @@
 #include "Soak/SoakFaults.h"
 
 #include <algorithm>
+#include <array>
 #include <csignal>
 
 namespace parsleycove {
@@ -53,6 +54,10 @@
 SoakFaults::InjectOne()
 {
   ++m_count;
+  if (m_scene.m_options.m_hasCuts && m_scene.m_random.Below(3) == 0) {
+    CutOff();
+    return;
+  }
   switch (m_scene.m_random.Below(13)) {
     case 0:
     case 1:
@@ -278,6 +283,54 @@
   }
 }
 
+void
+SoakFaults::CheckCallers()
+{
+  for (const auto& backend : m_scene.m_backends) {
+    backend->Proxy().CheckCallers();
+  }
+}
+
+void
+SoakFaults::CutOff()
+{
+  const std::size_t most = m_scene.m_options.m_entries;
+  const auto count = 1 + m_scene.m_random.Below(most);
+  for (std::size_t i = 0; i < count; ++i) {
+    CutOffFor(DrawEntry(), m_scene.Draw(1500, 6000), 1);
+  }
+  if (m_scene.m_random.Below(3) == 0) {
+    CutOffFor(DrawEntry(), m_scene.Draw(200, 900), 3);
+  }
+}
+
+void
+SoakFaults::CutOffFor(std::size_t aEntry, Duration aLength, int aTimes)
+{
+  constexpr std::array kFaults{ LinkFault::Silent,
+                                LinkFault::AnswersSilent,
+                                LinkFault::Refused,
+                                LinkFault::RefusedNew };
+  if (m_hasEnded || aTimes == 0 || m_scene.m_cuts.IsCut(aEntry)) {
+    return;
+  }
+  const LinkFault fault = kFaults[m_scene.m_random.Below(kFaults.size())];
+  const bool isWhole = m_scene.m_random.Below(4) != 0;
+  m_scene.Say(SoakScene::EntryName(aEntry) + " loses its links to " +
+              (isWhole ? "all" : "half of the") + " back ends, fault " +
+              std::to_string(static_cast<int>(fault)));
+  m_scene.m_cuts.Cut(aEntry, fault, isWhole);
+  CheckCallers();
+  m_scene.After(aLength, [this, aEntry, aLength, aTimes] {
+    m_scene.Say(SoakScene::EntryName(aEntry) + " has its links back");
+    m_scene.m_cuts.Heal(aEntry);
+    CheckCallers();
+    m_scene.After(m_scene.Draw(100, 600), [this, aEntry, aLength, aTimes] {
+      CutOffFor(aEntry, aLength, aTimes - 1);
+    });
+  });
+}
+
 void
 SoakFaults::RunSeries()
 {
@@ -357,6 +410,10 @@
 {
   m_hasEnded = true;
   m_scene.Say("all faults end");
+  for (std::size_t vm = 0; vm < m_scene.m_options.m_entries; ++vm) {
+    m_scene.m_cuts.Heal(vm);
+  }
+  CheckCallers();
   for (std::size_t vm = 0; vm < m_scene.m_options.m_entries; ++vm) {
     m_scene.m_fleet.Entry(vm).Signal(SIGCONT);
     m_scene.m_doors[vm]->SetFault(LinkFault::None);
--- a/Tests/Soak/SoakFaults.h
+++ b/Tests/Soak/SoakFaults.h
@@ -26,6 +26,11 @@
   void ReplaceBackend();
   // Some sound back ends fall silent, while other things happen.
   void Silence();
+  // Entry VMs lose their links to all or half of the back ends, perhaps again
+  // right after the links are back.
+  void CutOff();
+  void CutOffFor(std::size_t aEntry, Duration aLength, int aTimes);
+  void CheckCallers();
   void RunSeries();
   void SendReloads();
   void SendChanges();
--- a/Tests/Soak/SoakFleet.cxx
+++ b/Tests/Soak/SoakFleet.cxx
@@ -106,6 +106,8 @@
            "PARSLEYCOVE_SEEDS=" + Seeds(),
            "PARSLEYCOVE_PEER_PORT=" + std::to_string(kPeerPort),
            "PARSLEYCOVE_CONFIG_LEASE_MS=4200",
+           "PARSLEYCOVE_TAKEOVER_LISTEN=" + EntryIp(aVm) + ":" +
+             std::to_string(kPeerPort),
            "PARSLEYCOVE_RETRY_RATIO=0.2",
            "PARSLEYCOVE_RETRY_SLACK=200",
            "PARSLEYCOVE_DRAIN_GRACE_MS=" +
--- a/Tests/Soak/SoakMain.cxx
+++ b/Tests/Soak/SoakMain.cxx
@@ -17,12 +17,13 @@
 constexpr char kUsage[] =
   "usage: parsleycove-soak --program FILE [--seed N] [--seeds COUNT]\n"
   "       [--seconds N] [--folder DIR] [--entries N] [--crashing-part]\n"
-  "       [--crashing-request] [--limits] [--timed]\n"
+  "       [--crashing-request] [--limits] [--cut-off] [--timed]\n"
   "--folder: logs and data are kept there, in a folder for each seed\n"
   "--entries: number of entry processes, 1 to 200\n"
   "--crashing-part: some prompts have a part that crashes engines\n"
   "--crashing-request: one request comes again and crashes back ends\n"
   "--limits: some back ends name limits of requests\n"
+  "--cut-off: entry VMs lose their links to back ends\n"
   "--timed: also checks what is promised within a time\n";
 
 struct SoakRuns
@@ -44,6 +45,7 @@
                              { "crashing-part", no_argument, nullptr, 'x' },
                              { "crashing-request", no_argument, nullptr, 'r' },
                              { "limits", no_argument, nullptr, 'l' },
+                             { "cut-off", no_argument, nullptr, 'o' },
                              { "timed", no_argument, nullptr, 'c' },
                              {} };
   for (int name = 0;
@@ -77,6 +79,9 @@
       case 'l':
         aRuns.m_options.m_hasLimits = true;
         break;
+      case 'o':
+        aRuns.m_options.m_hasCuts = true;
+        break;
       case 'c':
         aRuns.m_options.m_isTimed = true;
         break;
--- a/Tests/Soak/SoakScene.cxx
+++ b/Tests/Soak/SoakScene.cxx
@@ -85,6 +85,14 @@
     MixBits(m_options.m_seed) + m_backendCount));
   SoakBackend& backend = *m_backends.back();
   Say(backend.Id() + " is at " + backend.Address());
+  if (m_options.m_hasCuts) {
+    backend.Proxy().SetCallerFault(
+      [this,
+       place = m_backends.size() - 1,
+       listen = backend.Proxy().Address().m_port](std::uint16_t aPort) {
+        return m_cuts.FaultOf(place, aPort, listen);
+      });
+  }
   backend.Announce(Controls());
 }
 
--- a/Tests/Soak/SoakScene.h
+++ b/Tests/Soak/SoakScene.h
@@ -14,6 +14,7 @@
 #include "Routing/Random.h"
 #include "Soak/SoakBackend.h"
 #include "Soak/SoakCallers.h"
+#include "Soak/SoakCuts.h"
 #include "Soak/SoakFleet.h"
 #include "Soak/SoakOperator.h"
 
@@ -34,6 +35,8 @@
   bool m_hasCrashingRequest = false;
   // Some back ends name limits of requests.
   bool m_hasLimits = false;
+  // Entry VMs lose their links to back ends.
+  bool m_hasCuts = false;
 };
 
 // Invariant: runs on the thread of its context.
@@ -54,6 +57,7 @@
   Random m_random;
   SoakLedger m_ledger;
   SoakFleet m_fleet;
+  SoakCuts m_cuts{ m_fleet };
   std::vector<std::unique_ptr<FaultProxy>> m_doors;
   std::deque<std::unique_ptr<SoakBackend>> m_backends;
   std::unique_ptr<SoakOperator> m_operator;
--- a/Tests/Support/RewiredControl.h
+++ b/Tests/Support/RewiredControl.h
@@ -73,7 +73,10 @@
     }
     return m_rewired;
   }
-  bool HasLease(TimePoint aNow) const override { return m_inner.HasLease(aNow); }
+  bool HasLease(TimePoint aNow) const override
+  {
+    return m_inner.HasLease(aNow);
+  }
   std::uint64_t InForceIndex() const override { return m_inner.InForceIndex(); }
   std::uint32_t GatewayCount() const override { return m_inner.GatewayCount(); }
   void RenewEndpoint(const std::string& aId,
