Forwarding: Keep quiet about endpoints after the links are back, and charge retries where a request is passed on

Reports of a service are dropped once it counts as unreached, and none are taken meanwhile; unreached engines are not probed beside the trials. The VM that passes a request on charges its own share; the total stays the same. CutOffVm.ReportsNoEngineWhenItsLinksAreBack failed before (1 report); ManyBegunStreamsGoOnThroughOneVmInTouch was not run on the code before.

--- a/Source/Forwarding/EngineFailureDetector.cxx
+++ b/Source/Forwarding/EngineFailureDetector.cxx
@@ -284,6 +284,12 @@
       entry = m_health.erase(entry);
       continue;
     }
+    // The circuits of endpoints out of reach are closed when the links are
+    // back.
+    if (m_reach->IsUnreached(health.m_runner->m_service)) {
+      ++entry;
+      continue;
+    }
     const CircuitState circuit = health.m_runner->m_load->Circuit(aNow);
     const bool isReportedFailed = listed != nullptr && listed->m_isSuspected;
     if (health.m_runner->m_isGateway && circuit != CircuitState::Open &&
--- a/Source/Forwarding/ForwardSession.cxx
+++ b/Source/Forwarding/ForwardSession.cxx
@@ -273,7 +273,6 @@
         aRequest, kBadRequest, "the passed-on header is unreadable");
       co_return false;
     }
-    aRequest.m_attempts = aRequest.m_passedOn->m_attempts;
     aRequest.m_isCounted = aRequest.m_passedOn->m_isCounted;
     ++m_services.m_metrics.TakenOver();
     m_services.m_routing.Refresh(aRequest.m_arrival);
@@ -391,6 +390,8 @@
         .Add("endpoint", aRequest.m_lastEndpoint)
         .Add("taken_over_from",
              aRequest.m_passedOn ? aRequest.m_passedOn->m_vm : "")
+        .Add("attempts_before",
+             aRequest.m_passedOn ? aRequest.m_passedOn->m_attempts : 0)
         .Add("status", aRequest.m_status)
         .Add("why", aRequest.m_why)
         .Add("last_fault", aRequest.m_lastFault)
--- a/Source/Forwarding/PassedOnHeader.h
+++ b/Source/Forwarding/PassedOnHeader.h
@@ -16,7 +16,9 @@
 {
   // The VM that the caller is connected to.
   std::string m_vm;
-  // Endpoints that the request was sent to before.
+  // Calls with the request that the other VM has sent before. It has charged
+  // its own share of the retry budget for this one: many streams that come at
+  // once would use up the shares of the few VMs that take them over.
   unsigned m_attempts = 0;
   // The other VM has counted the request for the retry budget of its service.
   bool m_isCounted = false;
--- a/Source/Forwarding/PlainForwarder.cxx
+++ b/Source/Forwarding/PlainForwarder.cxx
@@ -84,7 +84,7 @@
         co_await End(FindCauseWithoutEndpoint());
         co_return;
       }
-      if (!runner->m_isGateway && !ClaimRetry()) {
+      if (!ClaimRetry()) {
         co_await End(RefusalCause::EndpointsRefuse);
         co_return;
       }
@@ -265,7 +265,7 @@
       m_services.m_reach.RecordWaiting(m_request.m_call->SentAt(), *aRunner);
     }
     return !m_request.m_caller->IsDisconnected() && MayMove(aRunner) &&
-           (aRunner->m_isGateway || MustPassOn(m_request) || ClaimRetry());
+           ClaimRetry();
   }
 
   // Returns when the call counts as silent.
--- a/Source/Forwarding/ReachMonitor.cxx
+++ b/Source/Forwarding/ReachMonitor.cxx
@@ -168,6 +168,7 @@
 ReachMonitor::RecordLost(const std::string& aService,
                          const ServiceReach& aReach)
 {
+  DropReports(aService);
   ++m_metrics.LostServices();
   const ReachEvidence& evidence = aReach.Evidence();
   m_log.Write(DecisionEvent::EndpointsUnreached, [&](DecisionLine& aLine) {
@@ -259,6 +260,9 @@
                             const RunnerPtr& aEndpoint,
                             FailureEvidence aEvidence)
 {
+  if (IsUnreached(aEndpoint->m_service)) {
+    return;
+  }
   const auto known = std::find_if(
     m_reports.begin(), m_reports.end(), [&](const PendingReport& aReport) {
       return IncarnationKey(*aReport.m_endpoint) == IncarnationKey(*aEndpoint);
@@ -285,6 +289,14 @@
   }
 }
 
+void
+ReachMonitor::DropReports(const std::string& aService)
+{
+  std::erase_if(m_reports, [&](const PendingReport& aReport) {
+    return aReport.m_endpoint->m_service == aService;
+  });
+}
+
 void
 ReachMonitor::FlushReports(TimePoint aNow)
 {
--- a/Source/Forwarding/ReachMonitor.h
+++ b/Source/Forwarding/ReachMonitor.h
@@ -87,6 +87,8 @@
   void RecordReturned(TimePoint aNow,
                       const std::string& aService,
                       const ServiceReach& aReach);
+  // A VM that has lost its links has nothing to say about the endpoints.
+  void DropReports(const std::string& aService);
   void FlushReports(TimePoint aNow);
   // Returns false if the report goes on waiting.
   bool TrySend(TimePoint aNow, const PendingReport& aReport);
--- a/Source/Forwarding/StreamForwarder.cxx
+++ b/Source/Forwarding/StreamForwarder.cxx
@@ -98,8 +98,7 @@
     }
     const PathChoice choice = ChoosePath();
     const bool mayStart = choice.m_path && !m_silentCalls.HasAnswered() &&
-                          m_possibleExecutions < kMaxExecutions &&
-                          (choice.m_path->IsPassedOn() || ClaimRetry());
+                          m_possibleExecutions < kMaxExecutions && ClaimRetry();
     if (!mayStart && m_silentCalls.IsEmpty()) {
       const bool goesOn = co_await WaitToStart(choice);
       if (!goesOn) {
@@ -323,13 +322,9 @@
     !m_isTrial && BootClock::now() >= m_moveNotBefore &&
     m_request.m_route->m_isResumable && m_possibleExecutions < kMaxExecutions &&
     !m_request.m_caller->IsDisconnected() && !m_request.IsOutOfTime();
-  const StagePathPtr path = mayMove ? ChoosePath().m_path : nullptr;
-  if (!path) {
+  if (!mayMove || !ChoosePath().m_path) {
     return false;
   }
-  if (path->IsPassedOn()) {
-    return true;
-  }
   m_hasRetryClaim =
     m_hasRetryClaim || m_serviceState.m_retries.Spend(
                          BootClock::now(), m_services.m_routing.GatewayCount());
--- a/Tests/Forwarding/CutOffVmTest.cxx
+++ b/Tests/Forwarding/CutOffVmTest.cxx
@@ -165,6 +165,49 @@
   CHECK_EQUAL(0, m_crashReports);
 }
 
+// Failure: reports that waited for a witness left when the links were back.
+TEST(CutOffVm, ReportsNoEngineWhenItsLinksAreBack)
+{
+  Start(true);
+  CountServed("/stream/x");
+  m_fixture->SetLinks(LinkState::Refuse);
+  CountServed("/stream/x");
+  m_fixture->SetLinks(LinkState::Open);
+  CHECK(m_fixture->RunUntil(
+    [this] { return m_fixture->m_sink.Has({ "endpoints_reached" }); }));
+  RunFor(std::chrono::milliseconds(200));
+  CountServed("/stream/x");
+  CHECK_EQUAL(0, m_engineReports);
+}
+
+// Load: all begun streams of a VM come to one other VM at the same moment.
+TEST(CutOffVm, ManyBegunStreamsGoOnThroughOneVmInTouch)
+{
+  constexpr int kStreams = 12;
+  m_fixture->m_options.m_retries.m_slack = 1e6;
+  Start(false);
+  // What the VM in touch may retry itself is not used up by others.
+  m_fixture->m_options.m_retries.m_slack = 0;
+  m_fixture->m_options.m_retries.m_ratio = 0;
+  m_fixture->StartSecondGateway();
+  SetEngineScripts(StreamUntilResumed);
+  std::vector<std::unique_ptr<ForwardFixture::Caller>> callers;
+  for (int i = 0; i < kStreams; ++i) {
+    callers.push_back(m_fixture->Connect());
+    callers.back()->Send(MakeRequest(
+      "POST", "/stream/x", kPromptHeader + "Connection: close\r\n", "prompt"));
+  }
+  for (const auto& caller : callers) {
+    CHECK(m_fixture->RunUntil(
+      [&] { return EventsOf(caller->Received()).size() == 3; }));
+  }
+  m_fixture->SetLinks(LinkState::Refuse);
+  for (const auto& caller : callers) {
+    CHECK(m_fixture->RunUntil([&] { return caller->IsClosed(); }));
+    CheckAllEventsOnce(caller->Received());
+  }
+}
+
 TEST(CutOffVm, AnEngineThatEndsIsReportedByAVmInTouch)
 {
   Start(false);
