--- a/Source/Forwarding/PlainForwarder.cxx
+++ b/Source/Forwarding/PlainForwarder.cxx
@@ -24,6 +24,8 @@
 // The same for a request that another VM took over, which retries it itself.
 constexpr Duration kMinHelperTimeout = std::chrono::milliseconds(250);
 constexpr std::size_t kMaxConnectFailures = 3;
+// VMs that a request is passed on to, one after the other.
+constexpr std::size_t kMaxHelpers = 8;
 // A longer answer is broken, unless the limit of a caller's request is larger.
 constexpr std::size_t kMaxAnswerBytes = 8UL * 1024 * 1024;
 constexpr unsigned kBadGateway = 502;
@@ -144,7 +146,7 @@
     const bool kindAllows =
       aOutcome == ForwardOutcome::NotExecuted || m_request.m_route->CanRetry();
     const bool countAllows =
-      m_connectFailures < kMaxConnectFailures &&
+      m_connectFailures < (m_isPassedOn ? kMaxHelpers : kMaxConnectFailures) &&
       m_possibleExecutions < m_request.m_route->m_maxAttempts;
     const bool trialAllows =
       !m_isTrial || aOutcome == ForwardOutcome::NotExecuted;
@@ -371,8 +373,13 @@
     }
     --m_possibleExecutions;
     --m_request.m_attempts;
+    m_hasRetryClaim = true;
     m_request.m_lastFault = NameOfCause(*cause);
-    if (!IsHelperFault(*cause)) {
+    if (IsHelperFault(*cause)) {
+      ++m_connectFailures;
+      m_services.m_reach.RecordHelperRefusal(
+        BootClock::now(), *aCall.Target(), m_request.m_service, *cause);
+    } else {
       m_helperCause = cause;
       m_request.m_availableAt =
         BootClock::now() + aHeaders.m_pause.value_or(Duration::zero());
--- a/Source/Forwarding/ReachMonitor.cxx
+++ b/Source/Forwarding/ReachMonitor.cxx
@@ -23,6 +23,8 @@
 // Availability zones are about 1 ms apart.
 constexpr std::chrono::milliseconds kTrialTimeout{ 80 };
 constexpr unsigned kHttp11 = 11;
+// A VM that stops, has no lease or is too busy is left out for this time.
+constexpr Duration kHelperEjection = std::chrono::milliseconds(150);
 // A report waits this long for a witness before a connection is tried to find
 // one: in a busy fleet another endpoint answers within a few milliseconds.
 constexpr Duration kWitnessDelay = std::chrono::milliseconds(20);
@@ -255,6 +257,19 @@
   return m_helpers.Pick(aNow, { aService, aExcluded });
 }
 
+void
+ReachMonitor::RecordHelperRefusal(TimePoint aNow,
+                                  const Runner& aHelper,
+                                  const std::string& aService,
+                                  RefusalCause aCause)
+{
+  if (aCause == RefusalCause::EndpointsUnreached) {
+    m_helpers.RecordUnreached(aNow, aHelper, aService);
+  } else {
+    aHelper.m_load->EjectFor(aNow, kHelperEjection);
+  }
+}
+
 void
 ReachMonitor::ReportFailure(TimePoint aSince,
                             const RunnerPtr& aEndpoint,
--- a/Source/Forwarding/ReachMonitor.h
+++ b/Source/Forwarding/ReachMonitor.h
@@ -12,6 +12,7 @@
 
 #include "Forwarding/EndpointClient.h"
 #include "Forwarding/ForwardDialect.h"
+#include "Forwarding/RefusalCause.h"
 #include "Forwarding/RoutingState.h"
 #include "Reach/HelperPicker.h"
 #include "Reach/ServiceReach.h"
@@ -68,6 +69,13 @@
                        const std::string& aService,
                        const std::vector<std::string>& aExcluded);
 
+  // A VM refused a request of the service that was passed on to it because of a
+  // fault of its own.
+  void RecordHelperRefusal(TimePoint aNow,
+                           const Runner& aHelper,
+                           const std::string& aService,
+                           RefusalCause aCause);
+
 private:
   // A report that waits for its witness.
   struct PendingReport
--- a/Source/Forwarding/StreamAttempt.cxx
+++ b/Source/Forwarding/StreamAttempt.cxx
@@ -235,10 +235,14 @@
 {
   --m_possibleExecutions;
   --m_request.m_attempts;
+  // The call reached no endpoint, so the retry that was charged for it is left
+  // for the next one.
+  m_hasRetryClaim = true;
   m_request.m_excluded.push_back(aCall.Target()->m_id);
   m_request.m_lastFault = NameOfCause(aCause);
   if (IsHelperFault(aCause)) {
-    aCall.Target()->m_load->EjectFor(BootClock::now(), kRefusalEjection);
+    m_services.m_reach.RecordHelperRefusal(
+      BootClock::now(), *aCall.Target(), m_request.m_service, aCause);
   } else {
     m_helperCause = aCause;
     m_request.m_availableAt =
--- a/Source/Forwarding/StreamForwarder.cxx
+++ b/Source/Forwarding/StreamForwarder.cxx
@@ -20,6 +20,8 @@
 constexpr unsigned kGatewayTimeout = 504;
 // Retries after attempts that reached no endpoint or were refused.
 constexpr std::size_t kMaxRefusals = 2;
+// VMs that a request is passed on to, one after the other.
+constexpr std::size_t kMaxHelpers = 8;
 // Attempts of one request that may have run, whatever ended them.
 constexpr std::uint32_t kMaxExecutions = 4;
 // Engines that a request may lose before its first event, if a part of its
@@ -288,7 +290,8 @@
   if (MustPassOn(m_request) && !std::exchange(m_isPassedOn, true)) {
     m_refusals = 0;
   }
-  if (aOutcome == AttemptOutcome::NotExecuted && ++m_refusals > kMaxRefusals) {
+  if (aOutcome == AttemptOutcome::NotExecuted &&
+      ++m_refusals > (m_isPassedOn ? kMaxHelpers : kMaxRefusals)) {
     return false;
   }
   if (aOutcome != AttemptOutcome::NotExecuted &&
--- a/Source/Reach/HelperPicker.cxx
+++ b/Source/Reach/HelperPicker.cxx
@@ -51,12 +51,25 @@
     helpers[listed->vm] = {
       MakeGateway(*listed,
                   known == m_helpers.end() ? nullptr : known->second.m_gateway),
-      listed->unreached
+      listed->unreached,
+      known == m_helpers.end() ? std::map<std::string, TimePoint, std::less<>>{}
+                               : known->second.m_refusedAt
     };
   }
   m_helpers = std::move(helpers);
 }
 
+void
+HelperPicker::RecordUnreached(TimePoint aNow,
+                              const Runner& aHelper,
+                              std::string_view aService)
+{
+  if (const auto known = m_helpers.find(aHelper.m_id);
+      known != m_helpers.end()) {
+    known->second.m_refusedAt[std::string(aService)] = aNow;
+  }
+}
+
 bool
 HelperPicker::IsUsable(TimePoint aNow,
                        const Helper& aHelper,
@@ -65,6 +78,11 @@
   const auto& unreached = aHelper.m_unreached;
   const auto& excluded = aRequest.m_excluded;
   const RunnerLoad& load = *aHelper.m_gateway->m_load;
+  if (const auto refused = aHelper.m_refusedAt.find(aRequest.m_service);
+      refused != aHelper.m_refusedAt.end() &&
+      aNow - refused->second < kRefusalMemory) {
+    return false;
+  }
   return load.Circuit(aNow) != CircuitState::Open && !load.IsEjected(aNow) &&
          std::find(unreached.begin(), unreached.end(), aRequest.m_service) ==
            unreached.end() &&
--- a/Source/Reach/HelperPicker.h
+++ b/Source/Reach/HelperPicker.h
@@ -41,9 +41,16 @@
   // reaches the service.
   RunnerPtr Pick(TimePoint aNow, const HelperRequest& aRequest);
   bool HasHelper(TimePoint aNow, const HelperRequest& aRequest) const;
+  // Records that the VM refused a request because it does not reach the service
+  // either. The list shows so a moment later.
+  void RecordUnreached(TimePoint aNow,
+                       const Runner& aHelper,
+                       std::string_view aService);
   std::size_t Count() const { return m_helpers.size(); }
 
   static constexpr std::int32_t kOtherZoneHandicap = 4;
+  // How long a refusal is remembered.
+  static constexpr Duration kRefusalMemory = std::chrono::seconds(1);
 
 private:
   struct Helper
@@ -51,6 +58,8 @@
     RunnerPtr m_gateway;
     // Services that the VM does not reach.
     std::vector<std::string> m_unreached;
+    // When the VM last refused, by service.
+    std::map<std::string, TimePoint, std::less<>> m_refusedAt;
   };
 
   static bool IsUsable(TimePoint aNow,
--- a/Tests/Reach/HelperPickerTest.cxx
+++ b/Tests/Reach/HelperPickerTest.cxx
@@ -83,6 +83,19 @@
   CHECK(Pick() == nullptr);
 }
 
+// Load: at the moment of a cut the list does not show yet who else is cut off.
+TEST(HelperPicker, ARefusalIsRememberedForItsService)
+{
+  List("vm-1", "zone-a", 1);
+  Apply();
+  m_picker.RecordUnreached(kNow, *Pick(), "model");
+  Apply();
+  CHECK(Pick() == nullptr);
+  CHECK(m_picker.Pick(kNow, { "plain", m_excluded }) != nullptr);
+  CHECK(m_picker.Pick(kNow + HelperPicker::kRefusalMemory,
+                      { "model", m_excluded }) != nullptr);
+}
+
 TEST(HelperPicker, LoadIsKeptWhileTheVmIsListedAtItsAddress)
 {
   List("vm-1", "zone-a", 1);
