Forwarding: Take only answers of engines for contact; the soak cuts VMs off from back ends

A trial asks an engine for its state and, while the VM may not reach the service, a plain endpoint for its health; a new connection of a call is no contact.

The soak's proxies harm the connections of one entry VM: answers or both ways are lost, connections are reset, or only new ones are refused, for all or half of the back ends, again and again.

--- a/Source/Ctl/CommandTable.cxx
+++ b/Source/Ctl/CommandTable.cxx
@@ -117,6 +117,10 @@
        kConfig,
        "endpoint_limits",
        { "id", "incarnation", "per_1000_s", "gateways" });
+  list("gateways list",
+       kConfig,
+       "gateways",
+       { "vm", "zone", "address", "port", "unreached", "unix_ms" });
   m_commands.push_back(std::make_unique<StatusCommand>());
   m_commands.push_back(std::make_unique<DrainCommand>());
   m_commands.push_back(std::make_unique<ShowShutdownDateCommand>());
--- a/Source/Forwarding/EndpointChecker.cxx
+++ b/Source/Forwarding/EndpointChecker.cxx
@@ -49,7 +49,6 @@
   const bool isConnected = co_await call->Connect(kConnectTimeout);
   const TimePoint now = BootClock::now();
   if (isConnected) {
-    ReachMonitor::RecordReached(now, *aRunner);
     call->Abort(CallEnd::Superseded);
   } else if (!call->HasConnectTimedOut()) {
     m_reach.RecordUnreached(now, *aRunner);
--- a/Source/Forwarding/ForwardedRequest.cxx
+++ b/Source/Forwarding/ForwardedRequest.cxx
@@ -466,9 +466,7 @@
   const bool connected = co_await call->Connect(aConnectTimeout);
   if (call->IsNewConnection()) {
     ++services.m_metrics.NewConnections();
-    if (connected) {
-      ReachMonitor::RecordReached(BootClock::now(), *aRunner);
-    } else if (call->End() == CallEnd::NotConnected) {
+    if (!connected && call->End() == CallEnd::NotConnected) {
       services.m_reach.RecordUnreached(
         call->HasConnectTimedOut() ? connectedAt : BootClock::now(), *aRunner);
     }
--- a/Source/Forwarding/ReachMonitor.cxx
+++ b/Source/Forwarding/ReachMonitor.cxx
@@ -21,7 +21,9 @@
 namespace {
 
 // Availability zones are about 1 ms apart.
-constexpr std::chrono::milliseconds kTrialTimeout{ 80 };
+constexpr Duration kTrialTimeout = std::chrono::milliseconds(80);
+// A question for the health of a plain endpoint may wait for a slot.
+constexpr Duration kHealthTimeout = std::chrono::milliseconds(300);
 constexpr unsigned kHttp11 = 11;
 // A VM that stops, has no lease or is too busy is left out for this time.
 constexpr Duration kHelperEjection = std::chrono::milliseconds(150);
@@ -114,7 +116,8 @@
 ReachMonitor::Connect(RunnerPtr aEndpoint)
 {
   beast::tcp_stream stream(m_context);
-  stream.expires_after(kTrialTimeout);
+  stream.expires_after(
+    std::chrono::duration_cast<asio::steady_timer::duration>(kTrialTimeout));
   beast::error_code error;
   const auto ip = asio::ip::make_address(aEndpoint->m_address.m_address, error);
   if (error) {
@@ -128,28 +131,42 @@
 }
 
 asio::awaitable<bool>
-ReachMonitor::AskForState(RunnerPtr aEndpoint)
+ReachMonitor::Ask(RunnerPtr aEndpoint, std::string aPath, Duration aTimeout)
 {
-  HttpRequest request(http::verb::get, m_dialect.EngineStatePath(), kHttp11);
+  HttpRequest request(http::verb::get, aPath, kHttp11);
   request.set(http::field::host, aEndpoint->m_address.ToString());
   ++m_metrics.Probes();
-  const CallResult result = co_await m_client.Call(aEndpoint->m_address,
-                                                   std::move(request),
-                                                   kTrialTimeout,
-                                                   ConnectionChoice::New);
+  const CallResult result = co_await m_client.Call(
+    aEndpoint->m_address, std::move(request), aTimeout, ConnectionChoice::New);
   co_return result.m_response.has_value();
 }
 
+std::string
+ReachMonitor::HealthPathOf(const std::string& aService) const
+{
+  const RoutingConfig* config = m_routing.Config();
+  if (config != nullptr) {
+    for (const ServiceRule& service : config->Services()) {
+      if (service.m_name == aService) {
+        return service.m_healthPath;
+      }
+    }
+  }
+  return {};
+}
+
 asio::awaitable<void>
 ReachMonitor::TryConnection(std::string aService, RunnerPtr aEndpoint)
 {
   const TimePoint since = BootClock::now();
-  const bool isAsked =
-    aEndpoint->m_kind == state::EndpointKind::ManagedEngine &&
-    ReachOf(aService).IsInDoubt();
+  const bool isEngine = aEndpoint->m_kind == state::EndpointKind::ManagedEngine;
+  const std::string path = isEngine ? std::string(m_dialect.EngineStatePath())
+                                    : HealthPathOf(aService);
   bool isReached = false;
-  if (isAsked) {
-    isReached = co_await AskForState(aEndpoint);
+  const bool isAsked = isEngine || ReachOf(aService).IsInDoubt();
+  if (isAsked && !path.empty()) {
+    isReached =
+      co_await Ask(aEndpoint, path, isEngine ? kTrialTimeout : kHealthTimeout);
   } else {
     isReached = co_await Connect(aEndpoint);
   }
--- a/Source/Forwarding/ReachMonitor.h
+++ b/Source/Forwarding/ReachMonitor.h
@@ -104,12 +104,18 @@
   bool IsAnnounced(const state::ConfigImageT& aImage,
                    const state::EntryGatewayT& aGateway) const;
   void StartTrial(const std::string& aService, RunnerPtr aEndpoint);
-  // Connects, and has an engine answer if this VM may not reach the service: a
-  // link that hangs may still take connections.
+  // Has the endpoint answer, since a link that hangs may still take
+  // connections. A plain endpoint, whose answer costs a slot, only has to take
+  // the connection unless this VM may not reach its service.
   asio::awaitable<void> TryConnection(std::string aService,
                                       RunnerPtr aEndpoint);
   asio::awaitable<bool> Connect(RunnerPtr aEndpoint);
-  asio::awaitable<bool> AskForState(RunnerPtr aEndpoint);
+  // Returns true if the endpoint answers, whatever the answer.
+  asio::awaitable<bool> Ask(RunnerPtr aEndpoint,
+                            std::string aPath,
+                            Duration aTimeout);
+  // Empty if the service has none.
+  std::string HealthPathOf(const std::string& aService) const;
 
   asio::io_context& m_context;
   const ForwardOptions& m_options;
--- a/Tests/Soak/SoakBackend.cxx
+++ b/Tests/Soak/SoakBackend.cxx
@@ -135,6 +135,9 @@
 std::vector<StubStep>
 SoakBackend::Answer(const HttpRequest& aRequest)
 {
+  if (aRequest.target() == "/health") {
+    return { Send(MakeJsonAnswer(200, "{}")) };
+  }
   if (aRequest.target() == "/parsleycove/report") {
     return { Send(MakeJsonAnswer(
       200, R"({"pace":1.0,"born":)" + std::to_string(m_born) + "}")) };
--- a/Tests/Soak/SoakCuts.cxx
+++ b/Tests/Soak/SoakCuts.cxx
@@ -8,24 +8,44 @@
 
 namespace parsleycove {
 
+namespace {
+
+// A VM takes its links for good again after some trials.
+constexpr std::chrono::milliseconds kAftermathMs{ 1000 };
+
+// Returns true if callers of the VM were harmed by something else.
+bool
+IsHarmed(const SoakLedger& aLedger,
+         const std::string& aEntry,
+         TimePoint aFrom,
+         TimePoint aTo)
+{
+  return aLedger.Harms().Meets(aEntry, aFrom, aTo) ||
+         aLedger.Stops().Meets(aEntry, aFrom, aTo);
+}
+
+} // namespace
+
 void
 SoakCuts::Cut(std::size_t aEntry, LinkFault aFault, bool aIsWhole)
 {
-  m_cuts[aEntry] = { aFault, aIsWhole };
-  // Where open connections live on they may serve.
-  if (aIsWhole) {
-    m_wholeSince[aEntry] = BootClock::now();
-  }
+  m_cuts[aEntry] = { aFault, aIsWhole, BootClock::now() };
 }
 
 void
 SoakCuts::Heal(std::size_t aEntry)
 {
-  m_cuts.erase(aEntry);
-  if (const auto since = m_wholeSince.find(aEntry);
-      since != m_wholeSince.end()) {
-    m_spans.push_back({ aEntry, since->second, BootClock::now() });
-    m_wholeSince.erase(since);
+  const auto found = m_cuts.find(aEntry);
+  if (found == m_cuts.end()) {
+    return;
+  }
+  const ActiveCut cut = found->second;
+  m_cuts.erase(found);
+  const TimePoint now = BootClock::now();
+  m_ledger.LostLinks().Note(
+    SoakScene::EntryName(aEntry), cut.m_from, now + kAftermathMs);
+  if (cut.m_isWhole) {
+    m_spans.push_back({ aEntry, cut.m_from, now });
   }
 }
 
@@ -47,6 +67,21 @@
   return LinkFault::None;
 }
 
+bool
+SoakCuts::HasVmInTouch(const SoakLedger& aLedger,
+                       TimePoint aFrom,
+                       TimePoint aTo) const
+{
+  for (std::size_t vm = 0; vm < m_entries; ++vm) {
+    const std::string name = SoakScene::EntryName(vm);
+    if (!IsHarmed(aLedger, name, aFrom, aTo) &&
+        !aLedger.LostLinks().Meets(name, aFrom, aTo)) {
+      return true;
+    }
+  }
+  return false;
+}
+
 SoakCuts::Counts
 SoakCuts::Count(const SoakLedger& aLedger, Duration aSettling) const
 {
@@ -62,10 +97,10 @@
     const bool isInSpan = std::any_of(m_spans.begin(), m_spans.end(), touches);
     const TimePoint from = attempt.m_sentAt - aSettling;
     const bool isHarmed =
-      aLedger.Harms().Meets(attempt.m_entry, from, attempt.m_endedAt) ||
-      aLedger.Harms().Meets(attempt.m_link, from, attempt.m_endedAt) ||
-      aLedger.Stops().Meets(attempt.m_entry, from, attempt.m_endedAt);
-    if (!isInSpan || isHarmed) {
+      IsHarmed(aLedger, attempt.m_entry, from, attempt.m_endedAt) ||
+      aLedger.Harms().Meets(attempt.m_link, from, attempt.m_endedAt);
+    if (!isInSpan || isHarmed ||
+        !HasVmInTouch(aLedger, from, attempt.m_endedAt)) {
       continue;
     }
     const bool isServed = attempt.m_end == AttemptEnd::Served;
--- a/Tests/Soak/SoakCuts.h
+++ b/Tests/Soak/SoakCuts.h
@@ -18,8 +18,10 @@
 class SoakCuts
 {
 public:
-  explicit SoakCuts(SoakFleet& aFleet)
-    : m_fleet(aFleet)
+  SoakCuts(SoakFleet& aFleet, SoakLedger& aLedger, std::size_t aEntries)
+    : m_entries(aEntries)
+    , m_fleet(aFleet)
+    , m_ledger(aLedger)
   {
   }
 
@@ -46,6 +48,7 @@
   {
     LinkFault m_fault{};
     bool m_isWhole = false;
+    TimePoint m_from{};
   };
   struct Span
   {
@@ -63,10 +66,16 @@
 
   Counts Count(const SoakLedger& aLedger, Duration aSettling) const;
 
+  // Returns true if some VM had all its links and was not harmed or stopped.
+  bool HasVmInTouch(const SoakLedger& aLedger,
+                    TimePoint aFrom,
+                    TimePoint aTo) const;
+
+  const std::size_t m_entries;
   SoakFleet& m_fleet;
+  SoakLedger& m_ledger;
   // By entry VM.
   std::map<std::size_t, ActiveCut> m_cuts;
-  std::map<std::size_t, TimePoint> m_wholeSince;
   std::vector<Span> m_spans;
 };
 
--- a/Tests/Soak/SoakEndCheck.cxx
+++ b/Tests/Soak/SoakEndCheck.cxx
@@ -26,6 +26,9 @@
   return !aAttempt.m_isExcused && !aAttempt.m_backends.empty() &&
          !harms.Meets(
            aAttempt.m_entry, aAttempt.m_sentAt, aAttempt.m_endedAt) &&
+         !aLedger.LostLinks().Meets(aAttempt.m_entry,
+                                    aAttempt.m_sentAt - kAftermathS,
+                                    aAttempt.m_endedAt) &&
          !harms.Meets(aAttempt.m_link, aAttempt.m_sentAt, aAttempt.m_endedAt) &&
          std::none_of(aAttempt.m_backends.begin(),
                       aAttempt.m_backends.end(),
--- a/Tests/Soak/SoakFaults.cxx
+++ b/Tests/Soak/SoakFaults.cxx
@@ -294,8 +294,12 @@
 void
 SoakFaults::CutOff()
 {
+  // Now and then all of them.
   const std::size_t most = m_scene.m_options.m_entries;
-  const auto count = 1 + m_scene.m_random.Below(most);
+  const auto count =
+    m_scene.m_random.Below(4) == 0
+      ? most
+      : 1 + m_scene.m_random.Below(std::max(most / 2, std::size_t{ 1 }));
   for (std::size_t i = 0; i < count; ++i) {
     CutOffFor(DrawEntry(), m_scene.Draw(1500, 6000), 1);
   }
--- a/Tests/Soak/SoakLedger.h
+++ b/Tests/Soak/SoakLedger.h
@@ -101,6 +101,9 @@
   const SoakHarms& Silences() const { return m_silences; }
   SoakLimits& Limits() { return m_limits; }
   const SoakLimits& Limits() const { return m_limits; }
+  // Which entry VMs had lost links to back ends.
+  SoakHarms& LostLinks() { return m_lostLinks; }
+  const SoakHarms& LostLinks() const { return m_lostLinks; }
   SoakHarms& Stops() { return m_stops; }
   const SoakHarms& Stops() const { return m_stops; }
 
@@ -133,6 +136,7 @@
   SoakHarms m_harms;
   SoakHarms m_silences;
   SoakHarms m_stops;
+  SoakHarms m_lostLinks;
   SoakLimits m_limits;
   int m_served = 0;
   int m_servedStreams = 0;
--- a/Tests/Soak/SoakOperator.cxx
+++ b/Tests/Soak/SoakOperator.cxx
@@ -32,7 +32,7 @@
 {"name":"stream","host":"one.example","path-prefix":"/stream/",
  "kind":"streaming","resumable":true,"timeout-ms":8000,
  "target-latency-ms":500,"service":"model","max-attempts":2}],
-"services":[{"name":"plain"},{"name":"model","engine":{"layers":4,
+"services":[{"name":"plain","health-path":"/health"},{"name":"model","engine":{"layers":4,
  "layer-mb":100,"kv-token-bytes":1000,"step_ms":1,"read_per_s":100000,
  "kinds":[{"name":"card","mb":260,"pace":1,"read-x":1}]}}],
 "limits":{"max-header-bytes":4096,"max-body-bytes":65536},)";
--- a/Tests/Soak/SoakScene.h
+++ b/Tests/Soak/SoakScene.h
@@ -57,7 +57,7 @@
   Random m_random;
   SoakLedger m_ledger;
   SoakFleet m_fleet;
-  SoakCuts m_cuts{ m_fleet };
+  SoakCuts m_cuts{ m_fleet, m_ledger, m_options.m_entries };
   std::vector<std::unique_ptr<FaultProxy>> m_doors;
   std::deque<std::unique_ptr<SoakBackend>> m_backends;
   std::unique_ptr<SoakOperator> m_operator;
