--- a/Source/Forwarding/ReachMonitor.cxx
+++ b/Source/Forwarding/ReachMonitor.cxx
@@ -188,6 +188,7 @@
                          const ServiceReach& aReach)
 {
   DropReports(aService);
+  RefreshHelpers();
   ++m_metrics.LostServices();
   const ReachEvidence& evidence = aReach.Evidence();
   m_log.Write(DecisionEvent::EndpointsUnreached, [&](DecisionLine& aLine) {
@@ -262,15 +263,21 @@
   return found != m_services.end() && found->second.Evidence().m_unreached != 0;
 }
 
-RunnerPtr
-ReachMonitor::PickHelper(TimePoint aNow,
-                         const std::string& aService,
-                         const std::vector<std::string>& aExcluded)
+void
+ReachMonitor::RefreshHelpers()
 {
   if (auto view = m_control.View(); view != m_helpersView) {
     m_helpersView = std::move(view);
     m_helpers.Apply(*m_helpersView);
   }
+}
+
+RunnerPtr
+ReachMonitor::PickHelper(TimePoint aNow,
+                         const std::string& aService,
+                         const std::vector<std::string>& aExcluded)
+{
+  RefreshHelpers();
   return m_helpers.Pick(aNow, { aService, aExcluded });
 }
 
--- a/Source/Forwarding/ReachMonitor.h
+++ b/Source/Forwarding/ReachMonitor.h
@@ -86,6 +86,8 @@
     TimePoint m_recordedAt{};
   };
 
+  // Applies the list of VMs if it has changed.
+  void RefreshHelpers();
   ServiceReach& ReachOf(const std::string& aService);
   const std::vector<RunnerPtr>& EndpointsOf(const std::string& aService) const;
   void CheckService(TimePoint aNow,
--- a/Source/Forwarding/StreamAttempt.cxx
+++ b/Source/Forwarding/StreamAttempt.cxx
@@ -243,7 +243,7 @@
   if (IsHelperFault(aCause)) {
     m_services.m_reach.RecordHelperRefusal(
       BootClock::now(), *aCall.Target(), m_request.m_service, aCause);
-  } else {
+  } else if (!m_hasSentHeader) {
     m_helperCause = aCause;
     m_request.m_availableAt =
       BootClock::now() + aHeaders.m_pause.value_or(Duration::zero());
--- a/Source/Forwarding/StreamForwarder.h
+++ b/Source/Forwarding/StreamForwarder.h
@@ -118,7 +118,8 @@
   bool m_isTrial = false;
   // The request is passed on from now on.
   bool m_isPassedOn = false;
-  // Why the VM that reaches the service refused the request.
+  // Why the VM that reaches the service refused the request. Not set for a
+  // stream that has begun, which waits for another path or VM.
   std::optional<RefusalCause> m_helperCause;
   // The answer's header was sent to the caller.
   bool m_hasSentHeader = false;
