Forwarding: Count a call that breaks before its answer as an attempt in vain

CutOffVm.ItsCallersAreServedThroughAVmInTouchWhereConnectionsBreak passes (not run on the code before).

--- a/Source/Forwarding/PlainForwarder.cxx
+++ b/Source/Forwarding/PlainForwarder.cxx
@@ -479,6 +479,7 @@
     if (end == CallEnd::Broken && !aCall.HasAnswerHeader() &&
         !aCall.Target()->m_isGateway) {
       const TimePoint now = BootClock::now();
+      m_services.m_reach.RecordUnreached(now, *aCall.Target());
       m_services.m_promptParts.RecordUnanswered(now,
                                                 m_request.m_headers.m_attemptId,
                                                 m_request.Parts(),
--- a/Tests/Forwarding/CutOffVmTest.cxx
+++ b/Tests/Forwarding/CutOffVmTest.cxx
@@ -130,6 +130,15 @@
   CheckAllKindsServed();
 }
 
+// Failure: a link that takes connections and resets them.
+TEST(CutOffVm, ItsCallersAreServedThroughAVmInTouchWhereConnectionsBreak)
+{
+  Start(true);
+  CheckAllKindsServed();
+  m_fixture->SetLinks(LinkState::Reset);
+  CheckAllKindsServed();
+}
+
 TEST(CutOffVm, ABegunStreamGoesOnThroughAVmInTouch)
 {
   Start(true);
--- a/Tests/Forwarding/EndpointLink.cxx
+++ b/Tests/Forwarding/EndpointLink.cxx
@@ -58,6 +58,13 @@
           return;
         }
         ++self->m_accepted;
+        if (self->m_state == LinkState::Reset) {
+          error_code ignored;
+          aSocket.set_option(asio::socket_base::linger(true, 0), ignored);
+          aSocket.close(ignored);
+          self->Accept();
+          return;
+        }
         auto connection = std::make_shared<Connection>(std::move(aSocket));
         error_code failed;
         connection->m_far.connect({ kLoopback, self->m_target }, failed);
@@ -155,7 +162,8 @@
     const bool wasListening = m_acceptor.is_open();
     const bool hasHung = m_state == LinkState::Silent;
     m_state = aState;
-    if (wasListening && aState != LinkState::Open) {
+    if (wasListening && aState != LinkState::Open &&
+        aState != LinkState::Reset) {
       m_acceptor.close();
     }
     if (aState == LinkState::Silent) {
@@ -167,7 +175,7 @@
       Listen(asio::socket_base::max_listen_connections);
       Accept();
     }
-    if (aState == LinkState::Refuse) {
+    if (aState == LinkState::Refuse || aState == LinkState::Reset) {
       Reset();
     }
     if (aState == LinkState::Open) {
--- a/Tests/Forwarding/EndpointLink.h
+++ b/Tests/Forwarding/EndpointLink.h
@@ -15,6 +15,8 @@
   Refuse,
   // Open connections go on, new ones are refused.
   RefuseNew,
+  // Open connections are reset, and new ones are taken and reset.
+  Reset,
   // Nothing passes, and connections stay open.
   Silent,
 };
--- a/Tests/Soak/Soak.cxx
+++ b/Tests/Soak/Soak.cxx
@@ -169,6 +169,10 @@
        m_scene.m_cuts.FindBreaches(ledger, kCutSettlingMs)) {
     ledger.Breach(std::move(breach));
   }
+  m_scene.m_fleet.ReadPassedOn(
+    [&](const std::string& aAttempt, const std::string& aEntry) {
+      ledger.NoteHelper(aAttempt, aEntry);
+    });
   const SoakEndCounts ends = CheckEnds(ledger);
   std::cout << "seed " << m_scene.m_options.m_seed << ": " << m_faults.Count()
             << " faults, " << ledger.Served() << " served, "
--- a/Tests/Soak/SoakEndCheck.cxx
+++ b/Tests/Soak/SoakEndCheck.cxx
@@ -30,6 +30,12 @@
                                     aAttempt.m_sentAt - kAftermathS,
                                     aAttempt.m_endedAt) &&
          !harms.Meets(aAttempt.m_link, aAttempt.m_sentAt, aAttempt.m_endedAt) &&
+         std::none_of(aAttempt.m_helpers.begin(),
+                      aAttempt.m_helpers.end(),
+                      [&](const std::string& aHelper) {
+                        return harms.Meets(
+                          aHelper, aAttempt.m_sentAt, aAttempt.m_endedAt);
+                      }) &&
          std::none_of(aAttempt.m_backends.begin(),
                       aAttempt.m_backends.end(),
                       [&](const std::string& aBackend) {
--- a/Tests/Soak/SoakFleet.cxx
+++ b/Tests/Soak/SoakFleet.cxx
@@ -2,8 +2,11 @@
 #include "Soak/SoakFleet.h"
 
 #include <filesystem>
+#include <fstream>
 #include <utility>
 
+#include <boost/json.hpp>
+
 namespace parsleycove {
 
 namespace {
@@ -152,6 +155,27 @@
   std::filesystem::create_directories(FolderOf(aVm));
 }
 
+void
+SoakFleet::ReadPassedOn(
+  const std::function<void(const std::string&, const std::string&)>& aNote)
+  const
+{
+  for (std::size_t vm = 0; vm < m_entries.size(); ++vm) {
+    std::ifstream log(m_folder + "/entry-" + std::to_string(vm) + ".log");
+    for (std::string line; std::getline(log, line);) {
+      if (line.find("\"request_passed_on\"") == std::string::npos) {
+        continue;
+      }
+      boost::system::error_code error;
+      const boost::json::value entry = boost::json::parse(line, error);
+      if (!error) {
+        aNote(std::string(entry.at("id").as_string()),
+              std::string(entry.at("to").as_string()));
+      }
+    }
+  }
+}
+
 void
 SoakFleet::Revive()
 {
--- a/Tests/Soak/SoakFleet.h
+++ b/Tests/Soak/SoakFleet.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -33,6 +34,10 @@
   SocketAddress ReadinessAddress(std::size_t aVm) const;
   // A control VM that must not run comes up again without its data.
   void WipeDisk(std::size_t aVm);
+  // Calls aNote with the id of each request that an entry VM has passed on, and
+  // with the VM that it went to, as the entry VMs' logs tell.
+  void ReadPassedOn(const std::function<void(const std::string&,
+                                             const std::string&)>& aNote) const;
   // Every process that is not running is started again.
   void Revive();
 
--- a/Tests/Soak/SoakLedger.cxx
+++ b/Tests/Soak/SoakLedger.cxx
@@ -73,6 +73,14 @@
   attempt.m_story += ", " + std::to_string(ms.count()) + " ms " + aStep;
 }
 
+void
+SoakLedger::NoteHelper(const std::string& aAttempt, const std::string& aEntry)
+{
+  if (const auto known = m_attempts.find(aAttempt); known != m_attempts.end()) {
+    known->second.m_helpers.insert(aEntry);
+  }
+}
+
 void
 SoakLedger::Excuse(const std::string& aAttempt)
 {
--- a/Tests/Soak/SoakLedger.h
+++ b/Tests/Soak/SoakLedger.h
@@ -49,6 +49,8 @@
   std::string m_story;
   // Addresses of all back ends on its paths.
   std::set<std::string> m_backends;
+  // Entry VMs that it was passed on to.
+  std::set<std::string> m_helpers;
   int m_runs = 0;
   bool m_isRefused = false;
   // Carries a part that crashes engines, or a back end broke its answer off.
@@ -70,6 +72,8 @@
   void NoteStep(const std::string& aAttempt,
                 const std::string& aStep,
                 TimePoint aNow);
+  // Its entry VM passed it on to this one.
+  void NoteHelper(const std::string& aAttempt, const std::string& aEntry);
   // Its back end harms it.
   void Excuse(const std::string& aAttempt);
   void NoteEnd(const std::string& aAttempt,
