--- a/Tests/Soak/SoakCuts.cxx
+++ b/Tests/Soak/SoakCuts.cxx
@@ -86,7 +86,8 @@
 SoakCuts::Count(const SoakLedger& aLedger, Duration aSettling) const
 {
   Counts counts;
-  for (const auto& [id, attempt] : aLedger.Attempts()) {
+  for (const auto& entry : aLedger.Attempts()) {
+    const SoakAttempt& attempt = entry.second;
     if (attempt.m_end == AttemptEnd::Open || attempt.m_isExcused) {
       continue;
     }
