--- a/Source/Forwarding/StreamForwarder.cxx
+++ b/Source/Forwarding/StreamForwarder.cxx
@@ -251,8 +251,9 @@
         : kMaxPathWait;
     m_pathWaitUntil = now + std::min<Duration>(most, m_request.TimeLeft() / 3);
   }
-  // A stream that has begun is worth a wait for the links.
-  const bool isHopeless = MustPassOn(m_request) && !m_hasSentHeader;
+  // A request that may have run cannot be refused, so it waits for the links.
+  const bool isHopeless =
+    MustPassOn(m_request) && !m_hasSentHeader && m_possibleExecutions == 0;
   if (isHopeless || aChoice.m_isLimited || now >= m_pathWaitUntil ||
       aChoice.m_availableAt > m_pathWaitUntil) {
     co_return false;
