--- a/Source/Forwarding/StreamForwarder.cxx
+++ b/Source/Forwarding/StreamForwarder.cxx
@@ -156,8 +156,11 @@
   }
   const bool isOver =
     outcome == AttemptOutcome::Finished || m_silentCalls.IsEmpty();
-  if (!isOver &&
-      (!aPath || m_silentCalls.HasAnswered() || !MayRetry(outcome))) {
+  // A helper's refusal is final, but the silent engine may still go on.
+  const bool isRefused = m_helperCause.has_value();
+  if (!isOver && (!aPath || isRefused || m_silentCalls.HasAnswered() ||
+                  !MayRetry(outcome))) {
+    m_helperCause.reset();
     outcome = co_await FollowSilentCall();
   }
   co_return outcome;
