Review: Show that a stalled log reader hangs the control group

Cause: the log lines of replicas are written to standard output in the thread that runs the replica.

--- a/review/stand-ins/StandIns.cxx
+++ b/review/stand-ins/StandIns.cxx
@@ -508,13 +508,16 @@
     _exit(127);
   }
   close(log[1]);
-  std::thread([from = log[0], name = m_folder + "/log"] {
+  std::thread([from = log[0], name = m_folder + "/log", isStalled = m_isLogStalled] {
     FILE* file = std::fopen(name.c_str(), "a");
     char bytes[4096];
     ssize_t got = 0;
     while ((got = read(from, bytes, sizeof(bytes))) > 0) {
       std::fwrite(bytes, 1, static_cast<std::size_t>(got), file);
       std::fflush(file);
+      while (*isStalled) {
+        SleepMs(20);
+      }
     }
     std::fclose(file);
     close(from);
--- a/review/stand-ins/StandIns.h
+++ b/review/stand-ins/StandIns.h
@@ -134,6 +134,8 @@
   // The disk takes no more bytes: writes to files fail in the processes that
   // are started from now on, and in the running one.
   void SetDiskFull(bool aIsFull);
+  // Whoever reads the process's log stops, or goes on.
+  void StallLog(bool aIsStalled) { *m_isLogStalled = aIsStalled; }
 
 private:
   void WriteSettings(bool aIsFirstStart) const;
@@ -145,6 +147,8 @@
   std::string m_data;
   pid_t m_pid = 0;
   bool m_isDiskFull = false;
+  std::shared_ptr<std::atomic<bool>> m_isLogStalled =
+    std::make_shared<std::atomic<bool>>(false);
 };
 
 // Ports that all machines share, and the folder of the case.
