--- a/review/stand-ins/StandIns.cxx
+++ b/review/stand-ins/StandIns.cxx
@@ -725,7 +725,8 @@
   body << R"({"service":")" << m_service << R"(","address":")" << Address()
        << R"(","zone":"zone-a","version":"v1","slots":)" << m_slots
        << R"(,"state":")" << aState << R"(","cold-remaining-ms":0,"sequence":)"
-       << sequence << R"(,"born":)" << m_born << "}";
+       << sequence << R"(,"born":)" << m_born
+       << (m_moreFields ? m_moreFields() : "") << "}";
   return body.str();
 }
 
--- a/review/stand-ins/StandIns.h
+++ b/review/stand-ins/StandIns.h
@@ -202,6 +202,9 @@
   std::atomic<bool> m_isLeaving{ false };
   // Slots of the service; what a heartbeat tells.
   int m_slots = 16;
+  // Returns further fields of a heartbeat, each with a comma before it.
+  std::function<std::string()> m_moreFields;
+  long Born() const { return m_born; }
 
 private:
   void Serve(Connection& aConnection);
