Tests: Show that repeated requests hide the part that crashes engines

- ARequestThatComesAgainDoesNotHideItsPart, IsNotHiddenByTheRequestsThatComeAgain: a request that its caller repeats is blamed after two attempts, and takes the evidence away from its part.
- RequestsAsAWholeLeaveRoomForParts, PartsLeaveRoomForRequestsAsAWhole: the 64 places of the table are shared by both kinds of parts, oldest first.
- CrashesBeforeTheFirstAnswerAreReportedAfterIt: a VM drops what it has seen before its first answer.

PartsThatWaitedBesideACrashingRequestAreNotBlamed passes already, and holds the other side of the fix.

--- a/Tests/Forwarding/CrashingPromptTest.cxx
+++ b/Tests/Forwarding/CrashingPromptTest.cxx
@@ -49,6 +49,12 @@
 
   // Each request has an attempt id and a last part of its own.
   std::string Ask(const std::string& aParts)
+  {
+    return AskWhole(aParts + ",b" + std::to_string(m_requests + 1) + "f:60");
+  }
+
+  // The parts are the whole prompt, so that a request can come again.
+  std::string AskWhole(const std::string& aParts)
   {
     const std::string id = "b" + std::to_string(++m_requests);
     const auto caller = m_fixture->Connect();
@@ -56,7 +62,7 @@
       "POST /stream/x HTTP/1.1\r\nHost: one.example\r\nAttempt-Id: " + id +
       "\r\nDeadline-Ms: 5000\r\nAuthorization: Bearer k1\r\n"
       "Token-Usage: 100,40\r\nModel: m\r\nConnection: close\r\n"
-      "Prompt-Prefix: " + aParts + "," + id + "f:60\r\n\r\n");
+      "Prompt-Prefix: " + aParts + "\r\n\r\n");
     return m_fixture->RunUntil([&] { return caller->IsClosed(); })
       ? caller->Received() : "no answer";
   }
@@ -98,6 +104,30 @@
   CHECK(m_crashes - before <= kMaxMore);
 }
 
+TEST(CrashingPrompt, IsNotHiddenByTheRequestsThatComeAgain)
+{
+  constexpr int kEngines = 30;
+  constexpr int kCrashesBefore = 5;
+  constexpr int kMaxMore = 3;
+  constexpr int kPrompts = 10;
+  Start(kEngines);
+  CheckAllEventsOnce(Ask("5aed:40"));
+  int before = 0;
+  for (int prompt = 0; prompt < kPrompts; ++prompt) {
+    const std::string parts =
+      "5aed:40,bad:20,f" + std::to_string(prompt) + ":60";
+    for (int attempt = 0; attempt < 3; ++attempt) {
+      AskWhole(parts);
+      m_fixture->RunUntil([polls = 0]() mutable { return ++polls > 4; });
+    }
+    if (before == 0 && m_crashes >= kCrashesBefore) {
+      before = m_crashes;
+    }
+  }
+  CHECK(before != 0);
+  CHECK(m_crashes - before <= kMaxMore);
+}
+
 TEST(CrashingPrompt, SoundRequestsWithItsOtherPartsAreServed)
 {
   constexpr int kEngines = 16;
--- a/Tests/Routing/PromptPartGuardTest.cxx
+++ b/Tests/Routing/PromptPartGuardTest.cxx
@@ -99,6 +99,26 @@
   CHECK(m_guard.TakeReports(m_now).empty());
 }
 
+TEST(PromptPartGuard, CrashesBeforeTheFirstAnswerAreReportedAfterIt)
+{
+  for (int i = 0; i < 5; ++i) {
+    const std::string engine = "e" + std::to_string(i);
+    Lose("a" + std::to_string(i), { "shared", "bad" }, engine);
+    End(engine);
+    CHECK(m_guard.TakeReports(m_now).empty());
+    m_now += seconds(1);
+  }
+  Begin("shared");
+  const auto reports = m_guard.TakeReports(m_now);
+  CHECK_EQUAL(5U, reports.size());
+  for (const auto& report : reports) {
+    CHECK_EQUAL(1U, report.suspects.size());
+    CHECK_EQUAL(1U, report.suspects[0]->parts.size());
+    STRCMP_EQUAL("bad", report.suspects[0]->parts[0].c_str());
+  }
+  CHECK(m_guard.TakeReports(m_now).empty());
+}
+
 TEST(PromptPartGuard, TheLossMayBeKnownBeforeTheAttemptEnds)
 {
   Begin("shared");
--- a/Tests/State/PromptPartBoundsTest.cxx
+++ b/Tests/State/PromptPartBoundsTest.cxx
@@ -160,6 +160,34 @@
   CHECK(Find("x1") == nullptr);
 }
 
+TEST(PromptPartBounds, RequestsAsAWholeLeaveRoomForParts)
+{
+  Crash("e1", { { "a1", { "bad" } } });
+  for (int engine = 0; engine < 3; ++engine) {
+    m_now += 10;
+    const std::string prefix = "request:" + std::to_string(engine) + "-";
+    Crash("f" + std::to_string(engine), { { "b", MakeParts(prefix, 32) } });
+  }
+  Crash("e2", { { "a2", { "bad" } } });
+  Crash("e3", { { "a3", { "bad" } } });
+  CHECK(Find("bad") != nullptr);
+  CHECK(IsQuarantined(*Find("bad")));
+}
+
+TEST(PromptPartBounds, PartsLeaveRoomForRequestsAsAWhole)
+{
+  Crash("e1", { { "a1", { "request:1" } } });
+  for (int engine = 0; engine < 3; ++engine) {
+    m_now += 10;
+    const std::string prefix = "p" + std::to_string(engine) + "-";
+    Crash("f" + std::to_string(engine), { { "b", MakeParts(prefix, 32) } });
+  }
+  Crash("e2", { { "a2", { "request:1" } } });
+  Crash("e3", { { "a2", { "request:1" } } });
+  CHECK(Find("request:1") != nullptr);
+  CHECK(IsQuarantined(*Find("request:1")));
+}
+
 // Otherwise a report that is repeated would change the table each time.
 TEST(PromptPartBounds, AReportDoesNotEvictItsOwnParts)
 {
--- a/Tests/State/PromptPartTableTest.cxx
+++ b/Tests/State/PromptPartTableTest.cxx
@@ -175,6 +175,32 @@
   CHECK_FALSE(IsBlocked("shared"));
 }
 
+// A request whose caller repeats it is blamed after fewer attempts than a part.
+TEST(PromptPartTable, ARequestThatComesAgainDoesNotHideItsPart)
+{
+  Crash("e1", { { "a1", { "bad", "request:1" } } });
+  Crash("e2", { { "a1", { "bad", "request:1" } } });
+  Crash("e3", { { "a2", { "bad", "request:1" } } });
+  CHECK(IsBlocked("request:1"));
+  CHECK_FALSE(IsBlocked("bad"));
+  Crash("e4", { { "b1", { "bad", "request:2" } } });
+  CHECK(IsBlocked("bad"));
+  CHECK_FALSE(IsBlocked("request:2"));
+}
+
+TEST(PromptPartTable, PartsThatWaitedBesideACrashingRequestAreNotBlamed)
+{
+  for (int attempt = 0; attempt < 2; ++attempt) {
+    const std::string number = std::to_string(attempt);
+    Crash("e" + number,
+          { { "a" + number, { "request:1" } }, { "b" + number, { "sound" } } });
+  }
+  Crash("e2", { { "a1", { "request:1" } } });
+  CHECK(IsBlocked("request:1"));
+  Crash("e3", { { "a3", { "request:1" } }, { "b3", { "sound" } } });
+  CHECK_FALSE(IsBlocked("sound"));
+}
+
 TEST(PromptPartTable, CoVictimsAreExplainedAway)
 {
   Crash("e1", { { "a1", { "bad" } }, { "b1", { "sound" } } });
