State: Keep the evidence on a part when a request with it is blamed

Cause: a request that its caller repeats is put under quarantine after three crashes in two attempts, a part needs three attempts. The table then removed the crashes of the quarantined request from everything else, also from the part that the request holds, and the part began anew.

A quarantined request now accounts for the crashes of other requests only. A piece of a prompt that lies wholly within a request's crashes, and has fewer, is still not blamed: it waited beside that request. Equal crashes tie the two, so that only requests with both are refused.

--- a/Source/State/PromptCrashReport.cxx
+++ b/Source/State/PromptCrashReport.cxx
@@ -62,6 +62,15 @@
     });
 }
 
+// A request holds its parts, so each of its crashes is one of theirs, too, and
+// shows nothing in their favour. A crash that a piece of a prompt caused is no
+// evidence for anything else.
+bool
+MayExplain(const std::string& aExplaining, const std::string& aPart)
+{
+  return !IsWholeRequest(aExplaining) || IsWholeRequest(aPart);
+}
+
 bool
 HasEvidence(const state::PromptPartT& aPart)
 {
@@ -116,14 +125,12 @@
 PromptCrashReport::Apply()
 {
   DropOldEvidence();
-  if (IsExplained()) {
-    return AddToQuarantined();
+  const bool hasGained = AddToQuarantined();
+  const bool isAdded = AddToSuspects();
+  if (isAdded) {
+    Quarantine();
   }
-  if (!AddToSuspects()) {
-    return false;
-  }
-  Quarantine();
-  return true;
+  return hasGained || isAdded;
 }
 
 void
@@ -156,11 +163,11 @@
 }
 
 bool
-PromptCrashReport::IsExplained() const
+PromptCrashReport::IsExplained(const std::string& aPart) const
 {
-  return std::any_of(m_parts.begin(), m_parts.end(), [this](const auto& aPart) {
-    return IsQuarantined(*aPart) &&
-           (HasCrashOf(*aPart, *m_report.endpoint) || IsSuspect(aPart->id));
+  return std::any_of(m_parts.begin(), m_parts.end(), [&](const auto& aOther) {
+    return IsQuarantined(*aOther) && MayExplain(aOther->id, aPart) &&
+           (HasCrashOf(*aOther, *m_report.endpoint) || IsSuspect(aOther->id));
   });
 }
 
@@ -207,6 +214,9 @@
 {
   bool added = false;
   for (const std::string& id : m_suspectParts) {
+    if (IsExplained(id)) {
+      continue;
+    }
     state::PromptPartT* part = FindEntity(m_parts, id);
     if (part == nullptr) {
       added = AddNewPart(id) || added;
@@ -330,8 +340,9 @@
   for (state::PromptPartT* part : found) {
     // A part with these crashes and further ones accounts for all of them.
     const bool isExplained =
-      std::any_of(found.begin(), found.end(), [&](const auto* aOther) {
-        return aOther->crashes.size() > part->crashes.size() &&
+      std::any_of(m_parts.begin(), m_parts.end(), [&](const auto& aOther) {
+        const bool isBlamed = IsQuarantined(*aOther) || HasEvidence(*aOther);
+        return isBlamed && aOther->crashes.size() > part->crashes.size() &&
                IsWithin(*part, *aOther);
       });
     if (!isExplained) {
@@ -352,10 +363,10 @@
     if (IsQuarantined(*part)) {
       continue;
     }
-    std::erase_if(part->crashes, [this](const auto& aCrash) {
+    std::erase_if(part->crashes, [&](const auto& aCrash) {
       return std::any_of(
         m_parts.begin(), m_parts.end(), [&](const auto& aOther) {
-          return IsQuarantined(*aOther) &&
+          return IsQuarantined(*aOther) && MayExplain(aOther->id, part->id) &&
                  HasCrashOf(*aOther, *aCrash->endpoint);
         });
     });
--- a/Source/State/PromptCrashReport.h
+++ b/Source/State/PromptCrashReport.h
@@ -38,14 +38,15 @@
 private:
   // Drops evidence and holds that are too old.
   void DropOldEvidence();
-  // Whether a quarantined part accounts for the crash.
-  bool IsExplained() const;
+  // Whether a quarantined part accounts for the crash in place of aPart.
+  bool IsExplained(const std::string& aPart) const;
   bool IsSuspect(const std::string& aPart) const;
   // Adds the crash to the quarantined parts among the suspects, and releases
   // the parts that were tied to one of them but were not there.
   bool AddToQuarantined();
   void ReleaseTied(const std::vector<state::PromptPartT*>& aGaining);
-  // Adds the crash to all suspects that can get it.
+  // Adds the crash to all other suspects that can get it and for which no
+  // quarantined part accounts.
   bool AddToSuspects();
   bool AddNewPart(const std::string& aPart);
   void AddCrash(state::PromptPartT& aPart) const;
--- a/Source/State/PromptPartTable.h
+++ b/Source/State/PromptPartTable.h
@@ -35,8 +35,9 @@
 // Ok. Commands over the limits of PromptPartChecks.h are Invalid.
 //
 // Adds the crash to the parts of the suspects, or returns Duplicate when none
-// of them gets it. A crash of a request that holds a quarantined part, or that
-// is listed at one, is evidence for no other part.
+// of them gets it. A crash of a request that holds a quarantined piece of a
+// prompt, or that is listed at one, is evidence for no other part; one of a
+// quarantined request is evidence for no other request.
 void
 ApplyPromptCrash(state::ConfigImageT& aImage,
                  const state::ReportPromptCrashT& aCommand,
