State: Bound pieces of prompts and whole requests apart

Cause: every request that waits at an engine that ends is listed in the table as a whole, too. Three crashes under load fill its 64 places, and the oldest evidence goes first: that on the part which crashes the engines (BUDGET). The other way round pieces of prompts push out a request that crashes endpoints.

Each kind has 64 places and gives way only to its own kind.

--- a/Source/State/PromptCrashReport.cxx
+++ b/Source/State/PromptCrashReport.cxx
@@ -231,7 +231,12 @@
 bool
 PromptCrashReport::AddNewPart(const std::string& aPart)
 {
-  if (m_parts.size() >= kMaxPromptParts && !EvictPart()) {
+  const bool isWhole = IsWholeRequest(aPart);
+  const auto count = static_cast<std::size_t>(
+    std::count_if(m_parts.begin(), m_parts.end(), [&](const auto& aOther) {
+      return IsWholeRequest(aOther->id) == isWhole;
+    }));
+  if (count >= kMaxPromptParts && !EvictPart(isWhole)) {
     return false;
   }
   state::PromptPartT part;
@@ -303,9 +308,12 @@
 }
 
 bool
-PromptCrashReport::EvictPart()
+PromptCrashReport::EvictPart(bool aIsWholeRequest)
 {
-  const auto isEvictable = [this](const state::PromptPartT& aPart) {
+  const auto isEvictable = [&](const state::PromptPartT& aPart) {
+    if (IsWholeRequest(aPart.id) != aIsWholeRequest) {
+      return false;
+    }
     return IsQuarantined(aPart)
              ? IsOlder(
                  FindLastEvidence(aPart), kCrashEvidenceMs, m_report.unix_ms)
--- a/Source/State/PromptCrashReport.h
+++ b/Source/State/PromptCrashReport.h
@@ -57,8 +57,9 @@
   FindReplaceable(const state::PromptPartT& aPart) const;
   // A request with the part, if possible one that the part does not list.
   const std::string& ChooseAttempt(const state::PromptPartT& aPart) const;
-  // Removes the part to be forgotten first. False when there is none.
-  bool EvictPart();
+  // Removes the part of this kind to be forgotten first. False when there is
+  // none.
+  bool EvictPart(bool aIsWholeRequest);
   void Quarantine();
   // Removes crashes that a quarantined part accounts for from all others.
   void RemoveExplained();
--- a/Source/State/PromptPartTable.h
+++ b/Source/State/PromptPartTable.h
@@ -28,6 +28,7 @@
 inline constexpr std::uint64_t kFirstTrialDelayMs = 10'000;
 inline constexpr std::uint64_t kSecondTrialDelayMs = 60'000;
 inline constexpr std::uint64_t kTrialDelayMs = 3'600'000;
+// Pieces of prompts, and as many requests as a whole.
 inline constexpr std::size_t kMaxPromptParts = 64;
 inline constexpr std::size_t kMaxCrashesPerPart = 8;
 
