Routing: Keep crashes until the first answer tells the parts apart

A VM that has not begun to answer any request knows no sound part, and a part that all requests share looks like the one that crashes. It therefore reported no piece of a prompt, and forgot the crash; when engines ended again and again after a start, the evidence began with the crashes after the first answer.

The crashes of up to 64 engine starts are now kept for 30 s, and reported without the sound parts as soon as an answer begins. Whole requests are reported at once, as before.

BeforeTheFirstAnswerNothingIsReported asserted that the crashes are forgotten: it expected one report after the answer where six crashes had been seen. It expects all six now, each with the unproved part alone, and still none before the answer.

--- a/Source/Routing/PromptPartGuard.cxx
+++ b/Source/Routing/PromptPartGuard.cxx
@@ -84,6 +84,9 @@
   std::erase_if(m_lostEngines, [&](const auto& aLost) {
     return aNow - aLost.second > kMatchWindow;
   });
+  std::erase_if(m_crashes, [&](const Crash& aCrash) {
+    return aNow - aCrash.m_at > kDeferredFor;
+  });
 }
 
 void
@@ -119,28 +122,51 @@
                             const EngineStart& aEngine,
                             const UnansweredAttempt& aAttempt)
 {
-  auto suspect = std::make_unique<state::CrashSuspectT>();
-  suspect->attempt = aAttempt.m_attemptId;
-  const bool hasAnyProof = HasAnyProof(aNow);
-  for (const std::string& part : aAttempt.m_parts) {
-    if ((hasAnyProof || IsWholeRequest(part)) && !IsProved(aNow, part) &&
-        part.size() <= kMaxPromptIdLength &&
-        suspect->parts.size() < kMaxPartsPerSuspect) {
-      suspect->parts.push_back(part);
+  auto crash =
+    std::find_if(m_crashes.begin(), m_crashes.end(), [&](const Crash& aCrash) {
+      return aCrash.m_engine == aEngine;
+    });
+  if (crash == m_crashes.end()) {
+    if (m_crashes.size() >= kMaxDeferred) {
+      m_crashes.pop_front();
     }
+    m_crashes.push_back({ aNow, aEngine, {} });
+    crash = std::prev(m_crashes.end());
   }
-  if (suspect->parts.empty()) {
-    return;
-  }
-  state::ReportPromptCrashT& report = m_reports[aEngine];
-  if (!report.endpoint) {
-    report.endpoint = std::make_unique<state::EndpointRefT>();
-    report.endpoint->id = aEngine.m_id;
-    report.endpoint->incarnation = aEngine.m_incarnation;
+  if (crash->m_attempts.size() < kMaxCrashSuspects) {
+    crash->m_attempts.push_back({ aAttempt.m_attemptId, aAttempt.m_parts, {} });
   }
-  if (report.suspects.size() < kMaxCrashSuspects) {
-    report.suspects.push_back(std::move(suspect));
+}
+
+state::ReportPromptCrashT
+PromptPartGuard::TakeReport(TimePoint aNow, Crash& aCrash) const
+{
+  state::ReportPromptCrashT report;
+  const bool hasAnyProof = HasAnyProof(aNow);
+  for (UnansweredAttempt& attempt : aCrash.m_attempts) {
+    auto suspect = std::make_unique<state::CrashSuspectT>();
+    suspect->attempt = attempt.m_attemptId;
+    std::erase_if(attempt.m_parts, [&](const std::string& aPart) {
+      if (!hasAnyProof && !IsWholeRequest(aPart)) {
+        return false;
+      }
+      if (!IsProved(aNow, aPart) && aPart.size() <= kMaxPromptIdLength &&
+          suspect->parts.size() < kMaxPartsPerSuspect) {
+        suspect->parts.push_back(aPart);
+      }
+      return true;
+    });
+    if (!suspect->parts.empty()) {
+      report.suspects.push_back(std::move(suspect));
+    }
   }
+  std::erase_if(aCrash.m_attempts, [](const UnansweredAttempt& aAttempt) {
+    return aAttempt.m_parts.empty();
+  });
+  report.endpoint = std::make_unique<state::EndpointRefT>();
+  report.endpoint->id = aCrash.m_engine.m_id;
+  report.endpoint->incarnation = aCrash.m_engine.m_incarnation;
+  return report;
 }
 
 std::vector<state::ReportPromptCrashT>
@@ -148,10 +174,13 @@
 {
   Forget(aNow);
   std::vector<state::ReportPromptCrashT> reports;
-  for (auto& [engine, report] : m_reports) {
-    reports.push_back(std::move(report));
+  for (Crash& crash : m_crashes) {
+    if (auto report = TakeReport(aNow, crash); !report.suspects.empty()) {
+      reports.push_back(std::move(report));
+    }
   }
-  m_reports.clear();
+  std::erase_if(m_crashes,
+                [](const Crash& aCrash) { return aCrash.m_attempts.empty(); });
   return reports;
 }
 
--- a/Source/Routing/PromptPartGuard.h
+++ b/Source/Routing/PromptPartGuard.h
@@ -86,6 +86,9 @@
   static constexpr Duration kMatchWindow = std::chrono::seconds(2);
   // Gateways that clear the same part are spread over this time.
   static constexpr Duration kMaxClearDelay = std::chrono::milliseconds(150);
+  // Crashes that cannot be reported yet are kept for this long.
+  static constexpr Duration kDeferredFor = std::chrono::seconds(30);
+  static constexpr std::size_t kMaxDeferred = 64;
   static constexpr std::size_t kMaxProved = 8192;
   static constexpr std::size_t kMaxUnanswered = 256;
   static constexpr std::size_t kMaxLostEngines = 64;
@@ -102,9 +105,9 @@
 
   // Returns the reports that are due, one for each lost engine, and forgets
   // them. Parts that are proved sound are left out, and requests without
-  // further parts. Without any proof no part of a prompt is reported: before
-  // the first answer, a part that all requests share looks like the one that
-  // crashes.
+  // further parts. Without any proof pieces of prompts are kept for later:
+  // before the first answer, a piece that all requests share looks like the one
+  // that crashes.
   std::vector<state::ReportPromptCrashT> TakeReports(TimePoint aNow);
   // Returns the parts of the control group's table that this gateway knows to
   // be sound and that are still suspected after a random delay.
@@ -124,14 +127,25 @@
     UnansweredAttempt m_attempt;
   };
 
+  // The requests that one lost engine had not begun to answer.
+  struct Crash
+  {
+    TimePoint m_at{};
+    EngineStart m_engine;
+    std::vector<UnansweredAttempt> m_attempts;
+  };
+
   bool IsProved(TimePoint aNow, std::string_view aPart) const;
   // Returns true if an answer has begun lately on any prompt with shared parts.
   bool HasAnyProof(TimePoint aNow) const;
   void Forget(TimePoint aNow);
-  // Moves an attempt into the report of the engine.
+  // Adds an attempt to the crash of the engine.
   void AddSuspect(TimePoint aNow,
                   const EngineStart& aEngine,
                   const UnansweredAttempt& aAttempt);
+  // Moves the parts that may be reported now out of aCrash. Returns a report
+  // without suspects if there are none.
+  state::ReportPromptCrashT TakeReport(TimePoint aNow, Crash& aCrash) const;
 
   Random m_random;
   // When an answer on the part last began.
@@ -142,7 +156,8 @@
   std::deque<std::string> m_order;
   std::deque<Unanswered> m_unanswered;
   std::map<EngineStart, TimePoint> m_lostEngines;
-  std::map<EngineStart, state::ReportPromptCrashT> m_reports;
+  // Oldest first; at most kMaxDeferred.
+  std::deque<Crash> m_crashes;
   // When this gateway clears a suspected part.
   std::map<std::string, TimePoint, std::less<>> m_clearAt;
 };
--- a/Tests/Routing/PromptPartGuardTest.cxx
+++ b/Tests/Routing/PromptPartGuardTest.cxx
@@ -91,8 +91,10 @@
   Lose("a9", { "shared", "bad" }, "e9");
   End("e9");
   const auto reports = m_guard.TakeReports(m_now);
-  CHECK_EQUAL(1U, reports.size());
-  CHECK_EQUAL(1U, reports[0].suspects[0]->parts.size());
+  CHECK_EQUAL(6U, reports.size());
+  for (const auto& report : reports) {
+    CHECK_EQUAL(1U, report.suspects[0]->parts.size());
+  }
   m_now += PromptPartGuard::kProvedFor + milliseconds(1);
   Lose("a10", { "bad" }, "e10");
   End("e10");
