Forwarding: Keep the text of an error out of a begun stream

- The engine that takes a stream over is silent for 2.5 s, so its call is kept while other engines are asked.
Its answer is then an error.
What was read of it was put back as the beginning of an event, and the next engine's events followed it: the caller got 'oops', then event 4.
- A redirect was relayed like a success: its body where it looked like events, and with an empty body the end of the stream.

Only 200 to 299 carry events now. The bytes of a kept call that turns out to be an error are the beginning of that error's body, and those of a refusal are dropped. Errors with a length, in chunks, without either, unsigned, and 503 without its mark never reached the stream; ResumeError checks them, too.

--- a/Source/Forwarding/StreamAttempt.cxx
+++ b/Source/Forwarding/StreamAttempt.cxx
@@ -19,6 +19,8 @@
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(120);
 constexpr unsigned kBadGateway = 502;
 constexpr unsigned kFirstClientError = 400;
+constexpr unsigned kFirstSuccess = 200;
+constexpr unsigned kFirstRedirect = 300;
 // A stream with more pending bytes than this and no end of an event is broken.
 constexpr std::size_t kMaxEventBytes = 1024UL * 1024;
 // An error answer with a longer body is broken.
@@ -34,6 +36,12 @@
 constexpr Duration kMovedStageEjection = std::chrono::milliseconds(1300);
 constexpr std::string_view kLastChunk = "0\r\n\r\n";
 
+bool
+IsSuccess(unsigned aStatus)
+{
+  return aStatus >= kFirstSuccess && aStatus < kFirstRedirect;
+}
+
 void
 AppendChunk(std::string& aOut, std::string_view aBytes)
 {
@@ -176,7 +184,7 @@
     if (const auto cause = ReadHelperRefusal(answer)) {
       co_return HandleHelperRefusal(aCall, *cause, headers);
     }
-    if (status >= kFirstClientError || !headers.m_isSigned) {
+    if (!IsSuccess(status) || !headers.m_isSigned) {
       co_return co_await HandleErrorAnswer(aCall);
     }
     co_return co_await RelayEvents(aCall);
@@ -195,7 +203,7 @@
   if (headers.m_isNotExecuted) {
     co_return HandleRefusal(aCall, headers);
   }
-  if (status >= kFirstClientError || !headers.m_isSigned) {
+  if (!IsSuccess(status) || !headers.m_isSigned) {
     co_return co_await HandleErrorAnswer(aCall);
   }
   co_return co_await RelayEvents(aCall);
@@ -206,6 +214,7 @@
                                const AnswerHeaders& aHeaders)
 {
   --m_possibleExecutions;
+  m_events.DiscardPartialEvent();
   const TimePoint now = BootClock::now();
   // The engine has failed, is leaving, is giving up its layers or is short of
   // memory. Only a failure affects the streams that the engine already serves,
@@ -235,6 +244,7 @@
 {
   --m_possibleExecutions;
   --m_request.m_attempts;
+  m_events.DiscardPartialEvent();
   // The call reached no endpoint, so the retry that was charged for it is left
   // for the next one.
   m_hasRetryClaim = true;
@@ -254,7 +264,8 @@
 asio::awaitable<AttemptOutcome>
 StreamForwarder::HandleErrorAnswer(EndpointCall& aCall)
 {
-  std::string body;
+  // A kept call may have read a part of the body as if it were events.
+  std::string body = m_events.TakePartialEvent();
   while (co_await aCall.ReadBody(body)) {
     if (body.size() > kMaxErrorBytes) {
       aCall.Abort(CallEnd::Broken);
