Forwarding: Believe a refusal only where no earlier request can have caused it

Other operators report that a faulty runner writes an earlier refusal once more on a kept connection; clients were told 'not run, try again' for requests that a runner had run or was running (REFUSED), or such a request ran at a second runner (TWICE).

- A refusal without an id was taken for the answer to any request, and a caller was refused while the endpoint ran the request.
- An attempt that was refused and sent to the same endpoint again may use the same connection; the repeated refusal has the attempt's own id then.
A stream without an alternative does so, and its endpoint ran it twice.

A refusal without an id counts on the first request of a connection only, and is otherwise the answer to another request. A connection remembers the attempts that were refused on it, and is not used for them again; after 64 of them it is closed. A refusal with the id of another attempt was passed over before, too.

The check stood in both forwarders and is one function now.

--- a/Source/Forwarding/ConnectionPool.cxx
+++ b/Source/Forwarding/ConnectionPool.cxx
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr std::size_t kMaxIdlePerEndpoint = 64;
+// A connection with more refusals is closed rather than remembered with only a
+// part of them.
+constexpr std::size_t kMaxRefusedAttempts = 64;
 
 // An idle connection that has become readable was closed by the endpoint, or
 // holds bytes that belong to no request.
@@ -32,16 +35,21 @@
 }
 
 EndpointConnectionPtr
-ConnectionPool::TakeIdle(const Runner& aRunner, TimePoint aNow)
+ConnectionPool::TakeIdle(const Runner& aRunner,
+                         std::string_view aAttemptId,
+                         TimePoint aNow)
 {
   const auto found = m_idle.find(KeyOf(aRunner));
   if (found == m_idle.end()) {
     return nullptr;
   }
   std::vector<EndpointConnectionPtr>& idle = found->second;
-  while (!idle.empty()) {
-    EndpointConnectionPtr connection = std::move(idle.back());
-    idle.pop_back();
+  for (std::size_t place = idle.size(); place-- != 0;) {
+    if (idle[place]->HasRefused(aAttemptId)) {
+      continue;
+    }
+    EndpointConnectionPtr connection = std::move(idle[place]);
+    idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(place));
     --m_count;
     if (aNow < connection->m_idleUntil && IsStillOpen(*connection)) {
       return connection;
@@ -57,7 +65,8 @@
                         Duration aIdleFor)
 {
   std::vector<EndpointConnectionPtr>& idle = m_idle[KeyOf(aRunner)];
-  if (idle.size() >= kMaxIdlePerEndpoint || aIdleFor <= Duration::zero()) {
+  if (idle.size() >= kMaxIdlePerEndpoint || aIdleFor <= Duration::zero() ||
+      aConnection->m_refusedAttempts.size() > kMaxRefusedAttempts) {
     return;
   }
   aConnection->m_idleUntil = aNow + aIdleFor;
--- a/Source/Forwarding/ConnectionPool.h
+++ b/Source/Forwarding/ConnectionPool.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -16,8 +17,10 @@
 {
 public:
   // Returns nullptr if there is no idle connection that the endpoint still
-  // holds open.
-  EndpointConnectionPtr TakeIdle(const Runner& aRunner, TimePoint aNow);
+  // holds open and on which it has not refused the attempt.
+  EndpointConnectionPtr TakeIdle(const Runner& aRunner,
+                                 std::string_view aAttemptId,
+                                 TimePoint aNow);
   // aIdleFor is the time for which the endpoint keeps the idle connection open.
   void AddIdle(const Runner& aRunner,
                EndpointConnectionPtr aConnection,
--- a/Source/Forwarding/EndpointCall.cxx
+++ b/Source/Forwarding/EndpointCall.cxx
@@ -149,7 +149,8 @@
 EndpointCall::Connect(Duration aTimeout)
 {
   const TimePoint now = BootClock::now();
-  if (EndpointConnectionPtr idle = m_pool.TakeIdle(*m_runner, now)) {
+  if (EndpointConnectionPtr idle =
+        m_pool.TakeIdle(*m_runner, m_info.m_attemptId, now)) {
     m_connection = std::move(idle);
     co_return true;
   }
@@ -317,6 +318,14 @@
   }
 }
 
+void
+EndpointCall::RecordRefusal()
+{
+  if (m_connection) {
+    m_connection->m_refusedAttempts.push_back(m_info.m_attemptId);
+  }
+}
+
 bool
 EndpointCall::SkipAnswer()
 {
--- a/Source/Forwarding/EndpointCall.h
+++ b/Source/Forwarding/EndpointCall.h
@@ -82,6 +82,9 @@
   asio::awaitable<bool> ReadBody(std::string& aOut);
   // Prepares to read the next answer on the connection in place of this answer.
   bool SkipAnswer();
+  // Must be called when the answer says that the endpoint has not executed the
+  // request.
+  void RecordRefusal();
 
   void Abort(CallEnd aWhy);
   // Ends the current read like Abort, but keeps the connection, and goes on
--- a/Source/Forwarding/ForwardedRequest.cxx
+++ b/Source/Forwarding/ForwardedRequest.cxx
@@ -17,6 +17,7 @@
 
 constexpr Duration kWriteTimeout = std::chrono::seconds(5);
 constexpr unsigned kUnavailable = 503;
+constexpr unsigned kFirstClientError = 400;
 
 struct RefusalRow
 {
@@ -250,6 +251,18 @@
          aCause == RefusalCause::Overloaded;
 }
 
+bool
+IsForeignAnswer(const ForwardedRequest& aRequest,
+                const EndpointCall& aCall,
+                const AnswerHeaders& aHeaders)
+{
+  if (!aHeaders.m_attemptId.empty()) {
+    return aHeaders.m_attemptId != aRequest.m_headers.m_attemptId;
+  }
+  const bool isError = aCall.Answer().result_int() >= kFirstClientError;
+  return !isError || (aHeaders.m_isNotExecuted && !aCall.IsNewConnection());
+}
+
 bool
 MustPassOn(const ForwardedRequest& aRequest)
 {
--- a/Source/Forwarding/ForwardedRequest.h
+++ b/Source/Forwarding/ForwardedRequest.h
@@ -95,6 +95,14 @@
 bool
 IsHelperFault(RefusalCause aCause);
 
+// Returns true if the answer belongs to another request. An error without an id
+// is taken for the answer to this request; a refusal only if no earlier request
+// on the connection can have caused it.
+bool
+IsForeignAnswer(const ForwardedRequest& aRequest,
+                const EndpointCall& aCall,
+                const AnswerHeaders& aHeaders);
+
 // Returns true if the request is to be passed on to another VM, because this VM
 // reaches no endpoint of its service. A request that was passed on to this VM
 // is not passed on again.
--- a/Source/Forwarding/PlainForwarder.cxx
+++ b/Source/Forwarding/PlainForwarder.cxx
@@ -342,6 +342,7 @@
     }
     if (headers.m_isNotExecuted) {
       --m_possibleExecutions;
+      aCall.RecordRefusal();
       m_request.m_lastFault = "endpoint_refused";
       co_return ForwardOutcome::NotExecuted;
     }
@@ -373,6 +374,7 @@
     }
     --m_possibleExecutions;
     --m_request.m_attempts;
+    aCall.RecordRefusal();
     m_hasRetryClaim = true;
     m_request.m_lastFault = NameOfCause(*cause);
     if (IsHelperFault(*cause)) {
@@ -409,7 +411,10 @@
       if (aCall.End() != CallEnd::None) {
         co_return false;
       }
-      if (!IsForeignAnswer(aCall)) {
+      const EndpointCall::Header& answer = aCall.Answer();
+      const AnswerHeaders headers =
+        m_services.m_dialect.ParseAnswerHeaders(answer.result_int(), answer);
+      if (!IsForeignAnswer(m_request, aCall, headers)) {
         co_return true;
       }
       aCall.SkipAnswer();
@@ -419,17 +424,6 @@
     co_return false;
   }
 
-  bool IsForeignAnswer(const EndpointCall& aCall) const
-  {
-    const EndpointCall::Header& answer = aCall.Answer();
-    const AnswerHeaders headers =
-      m_services.m_dialect.ParseAnswerHeaders(answer.result_int(), answer);
-    if (headers.m_attemptId.empty()) {
-      return answer.result_int() < kFirstClientError;
-    }
-    return headers.m_attemptId != m_request.m_headers.m_attemptId;
-  }
-
   asio::awaitable<void> DeliverAnswer(EndpointCall& aCall,
                                       const AnswerHeaders& aHeaders,
                                       std::string aBody)
--- a/Source/Forwarding/StreamAttempt.cxx
+++ b/Source/Forwarding/StreamAttempt.cxx
@@ -172,11 +172,7 @@
   const unsigned status = answer.result_int();
   const AnswerHeaders headers =
     m_services.m_dialect.ParseAnswerHeaders(status, answer);
-  const bool isForeign =
-    headers.m_attemptId.empty()
-      ? status < kFirstClientError
-      : headers.m_attemptId != m_request.m_headers.m_attemptId;
-  if (isForeign) {
+  if (IsForeignAnswer(m_request, aCall, headers)) {
     aCall.Abort(CallEnd::Foreign);
     co_return RecordBrokenCall(aCall);
   }
@@ -214,6 +210,7 @@
                                const AnswerHeaders& aHeaders)
 {
   --m_possibleExecutions;
+  aCall.RecordRefusal();
   m_events.DiscardPartialEvent();
   const TimePoint now = BootClock::now();
   // The engine has failed, is leaving, is giving up its layers or is short of
@@ -238,12 +235,13 @@
 }
 
 AttemptOutcome
-StreamForwarder::HandleHelperRefusal(const EndpointCall& aCall,
+StreamForwarder::HandleHelperRefusal(EndpointCall& aCall,
                                      RefusalCause aCause,
                                      const AnswerHeaders& aHeaders)
 {
   --m_possibleExecutions;
   --m_request.m_attempts;
+  aCall.RecordRefusal();
   m_events.DiscardPartialEvent();
   // The call reached no endpoint, so the retry that was charged for it is left
   // for the next one.
--- a/Source/Forwarding/StreamForwarder.h
+++ b/Source/Forwarding/StreamForwarder.h
@@ -56,7 +56,7 @@
   PathChoice ChoosePath();
   PathChoice ChooseOwnPath();
   // Handles a refusal by the VM that the request was passed on to.
-  AttemptOutcome HandleHelperRefusal(const EndpointCall& aCall,
+  AttemptOutcome HandleHelperRefusal(EndpointCall& aCall,
                                      RefusalCause aCause,
                                      const AnswerHeaders& aHeaders);
   // Returns the cause of a refusal after engines refused the request.
--- a/Tests/Forwarding/ResumeErrorTest.cxx
+++ b/Tests/Forwarding/ResumeErrorTest.cxx
@@ -1,5 +1,5 @@
-// Tests of streams that have begun and break, and whose next engine answers with
-// an error.
+// Tests of streams that have begun and break, and whose next engine answers
+// with an error.
 #include "Forwarding/ForwardFixture.h"
 #include "Forwarding/StreamScripts.h"
 
@@ -85,12 +85,12 @@
   for (const auto& [status, fields, body] : answers) {
     m_calls = 0;
     m_fixture = std::make_unique<ForwardFixture>();
-    Start(3,
-          [status = status, fields = fields, body = body](
-            int, const HttpRequest& aRequest) -> std::vector<StubStep> {
-            return { Send(MakeHead(aRequest, status, fields) + body),
-                     CloseNow() };
-          });
+    Start(
+      3,
+      [status = status, fields = fields, body = body](
+        int, const HttpRequest& aRequest) -> std::vector<StubStep> {
+        return { Send(MakeHead(aRequest, status, fields) + body), CloseNow() };
+      });
     CheckCut(Ask());
     CHECK(m_calls > 1);
   }
