--- a/Tests/Platform/ControlApiTest.cxx
+++ b/Tests/Platform/ControlApiTest.cxx
@@ -208,6 +208,30 @@
   CHECK(FindListed() != nullptr);
 }
 
+TEST(ControlApi, AnOddHeartbeatIsRefusedAndTheOtherRunnersStay)
+{
+  SendHeartbeat(MakeHeartbeat("ready", 1));
+  const std::string deep = R"({"service":"s1","odd":)" +
+                           std::string(100'000, '[') +
+                           std::string(100'000, ']') + "}";
+  const std::string begin =
+    R"({"service":"s1","zone":"z","state":"ready","sequence":1,"address":)";
+  for (const std::string& odd :
+       { deep,
+         std::string(100'000, '{'),
+         begin + R"("10.1.0.9:65536","slots":6})",
+         begin + R"("10.1.0.9:80","slots":1e999})",
+         begin + R"("10.1.0.9:80","slots":4294967296})",
+         begin + R"("10.1.0.9:80","slots":6,"models":[],"layers":)"
+                 R"({"from":0,"target":4000000000}})" }) {
+    CHECK_EQUAL(
+      400U,
+      Call(http::verb::put, "/parsleycove/instances/i-2", odd).result_int());
+    CHECK_EQUAL(1U, m_control.View()->Image().endpoints.size());
+  }
+  CHECK_EQUAL(200U, SendHeartbeat(MakeHeartbeat("ready", 2)));
+}
+
 TEST(ControlApi, AHeartbeatThatCannotBeStoredIsNotAcknowledged)
 {
   m_control.SetFate([](const auto&) { return ProposalFate::NotAccepted; });
--- a/Tests/Platform/RunnerReportTest.cxx
+++ b/Tests/Platform/RunnerReportTest.cxx
@@ -91,3 +91,32 @@
   STRCMP_EQUAL("heartbeat: \"service\": expected a text",
                ReadError(Replace(kReport, "\"service\":\"s1\",", "")).c_str());
 }
+
+TEST(RunnerReport, ANumberOutOfRangeIsRefused)
+{
+  const std::string port =
+    "heartbeat: \"address\": expected an IP number with a port";
+  for (const char* address : { "10.1.0.9:65536",
+                               "10.1.0.9:-1",
+                               "10.1.0.9:0",
+                               "10.1.0.9:99999999999999999999" }) {
+    STRCMP_EQUAL(port.c_str(),
+                 ReadError(Replace(kReport, "10.1.0.9:8080", address)).c_str());
+  }
+  // The low 32 bits are those of a sound range.
+  STRCMP_EQUAL(
+    "heartbeat: \"layers\": expected a range within 32 bits",
+    ReadError(Replace(kReport, "\"target\":31", "\"target\":4294967327"))
+      .c_str());
+  STRCMP_EQUAL("heartbeat: \"layers\": expected a range within 32 bits",
+               ReadError(Replace(kReport,
+                                 R"("from":20,"target":31)",
+                                 R"("from":4294967316,"target":4294967327)"))
+                 .c_str());
+  for (const char* slots : { "4294967296", "18446744073709551615" }) {
+    STRCMP_EQUAL("heartbeat: \"slots\": expected a number of 32 bits",
+                 ReadError(Replace(kReport, "192", slots)).c_str());
+  }
+  STRCMP_EQUAL("heartbeat: \"born\": expected a whole number of 0 or more",
+               ReadError(Replace(kReport, "1779363788036", "1e300")).c_str());
+}
