Forwarding: Log why a part is out of quarantine

prompt_part_cleared said that an answer on the part had begun, also for a part that was released because others account for its crashes. In an incident that is the difference between a part that is sound and one whose evidence was taken away. APartThatIsReleasedIsNotSaidToBeAnswered failed before and passes.

--- a/Source/Forwarding/PromptPartReporter.cxx
+++ b/Source/Forwarding/PromptPartReporter.cxx
@@ -6,6 +6,7 @@
 
 #include "Forwarding/ControlCalls.h"
 #include "Forwarding/ForwardMetrics.h"
+#include "State/NamedEntities.h"
 #include "State/PromptPartTable.h"
 #include "Telemetry/DecisionLog.h"
 #include "Telemetry/Logging.h"
@@ -42,6 +43,15 @@
   return text;
 }
 
+std::string_view
+FindReleaseReason(const state::ConfigImageT& aImage, const std::string& aPart)
+{
+  const auto* listed = FindEntity(aImage.prompt_parts, aPart);
+  return listed != nullptr && listed->cleared_unix_ms != 0
+           ? "an answer on the part has begun"
+           : "other parts account for its crashes";
+}
+
 } // namespace
 
 PromptPartReporter::PromptPartReporter(asio::io_context& aContext,
@@ -232,7 +242,7 @@
   for (const std::string& part : m_quarantined) {
     if (!quarantined.contains(part)) {
       m_log.Write(DecisionEvent::PromptPartCleared, [&](DecisionLine& aLine) {
-        aLine.Add("part", part).Add("why", "an answer on the part has begun");
+        aLine.Add("part", part).Add("why", FindReleaseReason(aImage, part));
       });
     }
   }
--- a/Tests/Forwarding/CrashingPromptTest.cxx
+++ b/Tests/Forwarding/CrashingPromptTest.cxx
@@ -67,21 +67,26 @@
       ? caller->Received() : "no answer";
   }
 
-  // Applies reports of other gateways that quarantined the part long ago.
-  void QuarantineElsewhere(const std::string& aPart)
+  // Applies the report of another gateway.
+  void ReportElsewhere(const std::string& aMark, const std::vector<std::string>& aParts)
   {
-    for (int i = 0; i < 3; ++i) {
-      state::ReportPromptCrashT report;
-      report.unix_ms = 1000;
-      report.endpoint = std::make_unique<state::EndpointRefT>();
-      report.endpoint->id = "other-" + std::to_string(i);
-      report.endpoint->incarnation = 1;
-      report.suspects.push_back(std::make_unique<state::CrashSuspectT>());
-      report.suspects[0]->attempt = "x" + std::to_string(i);
-      report.suspects[0]->parts = { aPart };
-      state::CommandT command;
-      command.body.Set(std::move(report));
-      m_fixture->m_control.Apply(command);
+    state::ReportPromptCrashT report;
+    report.unix_ms = 1000;
+    report.endpoint = std::make_unique<state::EndpointRefT>();
+    report.endpoint->id = "other-" + aMark;
+    report.endpoint->incarnation = 1;
+    report.suspects.push_back(std::make_unique<state::CrashSuspectT>());
+    report.suspects[0]->attempt = "x" + aMark;
+    report.suspects[0]->parts = aParts;
+    state::CommandT command;
+    command.body.Set(std::move(report));
+    m_fixture->m_control.Apply(command);
+  }
+  // Applies reports of other gateways that quarantined the parts long ago.
+  void QuarantineElsewhere(const std::vector<std::string>& aParts)
+  {
+    for (const char* mark : { "0", "1", "2" }) {
+      ReportElsewhere(mark, aParts);
     }
   }
 };
@@ -202,17 +207,32 @@
 {
   Start(2);
   CheckAllEventsOnce(Ask("5aed:40,face:20"));
-  QuarantineElsewhere("face");
+  QuarantineElsewhere({ "face" });
   CHECK(m_fixture->RunUntil([&] {
     return m_fixture->m_sink.Has({ "prompt_part_cleared", "face" });
   }));
   CheckAllEventsOnce(Ask("5aed:40,face:20"));
 }
 
+TEST(CrashingPrompt, APartThatIsReleasedIsNotSaidToBeAnswered)
+{
+  Start(2);
+  QuarantineElsewhere({ "dead", "tied" });
+  CHECK(m_fixture->RunUntil([&] {
+    return m_fixture->m_sink.Has({ "prompt_part_quarantined", "tied" });
+  }));
+  ReportElsewhere("3", { "dead" });
+  CHECK(m_fixture->RunUntil([&] {
+    return m_fixture->m_sink.Has({ "prompt_part_cleared", "tied" });
+  }));
+  CHECK(m_fixture->m_sink.Has(
+    { "prompt_part_cleared", "other parts account for its crashes" }));
+}
+
 TEST(CrashingPrompt, ATrialIsGrantedOnceAndClearsThePart)
 {
   Start(2);
-  QuarantineElsewhere("face");
+  QuarantineElsewhere({ "face" });
   CheckAllEventsOnce(Ask("5aed:40,face:20"));
   CHECK(m_fixture->m_sink.Has({ "prompt_part_tried", "granted" }));
   CHECK(m_fixture->RunUntil([&] {
