--- a/Source/Routing/PromptPartGuard.h
+++ b/Source/Routing/PromptPartGuard.h
@@ -156,7 +156,8 @@
   std::deque<std::string> m_order;
   std::deque<Unanswered> m_unanswered;
   std::map<EngineStart, TimePoint> m_lostEngines;
-  // Oldest first; at most kMaxDeferred.
+  // Crashes with parts that were not reported yet, of distinct engine starts,
+  // oldest first; at most kMaxDeferred.
   std::deque<Crash> m_crashes;
   // When this gateway clears a suspected part.
   std::map<std::string, TimePoint, std::less<>> m_clearAt;
--- a/Source/State/PromptCrashReport.cxx
+++ b/Source/State/PromptCrashReport.cxx
@@ -62,9 +62,8 @@
     });
 }
 
-// A request holds its parts, so each of its crashes is one of theirs, too, and
-// shows nothing in their favour. A crash that a piece of a prompt caused is no
-// evidence for anything else.
+// A crash of a request is a crash of every part that it holds, so a request
+// accounts for the crashes of other requests only.
 bool
 MayExplain(const std::string& aExplaining, const std::string& aPart)
 {
