Tests: Reset the connections of a soak's back end that ends

A back end that ends closed its connections in order. The users' pages take the end of the connection for the end of an answer without a length, so such an answer, cut between two events, is complete, and the soak's check on the events is wrong to complain. The connections are reset now, so that the gateway has to go on elsewhere or break off; no check is changed.

It says now when a back end ends, and a breach on an answer tells what the back ends did with it.

--- a/Tests/Soak/SoakBackend.cxx
+++ b/Tests/Soak/SoakBackend.cxx
@@ -228,7 +228,9 @@
     m_id + (isUnframed ? " begins without length" : " begins in chunks") +
       " after event " + std::to_string(first - 1),
     BootClock::now());
+  m_streams.insert(attempt);
   steps.push_back(Await([this, attempt] {
+    m_streams.erase(attempt);
     m_ledger.NoteStep(attempt, m_id + " ends", BootClock::now());
     return true;
   }));
@@ -241,6 +243,7 @@
 {
   const TimePoint now = BootClock::now();
   m_ledger.Harms().Note(Address(), now, now + kCrashMs);
+  NoteStreamsCut("crashes", now);
   m_first = 0;
   m_end = 0;
   m_sequence = 0;
@@ -366,10 +369,22 @@
   m_onLeaving = std::move(aOnLeaving);
 }
 
+void
+SoakBackend::NoteStreamsCut(const std::string& aHow, TimePoint aNow)
+{
+  for (const std::string& attempt : m_streams) {
+    m_ledger.NoteStep(attempt, m_id + " " + aHow, aNow);
+  }
+  m_streams.clear();
+}
+
 void
 SoakBackend::Stop()
 {
+  NoteStreamsCut("stops", BootClock::now());
   m_isStopped = true;
+  // An answer without a length that ended in order would be complete.
+  m_proxy.ResetAll();
   m_stub.Stop();
 }
 
--- a/Tests/Soak/SoakBackend.h
+++ b/Tests/Soak/SoakBackend.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -63,6 +64,8 @@
   boost::asio::awaitable<void> ComeBack();
   bool RunsEveryLayer(const std::string& aPath) const;
   void NoteRun(const HttpRequest& aRequest);
+  // Records that the back end ended under the streams it had begun.
+  void NoteStreamsCut(const std::string& aHow, TimePoint aNow);
   // Adds the limit that the back end names now to the head of an answer.
   std::string WithLimit(std::string aHead) const;
   std::string MakeReport();
@@ -86,6 +89,9 @@
   double m_limit = 0;
   TimePoint m_limitUntil{};
   bool m_isStopped = false;
+  // Attempts whose streams have begun and not ended; those that the gateway
+  // closed stay listed until the back end ends.
+  std::set<std::string> m_streams;
   std::function<void()> m_onLeaving;
 };
 
--- a/Tests/Soak/SoakCallers.cxx
+++ b/Tests/Soak/SoakCallers.cxx
@@ -229,7 +229,8 @@
   }
   if (aKind != AttemptKind::Stream) {
     if (aResponse.body() != aAttempt) {
-      m_ledger.Breach(aAttempt + " got the body '" + aResponse.body() + "'");
+      m_ledger.Breach(aAttempt + " got the body '" + aResponse.body() + "'" +
+                      m_ledger.Attempts().at(aAttempt).m_story);
     }
     return;
   }
@@ -240,8 +241,9 @@
     expected.append("\ndata: x").append(number).append("\n\n");
   }
   if (aResponse.body() != expected) {
-    m_ledger.Breach(
-      aAttempt + " got other events than its stream has: " + aResponse.body());
+    m_ledger.Breach(aAttempt + " got other events than its stream has" +
+                    m_ledger.Attempts().at(aAttempt).m_story + ": " +
+                    aResponse.body());
   }
 }
 
--- a/Tests/Soak/SoakFaults.cxx
+++ b/Tests/Soak/SoakFaults.cxx
@@ -241,6 +241,7 @@
     m_scene.After(2 * kDrainS, [this, &leaving] {
       m_scene.m_ledger.Harms().Note(
         leaving.Address(), BootClock::now(), TimePoint::max());
+      m_scene.Say(leaving.Id() + " ends");
       leaving.Stop();
     });
   });
