Forwarding: Report crashes although no endpoint of the service is left

A request that crashes plain endpoints ends all endpoints of a small service at once.

The wait for a witness is right: a VM that is cut off must not blame anything. What was wrong is that a loss without a witness was forgotten. Class: evidence that cannot be judged yet is dropped instead of kept.

A VM now keeps the lost endpoint with its unanswered requests for 30 s, unconfirmed, and reports it when a witness answers or when the control group lists the endpoint as started again: a new start shows that the old one has ended, whoever's links work. An endpoint has to be listed again before it gets further requests, so the report is in time.

CrashingRequest.IsReportedThoughNoEndpointOfItsServiceIsLeft failed before (one of two crashes reported) and passes; CutOffVm, 12 tests, passes, so a VM that is cut off still reports nothing.

--- a/Source/Forwarding/EngineFailureDetector.cxx
+++ b/Source/Forwarding/EngineFailureDetector.cxx
@@ -466,6 +466,7 @@
   if (!aRunner->m_isGateway) {
     m_routing->ReportFailure(*aRunner, FailureEvidence::Certain);
     m_promptParts->RecordLostEngine(aNow, *aRunner);
+    m_promptParts->ConfirmLostEngine(aNow, *aRunner);
   }
 }
 
--- a/Source/Forwarding/PromptPartReporter.cxx
+++ b/Source/Forwarding/PromptPartReporter.cxx
@@ -108,6 +108,12 @@
 PromptPartReporter::RecordLostEngine(TimePoint aNow, const Runner& aEngine)
 {
   m_guard.RecordLostEngine(aNow, StartOf(aEngine));
+}
+
+void
+PromptPartReporter::ConfirmLostEngine(TimePoint aNow, const Runner& aEngine)
+{
+  m_guard.ConfirmLostEngine(StartOf(aEngine));
   SendReports(aNow);
 }
 
@@ -149,9 +155,10 @@
 void
 PromptPartReporter::Flush(TimePoint aNow)
 {
+  const auto view = m_control.View();
+  m_guard.ConfirmRestarted(view->Image());
   SendReports(aNow);
   SendPendingAgain(aNow);
-  const auto view = m_control.View();
   SendClears(aNow, view->Image());
   LogChanges(view->Image());
 }
--- a/Source/Forwarding/PromptPartReporter.h
+++ b/Source/Forwarding/PromptPartReporter.h
@@ -46,8 +46,11 @@
                         std::string_view aAttemptId,
                         Parts aParts,
                         const Runner& aEndpoint);
-  // Records the end of an engine that is certain.
+  // Records that this VM lost an engine, which may be the fault of the VM's own
+  // link. Nothing is reported before the loss is confirmed.
   void RecordLostEngine(TimePoint aNow, const Runner& aEngine);
+  // Records that a lost engine has ended.
+  void ConfirmLostEngine(TimePoint aNow, const Runner& aEngine);
   // Returns true if answers have begun lately on each of the parts.
   bool AreProved(TimePoint aNow, Parts aParts) const;
 
--- a/Source/Forwarding/ReachMonitor.cxx
+++ b/Source/Forwarding/ReachMonitor.cxx
@@ -299,6 +299,10 @@
                             const RunnerPtr& aEndpoint,
                             FailureEvidence aEvidence)
 {
+  const TimePoint now = BootClock::now();
+  if (aEvidence == FailureEvidence::Certain) {
+    m_promptParts.RecordLostEngine(now, *aEndpoint);
+  }
   if (IsUnreached(aEndpoint->m_service)) {
     return;
   }
@@ -315,7 +319,6 @@
   if (m_reports.size() >= kMaxReports) {
     return;
   }
-  const TimePoint now = BootClock::now();
   m_reports.push_back({ aEndpoint, aEvidence, aSince, now });
   // The next request may crash the next endpoint.
   if (aEvidence == FailureEvidence::Certain) {
@@ -355,7 +358,7 @@
         endpoint, aReport.m_since, EndpointsOf(endpoint.m_service))) {
     m_routing.ReportFailure(endpoint, aReport.m_evidence);
     if (aReport.m_evidence == FailureEvidence::Certain) {
-      m_promptParts.RecordLostEngine(aNow, endpoint);
+      m_promptParts.ConfirmLostEngine(aNow, endpoint);
     }
     return true;
   }
--- a/Source/Forwarding/ReachMonitor.h
+++ b/Source/Forwarding/ReachMonitor.h
@@ -53,7 +53,8 @@
   void RecordWaiting(TimePoint aSentAt, const Runner& aEndpoint);
   // Reports the endpoint as failed, and on certain evidence as lost with the
   // requests that it had not begun to answer, once a witness shows that this
-  // VM's links work. Drops the report if there is none in time.
+  // VM's links work. Drops the report if there is none in time; the requests
+  // are still reported if the endpoint is listed as started again.
   void ReportFailure(TimePoint aSince,
                      const RunnerPtr& aEndpoint,
                      FailureEvidence aEvidence);
--- a/Source/Routing/PromptPartGuard.cxx
+++ b/Source/Routing/PromptPartGuard.cxx
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "Base/RequestIdentity.h"
+#include "State/NamedEntities.h"
 #include "State/PromptPartChecks.h"
 #include "State/PromptPartTable.h"
 
@@ -81,21 +82,31 @@
           m_unanswered.size() > kMaxUnanswered)) {
     m_unanswered.pop_front();
   }
-  std::erase_if(m_lostEngines, [&](const auto& aLost) {
-    return aNow - aLost.second > kMatchWindow;
-  });
+  // Attempts may still end that the engine had not begun to answer.
   std::erase_if(m_crashes, [&](const Crash& aCrash) {
-    return aNow - aCrash.m_at > kDeferredFor;
+    return aNow - aCrash.m_at >
+           (aCrash.m_attempts.empty() ? kMatchWindow : kDeferredFor);
   });
 }
 
+PromptPartGuard::Crash*
+PromptPartGuard::FindCrash(const EngineStart& aEngine)
+{
+  const auto crash =
+    std::find_if(m_crashes.begin(), m_crashes.end(), [&](const Crash& aCrash) {
+      return aCrash.m_engine == aEngine;
+    });
+  return crash == m_crashes.end() ? nullptr : &*crash;
+}
+
 void
 PromptPartGuard::RecordUnanswered(TimePoint aNow, UnansweredAttempt aAttempt)
 {
   Forget(aNow);
   for (const EngineStart& engine : aAttempt.m_engines) {
-    if (m_lostEngines.contains(engine)) {
-      AddSuspect(aNow, engine, aAttempt);
+    if (Crash* crash = FindCrash(engine);
+        crash != nullptr && aNow - crash->m_at <= kMatchWindow) {
+      AddSuspect(*crash, aAttempt);
     }
   }
   m_unanswered.push_back({ aNow, std::move(aAttempt) });
@@ -105,36 +116,59 @@
 PromptPartGuard::RecordLostEngine(TimePoint aNow, EngineStart aEngine)
 {
   Forget(aNow);
-  if (m_lostEngines.size() >= kMaxLostEngines ||
-      !m_lostEngines.emplace(aEngine, aNow).second) {
+  Crash* crash = FindCrash(aEngine);
+  if (crash != nullptr && aNow - crash->m_at <= kMatchWindow) {
     return;
   }
+  if (crash == nullptr) {
+    if (m_crashes.size() >= kMaxCrashes) {
+      m_crashes.pop_front();
+    }
+    crash = &m_crashes.emplace_back();
+    crash->m_engine = std::move(aEngine);
+  }
+  crash->m_at = aNow;
   for (const Unanswered& entry : m_unanswered) {
     const auto& engines = entry.m_attempt.m_engines;
-    if (std::find(engines.begin(), engines.end(), aEngine) != engines.end()) {
-      AddSuspect(aNow, aEngine, entry.m_attempt);
+    if (std::find(engines.begin(), engines.end(), crash->m_engine) !=
+        engines.end()) {
+      AddSuspect(*crash, entry.m_attempt);
     }
   }
 }
 
 void
-PromptPartGuard::AddSuspect(TimePoint aNow,
-                            const EngineStart& aEngine,
-                            const UnansweredAttempt& aAttempt)
+PromptPartGuard::ConfirmLostEngine(const EngineStart& aEngine)
 {
-  auto crash =
-    std::find_if(m_crashes.begin(), m_crashes.end(), [&](const Crash& aCrash) {
-      return aCrash.m_engine == aEngine;
-    });
-  if (crash == m_crashes.end()) {
-    if (m_crashes.size() >= kMaxDeferred) {
-      m_crashes.pop_front();
+  if (Crash* crash = FindCrash(aEngine)) {
+    crash->m_isConfirmed = true;
+  }
+}
+
+void
+PromptPartGuard::ConfirmRestarted(const state::ConfigImageT& aImage)
+{
+  for (Crash& crash : m_crashes) {
+    if (crash.m_isConfirmed) {
+      continue;
     }
-    m_crashes.push_back({ aNow, aEngine, {} });
-    crash = std::prev(m_crashes.end());
+    const auto* listed = FindEntity(aImage.endpoints, crash.m_engine.m_id);
+    crash.m_isConfirmed =
+      listed != nullptr && listed->incarnation > crash.m_engine.m_incarnation;
   }
-  if (crash->m_attempts.size() < kMaxCrashSuspects) {
-    crash->m_attempts.push_back({ aAttempt.m_attemptId, aAttempt.m_parts, {} });
+}
+
+void
+PromptPartGuard::AddSuspect(Crash& aCrash, const UnansweredAttempt& aAttempt)
+{
+  const bool isKnown =
+    std::any_of(aCrash.m_attempts.begin(),
+                aCrash.m_attempts.end(),
+                [&](const auto& aKnown) {
+                  return aKnown.m_attemptId == aAttempt.m_attemptId;
+                });
+  if (!isKnown && aCrash.m_attempts.size() < kMaxCrashSuspects) {
+    aCrash.m_attempts.push_back({ aAttempt.m_attemptId, aAttempt.m_parts, {} });
   }
 }
 
@@ -175,12 +209,13 @@
   Forget(aNow);
   std::vector<state::ReportPromptCrashT> reports;
   for (Crash& crash : m_crashes) {
+    if (!crash.m_isConfirmed) {
+      continue;
+    }
     if (auto report = TakeReport(aNow, crash); !report.suspects.empty()) {
       reports.push_back(std::move(report));
     }
   }
-  std::erase_if(m_crashes,
-                [](const Crash& aCrash) { return aCrash.m_attempts.empty(); });
   return reports;
 }
 
--- a/Source/Routing/PromptPartGuard.h
+++ b/Source/Routing/PromptPartGuard.h
@@ -88,10 +88,9 @@
   static constexpr Duration kMaxClearDelay = std::chrono::milliseconds(150);
   // Crashes that cannot be reported yet are kept for this long.
   static constexpr Duration kDeferredFor = std::chrono::seconds(30);
-  static constexpr std::size_t kMaxDeferred = 64;
+  static constexpr std::size_t kMaxCrashes = 64;
   static constexpr std::size_t kMaxProved = 8192;
   static constexpr std::size_t kMaxUnanswered = 256;
-  static constexpr std::size_t kMaxLostEngines = 64;
 
   explicit PromptPartGuard(std::uint64_t aSeed);
 
@@ -100,10 +99,17 @@
   // Returns true if answers have begun lately on each of the parts.
   bool AreProved(TimePoint aNow, Parts aParts) const;
   void RecordUnanswered(TimePoint aNow, UnansweredAttempt aAttempt);
-  // Records the end of an engine that is certain.
+  // Records that this gateway lost an engine. Whether the engine or the link to
+  // it ended is not known yet.
   void RecordLostEngine(TimePoint aNow, EngineStart aEngine);
-
-  // Returns the reports that are due, one for each lost engine, and forgets
+  // Records that a lost engine has ended.
+  void ConfirmLostEngine(const EngineStart& aEngine);
+  // Confirms the lost engines that the control group lists as started again.
+  // All endpoints of a service may end at once, and then none of them is left
+  // to show that the links work.
+  void ConfirmRestarted(const state::ConfigImageT& aImage);
+
+  // Returns the reports that are due, one for each confirmed loss, and forgets
   // them. Parts that are proved sound are left out, and requests without
   // further parts. Without any proof pieces of prompts are kept for later:
   // before the first answer, a piece that all requests share looks like the one
@@ -127,11 +133,14 @@
     UnansweredAttempt m_attempt;
   };
 
-  // The requests that one lost engine had not begun to answer.
+  // A lost engine, and the requests that it had not begun to answer and that
+  // were not reported yet.
   struct Crash
   {
+    // When the engine was last found lost.
     TimePoint m_at{};
     EngineStart m_engine;
+    bool m_isConfirmed = false;
     std::vector<UnansweredAttempt> m_attempts;
   };
 
@@ -139,10 +148,9 @@
   // Returns true if an answer has begun lately on any prompt with shared parts.
   bool HasAnyProof(TimePoint aNow) const;
   void Forget(TimePoint aNow);
-  // Adds an attempt to the crash of the engine.
-  void AddSuspect(TimePoint aNow,
-                  const EngineStart& aEngine,
-                  const UnansweredAttempt& aAttempt);
+  // Returns nullptr if the engine was not lost lately.
+  Crash* FindCrash(const EngineStart& aEngine);
+  static void AddSuspect(Crash& aCrash, const UnansweredAttempt& aAttempt);
   // Moves the parts that may be reported now out of aCrash. Returns a report
   // without suspects if there are none.
   state::ReportPromptCrashT TakeReport(TimePoint aNow, Crash& aCrash) const;
@@ -155,9 +163,7 @@
   // The parts of m_proved in the order in which they were first proved.
   std::deque<std::string> m_order;
   std::deque<Unanswered> m_unanswered;
-  std::map<EngineStart, TimePoint> m_lostEngines;
-  // Crashes with parts that were not reported yet, of distinct engine starts,
-  // oldest first; at most kMaxDeferred.
+  // Of distinct engine starts, oldest first; at most kMaxCrashes.
   std::deque<Crash> m_crashes;
   // When this gateway clears a suspected part.
   std::map<std::string, TimePoint, std::less<>> m_clearAt;
--- a/Tests/Forwarding/CrashingRequestTest.cxx
+++ b/Tests/Forwarding/CrashingRequestTest.cxx
@@ -1,5 +1,7 @@
 // Tests of requests that crash every endpoint which begins to run them, and
 // that come again whole.
+#include <algorithm>
+
 #include "Forwarding/ForwardFixture.h"
 #include "Forwarding/StreamScripts.h"
 
@@ -33,9 +35,9 @@
 
   // Starts endpoints that end when they begin to run the request of kBad to
   // /safe/bad, /unsafe/bad or /stream/bad.
-  void StartPlain()
+  void StartPlain(int aCount = kEndpoints)
   {
-    for (int i = 0; i < kEndpoints; ++i) {
+    for (int i = 0; i < aCount; ++i) {
       m_endpoints.push_back(&m_fixture->AddPlainEndpoint());
     }
     Start([](const HttpRequest& aRequest) {
@@ -87,6 +89,15 @@
     Ask(aPath, kBad);
     m_fixture->RunUntil([polls = 0]() mutable { return ++polls > 4; });
   }
+  std::size_t CountReportedCrashes()
+  {
+    const auto view = m_fixture->m_control.View();
+    std::size_t most = 0;
+    for (const auto& part : view->Image().prompt_parts) {
+      most = std::max(most, part->crashes.size());
+    }
+    return most;
+  }
   void CheckIsStopped(const std::string& aPath)
   {
     while (m_crashes < kCrashesBefore) {
@@ -160,6 +171,24 @@
   CHECK_EQUAL(503, StatusOf(Ask("/safe/bad", kBad)));
 }
 
+TEST(CrashingRequest, IsReportedThoughNoEndpointOfItsServiceIsLeft)
+{
+  StartPlain(2);
+  std::vector<std::string> ids;
+  for (const StubEndpoint* endpoint : m_endpoints) {
+    ids.push_back(m_fixture->IdOf(*endpoint));
+  }
+  AskAgain("/safe/bad");
+  CHECK_EQUAL(2, m_crashes);
+  CHECK(m_fixture->RunUntil(
+    [&] { return m_fixture->m_sink.Has({ "endpoints_unreached" }); }));
+  CHECK_COMPARE(CountReportedCrashes(), <, 2U);
+  for (const std::string& id : ids) {
+    m_fixture->AnnounceNewStart(id);
+  }
+  CHECK(m_fixture->RunUntil([&] { return CountReportedCrashes() == 2; }));
+}
+
 TEST(CrashingRequest, ConnectionsThatBreakWithoutACrashAreNoEvidence)
 {
   StartPlain();
--- a/Tests/Forwarding/ForwardFixture.cxx
+++ b/Tests/Forwarding/ForwardFixture.cxx
@@ -5,6 +5,8 @@
 
 #include <boost/asio/write.hpp>
 
+#include "State/NamedEntities.h"
+
 namespace parsleycove {
 
 namespace {
@@ -151,6 +153,21 @@
   }
 }
 
+void
+ForwardFixture::AnnounceNewStart(const std::string& aId)
+{
+  const auto view = m_control.View();
+  state::AnnounceEndpointT announce;
+  announce.endpoint = std::make_unique<state::EndpointT>(
+    *FindEntity(view->Image().endpoints, aId));
+  ++announce.endpoint->incarnation;
+  announce.endpoint->suspected = false;
+  announce.endpoint->report = 1;
+  state::CommandT command;
+  command.body.Set(std::move(announce));
+  m_control.Apply(command);
+}
+
 std::string
 ForwardFixture::IdOf(const StubEndpoint& aEndpoint) const
 {
--- a/Tests/Forwarding/ForwardFixture.h
+++ b/Tests/Forwarding/ForwardFixture.h
@@ -42,6 +42,8 @@
   void ReportSuspected(const StubEndpoint& aEndpoint);
   // Announces the endpoint again, which withdraws the report.
   void AnnounceAgain(const StubEndpoint& aEndpoint);
+  // Announces the endpoint of that id as started again.
+  void AnnounceNewStart(const std::string& aId);
   std::string IdOf(const StubEndpoint& aEndpoint) const;
   void Start();
   // Leads the first gateway's way to every endpoint over a link that can be
--- a/Tests/Routing/PromptPartGuardTest.cxx
+++ b/Tests/Routing/PromptPartGuardTest.cxx
@@ -4,6 +4,7 @@
 
 #include <array>
 
+#include "State/NamedEntities.h"
 #include "State/PromptPartTable.h"
 
 // Last, since its leak macros redefine new.
@@ -34,6 +35,15 @@
   void End(const std::string& aEngine, std::uint64_t aIncarnation = 1)
   {
     m_guard.RecordLostEngine(m_now, { aEngine, aIncarnation });
+    m_guard.ConfirmLostEngine({ aEngine, aIncarnation });
+  }
+  void ListEndpoint(const std::string& aId, std::uint64_t aIncarnation)
+  {
+    state::EndpointT endpoint;
+    endpoint.id = aId;
+    endpoint.incarnation = aIncarnation;
+    PutEntity(m_image.endpoints, endpoint);
+    m_guard.ConfirmRestarted(m_image);
   }
   // Applies three crashes to the table, which quarantine the parts.
   void Quarantine(const std::vector<std::string>& aParts, std::uint64_t aUnixMs)
@@ -155,6 +165,58 @@
   CHECK(m_guard.TakeReports(m_now).empty());
 }
 
+TEST(PromptPartGuard, ALossThatMayBeTheLinksIsNotReported)
+{
+  Begin("shared");
+  Lose("a1", { "bad" }, "e1");
+  m_guard.RecordLostEngine(m_now, { "e1", 1 });
+  CHECK(m_guard.TakeReports(m_now).empty());
+  ListEndpoint("e1", 1);
+  ListEndpoint("e2", 2);
+  CHECK(m_guard.TakeReports(m_now).empty());
+}
+
+TEST(PromptPartGuard, AnEngineThatIsListedAsStartedAgainHasEnded)
+{
+  Begin("shared");
+  Lose("a1", { "bad" }, "e1");
+  m_guard.RecordLostEngine(m_now, { "e1", 1 });
+  m_now += PromptPartGuard::kMatchWindow + seconds(3);
+  CHECK(m_guard.TakeReports(m_now).empty());
+  ListEndpoint("e1", 2);
+  const auto reports = m_guard.TakeReports(m_now);
+  CHECK_EQUAL(1U, reports.size());
+  STRCMP_EQUAL("e1", reports[0].endpoint->id.c_str());
+  CHECK_EQUAL(1U, reports[0].endpoint->incarnation);
+  CHECK(m_guard.TakeReports(m_now).empty());
+}
+
+TEST(PromptPartGuard, ALossIsForgottenWhenNothingConfirmsIt)
+{
+  Begin("shared");
+  Lose("a1", { "bad" }, "e1");
+  m_guard.RecordLostEngine(m_now, { "e1", 1 });
+  m_now += PromptPartGuard::kDeferredFor + milliseconds(1);
+  Begin("shared");
+  m_guard.TakeReports(m_now);
+  ListEndpoint("e1", 2);
+  CHECK(m_guard.TakeReports(m_now).empty());
+}
+
+TEST(PromptPartGuard, AnEngineThatIsLostAgainIsReportedWithBothRequests)
+{
+  Begin("shared");
+  Lose("a1", { "bad" }, "e1");
+  m_guard.RecordLostEngine(m_now, { "e1", 1 });
+  m_now += PromptPartGuard::kMatchWindow + milliseconds(1);
+  Lose("a2", { "bad" }, "e1");
+  m_guard.RecordLostEngine(m_now, { "e1", 1 });
+  ListEndpoint("e1", 2);
+  const auto reports = m_guard.TakeReports(m_now);
+  CHECK_EQUAL(1U, reports.size());
+  CHECK_EQUAL(2U, reports[0].suspects.size());
+}
+
 TEST(PromptPartGuard, AnAnswerProvesItsPartsForAWhile)
 {
   Begin("p");
