Forwarding: Take no refusal of a plain endpoint for proof of a request

A request that crashes plain endpoints went on reaching them: after a signed refusal of it (503 that says it has not run, by an endpoint that takes no new work at the moment) the VM counted an answer on it as begun. For 30 s it left the request out of its reports of crashes, and it cleared the evidence of the other VMs.

Class: a verdict rests on an answer of the wrong kind. Looked for elsewhere: streams count from their first event on, and answers of other VMs never count. Both were right; a stream that was refused is tested now, too.

An answer proves its request only if it is signed, is no refusal and has none of the statuses that say that a request has not run.

CrashingRequest.ARefusalDoesNotProveItSound failed before (14 further crashes, 3 allowed) and passes.

--- a/Source/Forwarding/PlainForwarder.cxx
+++ b/Source/Forwarding/PlainForwarder.cxx
@@ -337,15 +337,16 @@
       aCall.Target(),
       nullptr,
       headers);
-    if (headers.m_isSigned) {
-      m_services.m_promptParts.RecordBegun(BootClock::now(), m_request.Parts());
-    }
     if (headers.m_isNotExecuted) {
       --m_possibleExecutions;
       aCall.RecordRefusal();
       m_request.m_lastFault = "endpoint_refused";
       co_return ForwardOutcome::NotExecuted;
     }
+    if (headers.m_isSigned &&
+        !m_services.m_dialect.IsNotExecutedStatus(status)) {
+      m_services.m_promptParts.RecordBegun(BootClock::now(), m_request.Parts());
+    }
     const bool isFailure = status >= kFirstServerError;
     if (isFailure && m_request.m_route->m_kind == RequestKind::Safe &&
         m_possibleExecutions < m_request.m_route->m_maxAttempts &&
--- a/Tests/Forwarding/CrashingRequestTest.cxx
+++ b/Tests/Forwarding/CrashingRequestTest.cxx
@@ -29,6 +29,7 @@
   std::vector<StubEndpoint*> m_endpoints;
   int m_crashes = 0;
   int m_requests = 0;
+  bool m_isRefusing = false;
 
   void setup() override { m_fixture->PutConfig(); }
   void teardown() override { m_fixture.reset(); }
@@ -56,6 +57,10 @@
   {
     for (StubEndpoint* endpoint : m_endpoints) {
       endpoint->SetScript([this, endpoint, aSound](const HttpRequest& aRequest) {
+        if (m_isRefusing) {
+          return std::vector<StubStep>{ Send(MakeAnswer(
+            AttemptIdOf(aRequest), 503, "", "Not-Executed: 1\r\n")) };
+        }
         if (aRequest.body() != kBad || !aRequest.target().ends_with("/bad")) {
           return aSound(aRequest);
         }
@@ -189,6 +194,25 @@
   CHECK(m_fixture->RunUntil([&] { return CountReportedCrashes() == 2; }));
 }
 
+TEST(CrashingRequest, ARefusalDoesNotProveItSound)
+{
+  StartPlain();
+  m_isRefusing = true;
+  CHECK_EQUAL(503, StatusOf(Ask("/safe/bad", kBad)));
+  m_isRefusing = false;
+  CheckIsStopped("/safe/bad");
+}
+
+TEST(CrashingRequest, ARefusedStreamIsNotProvedSound)
+{
+  StartEngines();
+  CheckAllEventsOnce(Ask("/stream/x", "sound"));
+  m_isRefusing = true;
+  CHECK_EQUAL(503, StatusOf(Ask("/stream/bad", kBad)));
+  m_isRefusing = false;
+  CheckIsStopped("/stream/bad");
+}
+
 TEST(CrashingRequest, ConnectionsThatBreakWithoutACrashAreNoEvidence)
 {
   StartPlain();
