Routing: Keep lost engines with requests when many are lost at once

In a fleet with more endpoints the losses without any unanswered request pushed out those with one. They go first now; PromptPartGuard.ManyLossesWithoutRequestsDrop... guards it, and fails with the preference taken out.

--- a/Source/Routing/PromptPartGuard.cxx
+++ b/Source/Routing/PromptPartGuard.cxx
@@ -121,9 +121,7 @@
     return;
   }
   if (crash == nullptr) {
-    if (m_crashes.size() >= kMaxCrashes) {
-      m_crashes.pop_front();
-    }
+    MakeRoom();
     crash = &m_crashes.emplace_back();
     crash->m_engine = std::move(aEngine);
   }
@@ -137,6 +135,20 @@
   }
 }
 
+void
+PromptPartGuard::MakeRoom()
+{
+  if (m_crashes.size() < kMaxCrashes) {
+    return;
+  }
+  // A gateway that loses its links loses all engines at once.
+  const auto unused =
+    std::find_if(m_crashes.begin(), m_crashes.end(), [](const Crash& aCrash) {
+      return aCrash.m_attempts.empty();
+    });
+  m_crashes.erase(unused == m_crashes.end() ? m_crashes.begin() : unused);
+}
+
 void
 PromptPartGuard::ConfirmLostEngine(const EngineStart& aEngine)
 {
--- a/Source/Routing/PromptPartGuard.h
+++ b/Source/Routing/PromptPartGuard.h
@@ -150,6 +150,8 @@
   void Forget(TimePoint aNow);
   // Returns nullptr if the engine was not lost lately.
   Crash* FindCrash(const EngineStart& aEngine);
+  // Drops a crash if there are kMaxCrashes, one without attempts first.
+  void MakeRoom();
   static void AddSuspect(Crash& aCrash, const UnansweredAttempt& aAttempt);
   // Moves the parts that may be reported now out of aCrash. Returns a report
   // without suspects if there are none.
--- a/Tests/Routing/PromptPartGuardTest.cxx
+++ b/Tests/Routing/PromptPartGuardTest.cxx
@@ -217,6 +217,18 @@
   CHECK_EQUAL(2U, reports[0].suspects.size());
 }
 
+TEST(PromptPartGuard, ManyLossesWithoutRequestsDropNoneWithARequest)
+{
+  Begin("shared");
+  Lose("a1", { "bad" }, "e1");
+  m_guard.RecordLostEngine(m_now, { "e1", 1 });
+  for (std::size_t i = 0; i < 2 * PromptPartGuard::kMaxCrashes; ++i) {
+    m_guard.RecordLostEngine(m_now, { "f" + std::to_string(i), 1 });
+  }
+  ListEndpoint("e1", 2);
+  CHECK_EQUAL(1U, m_guard.TakeReports(m_now).size());
+}
+
 TEST(PromptPartGuard, AnAnswerProvesItsPartsForAWhile)
 {
   Begin("p");
