Soak: Say when and by which VMs a limit was exceeded

A breach of a limit named the back end and the number of requests only.

The text names the window and the requests of each entry VM now. What counts and the bound are unchanged.

--- a/Tests/Soak/SoakLimits.cxx
+++ b/Tests/Soak/SoakLimits.cxx
@@ -2,6 +2,8 @@
 #include "Soak/SoakLimits.h"
 
 #include <algorithm>
+#include <numeric>
+#include <utility>
 
 namespace parsleycove {
 
@@ -17,6 +19,26 @@
 constexpr double kFactor = 1.5;
 constexpr double kSlack = 5;
 
+std::size_t
+Sum(const std::map<std::string, std::size_t>& aCounts)
+{
+  return std::accumulate(
+    aCounts.begin(),
+    aCounts.end(),
+    std::size_t{ 0 },
+    [](std::size_t aSum, const auto& aCount) { return aSum + aCount.second; });
+}
+
+std::string
+Describe(const std::map<std::string, std::size_t>& aCounts)
+{
+  std::string text;
+  for (const auto& [entry, count] : aCounts) {
+    text += " " + std::to_string(count) + " from " + entry;
+  }
+  return text;
+}
+
 } // namespace
 
 void
@@ -50,25 +72,44 @@
   return static_cast<int>(count);
 }
 
-std::size_t
+std::map<std::string, std::size_t>
 SoakLimits::CountFrom(const Limit& aLimit,
                       TimePoint aBegin,
                       const SoakHarms& aHarms,
                       const SoakHarms& aStops)
 {
-  const auto& requests = aLimit.m_requests;
-  return static_cast<std::size_t>(std::count_if(
-    requests.begin(), requests.end(), [&](const Request& aRequest) {
-      const auto first = std::find_if(
-        requests.begin(), requests.end(), [&](const Request& aOther) {
-          return aOther.m_entry == aRequest.m_entry;
-        });
-      const TimePoint end = aBegin + kWindowS;
-      return aRequest.m_at >= aBegin && aRequest.m_at < end &&
-             first->m_at + kToldMs <= aRequest.m_at &&
-             !aHarms.Meets(aRequest.m_entry, aBegin - kWindowS, end) &&
-             !aStops.Meets(aRequest.m_entry, aBegin - kWindowS, end);
-    }));
+  const TimePoint end = aBegin + kWindowS;
+  std::map<std::string, TimePoint> first;
+  std::map<std::string, std::size_t> counts;
+  for (const Request& request : aLimit.m_requests) {
+    const auto told = first.try_emplace(request.m_entry, request.m_at).first;
+    if (request.m_at >= aBegin && request.m_at < end &&
+        told->second + kToldMs <= request.m_at &&
+        !aHarms.Meets(request.m_entry, aBegin - kWindowS, end) &&
+        !aStops.Meets(request.m_entry, aBegin - kWindowS, end)) {
+      ++counts[request.m_entry];
+    }
+  }
+  return counts;
+}
+
+std::map<std::string, std::size_t>
+SoakLimits::CountFullest(const Limit& aLimit,
+                         const SoakHarms& aHarms,
+                         const SoakHarms& aStops,
+                         TimePoint& aBegin)
+{
+  std::map<std::string, std::size_t> fullest;
+  for (const Request& request : aLimit.m_requests) {
+    if (request.m_at >= aLimit.m_requests.front().m_at + kStableS) {
+      auto counts = CountFrom(aLimit, request.m_at, aHarms, aStops);
+      if (Sum(counts) > Sum(fullest)) {
+        fullest = std::move(counts);
+        aBegin = request.m_at;
+      }
+    }
+  }
+  return fullest;
 }
 
 std::vector<std::string>
@@ -76,18 +117,18 @@
 {
   std::vector<std::string> breaches;
   for (const auto& [backend, limit] : m_limits) {
-    std::size_t most = 0;
-    for (const Request& request : limit.m_requests) {
-      if (request.m_at >= limit.m_requests.front().m_at + kStableS) {
-        most = std::max(most, CountFrom(limit, request.m_at, aHarms, aStops));
-      }
-    }
+    TimePoint begin{};
+    const auto fullest = CountFullest(limit, aHarms, aStops, begin);
     const double allowed =
       kFactor * limit.m_perSecond * kWindowS.count() + kSlack;
-    if (static_cast<double>(most) > allowed) {
+    if (static_cast<double>(Sum(fullest)) > allowed) {
       breaches.push_back(
         backend + " named a limit of " + std::to_string(limit.m_perSecond) +
-        " a second and got " + std::to_string(most) + " requests in 4 s");
+        " a second and got " + std::to_string(Sum(fullest)) +
+        " requests in 4 s, from " +
+        std::to_string(
+          std::chrono::duration<double>(begin - limit.m_from).count()) +
+        " s after it named it:" + Describe(fullest));
     }
   }
   return breaches;
--- a/Tests/Soak/SoakLimits.h
+++ b/Tests/Soak/SoakLimits.h
@@ -44,10 +44,17 @@
     std::vector<Request> m_requests;
   };
 
-  static std::size_t CountFrom(const Limit& aLimit,
-                               TimePoint aBegin,
-                               const SoakHarms& aHarms,
-                               const SoakHarms& aStops);
+  // Returns the requests that count in the window from aBegin, by entry VM.
+  static std::map<std::string, std::size_t> CountFrom(const Limit& aLimit,
+                                                      TimePoint aBegin,
+                                                      const SoakHarms& aHarms,
+                                                      const SoakHarms& aStops);
+  // Returns the same for the window with the most of them, and where it begins.
+  static std::map<std::string, std::size_t> CountFullest(
+    const Limit& aLimit,
+    const SoakHarms& aHarms,
+    const SoakHarms& aStops,
+    TimePoint& aBegin);
 
   std::map<std::string, Limit> m_limits;
 };
