Routing: End no limit for a probe's answer that never named it

Callers saw nothing; an endpoint that takes 2.5 requests a second got 22 in 4 s.

Cause: an answer to a probe without a limit counted as the limit's end, though the engine names it in answers to requests only. The next answer to a request named it again, mostly within a tenth of a second; with an engine that is silent and callers who wait for it, all of them were sent there at once. Class: what one kind of answer does not say revokes what another kind has said. The other notices of endpoints are not affected: a pause has its own end, the mark of leaving is never revoked by an answer.

Ruled out: a start of the VM without a control group (the VM that sent all 22 started once).

A probe ends a limit that an answer to a probe has named, or that no answer has named for 30 s, since an engine that has become a later stage of all paths answers probes only. The line endpoint_limited was missing where a limit was named again with the same value.

ServerLimit.AnAnswerToAProbeEndsNoLimitThatOnlyRequestsAreTold failed before.

--- a/Source/Forwarding/LimitExchange.cxx
+++ b/Source/Forwarding/LimitExchange.cxx
@@ -34,14 +34,14 @@
                             const AnswerHeaders& aHeaders)
 {
   EndpointLimits& limits = m_routing.Limits();
-  const bool isProbe = aOrigin.m_kind == AnswerKind::Probe;
-  if (!aHeaders.m_requestLimit) {
-    if (isProbe || aHeaders.m_isSigned) {
-      limits.RecordUnnamed(aNow, aOrigin.m_sentAt, *aRunner);
-    }
-  } else if (!isProbe || limits.Knows(*aRunner)) {
-    limits.RecordNamed(
-      aNow, aRunner, *aHeaders.m_requestLimit, m_routing.GatewayCount());
+  const auto& limit = aHeaders.m_requestLimit;
+  if (aOrigin.m_kind == AnswerKind::Probe) {
+    limits.RecordProbe(
+      aNow, aOrigin.m_sentAt, aRunner, limit, m_routing.GatewayCount());
+  } else if (limit) {
+    limits.RecordNamed(aNow, aRunner, *limit, m_routing.GatewayCount());
+  } else if (aHeaders.m_isSigned) {
+    limits.RecordUnnamed(aNow, aOrigin.m_sentAt, *aRunner);
   }
 }
 
--- a/Source/Forwarding/LimitExchange.h
+++ b/Source/Forwarding/LimitExchange.h
@@ -16,9 +16,7 @@
 {
   // To a request of a caller.
   Request,
-  // To a question for an engine's state. It tells whether a limit goes on, but
-  // names no limit for the first time: a limit is about requests that gateways
-  // send, and an engine that is asked only may get none.
+  // To a question for an engine's state.
   Probe,
 };
 
--- a/Source/Routing/EndpointLimits.cxx
+++ b/Source/Routing/EndpointLimits.cxx
@@ -26,6 +26,8 @@
 constexpr double kDemandFactor = 1.5;
 // Silence after which an engine is asked whether its limit goes on.
 constexpr Duration kMaxSilence = std::chrono::seconds(2);
+// A limit that no answer has named for this time ends with the next probe.
+constexpr Duration kMaxUnnamed = std::chrono::seconds(30);
 // With less demand a gateway gives its share up: about 20 s after a single
 // request.
 constexpr double kLeastDemand = 0.004;
@@ -64,6 +66,7 @@
     known = Known{};
     known.m_knownSince = aNow;
     known.m_heardAt = aNow;
+    known.m_namedAt = aNow;
   }
   known.m_runner = aRunner;
   return known;
@@ -120,6 +123,7 @@
   const double value = static_cast<double>(ToPer1000s(aPerSecond)) / kPer1000s;
   Known& known = FindOrAdd(aNow, aRunner);
   known.m_heardAt = aNow;
+  known.m_namedAt = aNow;
   if (known.m_perSecond == value && known.m_news != state::LimitNotice::Ended) {
     return;
   }
@@ -152,10 +156,30 @@
   known.m_news = state::LimitNotice::Ended;
   known.m_isClaimed = false;
   known.m_knownSince = aNow;
+  known.m_perSecond = 0;
   aRunner.m_load->Quota().RemoveLimit();
   AddChange(known, std::nullopt);
 }
 
+void
+EndpointLimits::RecordProbe(TimePoint aNow,
+                            TimePoint aSentAt,
+                            const RunnerPtr& aRunner,
+                            std::optional<double> aPerSecond,
+                            std::uint32_t aGateways)
+{
+  if (!Knows(*aRunner)) {
+    return;
+  }
+  Known& known = m_known.at(aRunner->m_id);
+  if (aPerSecond) {
+    known.m_isToldToProbes = true;
+    RecordNamed(aNow, aRunner, *aPerSecond, aGateways);
+  } else if (known.m_isToldToProbes || aNow - known.m_namedAt > kMaxUnnamed) {
+    RecordUnnamed(aNow, aSentAt, *aRunner);
+  }
+}
+
 void
 EndpointLimits::Apply(TimePoint aNow,
                       const state::ConfigImageT& aImage,
--- a/Source/Routing/EndpointLimits.h
+++ b/Source/Routing/EndpointLimits.h
@@ -39,8 +39,6 @@
 public:
   explicit EndpointLimits(std::string aGateway);
 
-  // Returns true if the endpoint has a limit, as far as this gateway knows.
-  bool Knows(const Runner& aRunner) const;
   // Records that an answer of the endpoint names a limit in requests a second.
   // aGateways: number of gateways in the fleet, at least 1.
   void RecordNamed(TimePoint aNow,
@@ -51,6 +49,16 @@
   // was sent at aSentAt. It ends the limit only if this gateway knew the limit
   // then: answers may overtake one another.
   void RecordUnnamed(TimePoint aNow, TimePoint aSentAt, const Runner& aRunner);
+  // Records what the answer to a probe that was sent at aSentAt says. It makes
+  // no limit known: a limit is about requests, and an engine that gets probes
+  // only may name next to nothing. An engine may name its limit in answers to
+  // requests only, so a probe without one ends a limit that probes were told,
+  // or that no answer has named for long.
+  void RecordProbe(TimePoint aNow,
+                   TimePoint aSentAt,
+                   const RunnerPtr& aRunner,
+                   std::optional<double> aPerSecond,
+                   std::uint32_t aGateways);
   // Applies the table of the replicated state to the quotas of the endpoints.
   void Apply(TimePoint aNow,
              const state::ConfigImageT& aImage,
@@ -79,12 +87,18 @@
     TimePoint m_knownSince{};
     // When an answer last named it, or TakeSilent() last returned the endpoint.
     TimePoint m_heardAt{};
+    // When an answer last named it, or the table first had it.
+    TimePoint m_namedAt{};
+    // An answer to a probe has named it.
+    bool m_isToldToProbes = false;
     // What the control group has not confirmed yet.
     state::LimitNotice m_news = state::LimitNotice::None;
     TimePoint m_claimedAt{};
     bool m_isClaimed = false;
   };
 
+  // Returns true if the endpoint has a limit, as far as this gateway knows.
+  bool Knows(const Runner& aRunner) const;
   Known& FindOrAdd(TimePoint aNow, const RunnerPtr& aRunner);
   void ApplyEntry(TimePoint aNow,
                   const state::EndpointLimitT& aLimit,
--- a/Tests/Forwarding/ServerLimitTest.cxx
+++ b/Tests/Forwarding/ServerLimitTest.cxx
@@ -167,3 +167,24 @@
   CHECK(m_fixture->RunUntil(
     [&] { return m_fixture->m_sink.Has({ "endpoint_limit_ended" }); }));
 }
+
+// Failure: an engine that names its limit only in answers to requests got as
+// many as callers sent once it had answered a probe.
+TEST(ServerLimit, AnAnswerToAProbeEndsNoLimitThatOnlyRequestsAreTold)
+{
+  m_one = &m_fixture->AddEngine(0, 4);
+  m_one->SetScript(StreamWithLimit(kLimit));
+  Start();
+  Stream();
+  const auto probes = [&] {
+    return m_one->Requests().size() - AttemptsAt(*m_one);
+  };
+  const std::size_t before = probes();
+  const auto hasEnded = [&] {
+    return m_fixture->m_sink.Has({ "endpoint_limit_ended" });
+  };
+  CHECK(
+    m_fixture->RunUntil([&] { return probes() >= before + 2 || hasEnded(); }));
+  CHECK(m_fixture->m_sink.Has({ "endpoint_limited" }));
+  CHECK_FALSE(hasEnded());
+}
--- a/Tests/Routing/EndpointLimitsTest.cxx
+++ b/Tests/Routing/EndpointLimitsTest.cxx
@@ -191,6 +191,51 @@
   CHECK_FALSE(runner->m_load->Quota().IsLimited());
 }
 
+TEST(EndpointLimits, AProbeEndsOnlyALimitThatProbesWereTold)
+{
+  TestCluster cluster;
+  cluster.AddService("e1", "plain");
+  const auto table = cluster.Build();
+  const RunnerPtr runner(table->FindRunner("e1"));
+  EndpointLimits limits("vm-1");
+  const RequestQuota& quota = runner->m_load->Quota();
+  TimePoint now = kTestStart;
+  limits.RecordProbe(now, now, runner, 2, 1);
+  CHECK_FALSE(quota.IsLimited());
+
+  limits.RecordNamed(now, runner, 2, 1);
+  now += seconds(2);
+  limits.RecordProbe(now, now - milliseconds(5), runner, std::nullopt, 1);
+  CHECK(quota.IsLimited());
+
+  limits.RecordProbe(now, now - milliseconds(5), runner, 4, 1);
+  DOUBLES_EQUAL(4, quota.PerSecond(), 1e-9);
+  now += seconds(2);
+  limits.RecordProbe(now, now - milliseconds(5), runner, std::nullopt, 1);
+  CHECK_FALSE(quota.IsLimited());
+}
+
+// An engine that has become a later stage of all paths answers probes only.
+TEST(EndpointLimits, ALimitEndsThatNoAnswerNamesForLong)
+{
+  TestCluster cluster;
+  cluster.AddService("e1", "plain");
+  const auto table = cluster.Build();
+  const RunnerPtr runner(table->FindRunner("e1"));
+  EndpointLimits limits("vm-1");
+  const RequestQuota& quota = runner->m_load->Quota();
+  TimePoint now = kTestStart;
+  limits.RecordNamed(now, runner, 2, 1);
+  now += seconds(20);
+  limits.RecordNamed(now, runner, 2, 1);
+  now += seconds(20);
+  limits.RecordProbe(now, now - milliseconds(5), runner, std::nullopt, 1);
+  CHECK(quota.IsLimited());
+  now += seconds(20);
+  limits.RecordProbe(now, now - milliseconds(5), runner, std::nullopt, 1);
+  CHECK_FALSE(quota.IsLimited());
+}
+
 // clang-format off
 TEST_GROUP(RequestQuota)
 {
