Soak: Keep what a late answer writes to

Cause: the check of the configuration asks all control VMs, and their answers wrote the version to a local variable of it, by reference. A control VM that answers after the check has ended wrote to whatever lay there then. A version 19 in the place of the thread's pending exception is what was seen: a small program that rethrows such an exception ends with SIGBUS at -109, which is 19 less the 128 bytes of an exception's header. The other callbacks by reference in the soak end with the call that takes them.

The answers share the variable now.

--- a/Tests/Soak/Soak.cxx
+++ b/Tests/Soak/Soak.cxx
@@ -2,6 +2,7 @@
 #include "Soak/Soak.h"
 
 #include <iostream>
+#include <memory>
 #include <utility>
 
 #include "Soak/SoakEndCheck.h"
@@ -98,17 +99,18 @@
   if (!RunUntil([&] { return operation.IsSettled(); }, kPatienceS)) {
     m_scene.m_ledger.Breach("the newest configuration is never accepted");
   }
-  std::uint64_t read = 0;
+  // Shared, since a slow control VM may answer after this check.
+  const auto read = std::make_shared<std::uint64_t>(0);
   RunUntil(
     [&] {
-      operation.ReadAll([&](std::uint64_t aVersion) { read = aVersion; });
+      operation.ReadAll([read](std::uint64_t aVersion) { *read = aVersion; });
       RunUntil([] { return false; }, milliseconds(200));
-      return read == operation.AcceptedVersion();
+      return *read == operation.AcceptedVersion();
     },
     kPatienceS);
-  if (read != operation.AcceptedVersion()) {
+  if (*read != operation.AcceptedVersion()) {
     m_scene.m_ledger.Breach(
-      "version " + std::to_string(read) + " is read back, " +
+      "version " + std::to_string(*read) + " is read back, " +
       std::to_string(operation.AcceptedVersion()) + " was accepted");
   }
 }
