Forwarding: Leave engines that hang although they answer probes

Cause: an engine that serves nothing as a stage of its paths but answers probes kept its circuit closed, and a stream without an event moved only after 2.5 s, when its caller, who waits for four targets, had left.

Ruled out: moving every stream that is overdue (under load it would only wait again on the next path), and judging the first engine alone (it goes on with the streams of other paths; a trial changed nothing).

Change: an engine that has passed no event since the request was sent, while at least half of the engines of its path have, counts as hung (FindHungStages). It is avoided for a second, and streams that wait for it move once they have missed their target for the first event.

--- a/Source/Forwarding/EndpointCall.h
+++ b/Source/Forwarding/EndpointCall.h
@@ -141,6 +141,9 @@
   // Moving average of the time between two arrivals of events.
   Duration AverageArrivalGap() const { return m_averageArrivalGap; }
   void SetAverageArrivalGap(Duration aGap) { m_averageArrivalGap = aGap; }
+  // Target time to the first event; zero if there is none.
+  Duration FirstEventTarget() const { return m_firstEventTarget; }
+  void SetFirstEventTarget(Duration aTarget) { m_firstEventTarget = aTarget; }
   // Sets the function that decides whether the request may move to another
   // endpoint now, and that charges the retry budget for the move. A call that
   // must not move is never ended because of silence.
@@ -188,6 +191,7 @@
   // Cancels the pending read.
   asio::cancellation_signal m_cancelRead;
   Duration m_averageArrivalGap{};
+  Duration m_firstEventTarget{};
   bool m_atEnd = false;
 };
 
--- a/Source/Forwarding/EngineFailureDetector.cxx
+++ b/Source/Forwarding/EngineFailureDetector.cxx
@@ -8,6 +8,7 @@
 #include "Forwarding/NoticeRecorder.h"
 #include "Forwarding/PromptPartReporter.h"
 #include "Forwarding/ReachMonitor.h"
+#include "Routing/HungStages.h"
 #include "Telemetry/LoggedSpawn.h"
 
 namespace parsleycove {
@@ -159,21 +160,60 @@
 {
   const Duration silent =
     aNow - std::max(aStream->ProgressAt(), m_silenceValidFrom);
-  const Duration moveAfter =
-    aStream->HasProgress()
-      ? std::max(m_settings.m_minMoveDelay,
-                 aStream->AverageArrivalGap() * m_settings.m_moveAfterGaps)
-      : m_settings.m_moveAfterSend;
   // The VM that took a stream over moves it itself as long as the VM runs.
   const bool isPassedOn = aStream->Path()->IsPassedOn();
   if (silent >= m_settings.m_leaveFailedAfter &&
       HasFailedStage(aNow, *aStream)) {
     m_rerouter.MoveOffFailedStage(aStream);
-  } else if (silent >= moveAfter && !isPassedOn && aStream->ClaimMove()) {
+    return;
+  }
+  if (isPassedOn || silent < m_settings.m_minProbeDelay) {
+    return;
+  }
+  std::vector<RunnerPtr> hung;
+  if (!aStream->HasProgress()) {
+    hung = FindHungStages(*aStream->Path(), aStream->SentAt());
+  }
+  if (silent < MoveDelay(*aStream, hung)) {
+    return;
+  }
+  EjectHung(aNow, hung);
+  if (aStream->ClaimMove()) {
     aStream->Suspend(CallEnd::Stalled);
   }
 }
 
+Duration
+EngineFailureDetector::MoveDelay(const EndpointCall& aStream,
+                                 const std::vector<RunnerPtr>& aHung) const
+{
+  if (aStream.HasProgress()) {
+    return std::max(m_settings.m_minMoveDelay,
+                    aStream.AverageArrivalGap() * m_settings.m_moveAfterGaps);
+  }
+  const bool isOverdue =
+    !aHung.empty() && aStream.FirstEventTarget() > Duration::zero();
+  return isOverdue
+           ? std::min(m_settings.m_moveAfterSend, aStream.FirstEventTarget())
+           : m_settings.m_moveAfterSend;
+}
+
+void
+EngineFailureDetector::EjectHung(TimePoint aNow,
+                                 const std::vector<RunnerPtr>& aHung)
+{
+  for (const RunnerPtr& engine : aHung) {
+    if (!engine->m_load->IsEjected(aNow)) {
+      engine->m_load->EjectFor(aNow, m_settings.m_hungEjection);
+      m_routing->InvalidatePaths();
+      LogSuspected(*engine,
+                   "no event has passed the engine while other engines of its "
+                   "paths go on",
+                   m_settings.m_hungEjection);
+    }
+  }
+}
+
 bool
 EngineFailureDetector::HasFailedStage(TimePoint aNow,
                                       const EndpointCall& aStream)
--- a/Source/Forwarding/EngineFailureDetector.h
+++ b/Source/Forwarding/EngineFailureDetector.h
@@ -40,6 +40,9 @@
   int m_moveAfterGaps = 12;
   Duration m_minMoveDelay = std::chrono::milliseconds(700);
   Duration m_moveAfterSend = std::chrono::milliseconds(2500);
+  // How long an engine that hangs although it answers probes is avoided. The
+  // streams that wait for it move once their first event is overdue.
+  Duration m_hungEjection = std::chrono::seconds(1);
   // Silence after which a stream with a failed engine on its path is moved.
   Duration m_leaveFailedAfter = std::chrono::milliseconds(25);
   // An engine that does not answer a probe within this time has failed: probes
@@ -135,6 +138,12 @@
   void ProbeSuspected(TimePoint aNow);
   void ProbeIfSilent(TimePoint aNow, const StreamActivity& aActivity);
   void MoveIfStalled(TimePoint aNow, const EndpointCallPtr& aStream);
+  // Returns the silence after which the stream moves to another path although
+  // no engine of its path is known to have failed. aHung: see FindHungStages().
+  Duration MoveDelay(const EndpointCall& aStream,
+                     const std::vector<RunnerPtr>& aHung) const;
+  // Avoids engines that hang.
+  void EjectHung(TimePoint aNow, const std::vector<RunnerPtr>& aHung);
   static bool HasFailedStage(TimePoint aNow, const EndpointCall& aStream);
   // Does nothing while a probe is in flight or if the last one started less
   // than aMinInterval ago.
--- a/Source/Forwarding/StreamAttempt.cxx
+++ b/Source/Forwarding/StreamAttempt.cxx
@@ -80,6 +80,7 @@
   ++m_possibleExecutions;
   m_hasRetryClaim = false;
   call->SetDeadline(m_request.m_deadline);
+  call->SetFirstEventTarget(m_request.m_route->m_target);
   if (!first->m_isGateway &&
       std::find(m_usedFirstRunners.begin(),
                 m_usedFirstRunners.end(),
@@ -379,6 +380,7 @@
 {
   for (const PathStage& stage : aCall.Path()->m_stages) {
     stage.m_runner->m_load->RecordAnswer(aCall.ProgressAt());
+    stage.m_runner->m_load->RecordEvent(aCall.ProgressAt());
   }
 }
 
--- a/Source/Routing/RunnerLoad.h
+++ b/Source/Routing/RunnerLoad.h
@@ -137,6 +137,15 @@
   // Returns the moving average of the event gap, or zero if no recent gap is
   // known.
   Duration EventGap(TimePoint aNow) const;
+  // Records that an event has passed this engine as a stage of a path.
+  void RecordEvent(TimePoint aNow)
+  {
+    m_eventAtNs.store(aNow.time_since_epoch().count(),
+                      std::memory_order_relaxed);
+  }
+  // Returns when an event last passed this engine, or the clock's epoch.
+  // Answers to probes do not count.
+  TimePoint EventAt() const { return TimePoint(Duration(Load(m_eventAtNs))); }
   // Records the slowdown factor that the endpoint reports: its work takes this
   // many times as long.
   void RecordSlowdown(TimePoint aNow, double aSlowdown);
@@ -189,6 +198,8 @@
   std::atomic<std::int64_t> m_positionNs{ 0 };
   std::atomic<std::int64_t> m_eventGapNs{ 0 };
   std::atomic<std::int64_t> m_eventGapAtNs{ 0 };
+  // Zero if there was none.
+  std::atomic<std::int64_t> m_eventAtNs{ 0 };
   std::atomic<double> m_slowdown{ 1.0 };
   std::atomic<std::int64_t> m_slowdownAtNs{ 0 };
   // Time of the last answer; zero if there was none.
--- a/Tests/Forwarding/StreamForwardTest.cxx
+++ b/Tests/Forwarding/StreamForwardTest.cxx
@@ -7,6 +7,25 @@
 
 using namespace parsleycove;
 
+namespace {
+
+// Refuses the request and names the second stage of its path as the reason.
+std::vector<StubStep>
+RefuseAtSecondStage(const HttpRequest& aRequest)
+{
+  const std::string path(aRequest["Hop-Count"]);
+  const auto comma = path.find(',');
+  const std::string second =
+    path.substr(comma + 1, path.find('=', comma) - comma - 1);
+  return { Send(
+    MakeAnswer(AttemptIdOf(aRequest),
+               503,
+               "",
+               "Not-Executed: 1\r\nAt-Server: " + second + "\r\n")) };
+}
+
+} // namespace
+
 // clang-format off
 TEST_GROUP(StreamForward)
 {
@@ -137,16 +156,7 @@
     if (++m_calls > 1) {
       return StreamAll(aRequest);
     }
-    // Names the second stage of the path as the refusing one.
-    const std::string path(aRequest["Hop-Count"]);
-    const auto comma = path.find(',');
-    const std::string second =
-      path.substr(comma + 1, path.find('=', comma) - comma - 1);
-    return std::vector<StubStep>{ Send(
-      MakeAnswer(AttemptIdOf(aRequest),
-                 503,
-                 "",
-                 "Not-Executed: 1\r\nAt-Server: " + second + "\r\n")) };
+    return RefuseAtSecondStage(aRequest);
   }));
   m_fixture->Start();
   CheckAllEventsOnce(Ask("/stream/x"));
@@ -155,6 +165,35 @@
         m_first->Requests()[1]["Hop-Count"]);
 }
 
+// The second stage of the first stream's path hangs and answers probes. A
+// second stream, which that stage refuses, goes on through the other engine.
+TEST(StreamForward, AStreamLeavesAStageThatHangsThoughItAnswersProbes)
+{
+  m_fixture->PutConfig();
+  m_first = &m_fixture->AddEngine(0, 2);
+  m_fixture->AddEngine(2, 4).SetScript(WithEngineState(StreamAll));
+  m_fixture->AddEngine(2, 4).SetScript(WithEngineState(StreamAll));
+  m_first->SetScript(WithEngineState([&](const HttpRequest& aRequest) {
+    switch (++m_calls) {
+      case 1:
+        return std::vector<StubStep>{ Hang() };
+      case 2:
+        return RefuseAtSecondStage(aRequest);
+      default:
+        return StreamAll(aRequest);
+    }
+  }));
+  m_fixture->Start();
+  const auto caller = m_fixture->Connect();
+  caller->Send(MakeRequest(
+    "POST", "/stream/x", kStreamHeader + "Connection: close\r\n", "prompt"));
+  CHECK(m_fixture->RunUntil([&] { return m_calls == 1; }));
+  CheckAllEventsOnce(Ask("/stream/x"));
+  CHECK(m_fixture->RunUntil([&] { return caller->IsClosed(); }));
+  CheckAllEventsOnce(caller->Received());
+  CHECK(m_fixture->m_sink.Has({ "endpoint_suspected", "no event has passed" }));
+}
+
 TEST(StreamForward, AStreamWhoseEnginesAnswerIsNotEndedForItsSilence)
 {
   StartTwo([](const HttpRequest& aRequest) {
