Forwarding: Count a first runner until it is known to have ended

A silent engine's call was kept, its successor cut the stream off after 1 ms, the kept connection was reset, and a third engine took the stream. RecordBrokenCall took a runner out of the count whenever its connection broke, also while the runner was alive.

Ruled out: counting broken runners for good, since a route's second runner would then never be replaced after crashes.

A runner leaves the count once the control group does not list its start, it refuses connections, a later start answers at its address, or a probe after the break has no answer. It is probed at once, also if the stream had progress.

--- a/Source/Forwarding/EngineFailureDetector.cxx
+++ b/Source/Forwarding/EngineFailureDetector.cxx
@@ -247,6 +247,12 @@
   StartProbe(aNow, aRunner, m_settings.m_probeInterval);
 }
 
+void
+EngineFailureDetector::ReportBroken(TimePoint aNow, const RunnerPtr& aRunner)
+{
+  StartProbe(aNow, aRunner, Duration::zero());
+}
+
 void
 EngineFailureDetector::StartProbe(TimePoint aNow,
                                   const RunnerPtr& aRunner,
@@ -350,6 +356,7 @@
   const bool hasRestarted = state && state->m_incarnation &&
                             *state->m_incarnation != aRunner->m_incarnation;
   if (hasRestarted) {
+    aRunner->m_load->RecordStartedAgain();
     MarkFailed(now, aRunner, "the engine has started again");
   } else if (state && aRunner->m_isGateway) {
     MarkAlive(aRunner, *state);
@@ -366,6 +373,9 @@
     MarkFailed(now, aRunner, "unexpected answer to a probe");
   } else if (IsConclusive(sentAt, result) &&
              aRunner->m_load->AnsweredAt() < firstSentAt) {
+    if (result.IsUnsent() && !result.m_hasTimedOut) {
+      aRunner->m_load->RecordRefused(now);
+    }
     MarkUnreached(now,
                   result.m_hasTimedOut ? sentAt : now,
                   aRunner,
@@ -439,6 +449,7 @@
                                      const RunnerPtr& aRunner,
                                      std::string_view aWhy)
 {
+  aRunner->m_load->RecordRefused(aNow);
   MarkUnreached(aNow, aNow, aRunner, FailureEvidence::Certain, aWhy);
 }
 
--- a/Source/Forwarding/EngineFailureDetector.h
+++ b/Source/Forwarding/EngineFailureDetector.h
@@ -91,6 +91,8 @@
   // Probes an engine that timed out or refused a request, unless a probe ran
   // recently.
   void ReportUnresponsive(TimePoint aNow, const RunnerPtr& aRunner);
+  // Probes an engine whose connection broke, also if a probe ran recently.
+  void ReportBroken(TimePoint aNow, const RunnerPtr& aRunner);
   // Returns nullptr if the address is empty or unknown.
   RunnerPtr FindByAddress(std::string_view aAddress) const;
 
--- a/Source/Forwarding/StreamAttempt.cxx
+++ b/Source/Forwarding/StreamAttempt.cxx
@@ -80,11 +80,8 @@
   ++m_possibleExecutions;
   m_hasRetryClaim = false;
   call->SetDeadline(m_request.m_deadline);
-  if (!first->m_isGateway &&
-      std::find(m_usedFirstRunners.begin(),
-                m_usedFirstRunners.end(),
-                first->m_id) == m_usedFirstRunners.end()) {
-    m_usedFirstRunners.push_back(first->m_id);
+  if (!first->m_isGateway) {
+    m_firstRunners.Add(first);
   }
   call->SetAverageArrivalGap(std::chrono::duration_cast<Duration>(
     std::chrono::duration<double, std::milli>(aPath->m_stepMs *
@@ -405,8 +402,10 @@
   if (end != CallEnd::StageLost) {
     m_request.m_excluded.push_back(aCall.Target()->m_id);
   }
-  if (end == CallEnd::Broken) {
-    std::erase(m_usedFirstRunners, aCall.Target()->m_id);
+  if (end == CallEnd::Broken && !aCall.Target()->m_isGateway) {
+    const TimePoint now = BootClock::now();
+    m_firstRunners.RecordBroken(now, *aCall.Target());
+    m_services.m_failureDetector.ReportBroken(now, aCall.Target());
   }
   if (aCall.IsSuspended()) {
     m_silentCalls.Keep(
--- a/Source/Forwarding/StreamForwarder.cxx
+++ b/Source/Forwarding/StreamForwarder.cxx
@@ -261,6 +261,7 @@
       aChoice.m_availableAt > m_pathWaitUntil) {
     co_return false;
   }
+  ProbeBroken();
   asio::steady_timer timer(m_services.m_context, kPathPollInterval);
   co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
   m_services.m_routing.Refresh(BootClock::now());
@@ -275,6 +276,7 @@
   while (m_hasSentHeader && m_request.m_route->m_isResumable &&
          m_possibleExecutions < kMaxExecutions && BootClock::now() < until &&
          !m_request.IsOutOfTime()) {
+    ProbeBroken();
     timer.expires_after(kResumePollInterval);
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     if (m_request.m_caller->IsDisconnected()) {
@@ -341,9 +343,19 @@
 bool
 StreamForwarder::MayStartAt(const StagePath& aPath) const
 {
-  const auto& used = m_usedFirstRunners;
-  return used.size() < m_request.m_route->m_maxAttempts ||
-         std::find(used.begin(), used.end(), aPath.First().m_id) != used.end();
+  return m_firstRunners.Contains(aPath.First()) ||
+         m_firstRunners.CountLive(m_services.m_routing.Runners()) <
+           m_request.m_route->m_maxAttempts;
+}
+
+void
+StreamForwarder::ProbeBroken()
+{
+  const TimePoint now = BootClock::now();
+  for (const RunnerPtr& runner :
+       m_firstRunners.FindBroken(m_services.m_routing.Runners())) {
+    m_services.m_failureDetector.ReportUnresponsive(now, runner);
+  }
 }
 
 asio::awaitable<void>
--- a/Source/Forwarding/StreamForwarder.h
+++ b/Source/Forwarding/StreamForwarder.h
@@ -4,9 +4,9 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <vector>
 
 #include "Forwarding/EventSplitter.h"
+#include "Forwarding/FirstRunners.h"
 #include "Forwarding/ForwardedRequest.h"
 #include "Forwarding/SilentCalls.h"
 
@@ -79,9 +79,12 @@
   // retry budget for the move.
   bool ClaimMove();
   // Returns true if the path starts at a first runner used before, or if the
-  // route's limit allows another first runner. Runners whose connection broke
-  // do not count against the limit.
+  // route's limit allows another first runner. Runners known to have ended do
+  // not count against the limit.
   bool MayStartAt(const StagePath& aPath) const;
+  // Probes the first runners whose connection broke: one that has ended does
+  // not count against the limit.
+  void ProbeBroken();
   asio::awaitable<AttemptOutcome> RunAttempt(StagePathPtr aPath);
   // Receives the answer of a call until its end or until the call is suspended.
   asio::awaitable<AttemptOutcome> FollowCall(EndpointCallPtr aCall);
@@ -129,8 +132,7 @@
   TimePoint m_pathWaitUntil{};
   // A retry was charged to the retry budget and has not started yet.
   bool m_hasRetryClaim = false;
-  // First runners of the attempts, except runners whose connection broke.
-  std::vector<std::string> m_usedFirstRunners;
+  FirstRunners m_firstRunners;
   // Calls that were suspended for their silence, with the bytes of the event
   // that they were interrupted in.
   SilentCalls m_silentCalls;
--- a/Source/Routing/RunnerLoad.cxx
+++ b/Source/Routing/RunnerLoad.cxx
@@ -209,6 +209,12 @@
                         std::memory_order_relaxed);
 }
 
+void
+RunnerLoad::RecordRefused(TimePoint aNow)
+{
+  m_refusedAtNs.store(ToNs(aNow), std::memory_order_relaxed);
+}
+
 void
 RunnerLoad::EjectFor(TimePoint aNow, Duration aFor)
 {
--- a/Source/Routing/RunnerLoad.h
+++ b/Source/Routing/RunnerLoad.h
@@ -131,6 +131,20 @@
   {
     return TimePoint(Duration(Load(m_unreachedAtNs)));
   }
+  // Records that the endpoint refused a connection.
+  void RecordRefused(TimePoint aNow);
+  // Returns true if the endpoint refused a connection and was not reached
+  // since.
+  bool IsRefusing() const
+  {
+    return TimePoint(Duration(Load(m_refusedAtNs))) > ReachedAt();
+  }
+  // Records that a later start answers at the endpoint's address.
+  void RecordStartedAgain()
+  {
+    m_hasStartedAgain.store(true, std::memory_order_relaxed);
+  }
+  bool HasStartedAgain() const { return Load(m_hasStartedAgain); }
   // Records the time between two consecutive events of a stream whose path
   // begins at this engine.
   void RecordEventGap(TimePoint aNow, Duration aGap);
@@ -196,6 +210,8 @@
   // Zero if there was none.
   std::atomic<std::int64_t> m_reachedAtNs{ 0 };
   std::atomic<std::int64_t> m_unreachedAtNs{ 0 };
+  std::atomic<std::int64_t> m_refusedAtNs{ 0 };
+  std::atomic<bool> m_hasStartedAgain{ false };
   // Time since which no answer has come while steps were outstanding.
   std::atomic<std::int64_t> m_waitingSinceNs{ 0 };
   // Reported streams that do not belong to this process.
