Store: Give an identity up for proved damage only

Cause: a control VM's start gave its data folder up after any failure of the store, and deleted it.

Ruled out: opening without writing. What an earlier process failed to sync must be on the disk before it is trusted, so a start has to write. Ending the process at each failed attempt: bootstrap is false at the second one, so a founder would lose its identity.

Change: StoreError tells the errors apart, MayPass names those that leave the folder sound. StoreLoader reads and checks everything before it writes. Found by the enumerated test beside it, and mended: a founder whose first sync was torn between the term and the first entry never formed its group (operation 14, ENOSPC).

MemoryFiles can fail the operations that read, too.

--- a/Source/Control/ReplicaCore.cxx
+++ b/Source/Control/ReplicaCore.cxx
@@ -7,6 +7,16 @@
 
 namespace parsleycove {
 
+ControlServiceError
+ToServiceError(StoreError aError)
+{
+  if (aError == StoreError::Damage) {
+    return ControlServiceError::StoreDamaged;
+  }
+  return MayPass(aError) ? ControlServiceError::Store
+                         : ControlServiceError::StoreForeign;
+}
+
 std::unique_ptr<ReplicaCore>
 ReplicaCore::Open(Files& aFiles,
                   const std::string& aFolder,
@@ -19,7 +29,7 @@
   StoreReason storeReason;
   auto store = LogStore::Open(aFiles, aFolder, storeReason);
   if (!store) {
-    aReason.Set(ControlServiceError::Store,
+    aReason.Set(ToServiceError(storeReason.m_code),
                 "data folder " + aFolder + ": " + storeReason.m_text);
     return nullptr;
   }
@@ -27,7 +37,7 @@
   const bool other = hard.replica != aOptions.m_replica.m_replica ||
                      hard.cluster != aOptions.m_replica.m_cluster;
   if (hard.replica != 0 && other) {
-    aReason.Set(ControlServiceError::Store,
+    aReason.Set(ControlServiceError::StoreForeign,
                 "data folder " + aFolder + ": belongs to replica " +
                   std::to_string(hard.replica) + " of cluster " +
                   std::to_string(hard.cluster));
@@ -64,11 +74,12 @@
     if (storeReason.m_code == StoreError::None) {
       return true;
     }
-    aReason.Set(ControlServiceError::Store, storeReason.m_text);
+    aReason.Set(ToServiceError(storeReason.m_code), storeReason.m_text);
     return false;
   }
   if (!m_state.Restore(*image)) {
-    aReason.Set(ControlServiceError::Store,
+    // Its checksum is right: the state may be that of a newer version.
+    aReason.Set(ControlServiceError::StoreForeign,
                 "snapshot: " + m_state.LastReason().m_text);
     return false;
   }
@@ -87,7 +98,8 @@
   }
   const ReplicaOptions& own = m_options.m_replica;
   if (!m_store->MarkBootstrap(own.m_replica, own.m_cluster)) {
-    aReason.Set(ControlServiceError::Store, m_store->LastReason().m_text);
+    const StoreReason& why = m_store->LastReason();
+    aReason.Set(ToServiceError(why.m_code), why.m_text);
     return false;
   }
   if (!m_replica.Bootstrap(aMembership)) {
--- a/Source/Control/ReplicaCore.h
+++ b/Source/Control/ReplicaCore.h
@@ -18,6 +18,11 @@
 
 namespace parsleycove {
 
+// Tells an error that may pass from damage and from a folder of another
+// replica.
+ControlServiceError
+ToServiceError(StoreError aError);
+
 struct ReplicaCoreOptions
 {
   ReplicaOptions m_replica;
--- a/Source/Control/ReplicaIdentity.cxx
+++ b/Source/Control/ReplicaIdentity.cxx
@@ -3,7 +3,10 @@
 #include "Control/ReplicaIdentity.h"
 
 #include <algorithm>
+#include <array>
+#include <ctime>
 
+#include "Store/FolderScan.h"
 #include "Store/IdentityFile.h"
 
 namespace parsleycove {
@@ -40,6 +43,35 @@
   return seeds;
 }
 
+using Names = std::vector<std::string>;
+
+constexpr char kAsidePrefix[] = "damaged-";
+
+bool
+Contains(const Names& aNames, const std::string& aName)
+{
+  return std::find(aNames.begin(), aNames.end(), aName) != aNames.end();
+}
+
+// A name with the date, in UTC, that the folder does not have yet.
+std::string
+NameAside(const Names& aNames, std::uint64_t aUnixMs)
+{
+  constexpr std::uint64_t kMsPerSecond = 1000;
+  const auto seconds = static_cast<std::time_t>(aUnixMs / kMsPerSecond);
+  std::tm date{};
+  gmtime_r(&seconds, &date);
+  std::array<char, 32> text{};
+  const std::size_t size =
+    std::strftime(text.data(), text.size(), "%Y%m%dT%H%M%SZ", &date);
+  const std::string first = kAsidePrefix + std::string(text.data(), size);
+  std::string name = first;
+  for (int number = 2; Contains(aNames, name); ++number) {
+    name = first + "-" + std::to_string(number);
+  }
+  return name;
+}
+
 } // namespace
 
 std::optional<ReplicaIdentity>
@@ -49,12 +81,16 @@
   if (!names) {
     return std::nullopt;
   }
-  const bool isFounder =
-    aStart.m_isFirstStart && std::find(aStart.m_founders.begin(),
-                                       aStart.m_founders.end(),
-                                       aStart.m_own) != aStart.m_founders.end();
+  const bool wasGivenUp =
+    std::any_of(names->begin(), names->end(), [](const std::string& aName) {
+      return aName.starts_with(kAsidePrefix);
+    });
+  const bool isFounder = aStart.m_isFirstStart && !wasGivenUp &&
+                         std::find(aStart.m_founders.begin(),
+                                   aStart.m_founders.end(),
+                                   aStart.m_own) != aStart.m_founders.end();
   ReplicaIdentity result;
-  if (std::find(names->begin(), names->end(), kIdentityName) != names->end()) {
+  if (Contains(*names, kIdentityName)) {
     const auto known = ReadIdentity(aFiles, aStart.m_folder, aReason);
     if (!known) {
       return std::nullopt;
@@ -74,26 +110,44 @@
   return result;
 }
 
-bool
-DiscardFolder(Files& aFiles, const std::string& aFolder, StoreReason& aReason)
+std::optional<std::string>
+SetFolderAside(Files& aFiles,
+               const std::string& aFolder,
+               std::uint64_t aUnixMs,
+               StoreReason& aReason)
 {
-  const auto names = aFiles.List(aFolder, aReason);
+  const std::string prefix = aFolder + "/";
+  const auto lock = aFiles.Lock(prefix + kLockName, aReason);
+  const auto names =
+    lock ? aFiles.List(aFolder, aReason) : std::optional<Names>();
   if (!names) {
-    return false;
+    return std::nullopt;
+  }
+  const std::string aside = NameAside(*names, aUnixMs);
+  if (!aFiles.CreateFolder(prefix + aside, aReason)) {
+    return std::nullopt;
+  }
+  const auto move = [&](const std::string& aName) {
+    return aFiles.Rename(prefix + aName, prefix + aside + "/" + aName, aReason);
+  };
+  // The identity goes first, and durably: were the other files moved one by
+  // one under it, a crash could leave a part that looks whole.
+  const bool hasIdentity = Contains(*names, kIdentityName);
+  if (hasIdentity &&
+      !(move(kIdentityName) && aFiles.SyncFolder(aFolder, aReason))) {
+    return std::nullopt;
   }
-  // The identity file is removed last: without it, the remaining files could
-  // not be attributed to a replica.
-  const std::string prefix = aFolder + "/";
   for (const std::string& name : *names) {
-    if (name != kIdentityName && !aFiles.Remove(prefix + name, aReason)) {
-      return false;
+    const bool stays = name == kIdentityName || name == kLockName ||
+                       name.starts_with(kAsidePrefix);
+    if (!stays && !move(name)) {
+      return std::nullopt;
     }
   }
-  const bool hadIdentity =
-    std::find(names->begin(), names->end(), kIdentityName) != names->end();
-  return (!hadIdentity ||
-          aFiles.Remove(aFolder + "/" + kIdentityName, aReason)) &&
-         aFiles.SyncFolder(aFolder, aReason);
+  return aFiles.SyncFolder(prefix + aside, aReason) &&
+             aFiles.SyncFolder(aFolder, aReason)
+           ? std::optional(aside)
+           : std::nullopt;
 }
 
 } // namespace parsleycove
--- a/Source/Control/ReplicaIdentity.h
+++ b/Source/Control/ReplicaIdentity.h
@@ -35,15 +35,21 @@
 // Returns the identity stored in the folder, or a new one for a folder without
 // an identity. A founder's identity is derived from its address, so that all
 // founders start with the same members. Every other replica gets a random
-// identity. So does a founder whose disk was lost: under its old identity it
-// may have cast votes and acknowledged entries that the new disk does not hold.
-// Returns std::nullopt and sets aReason if the folder cannot be read.
+// identity. So does a founder whose disk was lost or whose folder was set
+// aside: under its old identity it may have cast votes and acknowledged entries
+// that the new disk does not hold. Returns std::nullopt and sets aReason if the
+// folder cannot be read.
 std::optional<ReplicaIdentity>
 ChooseIdentity(Files& aFiles, const ReplicaStart& aStart, StoreReason& aReason);
 
-// Empties a damaged data folder, so that the VM can rejoin the group as a new
-// replica. Returns false and sets aReason on failure.
-bool
-DiscardFolder(Files& aFiles, const std::string& aFolder, StoreReason& aReason);
+// Moves all files of a damaged data folder into a folder inside it that is
+// named by the date, so that the VM can rejoin the group as a new replica and
+// the files can be examined. Nothing is deleted. Returns the new folder's name;
+// std::nullopt and aReason if the disk refuses it. Calling it again goes on.
+std::optional<std::string>
+SetFolderAside(Files& aFiles,
+               const std::string& aFolder,
+               std::uint64_t aUnixMs,
+               StoreReason& aReason);
 
 } // namespace parsleycove
--- a/Source/Control/ReplicaServiceOptions.h
+++ b/Source/Control/ReplicaServiceOptions.h
@@ -18,7 +18,9 @@
   None,
   BadOption,
   CannotListen,
-  Store,
+  Store,        // the data folder cannot be used now; it may be sound
+  StoreDamaged, // the data folder has lost what was synced
+  StoreForeign, // the data folder is not this replica's, or cannot be decoded
 };
 using ControlServiceReason = Reason<ControlServiceError>;
 
--- a/Source/Daemon/ControlProcess.cxx
+++ b/Source/Daemon/ControlProcess.cxx
@@ -7,7 +7,9 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "Control/GroupMembershipClient.h"
+#include "Control/LineRepeater.h"
 #include "Control/ReplicaService.h"
+#include "Control/ReplicaStarter.h"
 #include "Daemon/ProcessFrame.h"
 #include "Daemon/ReplicaLog.h"
 #include "Placement/PlacementController.h"
@@ -19,6 +21,8 @@
 
 // Calls in progress at a stop have this long.
 constexpr std::chrono::milliseconds kStopPauseMs{ 300 };
+// Interval of the log line while the data folder cannot be used.
+constexpr std::chrono::seconds kStartLineS{ 5 };
 
 std::uint64_t
 DrawIdentity()
@@ -28,47 +32,64 @@
   return (static_cast<std::uint64_t>(device()) << kHalf) | device();
 }
 
-// Starts the replica under the identity of its folder. A folder that is
-// damaged is emptied, and the replica comes back as a new one, as after the
-// loss of its disk.
+void
+ReportStart(ProcessFrame& aFrame, const ReplicaStarter& aStarter)
+{
+  if (aStarter.Aside().empty()) {
+    Log(LogLevel::Error,
+        "the data folder cannot be used; trying again",
+        { { "why", aStarter.Why() } });
+  } else {
+    Log(LogLevel::Error,
+        "the data folder is damaged; its files are set aside",
+        { { "why", aStarter.Why() }, { "folder", aStarter.Aside() } });
+  }
+  aFrame.Decisions().Write(
+    DecisionEvent::DependencyLost, [&](DecisionLine& aLine) {
+      aLine.Add("dependency", "data folder").Add("why", aStarter.Why());
+    });
+}
+
+// Starts the replica under the identity of its folder, and tries again while
+// the disk refuses. Returns nullptr with aExit if that is impossible or a
+// signal ended it.
 std::unique_ptr<ReplicaService>
 StartReplica(ProcessFrame& aFrame,
              ReplicaServiceOptions& aOptions,
-             ReplicaStart aStart)
+             const ReplicaStart& aStart,
+             DaemonExit& aExit)
 {
   DiskFiles files;
-  for (int attempt = 0; attempt < 2; ++attempt) {
-    aStart.m_random = DrawIdentity();
-    StoreReason storeReason;
-    ControlServiceReason reason;
-    if (const auto identity = ChooseIdentity(files, aStart, storeReason)) {
-      aOptions.m_replica = identity->m_replica;
-      aOptions.m_bootstrap = identity->m_bootstrap;
-      aOptions.m_seed = aStart.m_random;
-      if (auto replica = ReplicaService::Start(aOptions, reason)) {
-        return replica;
-      }
-      if (reason.m_code != ControlServiceError::Store) {
-        Log(LogLevel::Error, "cannot start", { { "why", reason.m_text } });
-        return nullptr;
-      }
+  ReplicaStarter starter(files, aStart, DrawIdentity);
+  LineRepeater lines(kStartLineS);
+  std::unique_ptr<ReplicaService> replica;
+  const auto open = [&](const ReplicaIdentity& aIdentity,
+                        ControlServiceReason& aReason) {
+    aOptions.m_replica = aIdentity.m_replica;
+    aOptions.m_bootstrap = aIdentity.m_bootstrap;
+    aOptions.m_seed = DrawIdentity();
+    replica = ReplicaService::Start(aOptions, aReason);
+    return replica != nullptr;
+  };
+  for (;;) {
+    const auto result = starter.Try(SystemClock().UnixMs(), open);
+    if (result == ReplicaStartResult::Started) {
+      return replica;
     }
-    Log(LogLevel::Error,
-        "the data folder is given up",
-        { { "why", reason.m_text + storeReason.m_text } });
-    aFrame.Decisions().Write(
-      DecisionEvent::DependencyLost, [&](DecisionLine& aLine) {
-        aLine.Add("dependency", "data folder")
-          .Add("why", reason.m_text + storeReason.m_text);
-      });
-    if (!DiscardFolder(files, aStart.m_folder, storeReason)) {
-      Log(
-        LogLevel::Error, "cannot empty it", { { "why", storeReason.m_text } });
+    if (result == ReplicaStartResult::Impossible) {
+      Log(LogLevel::Error, "cannot start", { { "why", starter.Why() } });
+      aExit = DaemonExit::CannotStart;
+      return nullptr;
+    }
+    if (!starter.Aside().empty() ||
+        lines.IsDue(BootClock::now(), starter.Why())) {
+      ReportStart(aFrame, starter);
+    }
+    if (!aFrame.Pause(starter.Pause())) {
+      aExit = DaemonExit::Stopped;
       return nullptr;
     }
-    aStart.m_isFirstStart = false;
   }
-  return nullptr;
 }
 
 feed::AddReplicaT
@@ -127,9 +148,11 @@
     });
   };
   options.m_log = WriteReplicaLog;
-  const auto replica = StartReplica(frame, options, aSettings.m_start);
+  auto startExit = DaemonExit::CannotStart;
+  const auto replica =
+    StartReplica(frame, options, aSettings.m_start, startExit);
   if (!replica) {
-    return DaemonExit::CannotStart;
+    return startExit;
   }
   ControlClient control(aSettings.m_client);
   GroupMembershipClient member(
--- a/Source/Daemon/ProcessFrame.cxx
+++ b/Source/Daemon/ProcessFrame.cxx
@@ -4,6 +4,8 @@
 #include <csignal>
 #include <utility>
 
+#include <boost/asio/steady_timer.hpp>
+
 namespace parsleycove {
 
 ProcessFrame::ProcessFrame(const DaemonSettings& aSettings,
@@ -61,6 +63,22 @@
   return true;
 }
 
+bool
+ProcessFrame::Pause(Duration aPause)
+{
+  bool hasSignal = false;
+  asio::steady_timer timer(
+    m_context, std::chrono::duration_cast<std::chrono::milliseconds>(aPause));
+  timer.async_wait([&](boost::system::error_code) { m_signals.cancel(); });
+  m_signals.async_wait([&](boost::system::error_code aError, int) {
+    hasSignal = !aError;
+    timer.cancel();
+  });
+  m_context.run();
+  m_context.restart();
+  return !hasSignal;
+}
+
 void
 ProcessFrame::WaitForStop(std::function<void()> aOnStop)
 {
--- a/Source/Daemon/ProcessFrame.h
+++ b/Source/Daemon/ProcessFrame.h
@@ -28,6 +28,8 @@
   bool Start(ControlClient& aControl,
              std::function<void()> aOnStop,
              std::string& aReason);
+  // Waits, before Start; returns false as soon as a signal asks for a stop.
+  bool Pause(Duration aPause);
   void Run() { m_context.run(); }
   void End();
 
--- a/Source/Store/DiskFiles.cxx
+++ b/Source/Store/DiskFiles.cxx
@@ -127,6 +127,10 @@
     return nullptr;
   }
   if (!lock->Take()) {
+    if (errno != EWOULDBLOCK) {
+      aReason = MakeIoReason("flock", aPath, errno);
+      return nullptr;
+    }
     aReason.Set(StoreError::Locked,
                 aPath + ": held by another process; expected one process "
                         "for each data folder");
--- a/Source/Store/FolderScan.h
+++ b/Source/Store/FolderScan.h
@@ -10,6 +10,9 @@
 
 namespace parsleycove {
 
+// Held by the process that uses the folder.
+inline constexpr char kLockName[] = "lock";
+
 std::string
 NameSegment(std::uint64_t aNumber);
 
--- a/Source/Store/LogReplay.h
+++ b/Source/Store/LogReplay.h
@@ -26,6 +26,7 @@
   // the log must be marked to start anew behind it.
   bool MustReset() const { return m_mustReset; }
   RestoredLog& Log() { return m_log; }
+  bool IsEmpty() const { return m_log.m_entries.empty(); }
 
 private:
   std::optional<std::string> TakeEntry(consensus::EntryT aEntry);
--- a/Source/Store/LogStore.cxx
+++ b/Source/Store/LogStore.cxx
@@ -11,12 +11,6 @@
 
 namespace parsleycove {
 
-namespace {
-
-constexpr char kLockName[] = "lock";
-
-} // namespace
-
 struct LogStore::Parts
 {
   Parts(Files& aFiles, const std::string& aFolder)
--- a/Source/Store/SegmentScan.cxx
+++ b/Source/Store/SegmentScan.cxx
@@ -34,6 +34,10 @@
     }
     scan.m_records.push_back(*record);
     scan.m_validBytes = record->m_end;
+    if (record->m_kind == RecordKind::SyncMark) {
+      scan.m_syncedRecords = scan.m_records.size();
+      scan.m_syncedBytes = scan.m_validBytes;
+    }
   }
   return scan;
 }
--- a/Source/Store/SegmentScan.h
+++ b/Source/Store/SegmentScan.h
@@ -21,6 +21,9 @@
   std::vector<Record> m_records;
   SegmentEnd m_end = SegmentEnd::Clean;
   std::size_t m_validBytes = 0;
+  // Up to and with the last SyncMark.
+  std::size_t m_syncedRecords = 0;
+  std::size_t m_syncedBytes = 0;
 };
 
 // Reads the records up to the first broken one.
--- a/Source/Store/StoreLoader.cxx
+++ b/Source/Store/StoreLoader.cxx
@@ -1,10 +1,11 @@
 // Reads a data folder and decides whether it can be trusted.
 #include "Store/StoreLoader.h"
 
+#include <algorithm>
 #include <span>
 #include <utility>
 
-#include "Store/SegmentScan.h"
+#include "Store/RecordTable.h"
 #include "Store/StoreText.h"
 
 namespace parsleycove {
@@ -28,8 +29,11 @@
     return std::nullopt;
   }
   m_scan = std::move(*scan);
-  if (!RemoveTemporaries() || !LoadIdentity() || !LoadSnapshot() ||
-      !LoadSegments() || !CheckIdentity() || !RemoveOldSnapshots()) {
+  if (!LoadIdentity() || !LoadSnapshot() || !LoadSegments() ||
+      !CheckIdentity()) {
+    return std::nullopt;
+  }
+  if (!RemoveTemporaries() || !RepairTail() || !RemoveOldSnapshots()) {
     return std::nullopt;
   }
   m_content.m_mustReset = m_replay.MustReset();
@@ -95,13 +99,19 @@
   if (!bytes) {
     return false;
   }
-  const SegmentScan scan = ScanSegment(*bytes, aNumber);
+  SegmentScan scan = ScanSegment(*bytes, aNumber);
   const bool torn = scan.m_end == SegmentEnd::Torn;
   if (scan.m_end == SegmentEnd::Damaged || (torn && !aIsLast)) {
     return Refuse(name,
                   "the record at byte " + std::to_string(scan.m_validBytes) +
                     " is broken, and what follows it is not");
   }
+  if (aIsLast && IsTornBootstrap(scan)) {
+    // Without the entry that names the members, the term would keep the cluster
+    // from being formed.
+    scan.m_records.resize(scan.m_syncedRecords);
+    scan.m_validBytes = scan.m_syncedBytes;
+  }
   for (const Record& record : scan.m_records) {
     if (const auto fault = m_replay.Take(record)) {
       return Refuse(name, *fault);
@@ -109,12 +119,47 @@
   }
   if (scan.m_records.empty()) {
     // A crash came before the first sync of a new segment.
-    return aIsLast ? m_files.Remove(m_folder + "/" + name, m_reason)
-                   : Refuse(name, "the file is empty");
+    m_emptySegment = name;
+    return aIsLast || Refuse(name, "the file is empty");
   }
   m_writer.Adopt(aNumber, m_replay.TakeMaxIndex(), scan.m_validBytes);
-  const std::span<const std::uint8_t> valid(bytes->data(), scan.m_validBytes);
-  return !aIsLast || m_writer.Resume(valid, m_reason);
+  if (aIsLast) {
+    m_tail.assign(bytes->begin(),
+                  bytes->begin() +
+                    static_cast<std::ptrdiff_t>(scan.m_validBytes));
+  }
+  return true;
+}
+
+bool
+StoreLoader::IsTornBootstrap(const SegmentScan& aScan) const
+{
+  const auto& identity = m_content.m_identity;
+  const auto isFirstTerm = [](const Record& aRecord) {
+    const auto state = aRecord.m_kind == RecordKind::HardState
+                         ? DecodeTable<consensus::HardStateT>(aRecord.m_payload)
+                         : std::nullopt;
+    return state && state->term <= 1 && state->vote == 0;
+  };
+  const std::span<const Record> records(aScan.m_records);
+  const auto unsynced = records.subspan(aScan.m_syncedRecords);
+  return identity && identity->m_bootstrapped != 0 && !m_content.m_snapshot &&
+         m_replay.IsEmpty() &&
+         std::none_of(records.begin(),
+                      records.end(),
+                      [](const Record& aRecord) {
+                        return aRecord.m_kind == RecordKind::Entry;
+                      }) &&
+         std::all_of(unsynced.begin(), unsynced.end(), isFirstTerm);
+}
+
+bool
+StoreLoader::RepairTail()
+{
+  if (!m_emptySegment.empty()) {
+    return m_files.Remove(m_folder + "/" + m_emptySegment, m_reason);
+  }
+  return m_tail.empty() || m_writer.Resume(m_tail, m_reason);
 }
 
 bool
--- a/Source/Store/StoreText.cxx
+++ b/Source/Store/StoreText.cxx
@@ -19,13 +19,25 @@
 StoreReason
 MakeIoReason(const std::string& aCall, const std::string& aPath, int aErrno)
 {
-  const std::string what = std::generic_category().message(aErrno);
-  if (aErrno == ENOSPC || aErrno == EDQUOT) {
-    return { StoreError::DiskFull,
-             aPath + ": " + aCall + ": " + what +
-               "; free space for the data folder, then start again" };
+  const std::string text =
+    aPath + ": " + aCall + ": " + std::generic_category().message(aErrno);
+  switch (aErrno) {
+    case ENOSPC:
+    case EDQUOT:
+    case EFBIG:
+      return { StoreError::DiskFull,
+               text + "; free space for the data folder" };
+    case EMFILE:
+    case ENFILE:
+      return { StoreError::TooManyFiles, text + "; raise the limit" };
+    case EACCES:
+    case EPERM:
+    case EROFS:
+      return { StoreError::Access,
+               text + "; expected the right to read and write" };
+    default:
+      return { StoreError::Io, text };
   }
-  return { StoreError::Io, aPath + ": " + aCall + ": " + what };
 }
 
 } // namespace parsleycove
--- a/Tests/Store/MemoryFiles.cxx
+++ b/Tests/Store/MemoryFiles.cxx
@@ -10,6 +10,23 @@
 
 namespace {
 
+int
+ToErrno(DiskFault aFault)
+{
+  switch (aFault) {
+    case DiskFault::DiskFull:
+      return ENOSPC;
+    case DiskFault::TooManyFiles:
+      return EMFILE;
+    case DiskFault::Access:
+      return EACCES;
+    case DiskFault::Io:
+    case DiskFault::FalseSync:
+      return EIO;
+  }
+  return EIO;
+}
+
 class MemoryLock final : public FolderLock
 {};
 
@@ -28,7 +45,7 @@
   bool Append(std::span<const std::uint8_t> aBytes,
               StoreReason& aReason) override
   {
-    const bool done = m_files.Begin(m_path, aReason);
+    const bool done = m_files.BeginWrite(m_path, aReason);
     const bool half = !done && m_files.Planned() == DiskFault::DiskFull;
     const auto taken =
       done ? aBytes : aBytes.first(half ? aBytes.size() / 2 : 0);
@@ -66,17 +83,52 @@
   m_fault = aFault;
 }
 
+void
+MemoryFiles::FailFrom(std::uint64_t aOperation, DiskFault aFault)
+{
+  m_failFrom = aOperation;
+  m_fault = aFault;
+}
+
+void
+MemoryFiles::FillDisk()
+{
+  m_isFull = true;
+  m_fault = DiskFault::DiskFull;
+}
+
+void
+MemoryFiles::Heal()
+{
+  m_failAt = 0;
+  m_failFrom = 0;
+  m_isFull = false;
+}
+
 bool
 MemoryFiles::Begin(const std::string& aPath, StoreReason& aReason)
 {
-  if (++m_operations != m_failAt) {
+  ++m_operations;
+  if (m_operations != m_failAt &&
+      (m_failFrom == 0 || m_operations < m_failFrom)) {
     return true;
   }
-  const int error = m_fault == DiskFault::DiskFull ? ENOSPC : EIO;
-  aReason = MakeIoReason("call", aPath, error);
+  aReason = MakeIoReason("call", aPath, ToErrno(m_fault));
   return false;
 }
 
+bool
+MemoryFiles::BeginWrite(const std::string& aPath, StoreReason& aReason)
+{
+  if (!Begin(aPath, aReason)) {
+    return false;
+  }
+  if (m_isFull) {
+    aReason = MakeIoReason("write", aPath, ENOSPC);
+  }
+  return !m_isFull;
+}
+
 void
 MemoryFiles::LosePower(std::size_t aKeptBytes)
 {
@@ -114,20 +166,23 @@
 }
 
 bool
-MemoryFiles::CreateFolder(const std::string&, StoreReason&)
+MemoryFiles::CreateFolder(const std::string& aFolder, StoreReason& aReason)
 {
-  return true;
+  return Begin(aFolder, aReason);
 }
 
 std::unique_ptr<FolderLock>
-MemoryFiles::Lock(const std::string&, StoreReason&)
+MemoryFiles::Lock(const std::string& aPath, StoreReason& aReason)
 {
-  return std::make_unique<MemoryLock>();
+  return Begin(aPath, aReason) ? std::make_unique<MemoryLock>() : nullptr;
 }
 
 std::optional<std::vector<std::string>>
-MemoryFiles::List(const std::string& aFolder, StoreReason&)
+MemoryFiles::List(const std::string& aFolder, StoreReason& aReason)
 {
+  if (!Begin(aFolder, aReason)) {
+    return std::nullopt;
+  }
   std::vector<std::string> names;
   for (const auto& [path, content] : m_live) {
     names.push_back(path.substr(aFolder.size() + 1));
@@ -147,6 +202,9 @@
                        std::size_t aSize,
                        StoreReason& aReason)
 {
+  if (!Begin(aPath, aReason)) {
+    return std::nullopt;
+  }
   const auto found = m_live.find(aPath);
   if (found == m_live.end()) {
     aReason = MakeIoReason("open", aPath, ENOENT);
--- a/Tests/Store/MemoryFiles.h
+++ b/Tests/Store/MemoryFiles.h
@@ -17,6 +17,8 @@
   Io,        // the operation does nothing
   DiskFull,  // a write stops half way
   FalseSync, // a sync fails, and later ones of the same bytes do nothing
+  TooManyFiles,
+  Access,
 };
 
 class MemoryFiles final : public Files
@@ -31,6 +33,12 @@
 
   // Fails the operation with this number, counted from 1.
   void FailAt(std::uint64_t aOperation, DiskFault aFault);
+  // Fails all operations from this number on, until Heal.
+  void FailFrom(std::uint64_t aOperation, DiskFault aFault);
+  // Refuses every byte that is written, until Heal; what is stored can be read,
+  // renamed and removed.
+  void FillDisk();
+  void Heal();
   std::uint64_t Operations() const { return m_operations; }
   // Drops all that was not synced, but for some bytes of each file.
   void LosePower(std::size_t aKeptBytes);
@@ -60,6 +68,8 @@
 
   // Counts an operation; returns false if it is the one to fail.
   bool Begin(const std::string& aPath, StoreReason& aReason);
+  // The same for an operation that writes bytes.
+  bool BeginWrite(const std::string& aPath, StoreReason& aReason);
   DiskFault Planned() const { return m_fault; }
 
 private:
@@ -68,7 +78,9 @@
   Names m_live;
   Names m_durable; // as of the last sync of the folder
   std::uint64_t m_operations = 0;
-  std::uint64_t m_failAt = 0; // 0: never
+  std::uint64_t m_failAt = 0;   // 0: never
+  std::uint64_t m_failFrom = 0; // 0: never
+  bool m_isFull = false;
   DiskFault m_fault = DiskFault::Io;
 };
 
