Forwarding: Limit the memory of requests that are being read

Cause: a caller's buffer grew until its trailers were whole, each body was collected whole before anything was decided, and no sum over connections was kept.

Ruled out: letting readers wait for room (back-pressure). What waits in the kernel counts toward the memory of the machine too, and readers that have stalled would hold their room for ever.

Change: ReceiveBudget counts what a process holds of requests that are not read to their end. When it is full, the reader that stalled longest is refused, else the second largest; the largest is not counted, so that a single request within the limits is read whatever the budget. Requests are read in pieces of at most the header limit and 16 KiB, which bounds trailers and the lines of chunks too; framing is bounded at 64 KiB and 16 bytes for each byte of the body (chunks of one byte need 5). A request that is not read is answered with 413, 431, 400, 408 or 503 with Retry-After; then at most 256 KiB are dropped for at most a second, so that the answer arrives. HttpService (control calls, readiness, metrics) used to close without an answer.

--- a/Source/Daemon/ControlProcess.cxx
+++ b/Source/Daemon/ControlProcess.cxx
@@ -141,9 +141,14 @@
                                           *orders,
                                           frame.Decisions(),
                                           [&] { return replica->LedTerm(); });
+  UnreadRequests unread(frame.Metrics());
+  HttpServiceLimits limits;
+  limits.m_receiveBudgetBytes = aSettings.m_receiveBudgetBytes;
   HttpService calls(
     context,
-    aDeployment.MakeControlHandler(context, control, frame.Decisions()));
+    aDeployment.MakeControlHandler(context, control, frame.Decisions()),
+    limits,
+    &unread);
   asio::steady_timer stopTimer(context);
   const auto stop = [&] {
     calls.Close();
--- a/Source/Daemon/DaemonSettings.cxx
+++ b/Source/Daemon/DaemonSettings.cxx
@@ -286,6 +286,8 @@
                       std::uint64_t aEpoch,
                       SettingReason& aReason)
 {
+  constexpr std::uint64_t kMinBudgetBytes = 64U << 10;
+  constexpr std::uint64_t kMaxBudgetBytes = 4ULL << 30;
   SettingChecker checker(aReader);
   DaemonSettings settings;
   settings.m_gateway = CheckGateway(aReader, checker);
@@ -307,8 +309,11 @@
     settings.m_client.m_linkHeartbeat = kFeedHeartbeat;
     settings.m_client.m_silenceLimit = kFeedSilence;
   }
+  settings.m_receiveBudgetBytes = checker.Number(
+    SettingId::ReceiveBudgetBytes, kMinBudgetBytes, kMaxBudgetBytes);
   if (settings.m_role == DaemonRole::Entry) {
     settings.m_forward = CheckForward(aReader, checker, aEpoch);
+    settings.m_forward.m_receiveBudgetBytes = settings.m_receiveBudgetBytes;
   } else if (settings.m_role == DaemonRole::Control) {
     CheckGroup(aReader, checker, settings);
   }
--- a/Source/Daemon/DaemonSettings.h
+++ b/Source/Daemon/DaemonSettings.h
@@ -29,6 +29,8 @@
   DaemonRole m_role = DaemonRole::Gateway;
   // Role entry.
   ForwardOptions m_forward;
+  // Roles entry and control.
+  std::size_t m_receiveBudgetBytes = kDefaultReceiveBudgetBytes;
   // Role control: what decides the replica's identity.
   ReplicaStart m_start;
   // Empty: none.
--- a/Source/Daemon/ProcessFrame.cxx
+++ b/Source/Daemon/ProcessFrame.cxx
@@ -11,11 +11,12 @@
   : m_settings(aSettings)
   , m_decisions(aSettings.m_gateway.m_vm, m_sink)
   , m_signals(m_context, SIGTERM, SIGINT)
-  , m_metricsPage(m_context,
-                  [this](const HttpRequest&) -> asio::awaitable<HttpResponse> {
-                    co_return MakeTextAnswer(http::status::ok,
-                                             m_metrics.Print());
-                  })
+  , m_metricsPage(
+      m_context,
+      [this](const HttpRequest&) -> asio::awaitable<HttpResponse> {
+        co_return MakeTextAnswer(http::status::ok, m_metrics.Print());
+      },
+      kSmallRequests)
   , m_reader(aReader)
 {
 }
--- a/Source/Daemon/SettingTable.cxx
+++ b/Source/Daemon/SettingTable.cxx
@@ -94,6 +94,14 @@
     "1048576",
     "a whole number from 1024 to 67108864",
     "largest body of a request" },
+  { SettingId::ReceiveBudgetBytes,
+    "receive-budget-bytes",
+    "PARSLEYCOVE_RECEIVE_BUDGET_BYTES",
+    "67108864",
+    "a whole number from 65536 to 4294967296",
+    "roles entry and control: memory of requests that are not yet read to "
+    "their "
+    "end; beyond it stalled and large ones are refused" },
   { SettingId::IdleTimeoutMs,
     "idle-timeout-ms",
     "PARSLEYCOVE_IDLE_TIMEOUT_MS",
--- /dev/null
+++ b/Source/Forwarding/BoundedRead.h
@@ -0,0 +1,124 @@
+// Reads one request in pieces of limited size.
+#pragma once
+
+#include <algorithm>
+#include <array>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <utility>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include "Forwarding/ReadResult.h"
+#include "Forwarding/ReceiveBudget.h"
+#include "Wire/Http.h"
+
+namespace parsleycove {
+
+using RequestParser = http::request_parser<http::string_body>;
+
+// Counts what one request holds while it is read.
+class BoundedRead final : public ReceiveBudget::Reader
+{
+public:
+  // aOnRefused ends the read in progress.
+  BoundedRead(std::shared_ptr<ReceiveBudget> aBudget,
+              std::function<void()> aOnRefused)
+    : Reader(std::move(aBudget))
+    , m_onRefused(std::move(aOnRefused))
+  {
+  }
+
+  // Sets the size of the pieces. The parser keeps trailers, and the line of a
+  // chunk, in the buffer until they are whole, so this limits them as well.
+  static void LimitBuffer(beast::flat_buffer& aBuffer,
+                          std::size_t aMaxHeaderBytes);
+
+  // Reads the header.
+  template<class Stream>
+  asio::awaitable<beast::error_code> ReadHeader(Stream& aStream,
+                                                beast::flat_buffer& aBuffer,
+                                                RequestParser& aParser)
+  {
+    aParser.eager(false);
+    while (!aParser.is_header_done()) {
+      if (const auto error = co_await ReadPiece(aStream, aBuffer, aParser)) {
+        co_return error;
+      }
+    }
+    m_headerBytes = std::exchange(m_readBytes, 0);
+    co_return beast::error_code{};
+  }
+
+  // Reads the rest of the request.
+  template<class Stream>
+  asio::awaitable<beast::error_code> ReadBody(Stream& aStream,
+                                              beast::flat_buffer& aBuffer,
+                                              RequestParser& aParser)
+  {
+    aParser.eager(true);
+    while (!aParser.is_done()) {
+      if (const auto error = co_await ReadPiece(aStream, aBuffer, aParser)) {
+        co_return error;
+      }
+    }
+    co_return beast::error_code{};
+  }
+
+  // Returns how a read ended with aError.
+  ReadResult Classify(const beast::error_code& aError) const;
+  void OnRefused() override;
+
+private:
+  template<class Stream>
+  asio::awaitable<beast::error_code> ReadPiece(Stream& aStream,
+                                               beast::flat_buffer& aBuffer,
+                                               RequestParser& aParser)
+  {
+    const auto [error, bytes] = co_await http::async_read_some(
+      aStream, aBuffer, aParser, asio::as_tuple(asio::use_awaitable));
+    co_return error ? error : Count(bytes, aBuffer, aParser);
+  }
+
+  // Returns an error if the request is refused or is mostly framing.
+  beast::error_code Count(std::size_t aBytes,
+                          const beast::flat_buffer& aBuffer,
+                          const RequestParser& aParser);
+
+  const std::function<void()> m_onRefused;
+  std::size_t m_headerBytes = 0;
+  // Bytes of the header, or of what follows it.
+  std::size_t m_readBytes = 0;
+  bool m_isRefused = false;
+};
+
+// Bytes that are read and dropped before a refused connection is closed, and
+// the time for it. Closing with unread bytes would reset the connection, and
+// the answer might be lost.
+inline constexpr std::size_t kMaxDroppedBytes = 256UL * 1024;
+inline constexpr Duration kDropTimeout = std::chrono::seconds(1);
+
+// Returns when the peer has closed the connection, the stream's deadline is
+// over or kMaxDroppedBytes have been dropped.
+template<class Stream>
+asio::awaitable<void>
+DropInput(Stream& aStream)
+{
+  std::array<char, 4096> dropped{};
+  for (std::size_t total = 0; total < kMaxDroppedBytes;) {
+    const auto [error, bytes] = co_await aStream.async_read_some(
+      asio::buffer(dropped), asio::as_tuple(asio::use_awaitable));
+    if (error) {
+      break;
+    }
+    total += bytes;
+  }
+}
+
+} // namespace parsleycove
--- a/Source/Forwarding/CallerConnection.cxx
+++ b/Source/Forwarding/CallerConnection.cxx
@@ -6,19 +6,23 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/http/read.hpp>
+
+#include "Forwarding/BoundedRead.h"
 
 namespace parsleycove {
 
 namespace {
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
-using Parser = http::request_parser<http::string_body>;
+// A connection without a request keeps no larger buffer than this.
+constexpr std::size_t kMaxIdleBufferBytes = 4096;
 
 } // namespace
 
-CallerConnection::CallerConnection(Tcp::socket aSocket)
+CallerConnection::CallerConnection(Tcp::socket aSocket,
+                                   std::shared_ptr<ReceiveBudget> aBudget)
   : m_socket(std::move(aSocket))
+  , m_budget(std::move(aBudget))
 {
   beast::error_code ignored;
   m_socket.set_option(Tcp::no_delay(true), ignored);
@@ -28,12 +32,16 @@
 asio::awaitable<ReadResult>
 CallerConnection::ReadRequest(const CallerLimits& aLimits)
 {
-  Parser parser;
+  RequestParser parser;
   parser.header_limit(static_cast<std::uint32_t>(aLimits.m_maxHeaderBytes));
   parser.body_limit(aLimits.m_maxBodyBytes);
+  BoundedRead::LimitBuffer(m_buffer, aLimits.m_maxHeaderBytes);
   m_isReading = m_buffer.size() != 0;
   m_isIdle = !m_isReading;
   if (m_isIdle) {
+    if (m_buffer.capacity() > kMaxIdleBufferBytes) {
+      m_buffer.shrink_to_fit();
+    }
     SetDeadline(BootClock::now() + aLimits.m_idleTimeout);
     const auto [waitError] =
       co_await m_socket.async_wait(Tcp::socket::wait_read, kAwait);
@@ -43,20 +51,22 @@
     m_isIdle = false;
     m_isReading = true;
   }
+  BoundedRead read(m_budget, [this] {
+    beast::error_code ignored;
+    m_socket.cancel(ignored);
+  });
   SetDeadline(BootClock::now() + aLimits.m_headerTimeout);
-  const auto [headerError, headerBytes] =
-    co_await http::async_read_header(m_socket, m_buffer, parser, kAwait);
-  if (headerError) {
-    co_return ClassifyReadError(headerError);
+  beast::error_code error =
+    co_await read.ReadHeader(m_socket, m_buffer, parser);
+  if (!error) {
+    // The time-out of idle connections also limits the time for the body.
+    SetDeadline(BootClock::now() + aLimits.m_idleTimeout);
+    error = co_await read.ReadBody(m_socket, m_buffer, parser);
   }
-  // The time-out of idle connections also limits the time for the body.
-  SetDeadline(BootClock::now() + aLimits.m_idleTimeout);
-  if (!parser.is_done()) {
-    const auto [bodyError, bodyBytes] =
-      co_await http::async_read(m_socket, m_buffer, parser, kAwait);
-    if (bodyError) {
-      co_return ClassifyReadError(bodyError);
-    }
+  if (error) {
+    m_buffer.clear();
+    m_buffer.shrink_to_fit();
+    co_return m_isOverdue ? ReadResult::TimedOut : read.Classify(error);
   }
   ClearDeadline();
   m_isReading = false;
@@ -65,28 +75,6 @@
   co_return ReadResult::Request;
 }
 
-ReadResult
-CallerConnection::ClassifyReadError(const beast::error_code& aError) const
-{
-  if (m_isOverdue) {
-    return ReadResult::TimedOut;
-  }
-  if (aError == http::error::body_limit) {
-    return ReadResult::BodyTooLarge;
-  }
-  if (aError == http::error::header_limit ||
-      aError == http::error::buffer_overflow) {
-    return ReadResult::HeaderTooLarge;
-  }
-  static const beast::error_code kAnyHttpError =
-    make_error_code(http::error::bad_method);
-  const bool isEnd = aError == http::error::end_of_stream ||
-                     aError == http::error::partial_message;
-  return !isEnd && aError.category() == kAnyHttpError.category()
-           ? ReadResult::Malformed
-           : ReadResult::Closed;
-}
-
 asio::awaitable<bool>
 CallerConnection::Write(std::string aBytes, Duration aTimeout)
 {
@@ -159,6 +147,17 @@
   m_socket.close(ignored);
 }
 
+asio::awaitable<void>
+CallerConnection::CloseUnread()
+{
+  beast::error_code ignored;
+  m_socket.shutdown(Tcp::socket::shutdown_send, ignored);
+  SetDeadline(BootClock::now() + kDropTimeout);
+  co_await DropInput(m_socket);
+  ClearDeadline();
+  Close();
+}
+
 void
 CallerConnection::CloseIfIdle()
 {
--- a/Source/Forwarding/CallerConnection.h
+++ b/Source/Forwarding/CallerConnection.h
@@ -7,26 +7,16 @@
 #include <string_view>
 
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
 
 #include "Base/Clock.h"
 #include "Forwarding/DeadlineMonitor.h"
+#include "Forwarding/ReadResult.h"
+#include "Forwarding/ReceiveBudget.h"
 #include "Routing/RoutingConfig.h"
 #include "Wire/Http.h"
 
 namespace parsleycove {
 
-enum class ReadResult
-{
-  Request,
-  // The caller closed or reset the connection, or stayed idle too long.
-  Closed,
-  HeaderTooLarge,
-  BodyTooLarge,
-  TimedOut,
-  Malformed,
-};
-
 // Invariant: at most one operation at a time, apart from the watch for a
 // disconnect.
 class CallerConnection final
@@ -34,7 +24,7 @@
   , public std::enable_shared_from_this<CallerConnection>
 {
 public:
-  explicit CallerConnection(Tcp::socket aSocket);
+  CallerConnection(Tcp::socket aSocket, std::shared_ptr<ReceiveBudget> aBudget);
 
   asio::awaitable<ReadResult> ReadRequest(const CallerLimits& aLimits);
   const HttpRequest& Request() const { return m_request; }
@@ -54,16 +44,19 @@
   void CloseAfterAnswer() { m_closesAfterAnswer = true; }
   bool ClosesAfterAnswer() const { return m_closesAfterAnswer; }
   void Close();
+  // Closes the connection after an answer to a request that was not read to its
+  // end, so that the answer arrives.
+  asio::awaitable<void> CloseUnread();
   // Closes the connection without an answer if no request has begun on it.
   void CloseIfIdle();
 
   void OnDeadline(TimePoint aNow) override;
 
 private:
-  ReadResult ClassifyReadError(const beast::error_code& aError) const;
   void ArmDisconnectWatch();
 
   Tcp::socket m_socket;
+  const std::shared_ptr<ReceiveBudget> m_budget;
   beast::flat_buffer m_buffer;
   HttpRequest m_request;
   std::function<void()> m_onDisconnect;
--- a/Source/Forwarding/ForwardGateway.cxx
+++ b/Source/Forwarding/ForwardGateway.cxx
@@ -49,6 +49,9 @@
     , m_failureDetector(aContext, aDialect, aLog)
     , m_drain(m_options.m_drainGrace)
     , m_metrics(aMetrics)
+    , m_unread(aMetrics)
+    , m_receiveBudget(
+        std::make_shared<ReceiveBudget>(m_options.m_receiveBudgetBytes))
     , m_limits(m_routing, aControl, aLog, m_metrics)
     , m_notices(m_routing, m_pool, m_limits, m_metrics, aLog)
     , m_promptParts(aContext, aControl, aLog, m_metrics, m_options.m_seed)
@@ -75,11 +78,14 @@
                   m_reach,
                   m_drain,
                   aLog,
-                  m_metrics }
+                  m_metrics,
+                  m_unread }
     , m_accept(aContext, m_options.m_maxConnections)
     , m_takeover(aContext, m_options.m_maxConnections)
-    , m_readiness(aContext,
-                  [this](const HttpRequest&) { return AnswerReadiness(); })
+    , m_readiness(
+        aContext,
+        [this](const HttpRequest&) { return AnswerReadiness(); },
+        kSmallRequests)
     , m_maintenanceTimer(aContext)
   {
     m_failureDetector.Attach(m_routing,
@@ -111,7 +117,8 @@
 
   asio::awaitable<void> Serve(Tcp::socket aSocket, SessionKind aKind)
   {
-    auto caller = std::make_shared<CallerConnection>(std::move(aSocket));
+    auto caller =
+      std::make_shared<CallerConnection>(std::move(aSocket), m_receiveBudget);
     m_callerDeadlines.Add(*caller);
     m_callers.push_back(caller);
     co_await RunForwardSession(m_services, caller, aKind);
@@ -149,6 +156,9 @@
   EngineFailureDetector m_failureDetector;
   DrainState m_drain;
   ForwardMetrics m_metrics;
+  UnreadRequests m_unread;
+  // Of callers' connections and of those of other VMs together.
+  const std::shared_ptr<ReceiveBudget> m_receiveBudget;
   LimitExchange m_limits;
   NoticeRecorder m_notices;
   PromptPartReporter m_promptParts;
--- a/Source/Forwarding/ForwardOptions.h
+++ b/Source/Forwarding/ForwardOptions.h
@@ -12,6 +12,8 @@
 
 namespace parsleycove {
 
+inline constexpr std::size_t kDefaultReceiveBudgetBytes = 64UL * 1024 * 1024;
+
 struct ForwardOptions
 {
   std::string m_vm;
@@ -25,6 +27,8 @@
   // takes none over.
   std::optional<SocketAddress> m_takeover;
   std::size_t m_maxConnections = 3000;
+  // Memory of requests that are not yet read to their end.
+  std::size_t m_receiveBudgetBytes = kDefaultReceiveBudgetBytes;
   // How long new connections may still arrive after a stop begins. The balancer
   // checks readiness every second and stops sending callers after two failed
   // checks.
--- a/Source/Forwarding/ForwardServices.h
+++ b/Source/Forwarding/ForwardServices.h
@@ -8,6 +8,7 @@
 #include "Forwarding/ForwardMetrics.h"
 #include "Forwarding/ForwardOptions.h"
 #include "Forwarding/RoutingState.h"
+#include "Forwarding/UnreadRequests.h"
 #include "Telemetry/DecisionLog.h"
 #include "Wire/Http.h"
 
@@ -38,6 +39,7 @@
   DrainState& m_drain;
   DecisionLog& m_log;
   ForwardMetrics& m_metrics;
+  UnreadRequests& m_unread;
 };
 
 } // namespace parsleycove
--- a/Source/Forwarding/ForwardSession.cxx
+++ b/Source/Forwarding/ForwardSession.cxx
@@ -26,6 +26,10 @@
 constexpr unsigned kRequestTimeout = 408;
 constexpr unsigned kBodyTooLarge = 413;
 constexpr unsigned kHeaderTooLarge = 431;
+constexpr unsigned kUnavailable = 503;
+// The reads that fill the budget end or are refused within about a second.
+constexpr Duration kLeastRetryAfter = std::chrono::seconds(1);
+constexpr Duration kRetryAfterSpread = std::chrono::seconds(1);
 // Characters of a prompt part's id in the log.
 constexpr std::size_t kMaxLogged = 32;
 constexpr Duration kDefaultTimeout = std::chrono::seconds(30);
@@ -127,8 +131,9 @@
         break;
       }
       if (end != ReadResult::Request) {
-        co_await AnswerReadFailure(StatusOf(end));
-        break;
+        co_await AnswerReadFailure(end);
+        co_await m_caller->CloseUnread();
+        co_return;
       }
       if (m_kind == SessionKind::Gateway &&
           m_caller->Request()[kPassedOnHeader].empty()) {
@@ -144,12 +149,27 @@
   }
 
 private:
-  asio::awaitable<void> AnswerReadFailure(unsigned aStatus)
+  asio::awaitable<void> AnswerReadFailure(ReadResult aEnd)
   {
     ForwardedRequest request{ m_services, m_caller };
     request.m_arrival = BootClock::now();
     m_caller->CloseAfterAnswer();
-    co_await Fail(request, aStatus, "the request cannot be read");
+    m_services.m_unread.Count(aEnd, request.m_arrival);
+    if (aEnd == ReadResult::Refused) {
+      // Spread, so that refused callers do not all come back at once.
+      const Duration retryAfter =
+        kLeastRetryAfter +
+        std::chrono::duration_cast<Duration>(
+          kRetryAfterSpread * m_services.m_routing.DrawFraction());
+      co_await m_caller->Write(
+        MakeGatewayAnswer(request,
+                          kUnavailable,
+                          "this VM reads too many requests at once",
+                          retryAfter),
+        kWriteTimeout);
+      co_return;
+    }
+    co_await Fail(request, StatusOf(aEnd), "the request cannot be read");
   }
 
   // Tells another VM that this process runs.
--- a/Source/Forwarding/HttpService.cxx
+++ b/Source/Forwarding/HttpService.cxx
@@ -8,11 +8,10 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include "Forwarding/AcceptLoop.h"
+#include "Forwarding/BoundedRead.h"
 #include "Telemetry/Logging.h"
 
 namespace parsleycove {
@@ -37,10 +36,13 @@
 {
   Parts(asio::io_context& aContext,
         HttpHandler aHandler,
-        HttpServiceLimits aLimits)
+        HttpServiceLimits aLimits,
+        UnreadRequests* aUnread)
     : m_context(aContext)
     , m_handler(std::move(aHandler))
     , m_limits(aLimits)
+    , m_unread(aUnread)
+    , m_budget(std::make_shared<ReceiveBudget>(aLimits.m_receiveBudgetBytes))
     , m_accept(aContext, aLimits.m_maxConnections)
   {
   }
@@ -49,13 +51,15 @@
   {
     beast::tcp_stream stream(std::move(aSocket));
     beast::flat_buffer buffer;
+    ReadResult unread = ReadResult::Closed;
     bool keepsAlive = true;
     while (keepsAlive) {
-      http::request_parser<http::string_body> parser;
+      RequestParser parser;
       parser.body_limit(m_limits.m_maxBodyBytes);
+      BoundedRead::LimitBuffer(buffer, m_limits.m_maxHeaderBytes);
       stream.expires_after(m_limits.m_idleTimeout);
-      const auto [error, bytes] =
-        co_await http::async_read(stream, buffer, parser, kAwait);
+      const beast::error_code error =
+        co_await Read(stream, buffer, parser, unread);
       if (error) {
         break;
       }
@@ -68,8 +72,66 @@
         co_await http::async_write(stream, answer, kAwait);
       keepsAlive = !writeError && request.keep_alive();
     }
+    buffer.clear();
+    buffer.shrink_to_fit();
+    if (unread != ReadResult::Closed) {
+      co_await AnswerUnread(stream, unread);
+    }
     beast::error_code ignored;
     stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+    if (unread != ReadResult::Closed) {
+      stream.expires_after(kDropTimeout);
+      co_await DropInput(stream);
+    }
+  }
+
+  // Sets aUnread if the request must be answered without having been read.
+  asio::awaitable<beast::error_code> Read(beast::tcp_stream& aStream,
+                                          beast::flat_buffer& aBuffer,
+                                          RequestParser& aParser,
+                                          ReadResult& aUnread)
+  {
+    BoundedRead read(m_budget, [&aStream] { aStream.cancel(); });
+    beast::error_code error =
+      co_await read.ReadHeader(aStream, aBuffer, aParser);
+    if (!error) {
+      error = co_await read.ReadBody(aStream, aBuffer, aParser);
+    }
+    if (error) {
+      aUnread = read.Classify(error);
+    }
+    co_return error;
+  }
+
+  asio::awaitable<void> AnswerUnread(beast::tcp_stream& aStream,
+                                     ReadResult aUnread)
+  {
+    if (m_unread != nullptr) {
+      m_unread->Count(aUnread, BootClock::now());
+    }
+    HttpResponse answer =
+      MakeTextAnswer(StatusOf(aUnread), "the request cannot be read\n");
+    if (aUnread == ReadResult::Refused) {
+      answer.set(http::field::retry_after, "1");
+    }
+    answer.keep_alive(false);
+    answer.prepare_payload();
+    aStream.expires_after(m_limits.m_idleTimeout);
+    co_await http::async_write(aStream, answer, kAwait);
+  }
+
+  static http::status StatusOf(ReadResult aUnread)
+  {
+    switch (aUnread) {
+      case ReadResult::HeaderTooLarge:
+        return http::status::request_header_fields_too_large;
+      case ReadResult::BodyTooLarge:
+        return http::status::payload_too_large;
+      case ReadResult::Refused:
+        return http::status::service_unavailable;
+      default:
+        return http::status::bad_request;
+    }
   }
 
   asio::awaitable<HttpResponse> Handle(const HttpRequest& aRequest)
@@ -89,13 +151,17 @@
   asio::io_context& m_context;
   const HttpHandler m_handler;
   const HttpServiceLimits m_limits;
+  UnreadRequests* const m_unread;
+  const std::shared_ptr<ReceiveBudget> m_budget;
   AcceptLoop m_accept;
 };
 
 HttpService::HttpService(asio::io_context& aContext,
                          HttpHandler aHandler,
-                         HttpServiceLimits aLimits)
-  : m_parts(std::make_shared<Parts>(aContext, std::move(aHandler), aLimits))
+                         HttpServiceLimits aLimits,
+                         UnreadRequests* aUnread)
+  : m_parts(
+      std::make_shared<Parts>(aContext, std::move(aHandler), aLimits, aUnread))
 {
 }
 
--- a/Source/Forwarding/HttpService.h
+++ b/Source/Forwarding/HttpService.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "Base/SocketAddress.h"
+#include "Forwarding/UnreadRequests.h"
 #include "Wire/Http.h"
 
 namespace parsleycove {
@@ -16,19 +17,31 @@
 struct HttpServiceLimits
 {
   std::size_t m_maxBodyBytes = 8ULL * 1024 * 1024;
+  std::size_t m_maxHeaderBytes = 8ULL * 1024;
   std::size_t m_maxConnections = 2000;
+  // Memory of requests that are not yet read to their end.
+  std::size_t m_receiveBudgetBytes = 64ULL * 1024 * 1024;
   // A connection on which no complete request arrives within this time is
   // closed.
   std::chrono::seconds m_idleTimeout{ 30 };
 };
 
+// For services whose requests have no body.
+inline constexpr HttpServiceLimits kSmallRequests{
+  .m_maxBodyBytes = 16ULL * 1024,
+  .m_receiveBudgetBytes = 1024ULL * 1024,
+};
+
 // Passes complete requests to a handler on the thread that runs aContext.
 class HttpService
 {
 public:
+  // aUnread: where requests that are not read to their end are counted;
+  // nullptr: nowhere.
   HttpService(asio::io_context& aContext,
               HttpHandler aHandler,
-              HttpServiceLimits aLimits = {});
+              HttpServiceLimits aLimits = {},
+              UnreadRequests* aUnread = nullptr);
   ~HttpService();
   HttpService(const HttpService&) = delete;
   HttpService& operator=(const HttpService&) = delete;
--- a/Tests/Crowd/CrowdMain.cxx
+++ b/Tests/Crowd/CrowdMain.cxx
@@ -166,6 +166,7 @@
                      argv[3] + "-" + listener;
   options.m_seed = kSeed;
   options.m_entries = 1;
+  options.m_settings = { "PARSLEYCOVE_RECEIVE_BUDGET_BYTES=4194304" };
   std::filesystem::remove_all(options.m_folder);
   std::filesystem::create_directories(options.m_folder);
   return CrowdTest(options, *script, listener == "control").Run() ? 0 : 1;
--- a/Tests/Soak/SoakFleet.cxx
+++ b/Tests/Soak/SoakFleet.cxx
@@ -42,9 +42,11 @@
 SoakFleet::SoakFleet(const std::string& aProgram,
                      std::string aFolder,
                      std::size_t aEntries,
-                     std::uint64_t aSeed)
+                     std::uint64_t aSeed,
+                     std::vector<std::string> aMoreSettings)
   : m_folder(std::move(aFolder))
   , m_seed(aSeed)
+  , m_moreSettings(std::move(aMoreSettings))
 {
   for (std::size_t vm = 0; vm < kSoakControls; ++vm) {
     std::filesystem::create_directories(FolderOf(vm));
@@ -77,46 +79,55 @@
   return seeds;
 }
 
+std::vector<std::string>
+SoakFleet::Add(std::vector<std::string> aSettings) const
+{
+  aSettings.insert(
+    aSettings.end(), m_moreSettings.begin(), m_moreSettings.end());
+  return aSettings;
+}
+
 std::vector<std::string>
 SoakFleet::ControlSettings(std::size_t aVm, bool aIsFirstStart) const
 {
   const SocketAddress listen = ControlAddress(aVm);
-  return { "PARSLEYCOVE_ROLE=control",
-           "PARSLEYCOVE_VM=control-" + std::to_string(aVm),
-           "PARSLEYCOVE_ZONE=zone-a",
-           "PARSLEYCOVE_LISTEN=" + listen.ToString(),
-           "PARSLEYCOVE_SEEDS=" + Seeds(),
-           "PARSLEYCOVE_PEER_PORT=" + std::to_string(kPeerPort),
-           "PARSLEYCOVE_DATA_FOLDER=" + FolderOf(aVm),
-           "PARSLEYCOVE_CONTROL_LISTEN=" + ControlIp(aVm) + ":" +
-             std::to_string(kPeerPort),
-           std::string("PARSLEYCOVE_FIRST_START=") +
-             (aIsFirstStart ? "true" : "false"),
-           "PARSLEYCOVE_TOLERATED_LOSSES=1",
-           "PARSLEYCOVE_CONFIG_LEASE_MS=4200",
-           "PARSLEYCOVE_ENDPOINT_LEASE_MS=6000",
-           "PARSLEYCOVE_LOG_FILE=-" };
+  return Add({ "PARSLEYCOVE_ROLE=control",
+               "PARSLEYCOVE_VM=control-" + std::to_string(aVm),
+               "PARSLEYCOVE_ZONE=zone-a",
+               "PARSLEYCOVE_LISTEN=" + listen.ToString(),
+               "PARSLEYCOVE_SEEDS=" + Seeds(),
+               "PARSLEYCOVE_PEER_PORT=" + std::to_string(kPeerPort),
+               "PARSLEYCOVE_DATA_FOLDER=" + FolderOf(aVm),
+               "PARSLEYCOVE_CONTROL_LISTEN=" + ControlIp(aVm) + ":" +
+                 std::to_string(kPeerPort),
+               std::string("PARSLEYCOVE_FIRST_START=") +
+                 (aIsFirstStart ? "true" : "false"),
+               "PARSLEYCOVE_TOLERATED_LOSSES=1",
+               "PARSLEYCOVE_CONFIG_LEASE_MS=4200",
+               "PARSLEYCOVE_ENDPOINT_LEASE_MS=6000",
+               "PARSLEYCOVE_LOG_FILE=-" });
 }
 
 std::vector<std::string>
 SoakFleet::EntrySettings(std::size_t aVm) const
 {
-  return { "PARSLEYCOVE_ROLE=entry",
-           "PARSLEYCOVE_VM=entry-" + std::to_string(aVm),
-           "PARSLEYCOVE_ZONE=zone-a",
-           "PARSLEYCOVE_LISTEN=" + EntryAddress(aVm).ToString(),
-           "PARSLEYCOVE_READINESS_LISTEN=" + ReadinessAddress(aVm).ToString(),
-           "PARSLEYCOVE_SEEDS=" + Seeds(),
-           "PARSLEYCOVE_PEER_PORT=" + std::to_string(kPeerPort),
-           "PARSLEYCOVE_CONFIG_LEASE_MS=4200",
-           "PARSLEYCOVE_TAKEOVER_LISTEN=" + EntryIp(aVm) + ":" +
-             std::to_string(kPeerPort),
-           "PARSLEYCOVE_RETRY_RATIO=0.2",
-           "PARSLEYCOVE_RETRY_SLACK=200",
-           "PARSLEYCOVE_DRAIN_GRACE_MS=" +
-             std::to_string(m_seed % 2 == 0 ? kLongDrainMs : kShortDrainMs),
-           "PARSLEYCOVE_STOP_GRACE_MS=" + std::to_string(kSoakStopGraceMs),
-           "PARSLEYCOVE_LOG_FILE=-" };
+  return Add(
+    { "PARSLEYCOVE_ROLE=entry",
+      "PARSLEYCOVE_VM=entry-" + std::to_string(aVm),
+      "PARSLEYCOVE_ZONE=zone-a",
+      "PARSLEYCOVE_LISTEN=" + EntryAddress(aVm).ToString(),
+      "PARSLEYCOVE_READINESS_LISTEN=" + ReadinessAddress(aVm).ToString(),
+      "PARSLEYCOVE_SEEDS=" + Seeds(),
+      "PARSLEYCOVE_PEER_PORT=" + std::to_string(kPeerPort),
+      "PARSLEYCOVE_CONFIG_LEASE_MS=4200",
+      "PARSLEYCOVE_TAKEOVER_LISTEN=" + EntryIp(aVm) + ":" +
+        std::to_string(kPeerPort),
+      "PARSLEYCOVE_RETRY_RATIO=0.2",
+      "PARSLEYCOVE_RETRY_SLACK=200",
+      "PARSLEYCOVE_DRAIN_GRACE_MS=" +
+        std::to_string(m_seed % 2 == 0 ? kLongDrainMs : kShortDrainMs),
+      "PARSLEYCOVE_STOP_GRACE_MS=" + std::to_string(kSoakStopGraceMs),
+      "PARSLEYCOVE_LOG_FILE=-" });
 }
 
 SocketAddress
--- a/Tests/Soak/SoakFleet.h
+++ b/Tests/Soak/SoakFleet.h
@@ -24,7 +24,8 @@
   SoakFleet(const std::string& aProgram,
             std::string aFolder,
             std::size_t aEntries,
-            std::uint64_t aSeed);
+            std::uint64_t aSeed,
+            std::vector<std::string> aMoreSettings = {});
 
   void StartAll();
   SoakProcess& Control(std::size_t aVm) { return *m_controls[aVm]; }
@@ -45,6 +46,7 @@
   std::string FolderOf(std::size_t aVm) const;
   std::vector<std::string> ControlSettings(std::size_t aVm,
                                            bool aIsFirstStart) const;
+  std::vector<std::string> Add(std::vector<std::string> aSettings) const;
   std::vector<std::string> EntrySettings(std::size_t aVm) const;
   std::string Seeds() const;
 
@@ -53,6 +55,8 @@
 
   const std::string m_folder;
   const std::uint64_t m_seed;
+  // Of each process.
+  const std::vector<std::string> m_moreSettings;
   std::vector<std::unique_ptr<SoakProcess>> m_controls;
   std::vector<std::unique_ptr<SoakProcess>> m_entries;
 };
--- a/Tests/Soak/SoakScene.cxx
+++ b/Tests/Soak/SoakScene.cxx
@@ -30,7 +30,8 @@
   , m_fleet(m_options.m_program,
             m_options.m_folder,
             m_options.m_entries,
-            m_options.m_seed)
+            m_options.m_seed,
+            m_options.m_settings)
 {
   m_ledger.SetKey("k1", "account-1");
   m_ledger.SetKey("k2", "account-2");
--- a/Tests/Soak/SoakScene.h
+++ b/Tests/Soak/SoakScene.h
@@ -27,6 +27,8 @@
   std::uint64_t m_seed = 1;
   Duration m_length = std::chrono::seconds(20);
   std::size_t m_entries = 3;
+  // Further settings of each process, as NAME=VALUE.
+  std::vector<std::string> m_settings;
   // Also checks what is promised within a time; for machines that are idle.
   bool m_isTimed = false;
   // Some prompts have a part that crashes each engine that answers them.
