Admission: Let requests carry their urgency to the engines

One value per request in place of account and route: the route must decide among the requests of accounts with the same rank.

Change: Urgency compares the account's rank first and the route's then; UrgencyScale lists the distinct urgencies of a service for one version of the configuration. A service with one rank is served as before, without a header.

No test covers the order of the rerouter's queue yet.

--- a/Source/Forwarding/EndpointCall.h
+++ b/Source/Forwarding/EndpointCall.h
@@ -47,6 +47,9 @@
   // Tokens of the prompt and the expected answer; 0 for plain calls.
   std::uint32_t m_tokens = 0;
   std::uint32_t m_promptTokens = 0;
+  // Level of urgency; 0 is the most urgent, and the only one where all requests
+  // of the service are equally urgent.
+  std::size_t m_level = 0;
 };
 
 // Kept alive by the coroutine that runs the call, and by pending writes.
@@ -124,6 +127,7 @@
   void MarkPrefillDone() { m_reservation.MarkPrefillDone(); }
   const std::string& AttemptId() const { return m_info.m_attemptId; }
   std::uint32_t ExpectedTokens() const { return m_info.m_tokens; }
+  std::size_t Level() const { return m_info.m_level; }
   // A reroute order for this stream is in flight.
   bool IsRerouting() const { return m_isRerouting; }
   void SetRerouting(bool aIsRerouting) { m_isRerouting = aIsRerouting; }
--- a/Source/Forwarding/ForwardDialect.h
+++ b/Source/Forwarding/ForwardDialect.h
@@ -54,6 +54,9 @@
   std::string_view m_account;
   // The caller has received a part of the answer and waits for the next event.
   bool m_isResumed = false;
+  // Level of urgency, 0 is the most urgent; std::nullopt where all requests of
+  // the service are equally urgent. A resumed request goes first at any level.
+  std::optional<std::size_t> m_level;
   // The endpoint continues the stream after this event.
   std::optional<std::uint64_t> m_lastEventId;
 };
--- a/Source/Forwarding/ForwardSession.cxx
+++ b/Source/Forwarding/ForwardSession.cxx
@@ -253,6 +253,8 @@
         co_return false;
     }
     aRequest.m_service = routing.ChooseService(*aRequest.m_route);
+    aRequest.m_level = routing.LevelOf(
+      aRequest.m_service, *aRequest.m_route, aRequest.m_account);
     if (m_kind == SessionKind::Gateway &&
         m_services.m_reach.IsUnreached(aRequest.m_service)) {
       co_await Refuse(aRequest, RefusalCause::EndpointsUnreached);
--- a/Source/Forwarding/ForwardedRequest.cxx
+++ b/Source/Forwarding/ForwardedRequest.cxx
@@ -469,7 +469,8 @@
     std::move(aPath),
     CallInfo{ std::string(aRequest.m_headers.m_attemptId),
               aRequest.m_expectedTokens,
-              aRequest.m_headers.m_promptTokens });
+              aRequest.m_headers.m_promptTokens,
+              aRequest.m_level.value_or(0) });
   services.m_callDeadlines.Add(*call);
   aRequest.m_call = call;
   QuotaClaim quota(BootClock::now(), *aRunner, call->Path().get());
@@ -499,6 +500,7 @@
   if (aRequest.m_account != nullptr) {
     aHeaders.m_account = aRequest.m_account->m_name;
   }
+  aHeaders.m_level = aRequest.m_level;
   call->Send(MakeForwardHeader(aRequest, aHeaders), aRequest.Http().body());
   quota.Spend(BootClock::now());
   if (aRunner->m_isGateway) {
--- a/Source/Forwarding/ForwardedRequest.h
+++ b/Source/Forwarding/ForwardedRequest.h
@@ -26,6 +26,9 @@
   const RouteRule* m_route = nullptr;
   const AccountRule* m_account = nullptr;
   std::string m_service;
+  // Level of urgency; std::nullopt where all requests of the service are
+  // equally urgent.
+  std::optional<std::size_t> m_level;
   CallerHeaders m_headers;
   TimePoint m_arrival;
   TimePoint m_deadline;
--- a/Source/Forwarding/RoutingState.cxx
+++ b/Source/Forwarding/RoutingState.cxx
@@ -103,6 +103,9 @@
     return;
   }
   m_config = std::move(config);
+  for (const ServiceRule& service : m_config->Services()) {
+    ServiceState(service.m_name).m_urgency = { *m_config, service.m_name };
+  }
   m_log.Write(DecisionEvent::ConfigInForce, [&](DecisionLine& aLine) {
     aLine.Add("version", static_cast<std::int64_t>(document->version))
       .Add("routes", static_cast<std::int64_t>(m_config->Routes().size()))
@@ -141,6 +144,17 @@
   return *serviceState;
 }
 
+std::optional<std::size_t>
+RoutingState::LevelOf(const std::string& aService,
+                      const RouteRule& aRoute,
+                      const AccountRule* aAccount)
+{
+  const UrgencyScale& scale = ServiceState(aService).m_urgency;
+  return scale.IsGraded()
+           ? std::optional(scale.LevelOf(UrgencyOf(aRoute, aAccount)))
+           : std::nullopt;
+}
+
 RunnerPtr
 RoutingState::PickEndpoint(TimePoint aNow, const PickRequest& aRequest)
 {
--- a/Source/Forwarding/RoutingState.h
+++ b/Source/Forwarding/RoutingState.h
@@ -4,9 +4,11 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
+#include "Admission/UrgencyScale.h"
 #include "Base/Clock.h"
 #include "Forwarding/ForwardOptions.h"
 #include "Routing/EndpointLimits.h"
@@ -37,6 +39,8 @@
   PathSelector m_paths;
   WindowedBudget m_retries;
   ReturnSchedule m_returns;
+  // The levels of urgency by the configuration in force.
+  UrgencyScale m_urgency;
   // Moving average of the latency of successful plain calls.
   Duration m_averageLatency = std::chrono::milliseconds(20);
 };
@@ -83,6 +87,12 @@
   std::uint32_t GatewayCount() const;
 
   ServiceRoutingState& ServiceState(const std::string& aService);
+  // Returns the level of urgency of the service's requests by this route and
+  // account, or std::nullopt if all of them are equally urgent. aAccount:
+  // nullptr if there is none.
+  std::optional<std::size_t> LevelOf(const std::string& aService,
+                                     const RouteRule& aRoute,
+                                     const AccountRule* aAccount);
   RunnerPtr PickEndpoint(TimePoint aNow, const PickRequest& aRequest);
   // Draws one of the route's services, in proportion to their weights.
   const std::string& ChooseService(const RouteRule& aRoute);
--- a/Source/Forwarding/StreamRerouter.cxx
+++ b/Source/Forwarding/StreamRerouter.cxx
@@ -109,7 +109,13 @@
   aTask.m_stream->SetRerouting(true);
   const std::string first = aTask.m_stream->Target()->m_address.ToString();
   RerouteQueue& queue = m_queues[first];
-  queue.m_waiting.push_back(std::move(aTask));
+  const std::size_t level = aTask.m_stream->Level();
+  const auto place = std::find_if(queue.m_waiting.begin(),
+                                  queue.m_waiting.end(),
+                                  [level](const RerouteTask& aOther) {
+                                    return aOther.m_stream->Level() > level;
+                                  });
+  queue.m_waiting.insert(place, std::move(aTask));
   if (queue.m_workers < kMaxWorkers) {
     ++queue.m_workers;
     SpawnLogged(m_context, "rerouting streams", RunWorker(first));
--- a/Source/Forwarding/StreamRerouter.h
+++ b/Source/Forwarding/StreamRerouter.h
@@ -57,7 +57,9 @@
     // Returns true if the new path has no more zone crossings than the old one.
     bool AddsNoCrossing() const;
   };
-  // Tasks that wait for one first engine, and the coroutines that run them.
+  // Tasks that wait for one first engine, and the coroutines that run them. The
+  // replacement engine reads the prompts one after the other, so the streams of
+  // the most urgent level are first.
   struct RerouteQueue
   {
     std::deque<RerouteTask> m_waiting;
--- a/Source/Routing/RoutingConfig.h
+++ b/Source/Routing/RoutingConfig.h
@@ -158,6 +158,10 @@
   {
     return m_draft.m_services;
   }
+  const std::vector<AccountRule>& Accounts() const
+  {
+    return m_draft.m_accounts;
+  }
 
   // Returns the route whose prefix is the longest one at the start of the path,
   // or nullptr if there is none.
