Routing: Spread prompts over paths by their expected first event

A path was drawn by what it can decode, alike for prompts of any length. Every path of a zone, also one whose passes take three times as long, got long prompts in proportion, and short ones waited behind them. A VM of a fleet of dozens sends a path about one request in two seconds, so it hardly knows the prompts there.

PromptSpread estimates the first event of a prompt on a path: its passes, the known backlog, and else the part of its passes that a path reads in, which follows from its reported streams and the usual lengths of prompt and answer. The weight of the draw falls with it.

--- a/Source/Forwarding/RoutingState.cxx
+++ b/Source/Forwarding/RoutingState.cxx
@@ -103,6 +103,12 @@
     return;
   }
   m_config = std::move(config);
+  for (const ServiceRule& service : m_config->Services()) {
+    if (service.m_model) {
+      ServiceState(service.m_name)
+        .m_paths.SetAims(FindServiceAims(*m_config, service.m_name));
+    }
+  }
   m_log.Write(DecisionEvent::ConfigInForce, [&](DecisionLine& aLine) {
     aLine.Add("version", static_cast<std::int64_t>(document->version))
       .Add("routes", static_cast<std::int64_t>(m_config->Routes().size()))
--- a/Source/Routing/PathPlanning.cxx
+++ b/Source/Routing/PathPlanning.cxx
@@ -46,12 +46,21 @@
     const double prefillMs = PrefillMs(m_model, part.m_span, *runner, aNow);
     path->m_prefillMs = std::max(path->m_prefillMs, prefillMs);
     path->m_totalPrefillMs += prefillMs;
+    const AcceleratorKind* kind = m_model.FindKind(runner->m_accelerator);
+    path->m_prefillCost.m_pairsMsPerMillion +=
+      m_model.m_pairsMsPerMillion * slowdown * part.m_span.Length() /
+      std::max(1U, m_model.m_layers) *
+      (kind == nullptr ? 1 : kind->m_prefillTimeFactor);
   }
   path->m_slowdown = usualMs > 0 ? slowedMs / usualMs : 1;
   path->m_unsharedFraction =
     unshared / static_cast<double>(std::max<std::size_t>(aParts.size(), 1));
   path->m_stepMs =
     EstimateStepMs(m_model.m_layers, aHosts, aParts, m_settings.m_costs);
+  // One of the steps of a pass is part of the time to prefill a token.
+  path->m_prefillCost.m_tokenMs = path->m_totalPrefillMs;
+  path->m_prefillCost.m_passMs =
+    std::max(0.0, m_model.m_stepsPerPass - 1) * path->m_stepMs;
   return path;
 }
 
--- a/Source/Routing/PathSelector.cxx
+++ b/Source/Routing/PathSelector.cxx
@@ -64,6 +64,7 @@
 PathSelector::PathSelector(std::string aZone, PathSelectorSettings aSettings)
   : m_zone(std::move(aZone))
   , m_settings(aSettings)
+  , m_promptSpread(aSettings.m_promptSpread)
 {
 }
 
@@ -72,6 +73,7 @@
                          const std::vector<RunnerPtr>& aEngines)
 {
   m_model = aModel;
+  m_promptSpread.SetModel(aModel);
   m_engines = aEngines;
   m_zones.clear();
   for (std::size_t i = 0; i < m_engines.size(); ++i) {
@@ -222,7 +224,10 @@
         IsPreferred(*path,
                     utilization,
                     isSpread ? path->m_slowdown : path->m_stepMs / fastest)) {
-      m_preferred.push_back({ path, utilization });
+      m_preferred.push_back(
+        { path,
+          utilization,
+          WeightFactor(aNow, *path, utilization, aRequest) });
     }
     const double cost = Cost(*path, utilization, fastest) +
                         SampleConcurrentCost(aNow, *path, aRequest) +
@@ -261,10 +266,27 @@
 bool
 PathSelector::IsSpread(const PathRequest& aRequest) const
 {
-  return aRequest.m_gateways >= m_settings.m_spreadGateways ||
+  return m_promptSpread.IsActive() ||
+         aRequest.m_gateways >= m_settings.m_spreadGateways ||
          m_ownZonePaths >= m_settings.m_spreadPaths;
 }
 
+double
+PathSelector::WeightFactor(TimePoint aNow,
+                           const StagePath& aPath,
+                           const PathUtilization& aUtilization,
+                           const PathRequest& aRequest) const
+{
+  if (!m_promptSpread.IsActive()) {
+    return 1;
+  }
+  const double backlog = aPath.First().m_load->PendingPrefillTokens() *
+                         FleetLoadFactor(aNow, aPath, aRequest.m_gateways);
+  return m_promptSpread.WeightFactor(aPath.m_prefillCost,
+                                     { backlog, aUtilization.m_streams },
+                                     aRequest.m_promptTokens);
+}
+
 const PathOption*
 PathSelector::ChoosePreferred(const PathRequest& aRequest) const
 {
@@ -278,7 +300,8 @@
   const auto weigh = [](const PathOption& aOption) {
     const StagePath& path = *aOption.m_path;
     return path.m_kvCapacityTokens * path.m_unsharedFraction *
-           (1 - aOption.m_utilization.m_fraction) / path.m_stepMs;
+           (1 - aOption.m_utilization.m_fraction) / path.m_stepMs *
+           aOption.m_weightFactor;
   };
   double sum = 0;
   for (const PathOption& option : m_preferred) {
--- a/Source/Routing/PathSelector.h
+++ b/Source/Routing/PathSelector.h
@@ -15,6 +15,7 @@
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
 #include "Routing/LayerPath.h"
+#include "Routing/PromptSpread.h"
 #include "Routing/RerouteShare.h"
 #include "Routing/Runner.h"
 
@@ -42,6 +43,7 @@
   // stages.
   double m_prefillMs = 0;
   double m_totalPrefillMs = 0;
+  PrefillCost m_prefillCost;
   // Number of hops from one availability zone to another.
   std::size_t m_crossings = 0;
   // KV cache capacity of the stage with the least, in tokens.
@@ -146,6 +148,8 @@
 {
   StagePathPtr m_path;
   PathUtilization m_utilization;
+  // Factor on the path's weight in a draw.
+  double m_weightFactor = 1;
 };
 
 struct PathSelectorSettings
@@ -192,6 +196,8 @@
   // changed.
   Duration m_replanInterval = std::chrono::milliseconds(200);
   PathCosts m_costs;
+  // Acts where the routes of the service have different aims.
+  PromptSpreadSettings m_promptSpread;
 };
 
 // Not thread-safe; used by one thread.
@@ -204,6 +210,9 @@
   // Sets the engines of the service and the model whose layers they hold.
   void SetEngines(const LayeredModel& aModel,
                   const std::vector<RunnerPtr>& aEngines);
+  // Sets the aims of the service's streams. Where its routes differ, requests
+  // are drawn by the expected first event, too.
+  void SetAims(const ServiceAims& aAims) { m_promptSpread.SetAims(aAims); }
   // Makes the next choice compute the paths again, for example after a circuit
   // has changed.
   void Invalidate() { m_plannedAt = TimePoint{}; }
@@ -269,10 +278,16 @@
   bool IsPreferred(const StagePath& aPath,
                    const PathUtilization& aUtilization,
                    double aSlowdown) const;
-  // Returns true if this gateway cannot know the load of the paths.
+  // Returns true if requests are drawn: this gateway cannot know the load of
+  // the paths, or the service's streams have different aims.
   bool IsSpread(const PathRequest& aRequest) const;
-  // Returns one of m_preferred, or nullptr if there is none: the first one if
-  // this gateway knows the load of the paths, and one drawn otherwise.
+  // Returns how the expected first event changes the path's weight in a draw.
+  double WeightFactor(TimePoint aNow,
+                      const StagePath& aPath,
+                      const PathUtilization& aUtilization,
+                      const PathRequest& aRequest) const;
+  // Returns one of m_preferred, or nullptr if there is none: one drawn if
+  // IsSpread(), the first one otherwise.
   const PathOption* ChoosePreferred(const PathRequest& aRequest) const;
   // Returns the decode step time, in ms, of the fastest path within a single
   // zone, or 1 if there is no such path.
@@ -310,6 +325,7 @@
   const std::string m_zone;
   const PathSelectorSettings m_settings;
   LayeredModel m_model;
+  PromptSpread m_promptSpread;
   std::vector<RunnerPtr> m_engines;
   // Number of paths within this VM's zone that share no engine.
   std::size_t m_ownZonePaths = 0;
--- a/Source/Routing/RoutingConfig.h
+++ b/Source/Routing/RoutingConfig.h
@@ -85,6 +85,16 @@
   // factor of 1.
   double m_stepMs = 0;
   double m_prefillTokensPerSecond = 0;
+  // Prompt tokens that an engine reads in one pass; 0 if not known.
+  double m_chunkTokens = 0;
+  // Decode steps of the running streams in the pass that reads a chunk.
+  double m_stepsPerPass = 1;
+  // Further prefill time per million pairs of a token and an earlier token.
+  double m_pairsMsPerMillion = 0;
+  // Mean length of a prompt; 0 if not known.
+  double m_usualPromptTokens = 0;
+  // Mean length of an answer; 0 if not known.
+  double m_usualAnswerTokens = 0;
   std::vector<AcceleratorKind> m_kinds;
 
   const AcceleratorKind* FindKind(std::string_view aName) const;
--- a/Tests/Platform/ConfigDocumentTest.cxx
+++ b/Tests/Platform/ConfigDocumentTest.cxx
@@ -119,3 +119,26 @@
     R"({"version":1,"routes":[],"services":[]})", reason);
   CHECK_FALSE(config->HasAccounts());
 }
+
+TEST(ConfigDocument, SizesOfReadingAreOptional)
+{
+  RoutingReason reason;
+  const auto bare = platform::ConfigDocument().Decode(kDocument, reason);
+  const LayeredModel& none = *bare->FindService("s1")->m_model;
+  DOUBLES_EQUAL(0, none.m_chunkTokens, 0);
+  DOUBLES_EQUAL(1, none.m_stepsPerPass, 0);
+  DOUBLES_EQUAL(0, none.m_usualPromptTokens, 0);
+  const auto full = platform::ConfigDocument().Decode(
+    Replace(kDocument,
+            R"("step_ms":0.85,)",
+            R"("step_ms":0.85,"chunk":512,"stride":3,"pairs_per_m":0.11,)"
+            R"("usual":{"prompt":760,"answer":145},)"),
+    reason);
+  CHECK(full != nullptr);
+  const LayeredModel& model = *full->FindService("s1")->m_model;
+  DOUBLES_EQUAL(512, model.m_chunkTokens, 0);
+  DOUBLES_EQUAL(3, model.m_stepsPerPass, 0);
+  DOUBLES_EQUAL(0.11, model.m_pairsMsPerMillion, 1e-9);
+  DOUBLES_EQUAL(760, model.m_usualPromptTokens, 0);
+  DOUBLES_EQUAL(145, model.m_usualAnswerTokens, 0);
+}
--- a/Tests/Routing/RoutingConfigTest.cxx
+++ b/Tests/Routing/RoutingConfigTest.cxx
@@ -1,5 +1,6 @@
 // Tests routes, accounts and the rules that a configuration must follow.
 #include "Routing/RoutingConfig.h"
+#include "Routing/ServiceAims.h"
 
 // Last, since its leak macros redefine new.
 #include <CppUTest/TestHarness.h>
@@ -121,3 +122,25 @@
   route.m_isResumable = true;
   CHECK(route.CanRetry());
 }
+
+TEST(RoutingConfig, StreamsOfOneServiceHaveDifferentAimsByTargetOrPriority)
+{
+  RoutingDraft draft = MakeDraft();
+  for (RouteRule& route : draft.m_routes) {
+    route.m_kind = RequestKind::Streaming;
+    route.m_target = std::chrono::milliseconds(500);
+  }
+  const auto find = [&] {
+    RoutingReason reason;
+    return FindServiceAims(*RoutingConfig::Build(draft, reason), "service");
+  };
+  CHECK_FALSE(find().m_isDifferentiated);
+  draft.m_routes[1].m_priority = 2;
+  CHECK_TRUE(find().m_isDifferentiated);
+  draft.m_routes[1].m_priority = 0;
+  draft.m_routes[1].m_target = std::chrono::seconds(1);
+  CHECK_TRUE(find().m_isDifferentiated);
+  CHECK(find().m_firstEvent == std::chrono::milliseconds(500));
+  draft.m_routes[1].m_kind = RequestKind::Safe;
+  CHECK_FALSE(find().m_isDifferentiated);
+}
