--- a/Source/Forwarding/RoutingState.cxx
+++ b/Source/Forwarding/RoutingState.cxx
@@ -104,7 +104,11 @@
   }
   m_config = std::move(config);
   for (const ServiceRule& service : m_config->Services()) {
-    ServiceState(service.m_name).m_urgency = { *m_config, service.m_name };
+    ServiceRoutingState& serviceState = ServiceState(service.m_name);
+    serviceState.m_urgency = { *m_config, service.m_name };
+    if (service.m_model) {
+      serviceState.m_paths.SetAims(FindServiceAims(*m_config, service.m_name));
+    }
   }
   m_log.Write(DecisionEvent::ConfigInForce, [&](DecisionLine& aLine) {
     aLine.Add("version", static_cast<std::int64_t>(document->version))
