Forwarding: Count late first events and pauses by cause; setting for the spread

Nothing told a stream that began late from one that paused, or a pause after a lost engine from one in which the stream kept its path.

parsleycove_late_first_events_total counts first events after the route's target, parsleycove_pauses_total{path="moved"|"kept"} pauses beyond the gap target, by whether the stream's path changed in the pause; request_answered and request_cut have pauses_moved and pauses_kept.

--- a/Source/Daemon/DaemonSettings.cxx
+++ b/Source/Daemon/DaemonSettings.cxx
@@ -218,6 +218,7 @@
     std::floor(aChecker.Decimal(SettingId::RetrySlack, 0, kMaxSlack));
   options.m_retries.m_window =
     aChecker.Milliseconds(SettingId::RetryWindowMs, 100, kMaxMs, Rounding::Up);
+  options.m_promptSpread.m_isEnabled = aChecker.Flag(SettingId::PromptSpread);
   return options;
 }
 
--- a/Source/Daemon/SettingTable.cxx
+++ b/Source/Daemon/SettingTable.cxx
@@ -193,6 +193,13 @@
     "10000",
     "100 to 600000 milliseconds, such as 2500 or 2.5s",
     "window in which repeats are counted" },
+  { SettingId::PromptSpread,
+    "prompt-spread",
+    "PARSLEYCOVE_PROMPT_SPREAD",
+    "true",
+    "true or false",
+    "where a service's streams have different targets or priorities, paths are "
+    "drawn by the expected first event" },
   { SettingId::StopGraceMs,
     "stop-grace-ms",
     "PARSLEYCOVE_STOP_GRACE_MS",
--- a/Source/Daemon/SettingTable.h
+++ b/Source/Daemon/SettingTable.h
@@ -38,6 +38,7 @@
   RetryRatio,
   RetrySlack,
   RetryWindowMs,
+  PromptSpread,
   StopGraceMs,
   LogLevel,
   LogFile,
@@ -56,7 +57,7 @@
 };
 
 inline constexpr std::string_view kVariablePrefix = "PARSLEYCOVE_";
-inline constexpr std::size_t kSettingCount = 34;
+inline constexpr std::size_t kSettingCount = 35;
 
 extern const std::array<SettingRow, kSettingCount> kSettings;
 
--- a/Source/Forwarding/ForwardMetrics.cxx
+++ b/Source/Forwarding/ForwardMetrics.cxx
@@ -5,6 +5,12 @@
 
 ForwardMetrics::ForwardMetrics(MetricRegistry& aRegistry)
   : m_eventGaps(aRegistry.AddHistogram("parsleycove_event_gap_seconds", ""))
+  , m_lateFirstEvents(
+      aRegistry.AddCounter("parsleycove_late_first_events_total", ""))
+  , m_pausesMoved(
+      aRegistry.AddCounter("parsleycove_pauses_total", "path=\"moved\""))
+  , m_pausesInPlace(
+      aRegistry.AddCounter("parsleycove_pauses_total", "path=\"kept\""))
   , m_retries(aRegistry.AddCounter("parsleycove_repeats_total", ""))
   , m_resumes(aRegistry.AddCounter("parsleycove_resumes_total", ""))
   , m_reroutes(aRegistry.AddCounter("parsleycove_reroutes_total", ""))
--- a/Source/Forwarding/ForwardMetrics.h
+++ b/Source/Forwarding/ForwardMetrics.h
@@ -47,6 +47,15 @@
   void Count(RequestKind aKind, RequestEnd aEnd);
   // Records the time to the complete answer or to a stream's first event.
   void RecordFirstAnswer(RequestKind aKind, Duration aTaken);
+  // Streams whose first event came after its target.
+  Counter& LateFirstEvents() { return m_lateFirstEvents; }
+  // Pauses between two events that were longer than the event gap target. A
+  // stream that moved to another path in the pause had lost an engine; of the
+  // others no cause is known, such as engines that read other prompts.
+  Counter& Pauses(bool aHasMoved)
+  {
+    return aHasMoved ? m_pausesMoved : m_pausesInPlace;
+  }
   // Records the time between two events of a stream.
   void RecordEventGap(Duration aGap) { m_eventGaps.Record(aGap); }
 
@@ -88,6 +97,9 @@
     m_ends{};
   std::array<LatencyHistogram*, kRequestKindNames.size()> m_firstAnswers{};
   LatencyHistogram& m_eventGaps;
+  Counter& m_lateFirstEvents;
+  Counter& m_pausesMoved;
+  Counter& m_pausesInPlace;
   Counter& m_retries;
   Counter& m_resumes;
   Counter& m_reroutes;
--- a/Source/Forwarding/ForwardOptions.h
+++ b/Source/Forwarding/ForwardOptions.h
@@ -8,6 +8,7 @@
 
 #include "Base/Clock.h"
 #include "Base/SocketAddress.h"
+#include "Routing/PromptSpread.h"
 #include "Routing/WindowedBudget.h"
 
 namespace parsleycove {
@@ -32,6 +33,7 @@
   // The process is killed this long after a stop begins.
   Duration m_stopGrace = std::chrono::seconds(8);
   WindowedBudgetSettings m_retries;
+  PromptSpreadSettings m_promptSpread;
 };
 
 } // namespace parsleycove
--- a/Source/Forwarding/ForwardSession.cxx
+++ b/Source/Forwarding/ForwardSession.cxx
@@ -403,6 +403,8 @@
                : 0)
         .AddMs("first_ms", aRequest.m_firstAnswerDelay)
         .AddMs("longest_gap_ms", aRequest.m_longestGap)
+        .Add("pauses_moved", aRequest.m_pausesMoved)
+        .Add("pauses_kept", aRequest.m_pausesInPlace)
         .AddMs("took_ms", BootClock::now() - aRequest.m_arrival)
         .Add("config",
              aRequest.m_config
--- a/Source/Forwarding/ForwardedRequest.h
+++ b/Source/Forwarding/ForwardedRequest.h
@@ -58,6 +58,10 @@
   Duration m_silentFor{};
   Duration m_firstAnswerDelay{};
   Duration m_longestGap{};
+  // Pauses beyond the event gap target in which the stream moved to another
+  // path, and in which it kept its path.
+  unsigned m_pausesMoved = 0;
+  unsigned m_pausesInPlace = 0;
   // Path of the last attempt; null for plain requests.
   StagePathPtr m_path;
   std::vector<std::string> m_excluded;
--- a/Source/Forwarding/RoutingState.cxx
+++ b/Source/Forwarding/RoutingState.cxx
@@ -141,8 +141,7 @@
 {
   auto& serviceState = m_serviceStates[aService];
   if (!serviceState) {
-    serviceState = std::make_unique<ServiceRoutingState>(m_options.m_zone,
-                                                         m_options.m_retries);
+    serviceState = std::make_unique<ServiceRoutingState>(m_options);
   }
   return *serviceState;
 }
--- a/Source/Forwarding/RoutingState.h
+++ b/Source/Forwarding/RoutingState.h
@@ -27,10 +27,9 @@
 // Routing state of one service.
 struct ServiceRoutingState
 {
-  ServiceRoutingState(const std::string& aZone,
-                      const WindowedBudgetSettings& aRetries)
-    : m_paths(aZone)
-    , m_retries(aRetries, BootClock::now())
+  explicit ServiceRoutingState(const ForwardOptions& aOptions)
+    : m_paths(aOptions.m_zone, { .m_promptSpread = aOptions.m_promptSpread })
+    , m_retries(aOptions.m_retries, BootClock::now())
   {
   }
 
--- a/Source/Forwarding/StreamAttempt.cxx
+++ b/Source/Forwarding/StreamAttempt.cxx
@@ -336,6 +336,19 @@
   co_return AttemptOutcome::Finished;
 }
 
+void
+StreamForwarder::RecordGap(const EndpointCall& aCall, Duration aGap)
+{
+  m_request.m_longestGap = std::max(m_request.m_longestGap, aGap);
+  m_services.m_metrics.RecordEventGap(aGap);
+  const Duration target = m_request.m_route->m_gapTarget;
+  if (target > Duration::zero() && aGap > target) {
+    const bool hasMoved = aCall.Path() != m_lastEventPath;
+    ++m_services.m_metrics.Pauses(hasMoved);
+    ++(hasMoved ? m_request.m_pausesMoved : m_request.m_pausesInPlace);
+  }
+}
+
 asio::awaitable<bool>
 StreamForwarder::RelayBytes(EndpointCall& aCall, std::string_view aBytes)
 {
@@ -353,6 +366,10 @@
     m_hasSentHeader = true;
     m_request.m_firstAnswerDelay = now - m_request.m_arrival;
     m_services.m_promptParts.RecordBegun(now, m_request.Parts());
+    const Duration target = m_request.m_route->m_target;
+    if (target > Duration::zero() && m_request.m_firstAnswerDelay > target) {
+      ++m_services.m_metrics.LateFirstEvents();
+    }
     m_services.m_metrics.RecordFirstAnswer(m_request.m_route->m_kind,
                                            m_request.m_firstAnswerDelay);
     if (aCall.Target()->m_isGateway) {
@@ -360,11 +377,10 @@
     }
     out = MakeAnswerHeader(m_request, m_request.m_status, aCall.Answer(), -1);
   } else {
-    m_request.m_longestGap =
-      std::max(m_request.m_longestGap, now - m_lastEventAt);
-    m_services.m_metrics.RecordEventGap(now - m_lastEventAt);
+    RecordGap(aCall, now - m_lastEventAt);
   }
   m_lastEventAt = now;
+  m_lastEventPath = aCall.Path();
   AppendChunk(out, events);
   if (co_await m_request.m_caller->Write(std::move(out), kWriteTimeout)) {
     co_return true;
--- a/Source/Forwarding/StreamForwarder.h
+++ b/Source/Forwarding/StreamForwarder.h
@@ -98,6 +98,9 @@
   // Returns false if the caller has disconnected.
   asio::awaitable<bool> RelayBytes(EndpointCall& aCall,
                                    std::string_view aBytes);
+  // Records the time between two events, and whether it was a pause beyond the
+  // event gap target.
+  void RecordGap(const EndpointCall& aCall, Duration aGap);
   // Records an answer of every stage, since a token that arrived has passed all
   // stages.
   static void RecordProgress(const EndpointCall& aCall);
@@ -139,6 +142,8 @@
   // How long it stays there the next time.
   Duration m_stay;
   TimePoint m_lastEventAt{};
+  // Path of the last event.
+  StagePathPtr m_lastEventPath;
   CallEnd m_lastEnd = CallEnd::None;
 };
 
--- a/Tests/Daemon/SettingsTest.cxx
+++ b/Tests/Daemon/SettingsTest.cxx
@@ -192,6 +192,13 @@
   }
 }
 
+TEST(Settings, TurnsThePromptSpreadOff)
+{
+  CHECK_TRUE(CheckEntry({})->m_forward.m_promptSpread.m_isEnabled);
+  CHECK_FALSE(CheckEntry({ "--prompt-spread", "false" })
+                ->m_forward.m_promptSpread.m_isEnabled);
+}
+
 TEST(Settings, TakesFractionsAndRoundsThemToTheSafeSide)
 {
   const auto settings = CheckEntry({ "--retry-slack",
--- a/Tests/Forwarding/StreamForwardTest.cxx
+++ b/Tests/Forwarding/StreamForwardTest.cxx
@@ -238,3 +238,37 @@
   CHECK(m_fixture->RunUntil([&] { return caller->IsClosed(); }));
   CheckAllEventsOnce(caller->Received());
 }
+
+// Both waits last several polls, so they are longer than the route's targets of
+// 1 ms.
+TEST(StreamForward, LateFirstEventsAndPausesAreToldApartByCause)
+{
+  const auto wait = [] {
+    return Await([polls = 0]() mutable { return ++polls > 3; });
+  };
+  StartTwo([wait](const HttpRequest& aRequest) {
+    return std::vector<StubStep>{
+      wait(), Send(MakeStreamHead(AttemptIdOf(aRequest)) + MakeEvent(1)),
+      wait(), Send(MakeEvent(2)),
+      wait(), CloseNow()
+    };
+  });
+  CheckAllEventsOnce(Ask("/aimed/x"));
+  CHECK_EQUAL(1, m_fixture->MetricOf("parsleycove_late_first_events_total"));
+  CHECK_EQUAL(1,
+              m_fixture->MetricOf("parsleycove_pauses_total{path=\"moved\"}"));
+  CHECK(m_fixture->MetricOf("parsleycove_pauses_total{path=\"kept\"}") >= 1);
+  CHECK(m_fixture->m_sink.Has({ "request_answered", "\"pauses_moved\":1" }));
+}
+
+TEST(StreamForward, WithoutAGapTargetNoPauseIsCounted)
+{
+  StartTwo([](const HttpRequest& aRequest) {
+    return StreamPart(aRequest, CloseNow());
+  });
+  CheckAllEventsOnce(Ask("/stream/x"));
+  CHECK_EQUAL(0,
+              m_fixture->MetricOf("parsleycove_pauses_total{path=\"moved\"}"));
+  CHECK_EQUAL(0,
+              m_fixture->MetricOf("parsleycove_pauses_total{path=\"kept\"}"));
+}
