Routing: Take engine figures out of range without an effect on choices

A chunk under one token or a negative time for pairs in a configuration made the weight of a path undefined. Such figures leave the part off, or the weight at most 1.

--- a/Source/Routing/PromptSpread.cxx
+++ b/Source/Routing/PromptSpread.cxx
@@ -50,7 +50,7 @@
 PromptSpread::UpdateActive()
 {
   m_isActive = m_settings.m_isEnabled && m_isDifferentiated && m_targetMs > 0 &&
-               m_chunkTokens > 0 && m_usualPrompt > 0;
+               m_chunkTokens >= 1 && m_usualPrompt > 0;
 }
 
 double
@@ -85,7 +85,7 @@
   }
   const double exponent =
     m_settings.m_bias * FirstEventMs(aCost, aLoad, aPromptTokens) / m_targetMs;
-  return std::exp(-std::min(exponent, kMaxExponent));
+  return std::exp(-std::clamp(exponent, 0.0, kMaxExponent));
 }
 
 } // namespace parsleycove
--- a/Source/Routing/PromptSpread.h
+++ b/Source/Routing/PromptSpread.h
@@ -78,7 +78,8 @@
   // the stream's life.
   double m_readingPerStream = 0;
   bool m_isDifferentiated = false;
-  // Invariant: if true, target, chunk and usual prompt are above 0.
+  // Invariant: if true, the target and the usual prompt are above 0, and a
+  // chunk has at least one token.
   bool m_isActive = false;
 };
 
--- a/Tests/Routing/PromptSpreadTest.cxx
+++ b/Tests/Routing/PromptSpreadTest.cxx
@@ -143,6 +143,7 @@
 {
   CHECK(m_spread.WeightFactor(kSlow, { 1e9, 1e6 }, 1e6) > 0);
   CHECK(m_spread.WeightFactor(kSlow, { -5, -5 }, 1) <= 1);
+  CHECK(m_spread.WeightFactor({ 0, 0, -1e9 }, {}, 2280) <= 1);
 }
 
 TEST(PromptSpread, DoesNotActWithoutDifferentAimsOrFigures)
@@ -156,6 +157,10 @@
   CHECK_TRUE(m_spread.IsActive());
   m_spread.SetModel(MakeModel());
   CHECK_FALSE(m_spread.IsActive());
+  LayeredModel tiny = ModelWithChunks();
+  tiny.m_chunkTokens = 1e-300;
+  m_spread.SetModel(tiny);
+  CHECK_FALSE(m_spread.IsActive());
   PromptSpread off({ .m_isEnabled = false });
   off.SetModel(ModelWithChunks());
   off.SetAims(kAims);
