--- a/Source/Daemon/SettingTable.h
+++ b/Source/Daemon/SettingTable.h
@@ -39,6 +39,7 @@
   RetryRatio,
   RetrySlack,
   RetryWindowMs,
+  PromptSpread,
   StopGraceMs,
   LogLevel,
   LogFile,
