Admission: Let the most urgent request take a freed path first

Ruled out: equal parts of the levels as a floor, since a level with little demand would get more than its demand is worth; a queue over the fleet, which needs a message and a leader for each request. Callers of a VM that takes a request over are told paths_full, since an earlier release does not know the new cause.

Change: PathQueue holds the new streams of a service with several levels of urgency: most urgent level first, fair turns of accounts by tokens, earliest latest start within an account, and a floor of a quarter of a level's part of the demand. Its size is the new setting max-waiting. DemandMeter measures the levels; less urgent new work leaves up to a third of the room free where more urgent work has demand (PathRequest::m_reservedShare). Retries and begun streams do not wait in it, and a service with one rank uses none of it.

--- a/Source/Daemon/DaemonSettings.cxx
+++ b/Source/Daemon/DaemonSettings.cxx
@@ -199,6 +199,7 @@
              std::uint64_t aEpoch)
 {
   constexpr double kMaxSlack = 1e6;
+  constexpr std::uint64_t kMaxWaiting = 100'000;
   constexpr std::uint64_t kMaxMs = 600'000;
   ForwardOptions options;
   options.m_vm = aReader.TextOf(SettingId::Vm);
@@ -213,6 +214,8 @@
     aChecker.Milliseconds(SettingId::DrainGraceMs, 0, kMaxMs, Rounding::Up);
   options.m_stopGrace =
     aChecker.Milliseconds(SettingId::StopGraceMs, 1000, kMaxMs, Rounding::Down);
+  options.m_pathQueue.m_maxWaiting =
+    aChecker.Number(SettingId::MaxWaiting, 1, kMaxWaiting);
   options.m_retries.m_ratio = aChecker.Decimal(SettingId::RetryRatio, 0, 1);
   options.m_retries.m_slack =
     std::floor(aChecker.Decimal(SettingId::RetrySlack, 0, kMaxSlack));
--- a/Source/Daemon/SettingTable.cxx
+++ b/Source/Daemon/SettingTable.cxx
@@ -82,6 +82,13 @@
     "20000",
     "a whole number from 1 to 1000000",
     "HTTP connections that are held at the same time" },
+  { SettingId::MaxWaiting,
+    "max-waiting",
+    "PARSLEYCOVE_MAX_WAITING",
+    "512",
+    "a whole number from 1 to 100000",
+    "requests of a service with several levels of urgency that wait for a path "
+    "at an entry VM; beyond it the least urgent are refused" },
   { SettingId::MaxHeaderBytes,
     "max-header-bytes",
     "PARSLEYCOVE_MAX_HEADER_BYTES",
--- a/Source/Daemon/SettingTable.h
+++ b/Source/Daemon/SettingTable.h
@@ -21,6 +21,7 @@
   EndpointLeaseMs,
   Threads,
   MaxConnections,
+  MaxWaiting,
   MaxHeaderBytes,
   MaxBodyBytes,
   IdleTimeoutMs,
@@ -56,7 +57,7 @@
 };
 
 inline constexpr std::string_view kVariablePrefix = "PARSLEYCOVE_";
-inline constexpr std::size_t kSettingCount = 34;
+inline constexpr std::size_t kSettingCount = 35;
 
 extern const std::array<SettingRow, kSettingCount> kSettings;
 
--- a/Source/Forwarding/ForwardGateway.cxx
+++ b/Source/Forwarding/ForwardGateway.cxx
@@ -122,6 +122,7 @@
     const TimePoint now = BootClock::now();
     m_routing.Refresh(now);
     m_failureDetector.Check(now);
+    m_routing.PublishQueues(now, m_metrics);
     m_pool.CloseExpired(now);
     std::erase_if(m_callers,
                   [](const auto& aCaller) { return aCaller.expired(); });
--- a/Source/Forwarding/ForwardMetrics.cxx
+++ b/Source/Forwarding/ForwardMetrics.cxx
@@ -28,6 +28,24 @@
   , m_passedOnAnswers(
       aRegistry.AddHistogram("parsleycove_passed_on_answer_seconds", ""))
 {
+  for (std::size_t level = 0; level < kMaxLevels; ++level) {
+    const std::string label = "level=\"" + std::to_string(level) + "\"";
+    m_queuedAt[level] =
+      &aRegistry.AddCounter("parsleycove_queued_by_level_total", label);
+    m_startedAt[level] =
+      &aRegistry.AddCounter("parsleycove_started_by_level_total", label);
+    m_refusedAt[level] =
+      &aRegistry.AddCounter("parsleycove_refused_by_level_total", label);
+    aRegistry.AddGauge(
+      "parsleycove_waiting_by_level", label, [queues = m_queues, level] {
+        return queues->m_waiting[level].load();
+      });
+    aRegistry.AddGauge("parsleycove_reserved_percent_by_level",
+                       label,
+                       [queues = m_queues, level] {
+                         return queues->m_reservedPercent[level].load();
+                       });
+  }
   for (std::size_t kind = 0; kind < kRequestKindNames.size(); ++kind) {
     const std::string label =
       "kind=\"" + std::string(kRequestKindNames[kind].m_name) + "\"";
@@ -47,6 +65,15 @@
   ++*m_ends[static_cast<std::size_t>(aKind)][static_cast<std::size_t>(aEnd)];
 }
 
+void
+ForwardMetrics::SetQueue(std::size_t aLevel,
+                         std::size_t aWaiting,
+                         double aReservedPercent)
+{
+  m_queues->m_waiting[Row(aLevel)] = static_cast<double>(aWaiting);
+  m_queues->m_reservedPercent[Row(aLevel)] = aReservedPercent;
+}
+
 void
 ForwardMetrics::RecordFirstAnswer(RequestKind aKind, Duration aTaken)
 {
--- a/Source/Forwarding/ForwardMetrics.h
+++ b/Source/Forwarding/ForwardMetrics.h
@@ -1,7 +1,10 @@
 // Counters and latency histograms of forwarded requests.
 #pragma once
 
+#include <algorithm>
 #include <array>
+#include <atomic>
+#include <memory>
 #include <string>
 
 #include "Base/EnumTable.h"
@@ -80,9 +83,36 @@
   {
     m_passedOnAnswers.Record(aTaken);
   }
+  // Requests of services with several levels of urgency, by level; the levels
+  // from kMaxLevels on count as one. Streams only.
+  Counter& StartedAt(std::size_t aLevel) { return *m_startedAt[Row(aLevel)]; }
+  Counter& QueuedAt(std::size_t aLevel) { return *m_queuedAt[Row(aLevel)]; }
+  Counter& RefusedAt(std::size_t aLevel) { return *m_refusedAt[Row(aLevel)]; }
+  // Sets how many requests of a level wait for a path, and the part of the
+  // paths' room, in percent, that its new requests leave to more urgent ones.
+  void SetQueue(std::size_t aLevel,
+                std::size_t aWaiting,
+                double aReservedPercent);
+  static constexpr std::size_t kMaxLevels = 10;
   Counter& NewConnections() { return m_newConnections; }
 
 private:
+  static std::size_t Row(std::size_t aLevel)
+  {
+    return std::min(aLevel, kMaxLevels - 1);
+  }
+
+  struct QueueGauges
+  {
+    std::array<std::atomic<double>, kMaxLevels> m_waiting{};
+    std::array<std::atomic<double>, kMaxLevels> m_reservedPercent{};
+  };
+
+  // Shared with the registry, which may outlive this.
+  std::shared_ptr<QueueGauges> m_queues = std::make_shared<QueueGauges>();
+  std::array<Counter*, kMaxLevels> m_queuedAt{};
+  std::array<Counter*, kMaxLevels> m_startedAt{};
+  std::array<Counter*, kMaxLevels> m_refusedAt{};
   std::array<std::array<Counter*, kRequestEndNames.size()>,
              kRequestKindNames.size()>
     m_ends{};
--- a/Source/Forwarding/ForwardOptions.h
+++ b/Source/Forwarding/ForwardOptions.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 
+#include "Admission/PathQueue.h"
 #include "Base/Clock.h"
 #include "Base/SocketAddress.h"
 #include "Routing/WindowedBudget.h"
@@ -32,6 +33,7 @@
   // The process is killed this long after a stop begins.
   Duration m_stopGrace = std::chrono::seconds(8);
   WindowedBudgetSettings m_retries;
+  PathQueueSettings m_pathQueue;
 };
 
 } // namespace parsleycove
--- a/Source/Forwarding/ForwardSession.cxx
+++ b/Source/Forwarding/ForwardSession.cxx
@@ -384,6 +384,9 @@
           aRequest.m_end == RequestEnd::Failed) {
         AddContent(aLine, aRequest);
       }
+      if (aRequest.m_level) {
+        aLine.Add("level", static_cast<std::int64_t>(*aRequest.m_level));
+      }
       aLine.Add("id", aRequest.m_headers.m_attemptId)
         .Add("route", aRequest.m_route ? aRequest.m_route->m_name : "")
         .Add("kind", NameOf(kRequestKindNames, kind))
--- a/Source/Forwarding/ForwardedRequest.cxx
+++ b/Source/Forwarding/ForwardedRequest.cxx
@@ -26,7 +26,7 @@
   std::string_view m_text;
 };
 
-constexpr std::array<RefusalRow, 14> kRefusals{ {
+constexpr std::array<RefusalRow, 15> kRefusals{ {
   { RefusalCause::NoConfiguration,
     "no_configuration",
     "this VM has not received a configuration yet" },
@@ -36,6 +36,9 @@
   { RefusalCause::NoEndpoint, "no_endpoint", "the service has no endpoint" },
   { RefusalCause::NoPath, "no_path", "some layers of the model are not held" },
   { RefusalCause::PathsFull, "paths_full", "every path is full" },
+  { RefusalCause::GaveWay,
+    "gave_way",
+    "more urgent requests take the room of the paths" },
   { RefusalCause::EndpointsRefuse,
     "endpoints_refuse",
     "the endpoints refused the request" },
@@ -394,10 +397,14 @@
         .Add("attempts", aRequest.m_attempts)
         .Add("last_endpoint", aRequest.m_lastEndpoint)
         .Add("last_fault", aRequest.m_lastFault);
+      if (aRequest.m_level) {
+        aLine.Add("level", static_cast<std::int64_t>(*aRequest.m_level));
+      }
       if (!aRequest.m_detail.empty()) {
         aLine.Add("detail", aRequest.m_detail);
       }
-      if (aCause == RefusalCause::PathsFull) {
+      if (aCause == RefusalCause::PathsFull ||
+          aCause == RefusalCause::GaveWay) {
         const PathUtilization& utilization = aRequest.m_utilization;
         aLine
           .Add("fill_percent",
--- a/Source/Forwarding/RefusalCause.h
+++ b/Source/Forwarding/RefusalCause.h
@@ -12,6 +12,8 @@
   NoEndpoint,
   NoPath,
   PathsFull,
+  // Every path is full, or its room is kept for more urgent requests.
+  GaveWay,
   EndpointsRefuse,
   // Every endpoint that is left asked for a pause.
   EndpointsPaused,
--- a/Source/Forwarding/RetryAfter.cxx
+++ b/Source/Forwarding/RetryAfter.cxx
@@ -28,6 +28,7 @@
       // An endpoint announces itself again within about a second.
       return milliseconds(600);
     case RefusalCause::PathsFull:
+    case RefusalCause::GaveWay:
       // A stream ends after about half a second on a fast path.
       return milliseconds(300);
     case RefusalCause::EndpointsRefuse:
@@ -58,7 +59,7 @@
 bool
 NeedsPlace(RefusalCause aCause)
 {
-  return aCause == RefusalCause::PathsFull ||
+  return aCause == RefusalCause::PathsFull || aCause == RefusalCause::GaveWay ||
          aCause == RefusalCause::EndpointsRefuse ||
          aCause == RefusalCause::EndpointsPaused ||
          aCause == RefusalCause::EndpointsLimited;
--- a/Source/Forwarding/RoutingState.cxx
+++ b/Source/Forwarding/RoutingState.cxx
@@ -4,6 +4,7 @@
 #include <algorithm>
 
 #include "Forwarding/ControlCalls.h"
+#include "Forwarding/ForwardMetrics.h"
 #include "Telemetry/DecisionLog.h"
 #include "Telemetry/Logging.h"
 
@@ -138,8 +139,8 @@
 {
   auto& serviceState = m_serviceStates[aService];
   if (!serviceState) {
-    serviceState = std::make_unique<ServiceRoutingState>(m_options.m_zone,
-                                                         m_options.m_retries);
+    serviceState = std::make_unique<ServiceRoutingState>(
+      m_options.m_zone, m_options.m_retries, m_options.m_pathQueue);
   }
   return *serviceState;
 }
@@ -155,6 +156,22 @@
            : std::nullopt;
 }
 
+void
+RoutingState::PublishQueues(TimePoint aNow, ForwardMetrics& aMetrics)
+{
+  constexpr double kPercent = 100;
+  for (std::size_t level = 0; level < ForwardMetrics::kMaxLevels; ++level) {
+    std::size_t waiting = 0;
+    double reserved = 0;
+    for (const auto& [name, serviceState] : m_serviceStates) {
+      PathQueue& queue = serviceState->m_queue;
+      waiting += queue.WaitingAt(level);
+      reserved = std::max(reserved, queue.ReservedAgainst(aNow, level));
+    }
+    aMetrics.SetQueue(level, waiting, kPercent * reserved);
+  }
+}
+
 RunnerPtr
 RoutingState::PickEndpoint(TimePoint aNow, const PickRequest& aRequest)
 {
--- a/Source/Forwarding/RoutingState.h
+++ b/Source/Forwarding/RoutingState.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 
+#include "Admission/PathQueue.h"
 #include "Admission/UrgencyScale.h"
 #include "Base/Clock.h"
 #include "Forwarding/ForwardOptions.h"
@@ -25,14 +26,17 @@
 namespace parsleycove {
 
 class DecisionLog;
+class ForwardMetrics;
 
 // Routing state of one service.
 struct ServiceRoutingState
 {
   ServiceRoutingState(const std::string& aZone,
-                      const WindowedBudgetSettings& aRetries)
+                      const WindowedBudgetSettings& aRetries,
+                      const PathQueueSettings& aQueue)
     : m_paths(aZone)
     , m_retries(aRetries, BootClock::now())
+    , m_queue(aQueue)
   {
   }
 
@@ -41,6 +45,8 @@
   ReturnSchedule m_returns;
   // The levels of urgency by the configuration in force.
   UrgencyScale m_urgency;
+  // New requests that wait for a path, where there are several levels.
+  PathQueue m_queue;
   // Moving average of the latency of successful plain calls.
   Duration m_averageLatency = std::chrono::milliseconds(20);
 };
@@ -93,6 +99,9 @@
   std::optional<std::size_t> LevelOf(const std::string& aService,
                                      const RouteRule& aRoute,
                                      const AccountRule* aAccount);
+  // Publishes how many requests wait at each level of urgency, over all
+  // services, and the largest part of the room that a service reserves.
+  void PublishQueues(TimePoint aNow, ForwardMetrics& aMetrics);
   RunnerPtr PickEndpoint(TimePoint aNow, const PickRequest& aRequest);
   // Draws one of the route's services, in proportion to their weights.
   const std::string& ChooseService(const RouteRule& aRoute);
--- a/Source/Forwarding/StreamForwarder.cxx
+++ b/Source/Forwarding/StreamForwarder.cxx
@@ -2,6 +2,7 @@
 #include "Forwarding/StreamForwarder.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include <boost/asio/as_tuple.hpp>
@@ -68,10 +69,12 @@
   , m_serviceState(
       aRequest.m_services.m_routing.ServiceState(aRequest.m_service))
   , m_events(aRequest.m_headers.m_lastEventId)
+  , m_pathTimer(aRequest.m_services.m_context)
   , m_silentCalls(aRequest.m_services.m_context)
   , m_stay(kMinStay)
 {
   m_request.m_expectedTokens = CountExpectedTokens(m_request.m_headers);
+  m_ticket.SetWake([this] { m_pathTimer.cancel(); });
 }
 
 asio::awaitable<void>
@@ -82,6 +85,10 @@
     m_serviceState.m_retries.RecordRequest(BootClock::now());
   }
   m_serviceState.m_returns.RecordArrival(BootClock::now());
+  if (TakesTurns()) {
+    m_serviceState.m_queue.RecordArrival(
+      BootClock::now(), *m_request.m_level, m_request.m_expectedTokens);
+  }
   for (;;) {
     if (m_request.m_caller->IsDisconnected()) {
       m_request.m_end = RequestEnd::CallerGone;
@@ -98,7 +105,12 @@
         co_return;
       }
     }
-    const PathChoice choice = ChoosePath();
+    PathChoice choice;
+    if (IsItsTurn()) {
+      choice = ChoosePath();
+    } else {
+      choice.m_isFull = true;
+    }
     const bool mayStart = choice.m_path && !m_silentCalls.HasAnswered() &&
                           m_possibleExecutions < kMaxExecutions && ClaimRetry();
     if (!mayStart && m_silentCalls.IsEmpty()) {
@@ -108,6 +120,9 @@
       }
       continue;
     }
+    if (mayStart) {
+      RecordStart();
+    }
     // GCC 12 destroys a conditional temporary of a co_await expression twice.
     const StagePathPtr path = mayStart ? choice.m_path : nullptr;
     const AttemptOutcome outcome = co_await StartOrFollow(path);
@@ -142,7 +157,7 @@
   if (!mayHavePath) {
     m_request.m_availableAt = aChoice.m_availableAt;
     co_await GiveUp(MustPassOn(m_request) ? RefusalCause::EndpointsUnreached
-                                          : CauseWithoutPath(aChoice));
+                                          : CauseWithoutPathOf(aChoice));
   }
   co_return mayHavePath;
 }
@@ -227,6 +242,10 @@
   request.m_excluded = m_request.m_excluded;
   request.m_countsDemand = !std::exchange(m_isDemandCounted, true);
   const TimePoint now = BootClock::now();
+  PathQueue& queue = m_serviceState.m_queue;
+  if (TakesTurns() && !queue.IsFloorTurn(now, m_ticket)) {
+    request.m_reservedShare = queue.ReservedAgainst(now, *m_request.m_level);
+  }
   request.m_isAllowed = [this](const StagePath& aPath) {
     return MayStartAt(aPath);
   };
@@ -258,15 +277,101 @@
   const bool isHopeless =
     MustPassOn(m_request) && !m_hasSentHeader && m_possibleExecutions == 0;
   if (isHopeless || aChoice.m_isLimited || now >= m_pathWaitUntil ||
-      aChoice.m_availableAt > m_pathWaitUntil) {
+      aChoice.m_availableAt > m_pathWaitUntil || !JoinQueue(aChoice)) {
     co_return false;
   }
-  asio::steady_timer timer(m_services.m_context, kPathPollInterval);
-  co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  m_pathTimer.expires_after(kPathPollInterval);
+  co_await m_pathTimer.async_wait(asio::as_tuple(asio::use_awaitable));
   m_services.m_routing.Refresh(BootClock::now());
   co_return true;
 }
 
+bool
+StreamForwarder::TakesTurns() const
+{
+  const bool wasSent =
+    m_hasStarted || m_hasSentHeader ||
+    m_request.m_headers.m_lastEventId.has_value() ||
+    (m_request.m_passedOn && m_request.m_passedOn->m_attempts != 0);
+  return m_request.m_level && !wasSent && !MustPassOn(m_request);
+}
+
+bool
+StreamForwarder::IsItsTurn()
+{
+  if (!TakesTurns()) {
+    return true;
+  }
+  const TimePoint now = BootClock::now();
+  PathQueue& queue = m_serviceState.m_queue;
+  return m_ticket.State() == TicketState::Idle
+           ? queue.MayStartAtOnce(now, *m_request.m_level)
+           : queue.MayTry(now, m_ticket);
+}
+
+bool
+StreamForwarder::JoinQueue(const PathChoice& aChoice)
+{
+  PathQueue& queue = m_serviceState.m_queue;
+  if (!TakesTurns() || !aChoice.m_isFull) {
+    queue.Leave(m_ticket);
+    return true;
+  }
+  if (m_ticket.State() == TicketState::Idle) {
+    ++m_services.m_metrics.QueuedAt(*m_request.m_level);
+    queue.Join(BootClock::now(),
+               m_ticket,
+               { *m_request.m_level,
+                 m_request.m_account ? m_request.m_account->m_name : "",
+                 m_pathWaitUntil,
+                 m_request.m_expectedTokens });
+  }
+  return m_ticket.State() == TicketState::Waiting;
+}
+
+void
+StreamForwarder::RecordStart()
+{
+  PathQueue& queue = m_serviceState.m_queue;
+  if (!TakesTurns()) {
+    // This VM may have lost its links to the endpoints during the wait.
+    queue.Leave(m_ticket);
+    return;
+  }
+  const TimePoint now = BootClock::now();
+  if (m_ticket.State() == TicketState::Waiting) {
+    queue.Start(now, m_ticket);
+  } else {
+    queue.RecordStart(now, *m_request.m_level, m_request.m_expectedTokens);
+  }
+  m_hasStarted = true;
+  ++m_services.m_metrics.StartedAt(*m_request.m_level);
+}
+
+RefusalCause
+StreamForwarder::CauseWithoutPathOf(const PathChoice& aChoice)
+{
+  const RefusalCause cause = CauseWithoutPath(aChoice);
+  // A VM of an earlier release does not know the cause.
+  if (cause != RefusalCause::PathsFull || m_request.m_passedOn ||
+      !TakesTurns()) {
+    return cause;
+  }
+  const TimePoint now = BootClock::now();
+  const std::size_t level = *m_request.m_level;
+  PathQueue& queue = m_serviceState.m_queue;
+  if (!queue.HasMoreUrgent(now, level)) {
+    return cause;
+  }
+  constexpr double kPercent = 100;
+  m_request.m_detail =
+    std::to_string(queue.WaitingBefore(level)) +
+    " more urgent requests wait, " +
+    std::to_string(std::lround(kPercent * queue.ReservedAgainst(now, level))) +
+    "% of the room is kept for such";
+  return RefusalCause::GaveWay;
+}
+
 asio::awaitable<bool>
 StreamForwarder::WaitToResume()
 {
@@ -366,6 +471,9 @@
     co_return;
   }
   if (m_possibleExecutions == 0) {
+    if (m_request.m_level) {
+      ++m_services.m_metrics.RefusedAt(*m_request.m_level);
+    }
     co_await Refuse(m_request, aCause);
     co_return;
   }
--- a/Source/Forwarding/StreamForwarder.h
+++ b/Source/Forwarding/StreamForwarder.h
@@ -6,6 +6,9 @@
 #include <string_view>
 #include <vector>
 
+#include <boost/asio/steady_timer.hpp>
+
+#include "Admission/PathTicket.h"
 #include "Forwarding/EventSplitter.h"
 #include "Forwarding/ForwardedRequest.h"
 #include "Forwarding/SilentCalls.h"
@@ -66,6 +69,19 @@
   // as a stream ends. Returns false when this time is over, and at once if the
   // engines asked for a longer pause or their limits allow no request.
   asio::awaitable<bool> WaitForPath(const PathChoice& aChoice);
+  // Returns true if the request takes its turn among the requests that wait for
+  // a path: it is new, and its service distinguishes levels of urgency. What
+  // has been sent to an endpoint before never waits behind new requests.
+  bool TakesTurns() const;
+  // Returns true if the request may look for a path now.
+  bool IsItsTurn();
+  // Joins the queue while every path is full, and leaves it where the request
+  // waits for something else. Returns false if the queue refuses the request.
+  bool JoinQueue(const PathChoice& aChoice);
+  // Ends the wait for a turn, since the first attempt starts.
+  void RecordStart();
+  // Returns the cause of a refusal for aChoice, and names who was preferred.
+  RefusalCause CauseWithoutPathOf(const PathChoice& aChoice);
   // Waits until a stream that has relayed events can be resumed, since its
   // caller waits about two seconds for the next event. Meanwhile the retry
   // budget grows, and engines that refuse regain capacity. Returns false if the
@@ -127,6 +143,11 @@
   bool m_isDemandCounted = false;
   // End of the wait for a path.
   TimePoint m_pathWaitUntil{};
+  // The first attempt has started.
+  bool m_hasStarted = false;
+  // Wakes the wait for a path; outlives the ticket, which cancels it.
+  asio::steady_timer m_pathTimer;
+  PathTicket m_ticket;
   // A retry was charged to the retry budget and has not started yet.
   bool m_hasRetryClaim = false;
   // First runners of the attempts, except runners whose connection broke.
--- a/Source/Routing/PathSelector.cxx
+++ b/Source/Routing/PathSelector.cxx
@@ -206,6 +206,8 @@
 {
   const double fastest = FastestStepMs(aNow, aRequest);
   const bool isSpread = IsSpread(aRequest);
+  const double utilizationLimit =
+    m_settings.m_utilizationLimit * (1 - aRequest.m_reservedShare);
   StagePathPtr best;
   PathUtilization bestUtilization;
   double least = 0;
@@ -224,9 +226,13 @@
                     isSpread ? path->m_slowdown : path->m_stepMs / fastest)) {
       m_preferred.push_back({ path, utilization });
     }
+    const bool isReserved =
+      utilization.m_fraction > utilizationLimit &&
+      utilization.m_fraction <= m_settings.m_utilizationLimit;
     const double cost = Cost(*path, utilization, fastest) +
                         SampleConcurrentCost(aNow, *path, aRequest) +
-                        (missesGapTarget ? m_settings.m_gapTargetMissCost : 0);
+                        (missesGapTarget ? m_settings.m_gapTargetMissCost : 0) +
+                        (isReserved ? kFullCost : 0);
     if (!best || cost < least) {
       best = path;
       bestUtilization = utilization;
@@ -236,8 +242,7 @@
   if (const PathOption* option = ChoosePreferred(aRequest)) {
     return { option->m_path, false, false, {}, option->m_utilization };
   }
-  const bool isFull =
-    best && bestUtilization.m_fraction > m_settings.m_utilizationLimit;
+  const bool isFull = best && bestUtilization.m_fraction > utilizationLimit;
   const bool hasPath = best && !isFull;
   return { hasPath ? best : nullptr,
            isFull,
--- a/Source/Routing/PathSelector.h
+++ b/Source/Routing/PathSelector.h
@@ -91,6 +91,9 @@
   // Counts this request as demand for the engines that have named a limit. Each
   // attempt is counted once, however often it looks for a path.
   bool m_countsDemand = false;
+  // Part of the paths' room, from 0 to 1, that this request leaves to more
+  // urgent ones: it lowers the utilization up to which it takes a path.
+  double m_reservedShare = 0;
 };
 
 // Asks for replacements of the failed stages of a stream's path.
--- a/Tests/Forwarding/ForwardFixture.cxx
+++ b/Tests/Forwarding/ForwardFixture.cxx
@@ -62,7 +62,15 @@
 {
   const std::string accounts =
     aAccounts.empty() ? R"({"name":"account-1","api-keys":["k1"]})" : aAccounts;
-  PutDocument(aVersion, kConfig + ("\"tenants\":[" + accounts + "],"));
+  std::string text = kConfig;
+  const std::string target = "\"target-latency-ms\":500";
+  for (auto place = text.find(target); place != std::string::npos;
+       place = text.find(target, place + 1)) {
+    text.replace(place,
+                 target.size(),
+                 "\"target-latency-ms\":" + std::to_string(m_streamTargetMs));
+  }
+  PutDocument(aVersion, text + "\"tenants\":[" + accounts + "],");
 }
 
 void
--- a/Tests/Forwarding/ForwardFixture.h
+++ b/Tests/Forwarding/ForwardFixture.h
@@ -99,6 +99,8 @@
   DecisionLog m_log{ "vm-1", m_sink };
   MetricRegistry m_metrics;
   ForwardOptions m_options;
+  // Target time to the first event of the streams that PutConfig configures.
+  int m_streamTargetMs = 500;
   std::unique_ptr<ForwardGateway> m_gateway;
   MetricRegistry m_secondMetrics;
   std::unique_ptr<ForwardGateway> m_secondGateway;
--- a/Tests/Routing/PathSelectorTest.cxx
+++ b/Tests/Routing/PathSelectorTest.cxx
@@ -178,6 +178,29 @@
   CHECK_FALSE(Crosses(*path));
 }
 
+TEST(PathSelector, ARequestLeavesTheReservedShareOfEveryPathFree)
+{
+  PathRequest request;
+  request.m_tokens = kTokens;
+  request.m_reservedShare = 0.25;
+  std::deque<PathReservation> reservations;
+  while (const StagePathPtr path = m_selector.Choose(At(0), request).m_path) {
+    reservations.emplace_back(path, kTokens);
+    CHECK(reservations.size() < 10'000);
+  }
+  const std::size_t most = reservations.size();
+  CHECK(m_selector.Choose(At(0), request).m_isFull);
+  request.m_reservedShare = 0;
+  while (const StagePathPtr path = m_selector.Choose(At(0), request).m_path) {
+    reservations.emplace_back(path, kTokens);
+    CHECK(reservations.size() < 10'000);
+  }
+  DOUBLES_EQUAL(0.75,
+                static_cast<double>(most) /
+                  static_cast<double>(reservations.size()),
+                0.02);
+}
+
 TEST(PathSelector, RefusesOnlyWhenEveryPathIsFull)
 {
   std::deque<PathReservation> reservations;
