Forwarding: Send the first reroute orders for the most urgent streams

Cause: the workers of a first engine's order queue took their first tasks while the failure of a stage was still handled stream by stream, so the first three orders went out in the order of the streams; only what waited beyond them was in the order of urgency.

Ruled out: sorting the streams in the failure detector, which would need the order a second time.

Change: a worker yields once before it takes its first task.

--- a/Source/Forwarding/StreamRerouter.cxx
+++ b/Source/Forwarding/StreamRerouter.cxx
@@ -4,6 +4,9 @@
 #include <algorithm>
 #include <utility>
 
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include "Routing/Random.h"
 #include "Telemetry/LoggedSpawn.h"
 
@@ -125,6 +128,9 @@
 asio::awaitable<void>
 StreamRerouter::RunWorker(std::string aFirstAddress)
 {
+  // The failure of a stage is handled for one stream after the other; the first
+  // order is sent when all of them are in the queue.
+  co_await asio::post(m_context, asio::use_awaitable);
   while (!m_queues[aFirstAddress].m_waiting.empty()) {
     RerouteTask task = std::move(m_queues[aFirstAddress].m_waiting.front());
     m_queues[aFirstAddress].m_waiting.pop_front();
--- a/Tests/Forwarding/UrgencyForwardTest.cxx
+++ b/Tests/Forwarding/UrgencyForwardTest.cxx
@@ -1,5 +1,6 @@
 // Tests that requests carry their urgency to the endpoints where the
 // configuration distinguishes it, and only there.
+#include <algorithm>
 #include <memory>
 
 #include "Forwarding/ForwardFixture.h"
@@ -58,10 +59,12 @@
   }
   std::unique_ptr<ForwardFixture::Caller> Call(const std::string& aId,
                                                const std::string& aKey,
-                                               int aTokens = kMostTokens / 9)
+                                               int aTokens = kMostTokens / 9,
+                                               const std::string& aPath =
+                                                 "/stream/x")
   {
     auto caller = m_fixture.Connect();
-    caller->Send("POST /stream/x HTTP/1.1\r\nHost: one.example\r\nAttempt-Id: " +
+    caller->Send("POST " + aPath + " HTTP/1.1\r\nHost: one.example\r\nAttempt-Id: " +
                  aId + "\r\nDeadline-Ms: 5000\r\nAuthorization: Bearer " + aKey +
                  "\r\nToken-Usage: " + std::to_string(aTokens) +
                  ",40\r\nContent-Length: 0\r\n\r\n");
@@ -149,3 +152,47 @@
   CHECK(m_fixture.m_sink.Has({ "request_refused", "\"paths_full\"" }));
   CHECK_FALSE(m_fixture.m_sink.Has({ "\"level\":" }));
 }
+
+// Failure: an engine that serves a stage of many streams is lost. Its
+// replacement reads their prompts one after the other.
+TEST(UrgencyForward, TheMostUrgentStreamsLeaveALostStageFirst)
+{
+  constexpr std::size_t kOrdersAtOnce = 3;
+  std::vector<std::string> orders;
+  m_fixture.PutConfig(1, kUnequalAccounts);
+  m_engine = &m_fixture.AddEngine(0, 2);
+  StubEndpoint& lost = m_fixture.AddEngine(2, 4);
+  lost.SetScript(WithEngineState(StreamAll));
+  m_engine->SetScript([&](const HttpRequest& aRequest) {
+    if (aRequest.target() == kOrderTarget) {
+      orders.push_back(aRequest.body());
+      return std::vector<StubStep>{ Send(
+        "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n") };
+    }
+    return WithEngineState([](const HttpRequest& aStream) {
+      return std::vector<StubStep>{ Send(MakeStreamHead(AttemptIdOf(aStream))),
+                                    Send(MakeEvent(1)),
+                                    Hang() };
+    })(aRequest);
+  });
+  m_fixture.Start();
+  // Streams that may not be resumed are never begun anew elsewhere.
+  std::vector<std::unique_ptr<ForwardFixture::Caller>> callers;
+  for (const char* id : { "l1", "l2", "l3", "l4", "urgent" }) {
+    const std::string key = id[0] == 'u' ? "k2" : "k1";
+    callers.push_back(Call(id, key, 1, "/once/x"));
+    CHECK(m_fixture.RunUntil(
+      [&] { return EventsOf(callers.back()->Received()).size() == 1; }));
+  }
+  StubEndpoint& spare = m_fixture.AddEngine(2, 4);
+  spare.SetScript(WithEngineState(StreamAll));
+  // Applies the new endpoint.
+  CHECK_EQUAL(503, StatusOf(m_fixture.SendRequest("GET", "/safe/x")));
+  lost.Stop();
+  CHECK(m_fixture.RunUntil([&] { return orders.size() >= callers.size(); }));
+  CHECK(std::any_of(orders.begin(),
+                    orders.begin() + kOrdersAtOnce,
+                    [](const std::string& aOrder) {
+                      return aOrder.find("urgent") != std::string::npos;
+                    }));
+}
