--- a/Source/Daemon/SettingTable.h
+++ b/Source/Daemon/SettingTable.h
@@ -21,6 +21,7 @@
   EndpointLeaseMs,
   Threads,
   MaxConnections,
+  MaxWaiting,
   MaxHeaderBytes,
   MaxBodyBytes,
   ReceiveBudgetBytes,
@@ -58,7 +59,7 @@
 };
 
 inline constexpr std::string_view kVariablePrefix = "PARSLEYCOVE_";
-inline constexpr std::size_t kSettingCount = 35;
+inline constexpr std::size_t kSettingCount = 37;
 
 extern const std::array<SettingRow, kSettingCount> kSettings;
 
--- a/Source/Forwarding/ForwardOptions.h
+++ b/Source/Forwarding/ForwardOptions.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 
+#include "Admission/PathQueue.h"
 #include "Base/Clock.h"
 #include "Base/SocketAddress.h"
 #include "Routing/PromptSpread.h"
@@ -37,6 +38,7 @@
   // The process is killed this long after a stop begins.
   Duration m_stopGrace = std::chrono::seconds(8);
   WindowedBudgetSettings m_retries;
+  PathQueueSettings m_pathQueue;
   PromptSpreadSettings m_promptSpread;
 };
 
