State: Remember an endpoint's leave until its late reports have arrived

The leave was kept as the phase of the listed entry only, whose lease had been renewed last before the cut and ended up to at once; draining of an endpoint that was not listed was recorded nowhere.

Ruled out: a table of leaves of its own in the image, which needs the leader's time in commands that carry none; comparing sequences alone, since nothing is left to compare with.

A drop names a leaving endpoint by another mark, so one that was proposed before the leave doesn't undo it. draining of an endpoint that isn't listed announces it and records its leave. A leave is acknowledged only if it was recorded or a later start is listed.

Changed tests: ConfigState.ALeavingEndpointStaysLeavingUntilDropped demanded that a drop proposed while ready forgets the leave, which is this fault; it now demands that it doesn't, and that the drop of the leaving endpoint does. ControlApi.ALeaveIsAcknowledgedWhetherKnownOrNot demanded 200 for a DELETE that can't be recorded; ALeaveIsAcknowledgedOnlyOnceItIsRecorded demands 503 there, and 200 also for the repeat of a recorded one.

--- a/Source/Forwarding/EngineFailureDetector.cxx
+++ b/Source/Forwarding/EngineFailureDetector.cxx
@@ -285,7 +285,8 @@
     const bool isRemoved =
       !health.m_runner->m_isGateway &&
       (listed == nullptr ||
-       listed->m_incarnation != health.m_runner->m_incarnation);
+       listed->m_incarnation != health.m_runner->m_incarnation ||
+       listed->m_phase == state::EndpointPhase::Leaving);
     if (isRemoved && !health.m_isProbing) {
       entry = m_health.erase(entry);
       continue;
@@ -546,12 +547,18 @@
   if (table == nullptr || aAddress.empty()) {
     return nullptr;
   }
+  // One that has left stays listed, also after another took its address.
+  RunnerPtr leaving;
   for (const RunnerPtr& runner : table->Runners()) {
-    if (runner->m_address.ToString() == aAddress) {
+    if (runner->m_address.ToString() != aAddress) {
+      continue;
+    }
+    if (runner->m_phase == state::EndpointPhase::Ready) {
       return runner;
     }
+    leaving = runner;
   }
-  return nullptr;
+  return leaving;
 }
 
 } // namespace parsleycove
--- a/Source/State/EndpointRegistry.cxx
+++ b/Source/State/EndpointRegistry.cxx
@@ -91,13 +91,27 @@
              listed->id + "', which started later";
     }
   }
-  RemoveIf(aImage.endpoints, isRival);
+  // One that has left is kept: its late reports must stay refused.
+  RemoveIf(aImage.endpoints, [&](const auto& aListed) {
+    return aListed->phase == state::EndpointPhase::Ready && isRival(aListed);
+  });
   RemoveOrphanedOrders(aImage);
   return std::nullopt;
 }
 
+// No start time has this bit.
+constexpr std::uint64_t kLeftMark = 1ULL << 63;
+
 } // namespace
 
+std::uint64_t
+DropMark(const state::EndpointT& aListed)
+{
+  return aListed.phase == state::EndpointPhase::Leaving
+           ? aListed.incarnation | kLeftMark
+           : aListed.incarnation;
+}
+
 void
 ApplyAnnounce(state::ConfigImageT& aImage,
               const state::AnnounceEndpointT& aCommand,
@@ -225,7 +239,7 @@
   for (const auto& reference : aCommand.endpoints) {
     const state::EndpointT* listed =
       reference ? FindEntity(aImage.endpoints, reference->id) : nullptr;
-    if (listed != nullptr && listed->incarnation == reference->incarnation) {
+    if (listed != nullptr && reference->incarnation == DropMark(*listed)) {
       doomed.insert(listed);
     }
   }
--- a/Tests/Platform/ControlApiTest.cxx
+++ b/Tests/Platform/ControlApiTest.cxx
@@ -170,13 +170,36 @@
   CHECK_FALSE(FindListed()->suspected);
 }
 
-TEST(ControlApi, ALeaveIsAcknowledgedWhetherKnownOrNot)
+// A DELETE names no start, so one of an endpoint that is not listed leaves
+// nothing to record.
+TEST(ControlApi, ALeaveIsAcknowledgedOnlyOnceItIsRecorded)
 {
   const std::string path = "/parsleycove/instances/i-1";
-  CHECK_EQUAL(200U, Call(http::verb::delete_, path).result_int());
+  CHECK_EQUAL(503U, Call(http::verb::delete_, path).result_int());
   SendHeartbeat(MakeHeartbeat("ready", 1));
   CHECK_EQUAL(200U, Call(http::verb::delete_, path).result_int());
   CHECK(FindListed()->phase == state::EndpointPhase::Leaving);
+  CHECK_EQUAL(200U, Call(http::verb::delete_, path).result_int());
+}
+
+TEST(ControlApi, ALeaveOfAnEndpointThatIsNotListedOutlastsItsLateReports)
+{
+  CHECK_EQUAL(200U, SendHeartbeat(MakeHeartbeat("draining", 7, 5)));
+  CHECK(FindListed()->phase == state::EndpointPhase::Leaving);
+  CHECK_EQUAL(200U, SendHeartbeat(MakeHeartbeat("ready", 6, 5)));
+  CHECK(FindListed()->phase == state::EndpointPhase::Leaving);
+  CHECK_EQUAL(200U, SendHeartbeat(MakeHeartbeat("ready", 1, 6)));
+  CHECK(FindListed()->phase == state::EndpointPhase::Ready);
+}
+
+TEST(ControlApi, ALeaveThatIsNotAcceptedIsNotAcknowledged)
+{
+  SendHeartbeat(MakeHeartbeat("ready", 1));
+  m_control.SetFate([](const auto&) { return ProposalFate::NotAccepted; });
+  CHECK_EQUAL(503U, SendHeartbeat(MakeHeartbeat("draining", 2)));
+  CHECK_EQUAL(
+    503U, Call(http::verb::delete_, "/parsleycove/instances/i-1").result_int());
+  CHECK(FindListed()->phase == state::EndpointPhase::Ready);
 }
 
 // Guards against a leave that is acknowledged but not stored: all control VMs
--- a/Tests/State/ConfigStateTest.cxx
+++ b/Tests/State/ConfigStateTest.cxx
@@ -1,5 +1,6 @@
 // Tests of configuration, endpoint registry and orders.
 #include "State/ConfigState.h"
+#include "State/EndpointRegistry.h"
 
 #include "State/Commands.h"
 #include "State/ConfigJson.h"
@@ -79,8 +80,11 @@
   CheckCode(ResultCode::Ok, MakeLeave("e", 1));
   CheckCode(ResultCode::Ok, MakeLeave("e", 1));
   CheckCode(ResultCode::StaleIncarnation, MakeAnnounce(MakeEngine("e", 1)));
-  CHECK_TRUE(EndpointPhase::Leaving == FindEndpoint("e")->phase);
+  // Proposed while the endpoint was ready.
   CheckCode(ResultCode::Ok, MakeDrop("e", 1));
+  CheckCode(ResultCode::StaleIncarnation, MakeAnnounce(MakeEngine("e", 1)));
+  CHECK_TRUE(EndpointPhase::Leaving == FindEndpoint("e")->phase);
+  CheckCode(ResultCode::Ok, MakeDrop("e", DropMark(*FindEndpoint("e"))));
   CHECK_TRUE(FindEndpoint("e") == nullptr);
   CheckCode(ResultCode::NotFound, MakeLeave("e", 1));
 }
