--- a/Source/Forwarding/StreamForwarder.h
+++ b/Source/Forwarding/StreamForwarder.h
@@ -35,8 +35,8 @@
 // go on by itself, so its call is kept until its successor sends an event; if
 // nobody else serves the stream, the kept call is followed again.
 //
-// StreamForwarder.cxx selects paths and decides on retries, StreamAttempt.cxx
-// runs one attempt.
+// StreamForwarder.cxx selects paths and decides on retries, StreamTurn.cxx
+// waits for a turn, StreamAttempt.cxx runs one attempt.
 class StreamForwarder
 {
 public:
@@ -80,8 +80,9 @@
   bool JoinQueue(const PathChoice& aChoice);
   // Ends the wait for a turn, since the first attempt starts.
   void RecordStart();
-  // Returns the cause of a refusal for aChoice, and names who was preferred.
-  RefusalCause CauseWithoutPathOf(const PathChoice& aChoice);
+  // Returns GaveWay in place of PathsFull where more urgent requests took the
+  // room, and names them in the request's detail. Other causes stay.
+  RefusalCause NameGaveWay(RefusalCause aCause);
   // Waits until a stream that has relayed events can be resumed, since its
   // caller waits about two seconds for the next event. Meanwhile the retry
   // budget grows, and engines that refuse regain capacity. Returns false if the
