Telemetry: Let no caller wait for the reader of a standard stream

Cause: Log() wrote to the console in the caller's thread. The decision log had a queue, but the end of the process joined its thread.

Ruled out: O_NONBLOCK, which belongs to the shared file description; the log library's queue for both, since it is joined at the end and does not tell where lines are missing (docs/design/control-plane.md).

Change: LineWriter, one for each standard stream, takes the lines of Log() and of the decision log. 512 KiB wait; what does not fit is dropped and counted, and a line lines_dropped stands in its place. The thread is woken once for all that is queued and writes it in one call. A stop waits 0.5 s for each reader. A reader that has gone no longer ends the process (SIGPIPE).

Tests: LineWriterTest. TheLogWaitsForNoReaderOfStandardError hangs with the old Log() (ended after 15 s).

--- a/Source/Daemon/Daemon.cxx
+++ b/Source/Daemon/Daemon.cxx
@@ -3,7 +3,6 @@
 
 #include <atomic>
 #include <csignal>
-#include <iostream>
 #include <memory>
 #include <utility>
 
@@ -18,6 +17,7 @@
 #include "Gateway/GatewayServer.h"
 #include "Telemetry/MetricRegistry.h"
 #include "Telemetry/SpanStore.h"
+#include "Telemetry/StandardStreams.h"
 
 namespace parsleycove {
 
@@ -26,6 +26,8 @@
 namespace {
 
 constexpr std::size_t kSpanCapacity = 50'000;
+// The last lines wait this long for their reader.
+constexpr std::chrono::milliseconds kFlushLimitMs{ 500 };
 constexpr Duration kDrainCheckInterval = std::chrono::milliseconds(20);
 
 // Waits for a signal, an operator's drain or a failing store, then until all
@@ -108,7 +110,7 @@
   auto replica = ReplicaService::Start(options, reason);
   if (!replica) {
     Log(LogLevel::Error, "cannot start", { { "why", reason.m_text } });
-    std::cerr << "parsleycoved: " << reason.m_text << "\n";
+    StandardError().Write("parsleycoved: " + reason.m_text);
   }
   return replica;
 }
@@ -131,7 +133,7 @@
   auto control = std::make_unique<ControlClient>(aSettings.m_client);
   GatewayServer server(aSettings.m_gateway, clock, *control, metrics, spans);
   if (!server.Start()) {
-    std::cerr << "parsleycoved: " << server.LastReason().m_text << "\n";
+    StandardError().Write("parsleycoved: " + server.LastReason().m_text);
     return DaemonExit::CannotStart;
   }
   Log(LogLevel::Info,
@@ -149,14 +151,11 @@
   return hasFailed ? DaemonExit::StoreFailed : DaemonExit::Stopped;
 }
 
-} // namespace
-
 DaemonExit
-RunDaemon(const DaemonSettings& aSettings,
-          const SettingReader& aReader,
-          Deployment& aDeployment)
+RunRole(const DaemonSettings& aSettings,
+        const SettingReader& aReader,
+        Deployment& aDeployment)
 {
-  OpenLog(aSettings.m_logLevel, aSettings.m_logFile, aSettings.m_gateway.m_vm);
   switch (aSettings.m_role) {
     case DaemonRole::Gateway:
       return RunGatewayProcess(aSettings);
@@ -168,4 +167,17 @@
   return DaemonExit::CannotStart;
 }
 
+} // namespace
+
+DaemonExit
+RunDaemon(const DaemonSettings& aSettings,
+          const SettingReader& aReader,
+          Deployment& aDeployment)
+{
+  OpenLog(aSettings.m_logLevel, aSettings.m_logFile, aSettings.m_gateway.m_vm);
+  const DaemonExit exit = RunRole(aSettings, aReader, aDeployment);
+  FlushStandardStreams(kFlushLimitMs);
+  return exit;
+}
+
 } // namespace parsleycove
--- a/Source/Daemon/EntryProcess.cxx
+++ b/Source/Daemon/EntryProcess.cxx
@@ -1,12 +1,11 @@
 // Role entry: forwards callers' requests.
 #include "Daemon/EntryProcess.h"
 
-#include <iostream>
-
 #include <boost/asio/steady_timer.hpp>
 
 #include "Daemon/ProcessFrame.h"
 #include "Forwarding/ForwardGateway.h"
+#include "Telemetry/StandardStreams.h"
 
 namespace parsleycove {
 
@@ -74,7 +73,7 @@
                                     stop.Begin();
                                   },
                                   reason)) {
-    std::cerr << "parsleycoved: " << reason << "\n";
+    StandardError().Write("parsleycoved: " + reason);
     return DaemonExit::CannotStart;
   }
   frame.Run();
--- a/Source/Daemon/ProcessFrame.cxx
+++ b/Source/Daemon/ProcessFrame.cxx
@@ -6,6 +6,8 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include "Telemetry/StandardStreams.h"
+
 namespace parsleycove {
 
 ProcessFrame::ProcessFrame(const DaemonSettings& aSettings,
@@ -32,7 +34,7 @@
     return false;
   }
   m_metrics.AddGauge("parsleycove_log_lines_dropped", "", [this] {
-    return static_cast<double>(m_decisions.Dropped());
+    return static_cast<double>(m_decisions.Dropped() + CountDroppedLines());
   });
   m_metrics.AddGauge("parsleycove_view_index", "", [&aControl] {
     return static_cast<double>(aControl.View()->Index());
--- a/Source/Telemetry/DecisionLog.cxx
+++ b/Source/Telemetry/DecisionLog.cxx
@@ -6,18 +6,12 @@
 #include <cstdio>
 #include <utility>
 
-#include <log4cxx/asyncappender.h>
-#include <log4cxx/consoleappender.h>
-#include <log4cxx/logger.h>
-#include <log4cxx/patternlayout.h>
+#include "Telemetry/StandardStreams.h"
 
 namespace parsleycove {
 
 namespace {
 
-constexpr char kLoggerName[] = "parsleycove.decisions";
-// Lines that wait for a slow reader.
-constexpr int kQueuedLines = 1000;
 constexpr unsigned char kFirstPlain = 0x20;
 // How often lost lines are told at most.
 constexpr Duration kReportInterval = std::chrono::milliseconds(500);
@@ -41,15 +35,6 @@
   }
 }
 
-log4cxx::LoggerPtr&
-DecisionLogger()
-{
-  // Never destroyed: threads may log while the process ends.
-  static auto* s_logger =
-    new log4cxx::LoggerPtr(log4cxx::Logger::getLogger(kLoggerName));
-  return *s_logger;
-}
-
 } // namespace
 
 DecisionLine::DecisionLine(std::string_view aVm,
@@ -172,27 +157,10 @@
   return m_dropped;
 }
 
-StandardOutputSink::StandardOutputSink()
-{
-  const log4cxx::LoggerPtr& logger = DecisionLogger();
-  auto console = std::make_shared<log4cxx::ConsoleAppender>(
-    std::make_shared<log4cxx::PatternLayout>("%m%n"),
-    log4cxx::ConsoleAppender::getSystemOut());
-  auto queue = std::make_shared<log4cxx::AsyncAppender>();
-  queue->setBufferSize(kQueuedLines);
-  queue->setBlocking(false);
-  queue->addAppender(console);
-  logger->setAdditivity(false);
-  logger->removeAllAppenders();
-  logger->addAppender(queue);
-  logger->setLevel(log4cxx::Level::getInfo());
-}
-
 void
 StandardOutputSink::Write(const std::string& aLine)
 {
-  DecisionLogger()->forcedLog(
-    log4cxx::Level::getInfo(), aLine, LOG4CXX_LOCATION);
+  StandardOutput().Write(aLine);
 }
 
 } // namespace parsleycove
--- a/Source/Telemetry/DecisionLog.h
+++ b/Source/Telemetry/DecisionLog.h
@@ -8,6 +8,7 @@
 
 #include "Base/Clock.h"
 #include "Telemetry/DecisionEvent.h"
+#include "Telemetry/LineSink.h"
 
 namespace parsleycove {
 
@@ -44,15 +45,6 @@
   double m_burst = 800;
 };
 
-// Where finished lines go.
-class LineSink
-{
-public:
-  virtual ~LineSink() = default;
-  // Must not block.
-  virtual void Write(const std::string& aLine) = 0;
-};
-
 // Any thread. Lines beyond the limits are counted; the count is written once
 // there is room again, so that a gap is seen in the log itself.
 class DecisionLog
@@ -89,12 +81,11 @@
   std::uint64_t m_unreported = 0;
 };
 
-// Writes lines to standard output from a thread of its own. A reader that is
-// too slow costs lines, never time.
+// Writes lines to standard output. A reader that is too slow costs lines, never
+// time.
 class StandardOutputSink final : public LineSink
 {
 public:
-  StandardOutputSink();
   void Write(const std::string& aLine) override;
 };
 
--- a/Source/Telemetry/Logging.cxx
+++ b/Source/Telemetry/Logging.cxx
@@ -3,7 +3,6 @@
 
 #include <array>
 
-#include <log4cxx/consoleappender.h>
 #include <log4cxx/fileappender.h>
 #include <log4cxx/jsonlayout.h>
 #include <log4cxx/logger.h>
@@ -11,6 +10,8 @@
 #include <log4cxx/mdc.h>
 
 #include "Base/EnumTable.h"
+#include "Telemetry/QueueAppender.h"
+#include "Telemetry/StandardStreams.h"
 
 namespace parsleycove {
 
@@ -43,14 +44,9 @@
 CreateAppender(const std::string& aPath)
 {
   auto layout = std::make_shared<log4cxx::JSONLayout>();
-  if (aPath == "-") {
-    return std::make_shared<log4cxx::ConsoleAppender>(
-      layout, log4cxx::ConsoleAppender::getSystemOut());
-  }
-  if (aPath.empty()) {
-    auto console = std::make_shared<log4cxx::ConsoleAppender>(
-      layout, log4cxx::ConsoleAppender::getSystemErr());
-    return console;
+  if (aPath == "-" || aPath.empty()) {
+    return std::make_shared<QueueAppender>(
+      layout, aPath.empty() ? StandardError() : StandardOutput());
   }
   return std::make_shared<log4cxx::FileAppender>(layout, aPath, true);
 }
@@ -83,6 +79,7 @@
 OpenLog(LogLevel aLevel, const std::string& aPath, const std::string& aVm)
 {
   LogVm() = aVm;
+  SetStreamVm(aVm);
   const log4cxx::LoggerPtr root = log4cxx::Logger::getRootLogger();
   root->removeAllAppenders();
   root->addAppender(CreateAppender(aPath));
--- a/Source/Telemetry/Logging.h
+++ b/Source/Telemetry/Logging.h
@@ -30,7 +30,8 @@
 void
 OpenLog(LogLevel aLevel, const std::string& aPath, const std::string& aVm);
 
-// Writes one line. The message is constant text; what varies is in the fields.
+// Writes one line; waits for no reader of the standard streams. The message is
+// constant text; what varies is in the fields.
 void
 Log(LogLevel aLevel,
     std::string_view aMessage,
