Forwarding: Count what is read also while the buffer ends within a chunk's line

Cause: http::async_read_some reads on without returning while the buffer ends within the line of a chunk, so neither the budget nor the bound on framing saw these bytes: 100 chunks of one byte with extensions of 1000 bytes each waited for their time-out (408, seen) instead of being refused (400). BoundedRead now reads from the socket and calls the parser itself.

--- a/Source/Daemon/SettingTable.cxx
+++ b/Source/Daemon/SettingTable.cxx
@@ -97,7 +97,7 @@
   { SettingId::ReceiveBudgetBytes,
     "receive-budget-bytes",
     "PARSLEYCOVE_RECEIVE_BUDGET_BYTES",
-    "67108864",
+    "33554432",
     "a whole number from 65536 to 4294967296",
     "roles entry and control: memory of requests that are not yet read to "
     "their "
--- a/Source/Forwarding/BoundedRead.cxx
+++ b/Source/Forwarding/BoundedRead.cxx
@@ -19,6 +19,29 @@
   aBuffer.max_size(aMaxHeaderBytes + kPieceBytes);
 }
 
+beast::error_code
+BoundedRead::EndOf(const beast::error_code& aError, RequestParser& aParser)
+{
+  if (aError != asio::error::eof) {
+    return aError;
+  }
+  beast::error_code error = http::error::end_of_stream;
+  if (aParser.got_some()) {
+    aParser.put_eof(error);
+  }
+  return error;
+}
+
+beast::error_code
+BoundedRead::Parse(beast::flat_buffer& aBuffer, RequestParser& aParser)
+{
+  beast::error_code error;
+  const std::size_t used = aParser.put(aBuffer.data(), error);
+  aBuffer.consume(used);
+  m_needsMore = error == http::error::need_more;
+  return error && !m_needsMore ? error : Count(used, aBuffer, aParser);
+}
+
 beast::error_code
 BoundedRead::Count(std::size_t aBytes,
                    const beast::flat_buffer& aBuffer,
--- a/Source/Forwarding/BoundedRead.h
+++ b/Source/Forwarding/BoundedRead.h
@@ -12,8 +12,8 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/read_size.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 
 #include "Forwarding/ReadResult.h"
 #include "Forwarding/ReceiveBudget.h"
@@ -76,16 +76,32 @@
   void OnRefused() override;
 
 private:
+  // Not http::async_read_some, which reads on, unseen, as long as the buffer
+  // ends within the line of a chunk.
   template<class Stream>
   asio::awaitable<beast::error_code> ReadPiece(Stream& aStream,
                                                beast::flat_buffer& aBuffer,
                                                RequestParser& aParser)
   {
-    const auto [error, bytes] = co_await http::async_read_some(
-      aStream, aBuffer, aParser, asio::as_tuple(asio::use_awaitable));
-    co_return error ? error : Count(bytes, aBuffer, aParser);
+    if (m_needsMore || aBuffer.size() == 0) {
+      const std::size_t size = beast::read_size(aBuffer, aBuffer.max_size());
+      if (size == 0) {
+        co_return http::error::buffer_overflow;
+      }
+      const auto [error, bytes] = co_await aStream.async_read_some(
+        aBuffer.prepare(size), asio::as_tuple(asio::use_awaitable));
+      if (error) {
+        co_return EndOf(error, aParser);
+      }
+      aBuffer.commit(bytes);
+    }
+    co_return Parse(aBuffer, aParser);
   }
 
+  // Returns the error of a request whose connection ended with aError.
+  static beast::error_code EndOf(const beast::error_code& aError,
+                                 RequestParser& aParser);
+  beast::error_code Parse(beast::flat_buffer& aBuffer, RequestParser& aParser);
   // Returns an error if the request is refused or is mostly framing.
   beast::error_code Count(std::size_t aBytes,
                           const beast::flat_buffer& aBuffer,
@@ -95,6 +111,8 @@
   std::size_t m_headerBytes = 0;
   // Bytes of the header, or of what follows it.
   std::size_t m_readBytes = 0;
+  // The parser waits for the rest of what is in the buffer.
+  bool m_needsMore = false;
   bool m_isRefused = false;
 };
 
--- a/Source/Forwarding/ForwardGateway.cxx
+++ b/Source/Forwarding/ForwardGateway.cxx
@@ -95,6 +95,10 @@
                              m_promptParts,
                              m_limits,
                              m_reach);
+    aMetrics.AddGauge(
+      "parsleycove_receive_budget_held_bytes", "", [budget = m_receiveBudget] {
+        return static_cast<double>(budget->HeldBytes());
+      });
     m_callDeadlines.SetObserver(
       [this](TimePoint aNow) { m_failureDetector.Check(aNow); });
   }
--- a/Source/Forwarding/ForwardOptions.h
+++ b/Source/Forwarding/ForwardOptions.h
@@ -12,7 +12,7 @@
 
 namespace parsleycove {
 
-inline constexpr std::size_t kDefaultReceiveBudgetBytes = 64UL * 1024 * 1024;
+inline constexpr std::size_t kDefaultReceiveBudgetBytes = 32UL * 1024 * 1024;
 
 struct ForwardOptions
 {
--- a/Source/Forwarding/HttpService.h
+++ b/Source/Forwarding/HttpService.h
@@ -20,7 +20,7 @@
   std::size_t m_maxHeaderBytes = 8ULL * 1024;
   std::size_t m_maxConnections = 2000;
   // Memory of requests that are not yet read to their end.
-  std::size_t m_receiveBudgetBytes = 64ULL * 1024 * 1024;
+  std::size_t m_receiveBudgetBytes = 32ULL * 1024 * 1024;
   // A connection on which no complete request arrives within this time is
   // closed.
   std::chrono::seconds m_idleTimeout{ 30 };
--- /dev/null
+++ b/Tests/Forwarding/BoundedReadTest.cxx
@@ -0,0 +1,126 @@
+// Tests of requests near and beyond the limits, over real connections.
+#include "Forwarding/ForwardFixture.h"
+#include "Forwarding/StubEndpoint.h"
+
+#include <memory>
+
+// Last, since its leak macros redefine new.
+#include <CppUTest/TestHarness.h>
+
+using namespace parsleycove;
+
+namespace {
+
+// Limits of the fixture's configuration.
+constexpr std::size_t kMaxBody = 4096;
+constexpr char kChunkedHead[] = "Transfer-Encoding: chunked\r\n";
+
+std::string
+Repeat(const std::string& aText, std::size_t aCount)
+{
+  std::string all;
+  for (std::size_t i = 0; i < aCount; ++i) {
+    all += aText;
+  }
+  return all;
+}
+
+std::string
+MakeChunks(std::size_t aChunkBytes)
+{
+  char line[16];
+  std::snprintf(line, sizeof(line), "%zx\r\n", aChunkBytes);
+  return Repeat(line + std::string(aChunkBytes, 'b') + "\r\n",
+                kMaxBody / aChunkBytes);
+}
+
+} // namespace
+
+TEST_GROUP(BoundedRead)
+{
+  std::unique_ptr<ForwardFixture> m_fixture;
+
+  void setup() override
+  {
+    m_fixture = std::make_unique<ForwardFixture>();
+    m_fixture->PutConfig();
+    m_fixture->AddPlainEndpoint().SetScript(
+      [this](const HttpRequest& aRequest) {
+        m_bodies.push_back(aRequest.body());
+        return std::vector<StubStep>{ Send(
+          MakeAnswer(std::string(aRequest["Attempt-Id"]), 200, "done")) };
+      });
+  }
+  void teardown() override
+  {
+    m_fixture.reset();
+    m_bodies = {};
+  }
+
+  // Sends a chunked request and returns the status of its answer.
+  int SendChunked(const std::string& aBody)
+  {
+    auto caller = m_fixture->Connect();
+    caller->Send(MakeHead() + aBody);
+    CHECK(m_fixture->RunUntil([&] { return caller->IsClosed(); }));
+    return StatusOf(caller->Received());
+  }
+
+  static std::string MakeHead()
+  {
+    std::string head = MakeRequest(
+      "POST", "/unsafe/x", kChunkedHead + std::string("Connection: close\r\n"));
+    return head;
+  }
+
+  std::vector<std::string> m_bodies;
+};
+
+TEST(BoundedRead, TheLargestBodyIsServedInChunksOfAnySize)
+{
+  m_fixture->Start();
+  for (const std::size_t bytes : { 1, 2, 1024, 4096 }) {
+    CHECK_EQUAL(200, SendChunked(MakeChunks(bytes) + "0\r\n\r\n"));
+    CHECK_EQUAL(std::string(kMaxBody, 'b'), m_bodies.back());
+  }
+}
+
+TEST(BoundedRead, TrailersWithinTheHeaderLimitAreServed)
+{
+  m_fixture->Start();
+  CHECK_EQUAL(200,
+              SendChunked("1\r\nb\r\n0\r\nTrailer-Field: " +
+                          std::string(1500, 't') + "\r\n\r\n"));
+}
+
+TEST(BoundedRead, EndlessTrailersAreRefused)
+{
+  m_fixture->Start();
+  CHECK_EQUAL(
+    431,
+    SendChunked("1\r\nb\r\n0\r\n" +
+                Repeat("Field: " + std::string(100, 't') + "\r\n", 400)));
+  CHECK_EQUAL(0U, m_bodies.size());
+}
+
+TEST(BoundedRead, AnEndlessChunkExtensionIsRefused)
+{
+  m_fixture->Start();
+  CHECK_EQUAL(431, SendChunked("1;name=" + std::string(40'000, 'e')));
+}
+
+TEST(BoundedRead, MoreFramingThanBodyIsRefused)
+{
+  m_fixture->Start();
+  CHECK_EQUAL(
+    400,
+    SendChunked(Repeat("1;name=" + std::string(1000, 'e') + "\r\nb\r\n", 100)));
+  CHECK_EQUAL(0U, m_bodies.size());
+}
+
+TEST(BoundedRead, ABodyBeyondTheLimitGetsItsAnswerThoughItIsStillSent)
+{
+  m_fixture->Start();
+  CHECK_EQUAL(413, SendChunked(Repeat(MakeChunks(1024), 25)));
+  CHECK_EQUAL(0U, m_bodies.size());
+}
