Forwarding: Count requests that are being served in the receive budget

Cause: a request that was read to its end left the budget although its body stays in memory until it is answered, and on an idle connection until the next request; a crowd that completes its bodies could exhaust the memory that one that stops short of their end could not.

Change: bodies of requests that are served are counted and never refused; while they take the budget, only requests of up to 16 KiB are read besides. A connection that waits for its next request holds no body.

Test: RequestsThatAreServedLeaveRoomForSmallOnesOnly.

--- a/Source/Forwarding/CallerConnection.cxx
+++ b/Source/Forwarding/CallerConnection.cxx
@@ -32,6 +32,9 @@
 asio::awaitable<ReadResult>
 CallerConnection::ReadRequest(const CallerLimits& aLimits)
 {
+  // A connection that is idle holds no body.
+  m_request = {};
+  m_served.reset();
   RequestParser parser;
   parser.header_limit(static_cast<std::uint32_t>(aLimits.m_maxHeaderBytes));
   parser.body_limit(aLimits.m_maxBodyBytes);
@@ -71,6 +74,7 @@
   ClearDeadline();
   m_isReading = false;
   m_request = parser.release();
+  m_served.emplace(m_budget, m_request.body().capacity());
   m_closesAfterAnswer = m_closesAfterAnswer || !m_request.keep_alive();
   co_return ReadResult::Request;
 }
--- a/Source/Forwarding/CallerConnection.h
+++ b/Source/Forwarding/CallerConnection.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -59,6 +60,8 @@
   const std::shared_ptr<ReceiveBudget> m_budget;
   beast::flat_buffer m_buffer;
   HttpRequest m_request;
+  // Of m_request, from its end on until the next request is read.
+  std::optional<ReceiveBudget::Served> m_served;
   std::function<void()> m_onDisconnect;
   std::uint64_t m_watchGeneration = 0;
   bool m_isReading = false;
--- a/Source/Forwarding/HttpService.cxx
+++ b/Source/Forwarding/HttpService.cxx
@@ -64,6 +64,7 @@
         break;
       }
       const HttpRequest request = parser.release();
+      const ReceiveBudget::Served served(m_budget, request.body().capacity());
       HttpResponse answer = co_await Handle(request);
       answer.version(kHttp11);
       answer.keep_alive(request.keep_alive());
--- a/Source/Forwarding/ReceiveBudget.cxx
+++ b/Source/Forwarding/ReceiveBudget.cxx
@@ -9,6 +9,9 @@
 
 // A caller inside the limits sends its request without longer pauses.
 constexpr Duration kStalledAfter = std::chrono::seconds(1);
+// A request that holds at most this is read also while requests that are being
+// served take the budget.
+constexpr std::size_t kSmallBytes = 16UL * 1024;
 
 } // namespace
 
@@ -19,6 +22,11 @@
   if (aBytes == 0) {
     return true;
   }
+  if (aBytes > kSmallBytes && m_servedBytes + aBytes > m_limitBytes &&
+      m_servedBytes != 0) {
+    aReader.OnRefused();
+    return false;
+  }
   aReader.m_bytes = aBytes;
   aReader.m_receivedAt = aNow;
   m_heldBytes += aBytes;
--- a/Source/Forwarding/ReceiveBudget.h
+++ b/Source/Forwarding/ReceiveBudget.h
@@ -55,6 +55,27 @@
     TimePoint m_receivedAt{};
   };
 
+  // The memory of a request that was read whole and is being served. It is
+  // never refused, since the request may run; while such requests take the
+  // budget, only small ones are read besides.
+  class Served
+  {
+  public:
+    Served(std::shared_ptr<ReceiveBudget> aBudget, std::size_t aBytes)
+      : m_budget(std::move(aBudget))
+      , m_bytes(aBytes)
+    {
+      m_budget->m_servedBytes += m_bytes;
+    }
+    ~Served() { m_budget->m_servedBytes -= m_bytes; }
+    Served(const Served&) = delete;
+    Served& operator=(const Served&) = delete;
+
+  private:
+    const std::shared_ptr<ReceiveBudget> m_budget;
+    const std::size_t m_bytes;
+  };
+
   explicit ReceiveBudget(std::size_t aLimitBytes)
     : m_limitBytes(aLimitBytes)
   {
@@ -66,6 +87,7 @@
   // Records that aReader holds nothing any more.
   void Release(Reader& aReader);
   std::size_t HeldBytes() const { return m_heldBytes; }
+  std::size_t ServedBytes() const { return m_servedBytes; }
 
 private:
   struct BytesOrder
@@ -81,6 +103,7 @@
 
   const std::size_t m_limitBytes;
   std::size_t m_heldBytes = 0;
+  std::size_t m_servedBytes = 0;
   // Readers that hold something. Invariant: a reader is in both or in none; the
   // one that has received nothing for longest is first in the list.
   boost::intrusive::list<Reader> m_byProgress;
--- a/Tests/Forwarding/ReceiveBudgetTest.cxx
+++ b/Tests/Forwarding/ReceiveBudgetTest.cxx
@@ -99,3 +99,20 @@
   }
   CHECK_EQUAL(0U, m_budget->HeldBytes());
 }
+
+TEST(ReceiveBudget, RequestsThatAreServedLeaveRoomForSmallOnesOnly)
+{
+  constexpr std::size_t kKiB = 1024;
+  const auto budget = std::make_shared<ReceiveBudget>(64 * kKiB);
+  {
+    const ReceiveBudget::Served served(budget, 60 * kKiB);
+    TestReader large(budget);
+    TestReader small(budget);
+    CHECK_FALSE(budget->Hold(large, 20 * kKiB, m_now));
+    CHECK_EQUAL(1, large.m_refusals);
+    CHECK_TRUE(budget->Hold(small, 16 * kKiB, m_now));
+  }
+  CHECK_EQUAL(0U, budget->ServedBytes());
+  TestReader next(budget);
+  CHECK_TRUE(budget->Hold(next, 20 * kKiB, m_now));
+}
