Tests: Show that a full receive budget refuses large requests and serves small ones

A refused caller gets 503 with Retry-After, and a small request is served while unfinished ones stay open.

--- a/Tests/Forwarding/BoundedReadTest.cxx
+++ b/Tests/Forwarding/BoundedReadTest.cxx
@@ -2,7 +2,10 @@
 #include "Forwarding/ForwardFixture.h"
 #include "Forwarding/StubEndpoint.h"
 
+#include <algorithm>
+#include <cstdio>
 #include <memory>
+#include <vector>
 
 // Last, since its leak macros redefine new.
 #include <CppUTest/TestHarness.h>
@@ -124,3 +127,22 @@
   CHECK_EQUAL(413, SendChunked(Repeat(MakeChunks(1024), 25)));
   CHECK_EQUAL(0U, m_bodies.size());
 }
+
+TEST(BoundedRead, AFullBudgetRefusesLargeRequestsAndServesSmallOnes)
+{
+  m_fixture->m_options.m_receiveBudgetBytes = 2 * kMaxBody;
+  m_fixture->Start();
+  std::vector<std::unique_ptr<ForwardFixture::Caller>> crowd;
+  const auto isRefused = [](const auto& aCaller) {
+    return StatusOf(aCaller->Received()) == 503 &&
+           aCaller->Received().find("\r\nRetry-After: 1.") != std::string::npos;
+  };
+  for (int i = 0; i < 10; ++i) {
+    crowd.push_back(m_fixture->Connect());
+    crowd.back()->Send(MakeHead() + "fff\r\n" + std::string(4000, 'b'));
+  }
+  CHECK(m_fixture->RunUntil(
+    [&] { return std::any_of(crowd.begin(), crowd.end(), isRefused); }));
+  CHECK_EQUAL(0U, m_bodies.size());
+  CHECK_EQUAL(200, SendChunked("1\r\nb\r\n0\r\n\r\n"));
+}
