Review: Show a pause that is forgotten when the endpoint is listed again

Cause: the pause is kept with the endpoint's load record, which is lost when the endpoint is missing from one view.

--- a/review/lib-2/Fleet.h
+++ b/review/lib-2/Fleet.h
@@ -818,6 +818,10 @@
     }
   }
 
+  // Cuts the runner off from the core: its heartbeats reach no machine.
+  void CutFromCore(bool aIsCut) { m_isCut = aIsCut; }
+  double LastBeatAt() const { return m_lastBeatAt; }
+
   // How often the runner began to run the request of an Attempt-Id.
   int Runs(const std::string& aAttemptId)
   {
@@ -916,6 +920,14 @@
         "\"cold-remaining-ms\":0,\"sequence\":" + std::to_string(sequence) +
         ",\"born\":" + std::to_string(m_born) + "}";
       for (int i = 0; i < m_fleet.Controls() && !m_stop; ++i) {
+        if (m_isCut) {
+          // The connection hangs; after a second the next node is called.
+          for (int slice = 0; slice < 10 && !m_stop; ++slice) {
+            Sleep(0.1);
+          }
+          continue;
+        }
+        m_lastBeatAt = Now();
         const Answer answer =
           Call(m_fleet.Control((m_index + i) % m_fleet.Controls()),
                "PUT",
@@ -942,6 +954,8 @@
   Handler m_handler;
   int m_listener = -1;
   std::atomic<bool> m_stop{ false };
+  std::atomic<bool> m_isCut{ false };
+  std::atomic<double> m_lastBeatAt{ 0 };
   std::atomic<int> m_open{ 0 };
   std::vector<std::thread> m_threads;
   std::mutex m_mutex;
