Review: Show an upgrade that ends the control processes of an earlier build

Cause: no process knows which commands the group can read; a new front proposes one that an earlier control process puts into the log and ends on. Case 7, a script. It takes the place of the pause that is forgotten, so cases 7, 8 and 9 are now 8, 9 and 10; the stand-ins of the dropped script are taken out.

--- a/review/lib-2/Fleet.h
+++ b/review/lib-2/Fleet.h
@@ -233,9 +233,10 @@
 inline std::string
 Lower(std::string aText)
 {
-  std::transform(aText.begin(), aText.end(), aText.begin(), [](unsigned char c) {
-    return static_cast<char>(std::tolower(c));
-  });
+  std::transform(
+    aText.begin(), aText.end(), aText.begin(), [](unsigned char c) {
+      return static_cast<char>(std::tolower(c));
+    });
   return aText;
 }
 
@@ -282,8 +283,7 @@
           return false;
         }
       }
-      const std::size_t size =
-        std::strtoul(aBuffer.c_str(), nullptr, 16);
+      const std::size_t size = std::strtoul(aBuffer.c_str(), nullptr, 16);
       while (aBuffer.size() < eol + 2 + size + 2) {
         if (!more()) {
           return false;
@@ -373,8 +373,8 @@
   if (!hasHost) {
     aFields.insert(aFields.begin(), { "Host", aTo.Text() });
   }
-  Answer answer = Exchange(
-    fd, FormatRequest(aMethod, aPath, aFields, aBody), until - Now());
+  Answer answer =
+    Exchange(fd, FormatRequest(aMethod, aPath, aFields, aBody), until - Now());
   close(fd);
   return answer;
 }
@@ -428,11 +428,14 @@
   std::ofstream(aPath, std::ios::binary) << aText;
 }
 
-// Returns the value of NAME = "value" in a section of the deploy file.
+// Returns the value of NAME = "value" in a section of the deploy file of a
+// checkout.
 inline std::string
-FindInDeploy(const std::string& aSection, const std::string& aName)
+FindInDeploy(const std::string& aRoot,
+             const std::string& aSection,
+             const std::string& aName)
 {
-  std::istringstream text(ReadFile("deploy/system.toml"));
+  std::istringstream text(ReadFile(aRoot + "/deploy/system.toml"));
   std::string section;
   for (std::string line; std::getline(text, line);) {
     if (!line.empty() && line.front() == '[') {
@@ -462,12 +465,14 @@
 
   const std::string& Name() const { return m_values.at("node-name"); }
   Values& Settings() { return m_values; }
-  // Limit of the descriptors of the machine; 0: as they are.
-  void SetMaxFds(rlim_t aLimit) { m_maxFds = aLimit; }
+
+  // The checkout whose build runs from the next start on.
+  void SetRoot(std::string aRoot) { m_root = std::move(aRoot); }
 
   void WriteSettings()
   {
-    const std::string settings = FindInDeploy("roles." + m_role, "template");
+    const std::string settings =
+      m_root + "/" + FindInDeploy(m_root, "roles." + m_role, "template");
     WriteFile(m_folder + "/" + Name() + ".settings",
               Render(ReadFile(settings), m_values));
   }
@@ -476,7 +481,7 @@
   {
     WriteSettings();
     std::vector<std::string> words;
-    std::istringstream run(FindInDeploy("roles." + m_role, "run"));
+    std::istringstream run(FindInDeploy(m_root, "roles." + m_role, "run"));
     for (std::string word; run >> word;) {
       words.push_back(word);
     }
@@ -485,8 +490,8 @@
       arguments.push_back(word.data());
     }
     arguments.push_back(nullptr);
-    std::string boot = "PARSLEYCOVE_BOOT=" + m_folder + "/" + Name() +
-                       ".settings";
+    std::string boot =
+      "PARSLEYCOVE_BOOT=" + m_folder + "/" + Name() + ".settings";
     std::string path = "PATH=/usr/bin:/bin";
     std::string home = "HOME=" + m_folder;
     char* environment[] = { boot.data(), path.data(), home.data(), nullptr };
@@ -502,19 +507,32 @@
       const int out = open(log.c_str(), O_CREAT | O_WRONLY | O_APPEND, 0644);
       dup2(out, 1);
       dup2(out, 2);
-      if (m_maxFds != 0) {
-        const rlimit limit{ m_maxFds, m_maxFds };
-        setrlimit(RLIMIT_NOFILE, &limit);
+      if (chdir(m_root.c_str()) != 0) {
+        _exit(127);
       }
       execve(arguments[0], arguments.data(), environment);
       _exit(127);
     }
   }
 
+  // Sends SIGTERM, and SIGKILL after the grace. Returns false if it was needed.
+  bool Stop(double aGraceS)
+  {
+    Signal(SIGTERM);
+    const double until = Now() + aGraceS;
+    while (IsRunning() && Now() < until) {
+      Sleep(0.02);
+    }
+    const bool isDone = !IsRunning();
+    Kill(SIGKILL);
+    return isDone;
+  }
+
   // Returns true while the process runs; Status() says how it ended.
   bool IsRunning()
   {
-    if (m_pid > 0 && !m_hasEnded && waitpid(m_pid, &m_status, WNOHANG) == m_pid) {
+    if (m_pid > 0 && !m_hasEnded &&
+        waitpid(m_pid, &m_status, WNOHANG) == m_pid) {
       m_hasEnded = true;
     }
     return m_pid > 0 && !m_hasEnded;
@@ -562,7 +580,7 @@
   const std::string m_role;
   Values m_values;
   const std::string m_folder;
-  rlim_t m_maxFds = 0;
+  std::string m_root = ".";
   pid_t m_pid = 0;
   int m_status = 0;
   bool m_hasEnded = false;
@@ -578,16 +596,13 @@
 inline Values
 SiteValues()
 {
-  return { { "fault-tolerance.machines", "2" },
-           { "bounds.revoke-ms", "5000" },
-           { "bounds.retry-budget-ratio", "0.2" },
-           { "bounds.budget-slack", "202" },
-           { "bounds.budget-window-s", "10" },
-           { "bounds.grace-s", "8" } };
+  return {
+    { "fault-tolerance.machines", "2" },    { "bounds.revoke-ms", "5000" },
+    { "bounds.retry-budget-ratio", "0.2" }, { "bounds.budget-slack", "202" },
+    { "bounds.budget-window-s", "10" },     { "bounds.grace-s", "8" }
+  };
 }
 constexpr double kControlMemoryMb = 256;
-constexpr double kEntryMemoryMb = 260;
-constexpr rlim_t kEntryMaxFds = 4100;
 
 class Fleet
 {
@@ -818,10 +833,6 @@
     }
   }
 
-  // Cuts the runner off from the core: its heartbeats reach no machine.
-  void CutFromCore(bool aIsCut) { m_isCut = aIsCut; }
-  double LastBeatAt() const { return m_lastBeatAt; }
-
   // How often the runner began to run the request of an Attempt-Id.
   int Runs(const std::string& aAttemptId)
   {
@@ -914,20 +925,12 @@
   {
     for (int sequence = 1; !m_stop; ++sequence) {
       const std::string body =
-        "{\"service\":\"" + m_service + "\",\"address\":\"" +
-        m_address.Text() + "\",\"zone\":\"" + Fleet::Zone(m_index) +
+        "{\"service\":\"" + m_service + "\",\"address\":\"" + m_address.Text() +
+        "\",\"zone\":\"" + Fleet::Zone(m_index) +
         "\",\"version\":\"v1\",\"slots\":6,\"state\":\"ready\"," +
         "\"cold-remaining-ms\":0,\"sequence\":" + std::to_string(sequence) +
         ",\"born\":" + std::to_string(m_born) + "}";
       for (int i = 0; i < m_fleet.Controls() && !m_stop; ++i) {
-        if (m_isCut) {
-          // The connection hangs; after a second the next node is called.
-          for (int slice = 0; slice < 10 && !m_stop; ++slice) {
-            Sleep(0.1);
-          }
-          continue;
-        }
-        m_lastBeatAt = Now();
         const Answer answer =
           Call(m_fleet.Control((m_index + i) % m_fleet.Controls()),
                "PUT",
@@ -954,8 +957,6 @@
   Handler m_handler;
   int m_listener = -1;
   std::atomic<bool> m_stop{ false };
-  std::atomic<bool> m_isCut{ false };
-  std::atomic<double> m_lastBeatAt{ 0 };
   std::atomic<int> m_open{ 0 };
   std::vector<std::thread> m_threads;
   std::mutex m_mutex;
@@ -968,8 +969,8 @@
 inline std::string
 MakeConfig(int aVersion, int aMoreRoutes, int aTimeoutMs = 800)
 {
-  std::string text = "{\"version\":" + std::to_string(aVersion) +
-                     ",\"routes\":[";
+  std::string text =
+    "{\"version\":" + std::to_string(aVersion) + ",\"routes\":[";
   const std::string timeout = std::to_string(aTimeoutMs);
   const auto route = [&](const std::string& aName,
                          const std::string& aPrefix,
