Control: Tell why there is no leader

Members were logged when they change, and a group below its target by its leader only: without a leader nothing told which voters a replica knows and which it hears from, so the three hypotheses on the lost control group could not be told apart.

A replica that has known no leader for 1.5 s logs its voters, how many are needed, how many it hears from and which are silent; parsleycove_voters_heard and parsleycove_leaderless_seconds show the same.

--- a/Source/Control/GroupGauges.h
+++ b/Source/Control/GroupGauges.h
@@ -17,6 +17,11 @@
   // Since when the member has had no vote that has had none for the longest
   // time; TimePoint::max() if all members vote.
   std::atomic<TimePoint> m_oldestWithoutVoteSince{ TimePoint::max() };
+  // The voters that this replica has heard from within 1.5 s, and itself.
+  std::atomic<std::size_t> m_votersHeard{ 0 };
+  // Since when this replica has known no leader; TimePoint::max() if it knows
+  // one.
+  std::atomic<TimePoint> m_leaderlessSince{ TimePoint::max() };
 };
 
 } // namespace parsleycove
--- a/Source/Control/MembershipRepair.cxx
+++ b/Source/Control/MembershipRepair.cxx
@@ -53,6 +53,18 @@
     .count();
 }
 
+std::vector<std::uint64_t>
+MembershipRepair::ListHeard(TimePoint aNow, Duration aWithin) const
+{
+  std::vector<std::uint64_t> replicas;
+  for (const auto& [replica, at] : m_lastMessageAt) {
+    if (aNow - at < aWithin) {
+      replicas.push_back(replica);
+    }
+  }
+  return replicas;
+}
+
 bool
 MembershipRepair::IsUnresponsive(TimePoint aNow,
                                  const consensus::MemberT& aMember,
--- a/Source/Control/MembershipRepair.h
+++ b/Source/Control/MembershipRepair.h
@@ -54,6 +54,8 @@
     const consensus::MembershipT& aMembers,
     std::uint64_t aSelf) const;
   std::int64_t MsSinceMessage(TimePoint aNow, std::uint64_t aReplica) const;
+  // Returns the replicas with a message within aWithin, on every replica.
+  std::vector<std::uint64_t> ListHeard(TimePoint aNow, Duration aWithin) const;
 
 private:
   Duration TimeSinceMessage(TimePoint aNow, std::uint64_t aReplica) const;
--- a/Source/Control/MembershipReport.cxx
+++ b/Source/Control/MembershipReport.cxx
@@ -125,6 +125,39 @@
          "; last refused change: " + (aRefusal.empty() ? "none" : aRefusal);
 }
 
+std::string
+MembershipReport::DescribeWithoutLeader(
+  Duration aFor,
+  std::uint64_t aTerm,
+  const std::vector<std::uint64_t>& aHeard) const
+{
+  std::string silent;
+  for (const auto& [replica, member] : m_members) {
+    const bool heard =
+      std::find(aHeard.begin(), aHeard.end(), replica) != aHeard.end();
+    if (member.m_voter && !heard) {
+      silent += " " + std::to_string(replica) + " at " + member.m_address;
+    }
+  }
+  const std::size_t voters = CountVoters();
+  return "no leader for " + std::to_string(ToMs(aFor)) + " ms in term " +
+         std::to_string(aTerm) + ": voters " + std::to_string(voters) +
+         ", needed " + std::to_string(voters / 2 + 1) + ", heard from " +
+         std::to_string(CountVotersAmong(aHeard)) +
+         "; silent voters:" + (silent.empty() ? " none" : silent);
+}
+
+std::size_t
+MembershipReport::CountVotersAmong(
+  const std::vector<std::uint64_t>& aReplicas) const
+{
+  return std::count_if(
+    aReplicas.begin(), aReplicas.end(), [&](std::uint64_t aReplica) {
+      const auto found = m_members.find(aReplica);
+      return found != m_members.end() && found->second.m_voter;
+    });
+}
+
 std::size_t
 MembershipReport::CountVoters() const
 {
--- a/Source/Control/MembershipReport.h
+++ b/Source/Control/MembershipReport.h
@@ -39,7 +39,17 @@
                                const std::vector<std::uint64_t>& aSilent,
                                const std::string& aRefusal) const;
 
+  // Returns the line for a replica that has had no leader for aFor: the voters
+  // that it knows, and of which of them it hears. aHeard are the replicas heard
+  // of recently, the replica itself included.
+  std::string DescribeWithoutLeader(
+    Duration aFor,
+    std::uint64_t aTerm,
+    const std::vector<std::uint64_t>& aHeard) const;
+
   std::size_t CountVoters() const;
+  std::size_t CountVotersAmong(
+    const std::vector<std::uint64_t>& aReplicas) const;
   std::size_t CountWithoutVote() const;
   // Returns since when the member has had no vote that has had none for the
   // longest time, or TimePoint::max() if all members vote.
--- a/Source/Control/ReplicaNode.cxx
+++ b/Source/Control/ReplicaNode.cxx
@@ -21,7 +21,7 @@
 // Interval of report rounds while a configuration change is not yet in force.
 constexpr std::chrono::milliseconds kBusyRoundMs{ 100 };
 constexpr std::chrono::milliseconds kMinTickMs{ 1 };
-// Interval of the log line for a group below its target.
+// Interval of the log lines for a group below its target or without a leader.
 constexpr std::chrono::seconds kShortageLineS{ 5 };
 
 asio::steady_timer::duration
@@ -73,6 +73,7 @@
   , m_repair({ aOptions.m_targetVoters, aOptions.m_memberTimeout })
   , m_report(aOptions.m_targetVoters)
   , m_shortageLine(kShortageLineS)
+  , m_leaderlessLine(kShortageLineS)
 {
 }
 
--- a/Source/Control/ReplicaNode.h
+++ b/Source/Control/ReplicaNode.h
@@ -116,6 +116,8 @@
   // Logs the changes of the members and publishes the gauges.
   void ReportMembers();
   void ReportShortage(TimePoint aNow);
+  // Logs while no leader is known, and publishes since when.
+  void ReportWithoutLeader(TimePoint aNow);
   // Returns whether enough voters hold the log to accept a routing document.
   bool CanAcceptDocuments() const;
   void ChangeMembers(MembershipChange aChange,
@@ -153,6 +155,7 @@
   MembershipRepair m_repair;
   MembershipReport m_report;
   LineRepeater m_shortageLine;
+  LineRepeater m_leaderlessLine;
   std::string m_lastRefusal; // of a change of the members; empty if none
   GroupGauges m_gauges;
   std::uint64_t m_configIndex = 0; // index of the last configuration change
--- a/Source/Control/ReplicaNodeGroup.cxx
+++ b/Source/Control/ReplicaNodeGroup.cxx
@@ -15,6 +15,10 @@
 namespace {
 
 constexpr std::chrono::milliseconds kMaintenanceIntervalMs{ 250 };
+// An election takes less, unless a majority is missing.
+constexpr std::chrono::milliseconds kLeaderlessLineMs{ 1500 };
+// Voters without a leader send messages at least this often.
+constexpr std::chrono::milliseconds kHeardWithinMs{ 1500 };
 
 feed::AdminReplyT
 MakeAdminReply(bool aOk, std::string aText)
@@ -233,6 +237,7 @@
   const TimePoint now = BootClock::now();
   const Replica& log = m_core->Log();
   m_leads = log.Role() == ReplicaRole::Leader && log.HasLeaderLease(now);
+  ReportWithoutLeader(now);
   if (!m_maintenance || !m_leads) {
     return;
   }
@@ -295,4 +300,25 @@
   }
 }
 
+void
+ReplicaNode::ReportWithoutLeader(TimePoint aNow)
+{
+  const Replica& log = m_core->Log();
+  const TimePoint since = m_gauges.m_leaderlessSince;
+  if (log.Leader() != 0) {
+    m_gauges.m_leaderlessSince = TimePoint::max();
+  } else if (since == TimePoint::max()) {
+    m_gauges.m_leaderlessSince = aNow;
+  }
+  std::vector<std::uint64_t> heard = m_repair.ListHeard(aNow, kHeardWithinMs);
+  heard.push_back(m_options.m_replica);
+  m_gauges.m_votersHeard = m_report.CountVotersAmong(heard);
+  const bool isLate = log.Leader() == 0 && since != TimePoint::max() &&
+                      aNow - since >= kLeaderlessLineMs;
+  if (m_leaderlessLine.IsDue(aNow, isLate ? "no leader" : "")) {
+    Log(ControlLogLevel::Warning,
+        m_report.DescribeWithoutLeader(aNow - since, log.Term(), heard));
+  }
+}
+
 } // namespace parsleycove
--- a/Source/Daemon/ControlProcess.cxx
+++ b/Source/Daemon/ControlProcess.cxx
@@ -104,6 +104,15 @@
   return self;
 }
 
+// Returns 0 for TimePoint::max().
+double
+SecondsSince(TimePoint aSince)
+{
+  const Duration age =
+    aSince == TimePoint::max() ? Duration::zero() : BootClock::now() - aSince;
+  return std::chrono::duration<double>(age).count();
+}
+
 void
 AddGroupMetrics(MetricRegistry& aMetrics,
                 const ReplicaService& aReplica,
@@ -122,10 +131,13 @@
     return static_cast<double>(aReplica.Gauges().m_withoutVote.load());
   });
   aMetrics.AddGauge("parsleycove_oldest_without_vote_seconds", "", [&aReplica] {
-    const TimePoint since = aReplica.Gauges().m_oldestWithoutVoteSince.load();
-    const Duration age =
-      since == TimePoint::max() ? Duration::zero() : BootClock::now() - since;
-    return std::chrono::duration<double>(age).count();
+    return SecondsSince(aReplica.Gauges().m_oldestWithoutVoteSince);
+  });
+  aMetrics.AddGauge("parsleycove_voters_heard", "", [&aReplica] {
+    return static_cast<double>(aReplica.Gauges().m_votersHeard.load());
+  });
+  aMetrics.AddGauge("parsleycove_leaderless_seconds", "", [&aReplica] {
+    return SecondsSince(aReplica.Gauges().m_leaderlessSince);
   });
 }
 
--- a/Tests/Control/MembershipReportTest.cxx
+++ b/Tests/Control/MembershipReportTest.cxx
@@ -109,6 +109,18 @@
   CHECK(m_report.OldestWithoutVoteSince() == TimePoint::max());
 }
 
+TEST(MembershipReport, AReplicaWithoutALeaderNamesTheVotersItDoesNotHear)
+{
+  m_report.Start(At(0), MakeGroup(4, 1));
+  // Neither a learner nor a replica that is no member counts.
+  STRCMP_EQUAL(
+    "no leader for 1600 ms in term 7: voters 4, needed 3, heard "
+    "from 2; silent voters: 2 at 10.0.0.2:7000 4 at 10.0.0.4:7000",
+    m_report
+      .DescribeWithoutLeader(std::chrono::milliseconds(1600), 7, { 1, 3, 5, 9 })
+      .c_str());
+}
+
 TEST_GROUP(LineRepeater){};
 
 TEST(LineRepeater, ALastingFaultIsLoggedAgainAtIntervals)
