--- a/Tests/Consensus/TestCluster.cxx
+++ b/Tests/Consensus/TestCluster.cxx
@@ -31,8 +31,11 @@
 
 } // namespace
 
-TestCluster::TestCluster(std::size_t aCount, std::uint64_t aSeed)
+TestCluster::TestCluster(std::size_t aCount,
+                         std::uint64_t aSeed,
+                         const ReplicaOptions& aOptions)
   : m_seed(aSeed)
+  , m_options(aOptions)
 {
   consensus::MembershipT members;
   for (std::size_t i = 0; i < aCount; ++i) {
@@ -53,7 +56,7 @@
 ReplicaOptions
 TestCluster::Options(std::uint64_t aId) const
 {
-  ReplicaOptions options;
+  ReplicaOptions options = m_options;
   options.m_replica = aId;
   options.m_cluster = kCluster;
   options.m_seed = m_seed;
--- a/Tests/Consensus/TestCluster.h
+++ b/Tests/Consensus/TestCluster.h
@@ -56,7 +56,10 @@
 class TestCluster
 {
 public:
-  TestCluster(std::size_t aCount, std::uint64_t aSeed);
+  // Identity, cluster, seed and snapshots of aOptions are replaced.
+  TestCluster(std::size_t aCount,
+              std::uint64_t aSeed,
+              const ReplicaOptions& aOptions = {});
 
   void Plan(std::vector<PlannedFault> aFaults) { m_plan = std::move(aFaults); }
   std::uint64_t Deliveries() const { return m_deliveries; }
@@ -145,6 +148,7 @@
   void Expect(bool aHolds, const std::string& aWhat);
 
   std::uint64_t m_seed;
+  const ReplicaOptions m_options;
   TimePoint m_now{ std::chrono::hours(1) };
   std::map<std::uint64_t, Node> m_nodes;
   std::deque<Envelope> m_queue;
--- a/Tests/Control/MembershipModel.cxx
+++ b/Tests/Control/MembershipModel.cxx
@@ -24,9 +24,11 @@
 
 } // namespace
 
-MembershipModel::MembershipModel(std::size_t aTarget, std::uint64_t aSeed)
+MembershipModel::MembershipModel(std::size_t aTarget,
+                                 std::uint64_t aSeed,
+                                 const ReplicaOptions& aOptions)
   : m_target(aTarget)
-  , m_cluster(aTarget, aSeed)
+  , m_cluster(aTarget, aSeed, aOptions)
 {
   for (std::size_t i = 0; i < aTarget; ++i) {
     AddVm(i + 1, kZones[i % std::size(kZones)]);
@@ -191,6 +193,7 @@
 {
   Vm& vm = m_vms[aVm];
   m_cluster.Wipe(vm.m_id);
+  vm.m_client.reset();
   vm.m_diskLost = true;
   vm.m_downUntil = m_cluster.Now() + aDownFor;
 }
--- a/Tests/Control/MembershipModel.h
+++ b/Tests/Control/MembershipModel.h
@@ -22,7 +22,9 @@
 {
 public:
   // Starts a group of aTarget VMs in three availability zones.
-  MembershipModel(std::size_t aTarget, std::uint64_t aSeed);
+  MembershipModel(std::size_t aTarget,
+                  std::uint64_t aSeed,
+                  const ReplicaOptions& aOptions = {});
 
   void Run(Duration aFor);
 
--- a/Tests/Control/MembershipModelTest.cxx
+++ b/Tests/Control/MembershipModelTest.cxx
@@ -7,6 +7,8 @@
 // PARSLEYCOVE_MODEL_SEED the seed of the first one.
 #include "Control/MembershipModel.h"
 
+#include <algorithm>
+#include <array>
 #include <cstdlib>
 #include <random>
 #include <string>
@@ -27,6 +29,9 @@
 constexpr std::size_t kWalkActions = 25;
 // As many VMs are impaired at the same time as the group tolerates.
 constexpr std::size_t kMaxImpaired = 2;
+// A VM that is back counts as lost for this long.
+constexpr int kCatchUpMs = 4000;
+constexpr std::size_t kDisksInTurn = 5;
 
 // One VM is cut off from all others, a second one is replaced a second later,
 // and a third one freezes meanwhile. VMs are counted from the leader on.
@@ -98,6 +103,94 @@
   return schedules;
 }
 
+// Disks are lost one after the other, each as soon as fewer than kMaxImpaired
+// VMs count as lost. The leader of the moment is among the VMs that lose them,
+// or a follower in its place.
+struct DisksInTurn
+{
+  int m_gapMs = 0; // between the first two losses, at least
+  int m_downMs = 0;
+  unsigned m_leaders = 0; // bit i: the loss with this number is the leader's
+  std::uint64_t m_seed = 1;
+};
+
+std::string
+Describe(const DisksInTurn& aSchedule)
+{
+  std::string victims;
+  for (std::size_t i = 0; i < kDisksInTurn; ++i) {
+    victims += (aSchedule.m_leaders >> i & 1U) != 0 ? " leader" : " follower";
+  }
+  return "seed " + std::to_string(aSchedule.m_seed) + ", gap " +
+         std::to_string(aSchedule.m_gapMs) + " ms, down for " +
+         std::to_string(aSchedule.m_downMs) + " ms:" + victims;
+}
+
+// When each VM stops to count as lost, in ms.
+using LostUntil = std::array<int, kTarget>;
+
+// Returns the VM that loses its disk next: among those that do not count as
+// lost the leader, or the one that kept its disk for longest.
+std::size_t
+FindVictim(const MembershipModel& aModel,
+           const LostUntil& aLostUntil,
+           int aNowMs,
+           bool aLeader)
+{
+  const std::size_t leader = aModel.LeaderVm();
+  std::size_t victim = kTarget;
+  for (std::size_t vm = 0; vm < kTarget; ++vm) {
+    if (aLostUntil[vm] > aNowMs) {
+      continue;
+    }
+    if (aLeader && vm == leader) {
+      return vm;
+    }
+    if (vm != leader &&
+        (victim == kTarget || aLostUntil[vm] < aLostUntil[victim])) {
+      victim = vm;
+    }
+  }
+  return victim;
+}
+
+void
+Play(MembershipModel& aModel, const DisksInTurn& aSchedule)
+{
+  constexpr int kStepMs = 50;
+  LostUntil lostUntil{};
+  std::size_t played = 0;
+  for (int ms = 0; played < kDisksInTurn; ms += kStepMs) {
+    const auto lost = std::count_if(lostUntil.begin(),
+                                    lostUntil.end(),
+                                    [&](int aUntil) { return aUntil > ms; });
+    const bool isDue = played != 1 || ms >= aSchedule.m_gapMs;
+    if (isDue && static_cast<std::size_t>(lost) < kMaxImpaired) {
+      const std::size_t victim = FindVictim(
+        aModel, lostUntil, ms, (aSchedule.m_leaders >> played & 1U) != 0);
+      aModel.LoseDisk(victim, milliseconds(aSchedule.m_downMs));
+      lostUntil[victim] = ms + aSchedule.m_downMs + kCatchUpMs;
+      ++played;
+    } else {
+      aModel.Run(milliseconds(kStepMs));
+    }
+  }
+}
+
+std::vector<DisksInTurn>
+ListDisksInTurn()
+{
+  std::vector<DisksInTurn> schedules;
+  for (int gapMs = 0; gapMs <= kCatchUpMs; gapMs += 500) {
+    for (const int downMs : { 500, 1000, 2000 }) {
+      for (unsigned leaders = 0; leaders < 1U << kDisksInTurn; ++leaders) {
+        schedules.push_back({ gapMs, downMs, leaders, 1 });
+      }
+    }
+  }
+  return schedules;
+}
+
 std::uint64_t
 ReadNumber(const char* aName, std::uint64_t aDefault)
 {
@@ -239,6 +332,32 @@
   return kOutcomes;
 }
 
+// The times of a control VM's replica.
+ReplicaOptions
+ControlVmOptions()
+{
+  ReplicaOptions options;
+  options.m_heartbeatInterval = milliseconds(60);
+  options.m_electionTimeout = milliseconds(350);
+  options.m_leaderLease = milliseconds(250);
+  return options;
+}
+
+const std::vector<Outcome>&
+PlayDisksInTurn()
+{
+  static const std::vector<Outcome> kOutcomes = [] {
+    std::vector<Outcome> outcomes;
+    for (const DisksInTurn& schedule : ListDisksInTurn()) {
+      MembershipModel model(kTarget, schedule.m_seed, ControlVmOptions());
+      Play(model, schedule);
+      outcomes.push_back(Judge(model, Describe(schedule)));
+    }
+    return outcomes;
+  }();
+  return kOutcomes;
+}
+
 // Fails if one of the plays does not hold, and tells how many and the first.
 void
 CheckAll(const std::vector<Outcome>& aOutcomes, bool Outcome::*aHolds)
@@ -282,3 +401,13 @@
 {
   CheckAll(PlayWalks(), &Outcome::m_returned);
 }
+
+TEST(MembershipSafety, DisksInTurn)
+{
+  CheckAll(PlayDisksInTurn(), &Outcome::m_kept);
+}
+
+TEST(MembershipReturn, DisksInTurn)
+{
+  CheckAll(PlayDisksInTurn(), &Outcome::m_returned);
+}
