Control: Replace a lost voter on evidence, not after seconds of silence

Callers saw: an acknowledged configuration was not read back, and all fronts refused with no_lease to the end.

Cause: a lost voter kept its vote until the leader had heard nothing from it for 3 s. Each new leader began to count anew, and each further change waited for the next tick of 250 ms. A VM counts as lost for 4 s after it is back; where the leader was lost meanwhile, the next loss met voters that no longer existed, and the rest was no majority, for good.

Change: a voter is lost as soon as another member answers from its address (it runs there with an empty disk), or after 1 s of silence on control VMs; a learner keeps its 9 s. A repair that is under way goes on with each event. A voter is removed only once its replacement votes, as before, and each change is still decided by the group's log.

The shortage is logged before each step of a repair, which the ticks no longer show.

--- a/Source/Consensus/Replica.cxx
+++ b/Source/Consensus/Replica.cxx
@@ -105,6 +105,14 @@
     aNow, consensus::EntryKind::Membership, EncodeMembership(aNext));
 }
 
+bool
+Replica::CanChangeMembers() const
+{
+  const ReplicaState& state = m_parts->m_state;
+  return state.IsLeader() && m_parts->m_leader.HasCommittedCurrentTerm() &&
+         state.m_members.LatestIndex() <= state.m_log.CommitIndex();
+}
+
 void
 Replica::ReadIndex(TimePoint aNow, consensus::ReadIndexT aRequest)
 {
--- a/Source/Consensus/Replica.h
+++ b/Source/Consensus/Replica.h
@@ -160,6 +160,9 @@
   // index of the entry, or std::nullopt with LastReason set.
   std::optional<std::uint64_t> ProposeMembership(TimePoint aNow,
                                                  consensus::MembershipT aNext);
+  // Returns whether this replica leads and no earlier change of the members is
+  // under way.
+  bool CanChangeMembers() const;
   // Requests the confirmation of a read by a quorum. The answer, also a
   // negative one, comes in Ready::m_reads. A follower forwards the request to
   // the leader.
--- a/Source/Control/MembershipChange.cxx
+++ b/Source/Control/MembershipChange.cxx
@@ -105,10 +105,7 @@
   for (const std::uint64_t failed :
        aRepair.ListMembersToRemove(aNow, members, aSelf)) {
     auto removal = FindRemoval(
-      members,
-      failed,
-      "silent for " + std::to_string(aRepair.MsSinceMessage(aNow, failed)) +
-        " ms");
+      members, failed, aRepair.DescribeLoss(aNow, members, failed, aSelf));
     if (removal && IsAllowed(members, *removal, aPassedOver)) {
       return removal;
     }
--- a/Source/Control/MembershipRepair.cxx
+++ b/Source/Control/MembershipRepair.cxx
@@ -10,9 +10,9 @@
 
 namespace {
 
-// A learner that has not caught up gets a longer time-out than a voter, since
-// it may be installing a snapshot.
-constexpr int kLearnerTimeoutFactor = 3;
+// A learner gets a longer time-out than a voter, since it may be installing a
+// snapshot.
+constexpr std::chrono::seconds kLearnerTimeoutS{ 9 };
 // A learner is promoted only if its last message is at most this share of the
 // time-out old: a lost learner with a vote would only raise the majority.
 constexpr int kPromotionShare = 3;
@@ -45,12 +45,20 @@
                                                       : lastMessage->second);
 }
 
-std::int64_t
-MembershipRepair::MsSinceMessage(TimePoint aNow, std::uint64_t aReplica) const
+std::string
+MembershipRepair::DescribeLoss(TimePoint aNow,
+                               const consensus::MembershipT& aMembers,
+                               std::uint64_t aReplica,
+                               std::uint64_t aSelf) const
 {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-           TimeSinceMessage(aNow, aReplica))
-    .count();
+  const auto silentMs = std::chrono::duration_cast<std::chrono::milliseconds>(
+    TimeSinceMessage(aNow, aReplica));
+  std::string text = "silent for " + std::to_string(silentMs.count()) + " ms";
+  const consensus::MemberT* member = FindMember(aMembers, aReplica);
+  if (member != nullptr && IsSuperseded(aNow, aMembers, *member, aSelf)) {
+    text += ", and another member runs at its address";
+  }
+  return text;
 }
 
 std::vector<std::uint64_t>
@@ -65,15 +73,49 @@
   return replicas;
 }
 
+bool
+MembershipRepair::IsComplete(const consensus::MembershipT& aMembers) const
+{
+  return CountVoters(aMembers) == m_options.m_targetVoters &&
+         aMembers.members.size() == m_options.m_targetVoters;
+}
+
 bool
 MembershipRepair::IsUnresponsive(TimePoint aNow,
-                                 const consensus::MemberT& aMember,
-                                 std::uint64_t aSelf) const
+                                 const consensus::MemberT& aMember) const
 {
   const Duration timeout =
-    m_options.m_memberTimeout * (aMember.voter ? 1 : kLearnerTimeoutFactor);
+    aMember.voter ? m_options.m_memberTimeout : Duration(kLearnerTimeoutS);
+  return TimeSinceMessage(aNow, aMember.replica) >= timeout;
+}
+
+bool
+MembershipRepair::IsSuperseded(TimePoint aNow,
+                               const consensus::MembershipT& aMembers,
+                               const consensus::MemberT& aMember,
+                               std::uint64_t aSelf) const
+{
+  const Duration silent = TimeSinceMessage(aNow, aMember.replica);
+  return std::any_of(
+    aMembers.members.begin(), aMembers.members.end(), [&](const auto& aOther) {
+      const bool isHeard = aOther->replica == aSelf ||
+                           (m_lastMessageAt.contains(aOther->replica) &&
+                            TimeSinceMessage(aNow, aOther->replica) < silent);
+      return isHeard && aOther->replica != aMember.replica &&
+             !aMember.address.empty() && aOther->address == aMember.address &&
+             aOther->port == aMember.port;
+    });
+}
+
+bool
+MembershipRepair::IsLost(TimePoint aNow,
+                         const consensus::MembershipT& aMembers,
+                         const consensus::MemberT& aMember,
+                         std::uint64_t aSelf) const
+{
   return aMember.replica != aSelf &&
-         TimeSinceMessage(aNow, aMember.replica) >= timeout;
+         (IsUnresponsive(aNow, aMember) ||
+          IsSuperseded(aNow, aMembers, aMember, aSelf));
 }
 
 bool
@@ -85,25 +127,25 @@
       CountVoters(aMembers) < m_options.m_targetVoters) {
     return true;
   }
-  // Allows one voter more than the target at most. The unresponsive voter is
-  // removed next.
+  // Allows one voter more than the target at most. The lost voter is removed
+  // next.
   return CountVoters(aMembers) == m_options.m_targetVoters &&
          std::any_of(aMembers.members.begin(),
                      aMembers.members.end(),
                      [&](const auto& aMember) {
                        return aMember->voter &&
-                              IsUnresponsive(aNow, *aMember, aSelf);
+                              IsLost(aNow, aMembers, *aMember, aSelf);
                      });
 }
 
 std::vector<std::uint64_t>
-MembershipRepair::ListUnresponsiveVoters(TimePoint aNow,
-                                         const consensus::MembershipT& aMembers,
-                                         std::uint64_t aSelf) const
+MembershipRepair::ListLostVoters(TimePoint aNow,
+                                 const consensus::MembershipT& aMembers,
+                                 std::uint64_t aSelf) const
 {
   std::vector<std::uint64_t> replicas;
   for (const auto& member : aMembers.members) {
-    if (member->voter && IsUnresponsive(aNow, *member, aSelf)) {
+    if (member->voter && IsLost(aNow, aMembers, *member, aSelf)) {
       replicas.push_back(member->replica);
     }
   }
@@ -122,7 +164,7 @@
   const bool hasSpareVoter = CountVoters(aMembers) > m_options.m_targetVoters;
   for (const auto& member : aMembers.members) {
     const bool isRemovable = !member->voter || hasSpareVoter;
-    if (isRemovable && IsUnresponsive(aNow, *member, aSelf)) {
+    if (isRemovable && IsLost(aNow, aMembers, *member, aSelf)) {
       replicas.push_back(member->replica);
     }
   }
--- a/Source/Control/MembershipRepair.h
+++ b/Source/Control/MembershipRepair.h
@@ -2,11 +2,13 @@
 // remove.
 //
 // Handles the permanent loss of a VM, also one that returns at its address with
-// an empty disk and therefore a new identity. A second loss may follow at once.
+// an empty disk and therefore a new identity. A second loss may follow at once,
+// so a lost voter is replaced as soon as there is evidence of the loss.
 #pragma once
 
 #include <cstddef>
 #include <cstdint>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -23,8 +25,10 @@
   Duration m_memberTimeout = std::chrono::seconds(3);
 };
 
-// Used by the leader. An unresponsive voter is removed only once its
-// replacement is a voter, so removals never take the group below its target.
+// Used by the leader. A member is lost if it is unresponsive, or if another
+// member at its address has sent a message since: that one runs there with an
+// empty disk. A lost voter is removed only once its replacement is a voter, so
+// removals never take the group below its target.
 class MembershipRepair
 {
 public:
@@ -36,6 +40,9 @@
   // Records a message received from this replica.
   void RecordMessage(TimePoint aNow, std::uint64_t aReplica);
 
+  // Returns whether the group consists of its target of voters and of no other
+  // member, so that only a loss calls for a change.
+  bool IsComplete(const consensus::MembershipT& aMembers) const;
   // Returns whether a learner that has caught up should become a voter.
   bool NeedsVoter(TimePoint aNow,
                   const consensus::MembershipT& aMembers,
@@ -48,20 +55,31 @@
     std::uint64_t aSelf) const;
   // Returns whether the replica sent a message recently enough to be promoted.
   bool IsResponsive(TimePoint aNow, std::uint64_t aReplica) const;
-  // Returns the voters that are unresponsive.
-  std::vector<std::uint64_t> ListUnresponsiveVoters(
+  // Returns the voters that are lost.
+  std::vector<std::uint64_t> ListLostVoters(
     TimePoint aNow,
     const consensus::MembershipT& aMembers,
     std::uint64_t aSelf) const;
-  std::int64_t MsSinceMessage(TimePoint aNow, std::uint64_t aReplica) const;
+  // Returns the evidence that a member is lost, for the log.
+  std::string DescribeLoss(TimePoint aNow,
+                           const consensus::MembershipT& aMembers,
+                           std::uint64_t aReplica,
+                           std::uint64_t aSelf) const;
   // Returns the replicas with a message within aWithin, on every replica.
   std::vector<std::uint64_t> ListHeard(TimePoint aNow, Duration aWithin) const;
 
 private:
   Duration TimeSinceMessage(TimePoint aNow, std::uint64_t aReplica) const;
-  bool IsUnresponsive(TimePoint aNow,
-                      const consensus::MemberT& aMember,
-                      std::uint64_t aSelf) const;
+  bool IsUnresponsive(TimePoint aNow, const consensus::MemberT& aMember) const;
+  // Returns whether another member has taken over the member's address.
+  bool IsSuperseded(TimePoint aNow,
+                    const consensus::MembershipT& aMembers,
+                    const consensus::MemberT& aMember,
+                    std::uint64_t aSelf) const;
+  bool IsLost(TimePoint aNow,
+              const consensus::MembershipT& aMembers,
+              const consensus::MemberT& aMember,
+              std::uint64_t aSelf) const;
 
   const MembershipRepairOptions m_options;
   TimePoint m_startedAt{};
--- a/Source/Control/ReplicaNode.cxx
+++ b/Source/Control/ReplicaNode.cxx
@@ -177,6 +177,7 @@
   UpdateRole();
   ReportMembers();
   UpdatePeers();
+  ContinueRepair();
   ScheduleTick();
 }
 
--- a/Source/Control/ReplicaNode.h
+++ b/Source/Control/ReplicaNode.h
@@ -109,6 +109,9 @@
   void ScheduleMaintenance();
   void PerformMaintenance();
   void RepairMembership(TimePoint aNow);
+  // Makes the next change of a repair that is under way at once: until the
+  // last one, the group tolerates fewer losses than its target allows.
+  void ContinueRepair();
   // The leader's result of a command that needs no log entry, std::nullopt if
   // it is to be proposed.
   std::optional<state::CommandResultT> AnswerWithoutEntry(
--- a/Source/Control/ReplicaNodeGroup.cxx
+++ b/Source/Control/ReplicaNodeGroup.cxx
@@ -153,13 +153,13 @@
   if (taken) {
     m_report.SetEvidence(aChange.m_replica, std::move(aChange.m_evidence));
     m_lastRefusal.clear();
+    RequestProcessing();
   } else {
     m_lastRefusal = "member " + std::to_string(aChange.m_replica) + " (" +
                     aChange.m_evidence +
                     "): " + m_core->Log().LastReason().m_text;
     aHandler(MakeAdminReply(false, m_core->Log().LastReason().m_text));
   }
-  RequestProcessing();
 }
 
 std::optional<SocketAddress>
@@ -255,11 +255,15 @@
 ReplicaNode::RepairMembership(TimePoint aNow)
 {
   const Replica& log = m_core->Log();
+  if (!log.CanChangeMembers()) {
+    return;
+  }
   auto change =
     FindRepair(aNow, log, m_repair, m_options.m_replica, m_lastRefusal);
   if (!change) {
     return;
   }
+  ReportShortage(aNow);
   if (FindMember(change->m_next, change->m_replica) != nullptr) {
     ChangeMembers(std::move(*change), "promoted", [](const auto&) {});
     return;
@@ -275,6 +279,14 @@
     });
 }
 
+void
+ReplicaNode::ContinueRepair()
+{
+  if (m_leads && !m_repair.IsComplete(m_core->Log().Members())) {
+    RepairMembership(BootClock::now());
+  }
+}
+
 void
 ReplicaNode::ReportMembers()
 {
@@ -290,8 +302,8 @@
 void
 ReplicaNode::ReportShortage(TimePoint aNow)
 {
-  const auto silent = m_repair.ListUnresponsiveVoters(
-    aNow, m_core->Log().Members(), m_options.m_replica);
+  const auto silent =
+    m_repair.ListLostVoters(aNow, m_core->Log().Members(), m_options.m_replica);
   const std::string text =
     m_report.DescribeShortage(aNow, silent, m_lastRefusal);
   // The line's figures change all the time, so only its presence counts.
--- a/Source/Daemon/DaemonSettings.cxx
+++ b/Source/Daemon/DaemonSettings.cxx
@@ -264,6 +264,7 @@
   replica.m_heartbeatInterval = std::chrono::milliseconds(60);
   replica.m_electionTimeout = std::chrono::milliseconds(350);
   replica.m_leaderLease = std::chrono::milliseconds(250);
+  replica.m_memberTimeout = std::chrono::seconds(1);
   replica.m_confirmInterval = kConfirmInterval;
   ReplicaStart& start = aSettings.m_start;
   start.m_folder = replica.m_dataFolder;
--- a/Tests/Consensus/TestCluster.cxx
+++ b/Tests/Consensus/TestCluster.cxx
@@ -44,6 +44,8 @@
     members.members.push_back(std::make_unique<consensus::MemberT>());
     members.members.back()->replica = id;
     members.members.back()->zone = m_nodes[id].m_zone;
+    members.members.back()->address = "vm-" + std::to_string(i);
+    members.members.back()->port = 1;
     members.members.back()->voter = true;
   }
   for (auto& [id, node] : m_nodes) {
--- a/Tests/Control/MembershipModel.cxx
+++ b/Tests/Control/MembershipModel.cxx
@@ -19,7 +19,7 @@
 constexpr Duration kMaintenanceInterval = milliseconds(250);
 constexpr Duration kValueInterval = milliseconds(500);
 constexpr Duration kReturnTime = seconds(10);
-constexpr Duration kMemberTimeout = seconds(3);
+constexpr Duration kMemberTimeout = seconds(1);
 const char* const kZones[] = { "a", "b", "c" };
 
 } // namespace
@@ -95,9 +95,7 @@
   m_nextMaintenance = repairs ? now + kMaintenanceInterval : m_nextMaintenance;
   for (std::size_t i = 0; i < m_vms.size(); ++i) {
     StepVm(i);
-    if (repairs) {
-      Repair(i);
-    }
+    Repair(i, repairs);
   }
   if (const std::uint64_t leader = m_cluster.Leader();
       leader != 0 && now >= m_nextValue) {
@@ -139,16 +137,23 @@
 }
 
 void
-MembershipModel::Repair(std::size_t aVm)
+MembershipModel::Repair(std::size_t aVm, bool aAtInterval)
 {
   const Vm& vm = m_vms[aVm];
   if (vm.m_gone || !IsUp(vm) || IsFrozen(vm) ||
       !ReplicaOf(vm).HasLeaderLease(m_cluster.Now())) {
     return;
   }
+  // Follows ReplicaNode: at intervals, and after each event while a repair is
+  // under way.
+  const Replica& replica = ReplicaOf(vm);
+  if (!replica.CanChangeMembers() ||
+      (!aAtInterval && vm.m_repair.IsComplete(replica.Members()))) {
+    return;
+  }
   std::string passedOver;
   if (auto change = FindRepair(
-        m_cluster.Now(), ReplicaOf(vm), vm.m_repair, vm.m_id, passedOver)) {
+        m_cluster.Now(), replica, vm.m_repair, vm.m_id, passedOver)) {
     m_cluster.ProposeMembers(vm.m_id, std::move(change->m_next));
   }
 }
--- a/Tests/Control/MembershipModel.h
+++ b/Tests/Control/MembershipModel.h
@@ -100,7 +100,7 @@
   void StartClient(std::size_t aVm);
   void Step();
   void StepVm(std::size_t aVm);
-  void Repair(std::size_t aVm);
+  void Repair(std::size_t aVm, bool aAtInterval);
   std::size_t VmAt(const SocketAddress& aAddress) const;
   std::size_t VmOf(std::uint64_t aId) const; // CountVms() for a lost identity
   bool IsUp(const Vm& aVm) const;
--- a/Tests/Control/MembershipModelTest.cxx
+++ b/Tests/Control/MembershipModelTest.cxx
@@ -8,7 +8,6 @@
 #include "Control/MembershipModel.h"
 
 #include <algorithm>
-#include <array>
 #include <cstdlib>
 #include <random>
 #include <string>
@@ -105,9 +104,11 @@
 
 // Disks are lost one after the other, each as soon as fewer than kMaxImpaired
 // VMs count as lost. The leader of the moment is among the VMs that lose them,
-// or a follower in its place.
+// or a follower in its place. Each VM is back at its address, or another VM
+// replaces it.
 struct DisksInTurn
 {
+  bool m_replaced = false;
   int m_gapMs = 0; // between the first two losses, at least
   int m_downMs = 0;
   unsigned m_leaders = 0; // bit i: the loss with this number is the leader's
@@ -121,13 +122,14 @@
   for (std::size_t i = 0; i < kDisksInTurn; ++i) {
     victims += (aSchedule.m_leaders >> i & 1U) != 0 ? " leader" : " follower";
   }
-  return "seed " + std::to_string(aSchedule.m_seed) + ", gap " +
+  return std::string(aSchedule.m_replaced ? "replaced" : "back") + ", seed " +
+         std::to_string(aSchedule.m_seed) + ", gap " +
          std::to_string(aSchedule.m_gapMs) + " ms, down for " +
          std::to_string(aSchedule.m_downMs) + " ms:" + victims;
 }
 
 // When each VM stops to count as lost, in ms.
-using LostUntil = std::array<int, kTarget>;
+using LostUntil = std::vector<int>;
 
 // Returns the VM that loses its disk next: among those that do not count as
 // lost the leader, or the one that kept its disk for longest.
@@ -138,16 +140,17 @@
            bool aLeader)
 {
   const std::size_t leader = aModel.LeaderVm();
-  std::size_t victim = kTarget;
-  for (std::size_t vm = 0; vm < kTarget; ++vm) {
-    if (aLostUntil[vm] > aNowMs) {
+  const std::size_t none = aModel.CountVms();
+  std::size_t victim = none;
+  for (std::size_t vm = 0; vm < none; ++vm) {
+    if (aModel.IsGone(vm) || aLostUntil[vm] > aNowMs) {
       continue;
     }
     if (aLeader && vm == leader) {
       return vm;
     }
     if (vm != leader &&
-        (victim == kTarget || aLostUntil[vm] < aLostUntil[victim])) {
+        (victim == none || aLostUntil[vm] < aLostUntil[victim])) {
       victim = vm;
     }
   }
@@ -158,7 +161,7 @@
 Play(MembershipModel& aModel, const DisksInTurn& aSchedule)
 {
   constexpr int kStepMs = 50;
-  LostUntil lostUntil{};
+  LostUntil lostUntil(kTarget, 0);
   std::size_t played = 0;
   for (int ms = 0; played < kDisksInTurn; ms += kStepMs) {
     const auto lost = std::count_if(lostUntil.begin(),
@@ -168,8 +171,14 @@
     if (isDue && static_cast<std::size_t>(lost) < kMaxImpaired) {
       const std::size_t victim = FindVictim(
         aModel, lostUntil, ms, (aSchedule.m_leaders >> played & 1U) != 0);
-      aModel.LoseDisk(victim, milliseconds(aSchedule.m_downMs));
-      lostUntil[victim] = ms + aSchedule.m_downMs + kCatchUpMs;
+      if (aSchedule.m_replaced) {
+        lostUntil[victim] = 0;
+        aModel.Replace(victim);
+        lostUntil.push_back(ms + kCatchUpMs);
+      } else {
+        aModel.LoseDisk(victim, milliseconds(aSchedule.m_downMs));
+        lostUntil[victim] = ms + aSchedule.m_downMs + kCatchUpMs;
+      }
       ++played;
     } else {
       aModel.Run(milliseconds(kStepMs));
@@ -182,10 +191,11 @@
 {
   std::vector<DisksInTurn> schedules;
   for (int gapMs = 0; gapMs <= kCatchUpMs; gapMs += 500) {
-    for (const int downMs : { 500, 1000, 2000 }) {
-      for (unsigned leaders = 0; leaders < 1U << kDisksInTurn; ++leaders) {
-        schedules.push_back({ gapMs, downMs, leaders, 1 });
+    for (unsigned leaders = 0; leaders < 1U << kDisksInTurn; ++leaders) {
+      for (const int downMs : { 500, 1000, 2000 }) {
+        schedules.push_back({ false, gapMs, downMs, leaders, 1 });
       }
+      schedules.push_back({ true, gapMs, 0, leaders, 1 });
     }
   }
   return schedules;
--- a/Tests/Control/MembershipRepairTest.cxx
+++ b/Tests/Control/MembershipRepairTest.cxx
@@ -121,6 +121,45 @@
   CHECK_FALSE(m_repair.IsResponsive(At(5000), 6));
 }
 
+TEST(MembershipRepair, AVoterIsLostOnceAnotherMemberRunsAtItsAddress)
+{
+  auto group = MakeGroup(5, 1);
+  for (const std::size_t index : { 2, 5 }) {
+    group.members[index]->address = "10.0.0.3";
+    group.members[index]->port = 7000;
+  }
+  m_repair.Start(At(0));
+  RecordMessages(100, 5, 0);
+  CHECK_FALSE(m_repair.NeedsVoter(At(200), group, kSelf));
+  m_repair.RecordMessage(At(200), 6);
+  CHECK(m_repair.NeedsVoter(At(200), group, kSelf));
+  CHECK_EQUAL(0U, FirstToRemove(At(200), group, kSelf));
+  group.members[5]->voter = true;
+  CHECK_EQUAL(3U, FirstToRemove(At(200), group, kSelf));
+  STRCMP_EQUAL("silent for 100 ms, and another member runs at its address",
+               m_repair.DescribeLoss(At(200), group, 3, kSelf).c_str());
+  // The one that was heard last is the one that runs.
+  m_repair.RecordMessage(At(300), 3);
+  CHECK_EQUAL(6U, FirstToRemove(At(300), group, kSelf));
+}
+
+TEST(MembershipRepair, AFormerIdentityOfTheLeaderIsLost)
+{
+  auto group = MakeGroup(6);
+  group.members[0]->address = "10.0.0.1";
+  group.members[3]->address = "10.0.0.1";
+  m_repair.Start(At(0));
+  CHECK_EQUAL(4U, FirstToRemove(At(0), group, kSelf));
+}
+
+TEST(MembershipRepair, IsCompleteWithTheTargetOfVotersAndNobodyElse)
+{
+  CHECK(m_repair.IsComplete(MakeGroup(5)));
+  CHECK_FALSE(m_repair.IsComplete(MakeGroup(5, 1)));
+  CHECK_FALSE(m_repair.IsComplete(MakeGroup(6)));
+  CHECK_FALSE(m_repair.IsComplete(MakeGroup(4)));
+}
+
 TEST(MembershipRepair, WithoutATargetOperatorsChangeMembers)
 {
   MembershipRepair repair({ 0, std::chrono::seconds(3) });
