Control: Count a new member's silence from its addition

Callers would see the same as with a voter that is replaced too late: no configuration and no_lease for good, after one more loss.

Cause: the silence of a member that had sent nothing yet was counted from the start of the leader's term.

Change: a member's silence counts from when the leader first saw it as a member.

--- a/Source/Control/MembershipRepair.cxx
+++ b/Source/Control/MembershipRepair.cxx
@@ -29,6 +29,19 @@
 {
   m_startedAt = aNow;
   m_lastMessageAt.clear();
+  m_memberSince.clear();
+}
+
+void
+MembershipRepair::UpdateMembers(TimePoint aNow,
+                                const consensus::MembershipT& aMembers)
+{
+  std::erase_if(m_memberSince, [&](const auto& aEntry) {
+    return FindMember(aMembers, aEntry.first) == nullptr;
+  });
+  for (const auto& member : aMembers.members) {
+    m_memberSince.try_emplace(member->replica, aNow);
+  }
 }
 
 void
@@ -40,9 +53,13 @@
 Duration
 MembershipRepair::TimeSinceMessage(TimePoint aNow, std::uint64_t aReplica) const
 {
-  const auto lastMessage = m_lastMessageAt.find(aReplica);
-  return aNow - (lastMessage == m_lastMessageAt.end() ? m_startedAt
-                                                      : lastMessage->second);
+  TimePoint since = m_startedAt;
+  for (const auto* times : { &m_memberSince, &m_lastMessageAt }) {
+    if (const auto found = times->find(aReplica); found != times->end()) {
+      since = std::max(since, found->second);
+    }
+  }
+  return aNow - since;
 }
 
 std::string
--- a/Source/Control/MembershipRepair.h
+++ b/Source/Control/MembershipRepair.h
@@ -37,6 +37,8 @@
   // Starts a term as leader and forgets all recorded messages. The time without
   // a message is measured from aNow.
   void Start(TimePoint aNow);
+  // Records the current members. The silence of a new one counts from here.
+  void UpdateMembers(TimePoint aNow, const consensus::MembershipT& aMembers);
   // Records a message received from this replica.
   void RecordMessage(TimePoint aNow, std::uint64_t aReplica);
 
@@ -69,6 +71,8 @@
   std::vector<std::uint64_t> ListHeard(TimePoint aNow, Duration aWithin) const;
 
 private:
+  // Returns the time without a message from this replica since it became a
+  // member in this term.
   Duration TimeSinceMessage(TimePoint aNow, std::uint64_t aReplica) const;
   bool IsUnresponsive(TimePoint aNow, const consensus::MemberT& aMember) const;
   // Returns whether another member has taken over the member's address.
@@ -84,6 +88,8 @@
   const MembershipRepairOptions m_options;
   TimePoint m_startedAt{};
   std::unordered_map<std::uint64_t, TimePoint> m_lastMessageAt;
+  // When each member was first seen in this term.
+  std::unordered_map<std::uint64_t, TimePoint> m_memberSince;
 };
 
 } // namespace parsleycove
--- a/Source/Control/ReplicaNodeGroup.cxx
+++ b/Source/Control/ReplicaNodeGroup.cxx
@@ -282,8 +282,11 @@
 void
 ReplicaNode::ContinueRepair()
 {
-  if (m_leads && !m_repair.IsComplete(m_core->Log().Members())) {
-    RepairMembership(BootClock::now());
+  const consensus::MembershipT& members = m_core->Log().Members();
+  const TimePoint now = BootClock::now();
+  m_repair.UpdateMembers(now, members);
+  if (m_leads && !m_repair.IsComplete(members)) {
+    RepairMembership(now);
   }
 }
 
--- a/Tests/Control/MembershipModel.cxx
+++ b/Tests/Control/MembershipModel.cxx
@@ -133,6 +133,7 @@
     vm.m_ledTerm = term;
     vm.m_repair.Start(m_cluster.Now());
   }
+  vm.m_repair.UpdateMembers(m_cluster.Now(), replica.Members());
   vm.m_client->Step(m_cluster.Now());
 }
 
--- a/Tests/Control/MembershipModelNetwork.cxx
+++ b/Tests/Control/MembershipModelNetwork.cxx
@@ -10,6 +10,12 @@
 
 namespace parsleycove::test {
 
+namespace {
+
+constexpr Duration kLinkSetupTime = std::chrono::milliseconds(300);
+
+} // namespace
+
 bool
 MembershipModel::HasReturned() const
 {
@@ -186,6 +192,9 @@
     reply.text = replica.LastReason().m_text;
     return Deliver(aFromVm, std::move(reply));
   }
+  // The links to a new member open after its addition.
+  m_cluster.At(aSelf.replica).m_inboundCutUntil =
+    m_cluster.Now() + kLinkSetupTime;
   m_vms[aFromVm].m_addition = Addition{ at, m_vms[at].m_id, term, *index };
   return std::nullopt;
 }
--- a/Tests/Control/MembershipRepairTest.cxx
+++ b/Tests/Control/MembershipRepairTest.cxx
@@ -143,6 +143,23 @@
   CHECK_EQUAL(6U, FirstToRemove(At(300), group, kSelf));
 }
 
+TEST(MembershipRepair, ANewMemberIsNotSilentBeforeItsAddition)
+{
+  auto group = MakeGroup(5, 1);
+  for (const std::size_t index : { 2, 5 }) {
+    group.members[index]->address = "10.0.0.3";
+    group.members[index]->port = 7000;
+  }
+  m_repair.Start(At(0));
+  m_repair.UpdateMembers(At(0), MakeGroup(5));
+  RecordMessages(19000, 5, 0);
+  m_repair.UpdateMembers(At(20000), group);
+  CHECK_EQUAL(0U, FirstToRemove(At(20001), group, kSelf));
+  RecordMessages(28999, 5, 3);
+  CHECK_EQUAL(0U, FirstToRemove(At(28999), group, kSelf));
+  CHECK_EQUAL(6U, FirstToRemove(At(29000), group, kSelf));
+}
+
 TEST(MembershipRepair, AFormerIdentityOfTheLeaderIsLost)
 {
   auto group = MakeGroup(6);
