--- a/Source/Control/ReplicaNodeGroup.cxx
+++ b/Source/Control/ReplicaNodeGroup.cxx
@@ -328,8 +328,11 @@
   std::vector<std::uint64_t> heard = m_repair.ListHeard(aNow, kHeardWithinMs);
   heard.push_back(m_options.m_replica);
   m_gauges.m_votersHeard = m_report.CountVotersAmong(heard);
+  // A replica that was never added knows no voters; GroupMembershipClient logs
+  // for it.
   const bool isLate = log.Leader() == 0 && since != TimePoint::max() &&
-                      aNow - since >= kLeaderlessLineMs;
+                      aNow - since >= kLeaderlessLineMs &&
+                      m_report.CountVoters() != 0;
   if (m_leaderlessLine.IsDue(aNow, isLate ? "no leader" : "")) {
     Log(ControlLogLevel::Warning,
         m_report.DescribeWithoutLeader(aNow - since, log.Term(), heard));
