Control: Show the loss of a group in one availability zone (known red)

The rule of the zones refuses a membership in which one zone has a majority. Founders know each other by address only, so a group in one zone starts all the same; as its disks are lost in turn and the zones become known, the rule refuses the removal of a lost voter. The lost voter keeps its vote, and the next loss ends the group: MembershipReturn DisksInTurnInOneZone has no leader after the third loss with a target of 3.

TestCluster and MembershipModel take the zones.

--- a/Tests/Consensus/TestCluster.cxx
+++ b/Tests/Consensus/TestCluster.cxx
@@ -20,8 +20,6 @@
 constexpr Duration kDelay = milliseconds(40);
 constexpr std::size_t kChunkBytes = 16;
 
-const char* const kZones[] = { "a", "b", "c" };
-
 bool
 IsEqual(const consensus::EntryT& aLeft, const consensus::EntryT& aRight)
 {
@@ -33,14 +31,15 @@
 
 TestCluster::TestCluster(std::size_t aCount,
                          std::uint64_t aSeed,
-                         const ReplicaOptions& aOptions)
+                         const ReplicaOptions& aOptions,
+                         const std::vector<std::string>& aZones)
   : m_seed(aSeed)
   , m_options(aOptions)
 {
   consensus::MembershipT members;
   for (std::size_t i = 0; i < aCount; ++i) {
     const std::uint64_t id = m_nextId++;
-    m_nodes[id].m_zone = kZones[i % 3];
+    m_nodes[id].m_zone = aZones[i % aZones.size()];
     members.members.push_back(std::make_unique<consensus::MemberT>());
     members.members.back()->replica = id;
     members.members.back()->zone = m_nodes[id].m_zone;
--- a/Tests/Consensus/TestCluster.h
+++ b/Tests/Consensus/TestCluster.h
@@ -56,10 +56,12 @@
 class TestCluster
 {
 public:
-  // Identity, cluster, seed and snapshots of aOptions are replaced.
+  // Identity, cluster, seed and snapshots of aOptions are replaced. The members
+  // are spread over aZones in turn.
   TestCluster(std::size_t aCount,
               std::uint64_t aSeed,
-              const ReplicaOptions& aOptions = {});
+              const ReplicaOptions& aOptions = {},
+              const std::vector<std::string>& aZones = { "a", "b", "c" });
 
   void Plan(std::vector<PlannedFault> aFaults) { m_plan = std::move(aFaults); }
   std::uint64_t Deliveries() const { return m_deliveries; }
--- a/Tests/Control/MembershipModel.cxx
+++ b/Tests/Control/MembershipModel.cxx
@@ -20,18 +20,21 @@
 constexpr Duration kValueInterval = milliseconds(500);
 constexpr Duration kReturnTime = seconds(10);
 constexpr Duration kMemberTimeout = seconds(1);
-const char* const kZones[] = { "a", "b", "c" };
+using Names = std::vector<std::string>;
+
+const Names kZones{ "a", "b", "c" };
 
 } // namespace
 
 MembershipModel::MembershipModel(std::size_t aTarget,
                                  std::uint64_t aSeed,
-                                 const ReplicaOptions& aOptions)
+                                 const ReplicaOptions& aOptions,
+                                 bool aOneZone)
   : m_target(aTarget)
-  , m_cluster(aTarget, aSeed, aOptions)
+  , m_cluster(aTarget, aSeed, aOptions, aOneZone ? Names{ "" } : kZones)
 {
   for (std::size_t i = 0; i < aTarget; ++i) {
-    AddVm(i + 1, kZones[i % std::size(kZones)]);
+    AddVm(i + 1, kZones[aOneZone ? 0 : i % kZones.size()]);
     m_seeds.push_back(m_vms.back().m_address);
   }
   for (std::size_t i = 0; i < aTarget; ++i) {
--- a/Tests/Control/MembershipModel.h
+++ b/Tests/Control/MembershipModel.h
@@ -21,10 +21,12 @@
 class MembershipModel final : public ModelNetwork
 {
 public:
-  // Starts a group of aTarget VMs in three availability zones.
+  // Starts a group of aTarget VMs in three availability zones, or in one zone
+  // that the founders do not know of each other.
   MembershipModel(std::size_t aTarget,
                   std::uint64_t aSeed,
-                  const ReplicaOptions& aOptions = {});
+                  const ReplicaOptions& aOptions = {},
+                  bool aOneZone = false);
 
   void Run(Duration aFor);
 
--- a/Tests/Control/MembershipModelTest.cxx
+++ b/Tests/Control/MembershipModelTest.cxx
@@ -487,6 +487,18 @@
   CheckAll(PlayDisksInTurn(), &Outcome::m_returned);
 }
 
+TEST(MembershipReturn, DisksInTurnInOneZone)
+{
+  for (const std::size_t target : { 3, 5 }) {
+    MembershipModel model(target, 1, ControlVmOptions(), true);
+    for (std::size_t vm = 0; vm < target; ++vm) {
+      model.LoseDisk(vm, milliseconds(500));
+      model.Run(milliseconds(500 + kCatchUpMs));
+      CHECK_TEXT(model.HasReturned(), model.Describe().c_str());
+    }
+  }
+}
+
 TEST(MembershipSafety, DiskAndPower)
 {
   CheckAll(PlayDiskAndPower(), &Outcome::m_kept);
