Control: Remove a voter whose disk is lost before one that is silent

Callers saw: nothing; found by reading the repair.

Cause: with one voter more than the target, lost voters were removed in the order of their identities. A voter that is cut off or frozen for a second, with its disk, could lose its vote while one whose disk is lost kept its own. The silent voter then has to be added, promoted, and the lost one removed, until the group tolerates its losses again.

Evidence: MembershipRepair ASilentVoterIsNotRemovedBeforeOneWhoseDiskIsLost fails without the change.

Change: members whose address another member has taken over are removed first.

Measured: the test passes, as do ControlTests (38, the known red one not run), ControlPartsTests (44) and MembershipModelTests (8, the known red one not run).

--- a/Source/Control/MembershipRepair.cxx
+++ b/Source/Control/MembershipRepair.cxx
@@ -185,6 +185,12 @@
       replicas.push_back(member->replica);
     }
   }
+  // A voter that is only silent may still hold its disk and come back.
+  std::stable_partition(
+    replicas.begin(), replicas.end(), [&](std::uint64_t aReplica) {
+      return IsSuperseded(
+        aNow, aMembers, *FindMember(aMembers, aReplica), aSelf);
+    });
   return replicas;
 }
 
--- a/Source/Control/MembershipRepair.h
+++ b/Source/Control/MembershipRepair.h
@@ -49,8 +49,9 @@
   bool NeedsVoter(TimePoint aNow,
                   const consensus::MembershipT& aMembers,
                   std::uint64_t aSelf) const;
-  // Returns the members that may be removed, in the order of preference. One of
-  // them is removed at a time.
+  // Returns the members that may be removed, in the order of preference: first
+  // those whose address another member has taken over. One of them is removed
+  // at a time.
   std::vector<std::uint64_t> ListMembersToRemove(
     TimePoint aNow,
     const consensus::MembershipT& aMembers,
--- a/Tests/Control/MembershipRepairTest.cxx
+++ b/Tests/Control/MembershipRepairTest.cxx
@@ -160,6 +160,19 @@
   CHECK_EQUAL(6U, FirstToRemove(At(29000), group, kSelf));
 }
 
+TEST(MembershipRepair, ASilentVoterIsNotRemovedBeforeOneWhoseDiskIsLost)
+{
+  auto group = MakeGroup(6);
+  group.members[2]->address = "10.0.0.3";
+  group.members[5]->address = "10.0.0.3";
+  m_repair.Start(At(0));
+  for (const std::uint64_t replica : { 4, 5, 6 }) {
+    m_repair.RecordMessage(At(3000), replica);
+  }
+  const auto replicas = m_repair.ListMembersToRemove(At(3000), group, kSelf);
+  CHECK(replicas == std::vector<std::uint64_t>({ 3, 2 }));
+}
+
 TEST(MembershipRepair, AFormerIdentityOfTheLeaderIsLost)
 {
   auto group = MakeGroup(6);
