--- a/Source/Consensus/RaftLog.cxx
+++ b/Source/Consensus/RaftLog.cxx
@@ -143,12 +143,21 @@
 }
 
 void
-RaftLog::Compact(std::uint64_t aIndex, std::uint64_t aTailEntries)
+RaftLog::Compact(std::uint64_t aIndex,
+                 std::uint64_t aTailEntries,
+                 std::uint64_t aTailBytes)
 {
   m_snapshotIndex = std::max(m_snapshotIndex, aIndex);
-  const std::uint64_t base =
-    m_snapshotIndex > aTailEntries ? m_snapshotIndex - aTailEntries : 0;
-  if (base <= m_baseIndex) {
+  std::uint64_t base = m_snapshotIndex;
+  std::uint64_t bytes = 0;
+  while (base > m_baseIndex && m_snapshotIndex - base < aTailEntries) {
+    bytes += At(base).data.size();
+    if (bytes > aTailBytes) {
+      break;
+    }
+    --base;
+  }
+  if (base == m_baseIndex) {
     return;
   }
   m_baseTerm = *TermAt(base);
--- a/Source/Consensus/RaftLog.h
+++ b/Source/Consensus/RaftLog.h
@@ -58,8 +58,10 @@
   std::vector<consensus::EntryT> TakeCommitted();
 
   // Discards the entries up to the index of a stored snapshot, except for the
-  // last aTailEntries.
-  void Compact(std::uint64_t aIndex, std::uint64_t aTailEntries);
+  // last ones, at most aTailEntries with at most aTailBytes of data.
+  void Compact(std::uint64_t aIndex,
+               std::uint64_t aTailEntries,
+               std::uint64_t aTailBytes);
   // Replaces the log by an empty one that starts after an installed snapshot.
   void Reset(std::uint64_t aIndex, std::uint64_t aTerm);
 
--- a/Source/Consensus/Replica.cxx
+++ b/Source/Consensus/Replica.cxx
@@ -178,7 +178,11 @@
   if (aMeta.index > state.m_log.AppliedIndex()) {
     return;
   }
-  state.m_log.Compact(aMeta.index, state.m_options.m_compactionTailEntries);
+  const ReplicaOptions& options = state.m_options;
+  state.m_log.Compact(
+    aMeta.index,
+    options.m_compactionTailEntries,
+    std::max<std::uint64_t>(aMeta.size, options.m_maxAppendBytes));
   state.m_members.Compact(state.m_log.BaseIndex());
 }
 
--- a/Source/Consensus/Replica.h
+++ b/Source/Consensus/Replica.h
@@ -48,8 +48,9 @@
   std::size_t m_maxAppendBytes = 256UL * 1024;
   std::size_t m_maxInflightAppends = 16;
   std::size_t m_snapshotChunkBytes = 256UL * 1024;
-  // Number of entries before a snapshot's index that stay in memory, for
-  // members that lag behind.
+  // Largest number of entries before a snapshot's index that stay in memory,
+  // for members that lag behind. Their data is no larger than the snapshot,
+  // which is sent instead where that is less, or than m_maxAppendBytes.
   std::uint64_t m_compactionTailEntries = 1024;
   // A ReadIndex request that was not confirmed fails after this time.
   Duration m_readTimeout = std::chrono::seconds(2);
@@ -173,9 +174,9 @@
   // Tells the replica that the caller has synced the data of the last Ready
   // that needed a sync.
   void Persisted(TimePoint aNow);
-  // Discards the log up to the index of a stored snapshot, except for the last
-  // m_compactionTailEntries entries, which slow members may need. Does nothing
-  // for an index that is not applied yet.
+  // Discards the log up to the index of a stored snapshot of aMeta.size bytes,
+  // except for the tail that slow members may need. Does nothing for an index
+  // that is not applied yet.
   void Compact(const consensus::SnapshotMetaT& aMeta);
   // Returns index, term and membership for a snapshot of the state at an
   // applied index, or std::nullopt if the log does not hold the index or the
--- a/Tests/Consensus/ReplicaSafetyTest.cxx
+++ b/Tests/Consensus/ReplicaSafetyTest.cxx
@@ -1,6 +1,7 @@
 // Guards against single violations of Raft's safety rules: commits of entries
 // of older terms, reads without confirmation, votes that must be denied,
-// membership changes at the wrong time, data that counts before its sync. Each
+// membership changes at the wrong time, data that counts before its sync; and
+// against logs and messages that are bounded in number but not in bytes. Each
 // test brings about one such case.
 #include "TestCluster.h"
 
@@ -150,6 +151,75 @@
   return probe;
 }
 
+constexpr std::size_t kLargeEntryBytes = 100'000;
+constexpr std::uint64_t kLargeEntries = 60;
+
+// Returns the options of replica 1, with the product's limits of the log.
+ReplicaOptions
+MakeProductOptions(const TestCluster& aCluster)
+{
+  ReplicaOptions options = aCluster.Options(1);
+  const ReplicaOptions defaults;
+  options.m_compactionTailEntries = defaults.m_compactionTailEntries;
+  options.m_snapshotChunkBytes = defaults.m_snapshotChunkBytes;
+  return options;
+}
+
+// Returns a log with kLargeEntries large entries after the membership.
+RestoredLog
+MakeLargeLog(TestCluster& aCluster)
+{
+  RestoredLog log = aCluster.At(1).m_disk.Restore();
+  for (std::uint64_t i = 0; i < kLargeEntries; ++i) {
+    consensus::EntryT entry;
+    entry.index = log.m_entries.back().index + 1;
+    entry.term = log.m_entries.back().term;
+    entry.kind = consensus::EntryKind::Command;
+    entry.data.resize(kLargeEntryBytes);
+    log.m_entries.push_back(std::move(entry));
+  }
+  return log;
+}
+
+// A leader of three voters that has committed large entries and then stored a
+// snapshot of the size of one of them.
+struct CompactedLeader
+{
+  explicit CompactedLeader(TestCluster& aCluster)
+    : m_replica(MakeProductOptions(aCluster),
+                MakeLargeLog(aCluster),
+                aCluster.Now())
+    , m_now(Elect(m_replica, aCluster.Now()))
+  {
+    m_replica.Step(m_now, MakeAppendReply(m_replica, m_replica.LastIndex(), 1));
+    Flush(m_replica, m_now);
+    auto meta = m_replica.DescribeSnapshot(m_replica.CommitIndex());
+    meta->size = kLargeEntryBytes;
+    m_replica.Compact(*meta);
+    m_snapshot = meta->index;
+  }
+
+  Replica m_replica;
+  TimePoint m_now;
+  std::uint64_t m_snapshot = 0;
+};
+
+// Returns the bytes of the entries in m_earlyMessages to a replica.
+std::size_t
+CountAppendedBytes(const Ready& aReady, std::uint64_t aTo)
+{
+  std::size_t bytes = 0;
+  for (const auto& message : aReady.m_earlyMessages) {
+    const auto* append = message.body.AsAppend();
+    for (std::size_t i = 0;
+         append && message.to == aTo && i < append->entries.size();
+         ++i) {
+      bytes += append->entries[i]->data.size();
+    }
+  }
+  return bytes;
+}
+
 consensus::ReadIndexT
 MakeRead(std::uint64_t aId)
 {
@@ -478,3 +548,57 @@
   leader.Persisted(cluster.Now());
   CHECK_EQUAL(last, leader.CommitIndex());
 }
+
+TEST(ReplicaSafety, LearnerTakesTheSnapshotAndNotALongerHistory)
+{
+  constexpr std::uint64_t kLearner = 9;
+  TestCluster cluster(3, 1);
+  CompactedLeader leader(cluster);
+  Replica& replica = leader.m_replica;
+  auto joined = replica.Members();
+  joined.members.push_back(std::make_unique<consensus::MemberT>());
+  joined.members.back()->replica = kLearner;
+  joined.members.back()->zone = cluster.At(1).m_zone;
+  CHECK(replica.ProposeMembership(leader.m_now, joined).has_value());
+  Flush(replica, leader.m_now);
+  consensus::AppendReplyT empty;
+  empty.term = replica.Term();
+  replica.Step(leader.m_now, MakeMessage(kLearner, 1, empty));
+  Ready ready = replica.TakeReady();
+  CHECK_EQUAL(0, CountAppendedBytes(ready, kLearner));
+  CHECK_EQUAL(1, ready.m_chunkRequests.size());
+  CHECK_EQUAL(leader.m_snapshot, ready.m_chunkRequests.front().m_index);
+  consensus::InstallSnapshotReplyT installed;
+  installed.term = replica.Term();
+  installed.index = leader.m_snapshot;
+  installed.done = true;
+  replica.Step(leader.m_now, MakeMessage(kLearner, 1, installed));
+  ready = replica.TakeReady();
+  CHECK(CountAppendedBytes(ready, kLearner) < kLargeEntryBytes);
+  CHECK_EQUAL(0, ready.m_chunkRequests.size());
+}
+
+TEST(ReplicaSafety, MemberThatLacksOneEntryTakesNoSnapshot)
+{
+  TestCluster cluster(3, 1);
+  CompactedLeader leader(cluster);
+  consensus::AppendReplyT behind;
+  behind.term = leader.m_replica.Term();
+  behind.hint_index = leader.m_snapshot - 2;
+  leader.m_replica.Step(leader.m_now, MakeMessage(3, 1, behind));
+  const Ready ready = leader.m_replica.TakeReady();
+  CHECK_EQUAL(kLargeEntryBytes, CountAppendedBytes(ready, 3));
+  CHECK_EQUAL(0, ready.m_chunkRequests.size());
+}
+
+TEST(ReplicaSafety, EntriesBeforeASnapshotAreLimitedInBytes)
+{
+  TestCluster cluster(3, 1);
+  const CompactedLeader leader(cluster);
+  std::size_t bytes = 0;
+  for (std::uint64_t index = 2; index < leader.m_snapshot; ++index) {
+    const bool held = leader.m_replica.DescribeSnapshot(index - 1).has_value();
+    bytes += held ? kLargeEntryBytes : 0;
+  }
+  CHECK_COMPARE(bytes, <=, MakeProductOptions(cluster).m_maxAppendBytes);
+}
