Consensus: Limit unanswered appends in bytes

Cause: a member could have 16 unanswered appends, whatever their size. An entry that is larger than an append is sent whole, so that 16 configurations of 1 MB were queued for each member that answers late.

Change: besides, no further entries are sent while appends with 4 MiB of data are unanswered, which is what 16 appends of the usual size have.

--- a/Source/Consensus/LeaderRole.cxx
+++ b/Source/Consensus/LeaderRole.cxx
@@ -233,7 +233,7 @@
   consensus::AppendT heartbeat;
   heartbeat.term = m_state.m_hard.term;
   heartbeat.probe = ++m_probe;
-  aProgress.RecordSent(m_probe, aNow, false);
+  aProgress.RecordSent(m_probe, aNow, 0, 0);
   m_state.SendImmediately(aProgress.m_replica, std::move(heartbeat));
   m_snapshots.RetryIfLate(aNow, aProgress);
 }
@@ -258,11 +258,14 @@
     return false;
   }
   consensus::AppendT append;
+  const ReplicaOptions& options = m_state.m_options;
   const bool full =
-    aProgress.CountInflight() >= m_state.m_options.m_maxInflightAppends;
+    aProgress.CountInflight() >= options.m_maxInflightAppends ||
+    aProgress.CountInflightBytes() >= options.m_maxInflightBytes;
+  std::size_t bytes = 0;
   if (!full) {
-    for (auto& entry :
-         log.Slice(aProgress.m_next, m_state.m_options.m_maxAppendBytes)) {
+    for (auto& entry : log.Slice(aProgress.m_next, options.m_maxAppendBytes)) {
+      bytes += entry.data.size();
       append.entries.push_back(
         std::make_unique<consensus::EntryT>(std::move(entry)));
     }
@@ -277,7 +280,7 @@
   append.previous_term = *previousTerm;
   append.commit = log.CommitIndex();
   append.probe = ++m_probe;
-  aProgress.RecordSent(m_probe, aNow, count > 0);
+  aProgress.RecordSent(m_probe, aNow, count, bytes);
   aProgress.m_sentCommit = log.CommitIndex();
   if (aProgress.m_state == ProgressState::Replicate) {
     aProgress.m_next += count;
--- a/Source/Consensus/Progress.cxx
+++ b/Source/Consensus/Progress.cxx
@@ -11,13 +11,17 @@
 } // namespace
 
 void
-Progress::RecordSent(std::uint64_t aProbe, TimePoint aNow, bool aWithEntries)
+Progress::RecordSent(std::uint64_t aProbe,
+                     TimePoint aNow,
+                     std::size_t aEntries,
+                     std::size_t aBytes)
 {
   if (m_sent.size() == kMaxUnanswered) {
     PopSent();
   }
-  m_sent.push_back({ aProbe, aNow, aWithEntries });
-  m_inflight += aWithEntries ? 1 : 0;
+  m_sent.push_back({ aProbe, aNow, aEntries > 0, aBytes });
+  m_inflight += aEntries > 0 ? 1 : 0;
+  m_inflightBytes += aBytes;
 }
 
 void
@@ -36,6 +40,7 @@
 Progress::PopSent()
 {
   m_inflight -= m_sent.front().m_withEntries ? 1 : 0;
+  m_inflightBytes -= m_sent.front().m_bytes;
   m_sent.pop_front();
 }
 
--- a/Source/Consensus/Progress.h
+++ b/Source/Consensus/Progress.h
@@ -24,13 +24,19 @@
   {
   }
 
-  // Records that an append or heartbeat was sent.
-  void RecordSent(std::uint64_t aProbe, TimePoint aNow, bool aWithEntries);
+  // Records that an append with this many entries, or a heartbeat, was sent.
+  // aBytes: size of the entries' data.
+  void RecordSent(std::uint64_t aProbe,
+                  TimePoint aNow,
+                  std::size_t aEntries,
+                  std::size_t aBytes);
   // Records the answer to a message. Answers may arrive in any order; an answer
   // also ends the wait for the answers to earlier messages.
   void RecordAck(std::uint64_t aProbe);
   // Returns the number of unanswered appends with entries.
   std::size_t CountInflight() const { return m_inflight; }
+  // Returns the size of the data of the unanswered entries.
+  std::size_t CountInflightBytes() const { return m_inflightBytes; }
 
   std::uint64_t m_replica;
   ProgressState m_state = ProgressState::Probe;
@@ -55,12 +61,14 @@
     std::uint64_t m_probe = 0;
     TimePoint m_at{};
     bool m_withEntries = false;
+    std::size_t m_bytes = 0; // of the entries' data
   };
 
   void PopSent();
 
-  std::deque<Sent> m_sent;    // in order of the probe number
-  std::size_t m_inflight = 0; // messages in m_sent that carry entries
+  std::deque<Sent> m_sent;         // in order of the probe number
+  std::size_t m_inflight = 0;      // messages in m_sent that carry entries
+  std::size_t m_inflightBytes = 0; // sum of m_bytes in m_sent
 };
 
 } // namespace parsleycove
--- a/Source/Consensus/Replica.h
+++ b/Source/Consensus/Replica.h
@@ -46,7 +46,10 @@
   // ends before another leader can be elected.
   Duration m_leaderLease = std::chrono::milliseconds(500);
   std::size_t m_maxAppendBytes = 256UL * 1024;
+  // A member is sent no further entries while this many appends, or appends
+  // with this many bytes of data, are unanswered.
   std::size_t m_maxInflightAppends = 16;
+  std::size_t m_maxInflightBytes = 4UL * 1024 * 1024;
   std::size_t m_snapshotChunkBytes = 256UL * 1024;
   // Largest number of entries before a snapshot's index that stay in memory,
   // for members that lag behind. Their data is no larger than the snapshot,
--- a/Tests/Consensus/ReplicaSafetyTest.cxx
+++ b/Tests/Consensus/ReplicaSafetyTest.cxx
@@ -602,3 +602,22 @@
   }
   CHECK_COMPARE(bytes, <=, MakeProductOptions(cluster).m_maxAppendBytes);
 }
+
+TEST(ReplicaSafety, UnansweredAppendsAreLimitedInBytes)
+{
+  constexpr std::size_t kEntryBytes = 1'000'000;
+  TestCluster cluster(3, 1);
+  CompactedLeader leader(cluster);
+  const ReplicaOptions options = MakeProductOptions(cluster);
+  std::size_t bytes = 0;
+  for (int i = 0; i < 40; ++i) {
+    leader.m_replica.Propose(leader.m_now,
+                             std::vector<std::uint8_t>(kEntryBytes));
+    bytes += CountAppendedBytes(leader.m_replica.TakeReady(), 2);
+    leader.m_replica.Persisted(leader.m_now);
+  }
+  const std::size_t limit =
+    options.m_maxInflightAppends * options.m_maxAppendBytes;
+  CHECK_COMPARE(bytes, >, limit / 2);
+  CHECK_COMPARE(bytes, <=, limit + kEntryBytes);
+}
