Store: Hand the restored entries over instead of keeping a copy

Change: the replica takes the restored log from the store. Whether a log is there is asked of the replica.

The test checks that nothing is left in the store; the code before had no such call. The memory of a restarted process was not measured apart from the other changes of the log.

--- a/Source/Control/ReplicaCore.cxx
+++ b/Source/Control/ReplicaCore.cxx
@@ -61,7 +61,7 @@
   : m_options(aOptions)
   , m_listener(aListener)
   , m_store(std::move(aStore))
-  , m_replica(aOptions.m_replica, m_store->Restored(), aNow)
+  , m_replica(aOptions.m_replica, m_store->TakeRestored(), aNow)
 {
 }
 
@@ -92,8 +92,7 @@
 ReplicaCore::BootstrapLog(const consensus::MembershipT& aMembership,
                           ControlServiceReason& aReason)
 {
-  const RestoredLog& restored = m_store->Restored();
-  if (!restored.m_entries.empty() || restored.m_snapshot) {
+  if (m_replica.LastIndex() != 0) {
     return true;
   }
   const ReplicaOptions& own = m_options.m_replica;
--- a/Source/Store/LogStore.cxx
+++ b/Source/Store/LogStore.cxx
@@ -180,6 +180,12 @@
   return m_parts->m_content.m_log;
 }
 
+RestoredLog
+LogStore::TakeRestored()
+{
+  return std::exchange(m_parts->m_content.m_log, {});
+}
+
 bool
 LogStore::MarkBootstrap(std::uint64_t aReplica, std::uint64_t aCluster)
 {
--- a/Source/Store/LogStore.h
+++ b/Source/Store/LogStore.h
@@ -29,7 +29,9 @@
   LogStore(const LogStore&) = delete;
   LogStore& operator=(const LogStore&) = delete;
 
+  // What the folder held when it was opened, until TakeRestored().
   const RestoredLog& Restored() const;
+  RestoredLog TakeRestored();
 
   // Marks a new folder as the one that forms the cluster, durably. Fails on a
   // folder that has an identity already, unless it is this same one and its
--- a/Tests/Store/LogStoreTest.cxx
+++ b/Tests/Store/LogStoreTest.cxx
@@ -125,6 +125,8 @@
   Reopen();
   CHECK_EQUAL(4, m_store->Restored().m_entries.size());
   CHECK_EQUAL(2, m_store->Restored().m_hardState.vote);
+  CHECK_EQUAL(4, m_store->TakeRestored().m_entries.size());
+  CHECK_EQUAL(0, m_store->Restored().m_entries.size());
   CHECK(m_store->ReadSnapshot(m_reason) == state);
   CHECK_EQUAL(300, m_store->ReadSnapshotPiece(700, 500)->size());
 }
