--- a/Source/Control/ReplicaCore.cxx
+++ b/Source/Control/ReplicaCore.cxx
@@ -1,12 +1,22 @@
 // Runs the log, the store and the state machine of one replica.
 #include "Control/ReplicaCore.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "State/CommandCodec.h"
 
 namespace parsleycove {
 
+namespace {
+
+// Growth of the log, in sizes of the state, after which a snapshot is due.
+// Above 1, so that a member is sent a whole snapshot before the next one
+// replaces it.
+constexpr std::uint64_t kLogBytesPerStateByte = 4;
+
+} // namespace
+
 ControlServiceError
 ToServiceError(StoreError aError)
 {
@@ -62,6 +72,7 @@
   , m_listener(aListener)
   , m_store(std::move(aStore))
   , m_replica(aOptions.m_replica, m_store->TakeRestored(), aNow)
+  , m_dueLogBytes(AllowedLogGrowth())
 {
 }
 
@@ -228,7 +239,7 @@
         aSnapshot.m_meta, aSnapshot.m_state, /*aKeepTail=*/false)) {
     return false;
   }
-  m_snapshotIndex = aSnapshot.m_meta.index;
+  RecordSnapshot(aSnapshot.m_meta.index);
   m_applied = m_snapshotIndex;
   m_proposals.FailAll();
   m_replica.SnapshotInstalled(aNow, std::move(aSnapshot.m_meta));
@@ -257,12 +268,33 @@
 }
 
 bool
-ReplicaCore::TakeSnapshotIfDue()
+ReplicaCore::IsSnapshotDue() const
 {
   const std::uint64_t entries = m_applied - m_snapshotIndex;
-  const bool due = entries >= m_options.m_snapshotEntries ||
-                   m_store->LogBytes() >= m_options.m_snapshotBytes;
-  if (!due || entries == 0) {
+  return entries > 0 && (entries >= m_options.m_snapshotEntries ||
+                         m_store->LogBytes() >= m_dueLogBytes);
+}
+
+std::uint64_t
+ReplicaCore::AllowedLogGrowth() const
+{
+  const auto last = m_store->Snapshot();
+  return std::clamp(last ? last->size * kLogBytesPerStateByte : 0,
+                    m_options.m_minSnapshotLogBytes,
+                    m_options.m_maxSnapshotLogBytes);
+}
+
+void
+ReplicaCore::RecordSnapshot(std::uint64_t aIndex)
+{
+  m_snapshotIndex = aIndex;
+  m_dueLogBytes = m_store->LogBytes() + AllowedLogGrowth();
+}
+
+bool
+ReplicaCore::TakeSnapshotIfDue()
+{
+  if (!IsSnapshotDue()) {
     return true;
   }
   const auto meta = m_replica.DescribeSnapshot(m_applied);
@@ -273,7 +305,7 @@
         *meta, m_state.TakeImage(), /*aKeepTail=*/true)) {
     return false;
   }
-  m_snapshotIndex = meta->index;
+  RecordSnapshot(meta->index);
   m_replica.Compact(*m_store->Snapshot());
   return true;
 }
--- a/Source/Control/ReplicaCore.h
+++ b/Source/Control/ReplicaCore.h
@@ -27,9 +27,10 @@
 {
   ReplicaOptions m_replica;
   // A snapshot is written after this many applied entries, or once the log has
-  // this many bytes.
+  // grown by four times the size of the last snapshot, within these bounds.
   std::uint64_t m_snapshotEntries = 20000;
-  std::uint64_t m_snapshotBytes = 64UL * 1024 * 1024;
+  std::uint64_t m_minSnapshotLogBytes = 4UL * 1024 * 1024;
+  std::uint64_t m_maxSnapshotLogBytes = 64UL * 1024 * 1024;
 };
 
 // Receives the messages and events of a ReplicaCore.
@@ -117,6 +118,11 @@
   bool InstallState(TimePoint aNow, ReceivedSnapshot aSnapshot);
   void SendChunk(const SnapshotChunkRequest& aRequest);
   bool TakeSnapshotIfDue();
+  bool IsSnapshotDue() const;
+  // Returns the bytes that the log may grow by before the next snapshot.
+  std::uint64_t AllowedLogGrowth() const;
+  // Records that the store has a snapshot up to this index.
+  void RecordSnapshot(std::uint64_t aIndex);
   bool ReportStoreFailure();
 
   const ReplicaCoreOptions m_options;
@@ -127,6 +133,8 @@
   // Invariant: m_state contains the log up to and including this index.
   std::uint64_t m_applied = 0;
   std::uint64_t m_snapshotIndex = 0;
+  // Size of the stored log, in bytes, at which the next snapshot is due.
+  std::uint64_t m_dueLogBytes = 0;
   bool m_failed = false;
   PendingProposals m_proposals;
   PendingReads m_reads;
--- a/Source/Control/ReplicaNodeOptions.cxx
+++ b/Source/Control/ReplicaNodeOptions.cxx
@@ -47,7 +47,8 @@
   options.m_replica.m_leaderLease = aOptions.m_leaderLease;
   options.m_replica.m_seed = aOptions.m_seed;
   options.m_snapshotEntries = aOptions.m_snapshotEntries;
-  options.m_snapshotBytes = aOptions.m_snapshotBytes;
+  options.m_minSnapshotLogBytes = aOptions.m_minSnapshotLogBytes;
+  options.m_maxSnapshotLogBytes = aOptions.m_maxSnapshotLogBytes;
   return options;
 }
 
--- a/Source/Control/ReplicaServiceOptions.h
+++ b/Source/Control/ReplicaServiceOptions.h
@@ -87,8 +87,10 @@
   std::size_t m_maxFeedQueueBytes = 16UL * 1024 * 1024;
   std::size_t m_maxPeerQueueBytes = 64UL * 1024 * 1024;
   std::size_t m_maxRingBytes = 4UL * 1024 * 1024;
+  // As in ReplicaCoreOptions.
   std::uint64_t m_snapshotEntries = 20000;
-  std::uint64_t m_snapshotBytes = 64UL * 1024 * 1024;
+  std::uint64_t m_minSnapshotLogBytes = 4UL * 1024 * 1024;
+  std::uint64_t m_maxSnapshotLogBytes = 64UL * 1024 * 1024;
   std::uint64_t m_seed = 1;
 
   // Called once, on the replica's thread, when the replica cannot continue, for
--- a/Tests/Control/ReplicaCoreFaultTest.cxx
+++ b/Tests/Control/ReplicaCoreFaultTest.cxx
@@ -1,6 +1,7 @@
 // Tests a replica whose disk fails at one of its operations, for each operation
 // in turn. Guards against the loss of acknowledged proposals after a loss of
 // power.
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <string>
@@ -67,16 +68,40 @@
   return command;
 }
 
+constexpr std::size_t kDocumentBytes = 800'000;
+
+state::CommandT
+MakeDocument(std::uint64_t aVersion)
+{
+  state::PutDocumentT put;
+  put.document = std::make_unique<state::RoutingDocumentT>();
+  put.document->version = aVersion;
+  put.document->text = std::string(kDocumentBytes, 'x');
+  state::CommandT command;
+  command.body.Set(std::move(put));
+  return command;
+}
+
+std::size_t
+CountStoredBytes(MemoryFiles& aFiles)
+{
+  std::size_t bytes = 0;
+  for (const std::string& path : aFiles.Paths()) {
+    bytes += aFiles.Bytes(path).size();
+  }
+  return bytes;
+}
+
 // One run of the replica, from its start to a loss of power.
 class ReplicaRun
 {
 public:
-  explicit ReplicaRun(MemoryFiles& aFiles)
+  explicit ReplicaRun(MemoryFiles& aFiles, std::uint64_t aSnapshotEntries = 4)
   {
     ReplicaCoreOptions options;
     options.m_replica.m_replica = 1;
     options.m_replica.m_cluster = 7;
-    options.m_snapshotEntries = 4;
+    options.m_snapshotEntries = aSnapshotEntries;
     ControlServiceReason reason;
     m_core = ReplicaCore::Open(
       aFiles, "data", options, MakeGroupOfOne(), m_now, m_listener, reason);
@@ -99,12 +124,12 @@
     return false;
   }
 
-  // Proposes a reservation. Returns whether its handler received a result.
-  bool Reserve(int aNumber)
+  // Proposes a command. Returns whether its handler received a result.
+  bool Propose(const state::CommandT& aCommand)
   {
     bool applied = false;
     m_core->Propose(m_now,
-                    MakeReservation(aNumber),
+                    aCommand,
                     [&](const std::optional<state::CommandResultT>& aResult) {
                       applied = aResult.has_value();
                     });
@@ -112,6 +137,16 @@
     return applied;
   }
 
+  // Returns the number of entries that the log holds in memory.
+  std::uint64_t CountHeldEntries() const
+  {
+    std::uint64_t index = m_core->AppliedIndex();
+    while (index > 0 && m_core->Log().DescribeSnapshot(index - 1)) {
+      --index;
+    }
+    return m_core->AppliedIndex() - index;
+  }
+
   TimePoint m_now{ std::chrono::seconds(1000) };
   CountingListener m_listener;
   std::unique_ptr<ReplicaCore> m_core;
@@ -129,7 +164,7 @@
   }
   for (int i = 0; i < kProposals; ++i) {
     const bool failed = run.m_listener.m_fatal != 0;
-    if (run.Reserve(i)) {
+    if (run.Propose(MakeReservation(i))) {
       // No proposal may be acknowledged after the store has failed.
       CHECK_FALSE(failed);
       acknowledged.push_back(i);
@@ -182,3 +217,32 @@
 {
   FailEachOperation(DiskFault::FalseSync);
 }
+
+TEST_GROUP(ReplicaCoreLog){};
+
+TEST(ReplicaCoreLog, HundredsOfLargeDocumentsStayWithinMemoryAndDisk)
+{
+  constexpr std::uint64_t kChanges = 300;
+  // The memory and the disk of a small VM, of which the log takes a part.
+  constexpr std::size_t kMaxHeldBytes = 256'000'000 / 8;
+  constexpr std::size_t kMaxStoredBytes = 128'000'000 / 4;
+  MemoryFiles files;
+  const std::uint64_t entries = ReplicaCoreOptions().m_snapshotEntries;
+  std::size_t held = 0;
+  std::size_t stored = 0;
+  {
+    ReplicaRun run(files, entries);
+    CHECK(run.BecomeLeader());
+    for (std::uint64_t version = 1; version <= kChanges; ++version) {
+      CHECK(run.Propose(MakeDocument(version)));
+      held = std::max(held, run.CountHeldEntries() * kDocumentBytes);
+      stored = std::max(stored, CountStoredBytes(files));
+    }
+  }
+  ReplicaRun again(files, entries);
+  CHECK(again.BecomeLeader());
+  held = std::max(held, again.CountHeldEntries() * kDocumentBytes);
+  CHECK_EQUAL(kChanges, again.m_core->State().Config().document->version);
+  CHECK_COMPARE(held, <=, kMaxHeldBytes);
+  CHECK_COMPARE(stored, <=, kMaxStoredBytes);
+}
