--- a/Source/Forwarding/ForwardSession.cxx
+++ b/Source/Forwarding/ForwardSession.cxx
@@ -232,13 +232,6 @@
     aRequest.m_deadline =
       aRequest.m_arrival +
       aRequest.m_headers.m_timeout.value_or(kDefaultTimeout);
-    // A request accepted while the gateway drains would be cut off at the end
-    // of the stop grace, and would keep the VM up longer than the balancer
-    // sends callers to it.
-    if (m_services.m_drain.Phase(aRequest.m_arrival) == DrainPhase::Draining) {
-      co_await Refuse(aRequest, RefusalCause::Stopping);
-      co_return false;
-    }
     if (m_kind == SessionKind::Gateway) {
       const bool isTaken = co_await TakeOver(aRequest);
       if (!isTaken) {
@@ -247,6 +240,13 @@
     } else {
       co_await WaitForConfiguration(aRequest);
     }
+    // A request sent while the gateway drains may not finish before the end of
+    // the stop grace, and would keep the VM up longer than the balancer sends
+    // callers to it.
+    if (m_services.m_drain.Phase(BootClock::now()) == DrainPhase::Draining) {
+      co_await Refuse(aRequest, RefusalCause::Stopping);
+      co_return false;
+    }
     if (routing.Config() == nullptr) {
       co_await Refuse(aRequest, RefusalCause::NoConfiguration);
       co_return false;
--- a/Tests/Forwarding/ForwardFixture.cxx
+++ b/Tests/Forwarding/ForwardFixture.cxx
@@ -40,6 +40,18 @@
 "limits":{"max-header-bytes":2048,"max-body-bytes":4096},
 "tenants":[{"name":"account-1","api-keys":["k1"]}],)";
 
+// Replaces a value of the configuration wherever the name has it.
+void
+ReplaceValue(std::string& aText, const std::string& aName, int aFrom, int aTo)
+{
+  const std::string old = aName + std::to_string(aFrom) + ',';
+  const std::string value = aName + std::to_string(aTo) + ',';
+  for (auto place = aText.find(old); place != std::string::npos;
+       place = aText.find(old, place + value.size())) {
+    aText.replace(place, old.size(), value);
+  }
+}
+
 } // namespace
 
 ForwardFixture::ForwardFixture()
@@ -66,13 +78,8 @@
   const std::string accounts =
     aAccounts.empty() ? R"({"name":"account-1","api-keys":["k1"]})" : aAccounts;
   std::string text = kConfig;
-  const std::string target = "\"target-latency-ms\":500";
-  for (auto place = text.find(target); place != std::string::npos;
-       place = text.find(target, place + 1)) {
-    text.replace(place,
-                 target.size(),
-                 "\"target-latency-ms\":" + std::to_string(m_streamTargetMs));
-  }
+  ReplaceValue(text, "\"target-latency-ms\":", 500, m_streamTargetMs);
+  ReplaceValue(text, "\"timeout-ms\":", 1000, m_plainTimeoutMs);
   PutDocument(aVersion, text + "\"tenants\":[" + accounts + "],");
 }
 
--- a/Tests/Forwarding/ForwardFixture.h
+++ b/Tests/Forwarding/ForwardFixture.h
@@ -101,6 +101,8 @@
   ForwardOptions m_options;
   // Target time to the first event of the streams that PutConfig configures.
   int m_streamTargetMs = 500;
+  // Time-out of the plain requests that PutConfig configures.
+  int m_plainTimeoutMs = 1000;
   std::unique_ptr<ForwardGateway> m_gateway;
   MetricRegistry m_secondMetrics;
   std::unique_ptr<ForwardGateway> m_secondGateway;
