Forwarding: Send no waiting request once the VM drains

Seen: a request that came before the refusal began, and waited, was still sent to an endpoint after it: late in the stop grace, with a time-out longer than what was left of the grace. A request that waited for a configuration could wait beyond the end of a short grace, and was read whole and never answered.

Cause: the phase of the stop was looked at once, when a request arrived.

Looked at for the same cause: streams that wait for a path or their turn, plain requests between their attempts, the wait for a configuration, requests whose body ends after the refusal began, idle kept connections. The last two were right; their tests stay as the proof.

Change: before each attempt, a request that no endpoint can have executed is refused with `stopping` once the VM drains. The wait for a configuration ends then, too.

--- a/Source/Forwarding/ForwardSession.cxx
+++ b/Source/Forwarding/ForwardSession.cxx
@@ -323,6 +323,9 @@
       const TimePoint now = BootClock::now();
       routing.Refresh(now);
       const bool isReady = routing.Config() != nullptr && routing.HasLease(now);
+      if (m_services.m_drain.Phase(now) == DrainPhase::Draining) {
+        co_return;
+      }
       // A VM that has had no lease for longer is likely to stay without one for
       // some time.
       const TimePoint until =
--- a/Source/Forwarding/ForwardedRequest.cxx
+++ b/Source/Forwarding/ForwardedRequest.cxx
@@ -221,6 +221,17 @@
   return parts;
 }
 
+std::optional<RefusalCause>
+ForwardedRequest::CauseNotToSend(bool aMayHaveRun) const
+{
+  const bool isDraining =
+    m_services.m_drain.Phase(BootClock::now()) == DrainPhase::Draining;
+  if (isDraining && !aMayHaveRun) {
+    return RefusalCause::Stopping;
+  }
+  return IsOutOfTime() ? std::optional(RefusalCause::OutOfTime) : std::nullopt;
+}
+
 std::string_view
 NameOfEnd(CallEnd aEnd)
 {
--- a/Source/Forwarding/ForwardedRequest.h
+++ b/Source/Forwarding/ForwardedRequest.h
@@ -84,6 +84,10 @@
   std::vector<std::string_view> Parts() const;
   Duration TimeLeft() const { return m_deadline - BootClock::now(); }
   bool IsOutOfTime() const { return TimeLeft() <= Duration::zero(); }
+  // Returns why the request may not be sent now; std::nullopt if it may.
+  // aMayHaveRun: an endpoint may have executed the request already, so that it
+  // cannot be refused any more.
+  std::optional<RefusalCause> CauseNotToSend(bool aMayHaveRun) const;
 };
 
 // Returns the header of the request that is sent to an endpoint, or to the VM
--- a/Source/Forwarding/PlainForwarder.cxx
+++ b/Source/Forwarding/PlainForwarder.cxx
@@ -68,8 +68,9 @@
         m_request.m_end = RequestEnd::CallerGone;
         co_return;
       }
-      if (m_request.IsOutOfTime()) {
-        co_await End(RefusalCause::OutOfTime);
+      if (const auto cause =
+            m_request.CauseNotToSend(m_possibleExecutions != 0)) {
+        co_await End(*cause);
         co_return;
       }
       // GCC 12 destroys a conditional temporary of a co_await expression twice.
--- a/Source/Forwarding/StreamForwarder.cxx
+++ b/Source/Forwarding/StreamForwarder.cxx
@@ -93,8 +93,9 @@
       m_request.m_end = RequestEnd::CallerGone;
       co_return;
     }
-    if (m_request.IsOutOfTime()) {
-      co_await GiveUp(RefusalCause::OutOfTime);
+    if (const auto cause =
+          m_request.CauseNotToSend(m_possibleExecutions != 0)) {
+      co_await GiveUp(*cause);
       co_return;
     }
     if (!m_hasSentHeader && !m_isTrial && !MustPassOn(m_request)) {
--- a/Tests/Forwarding/StoppingGatewayTest.cxx
+++ b/Tests/Forwarding/StoppingGatewayTest.cxx
@@ -16,6 +16,7 @@
 constexpr int kLongMs = 20'000;
 // Loop runs after which bytes on loopback connections have arrived.
 constexpr int kSettleRuns = 50;
+constexpr std::size_t kBodyBytes = 100;
 
 std::vector<StubStep>
 AnswerOk(const HttpRequest& aRequest)
@@ -37,6 +38,21 @@
                             : AnswerOk(aRequest);
 }
 
+std::vector<StubStep>
+BeginStream(const HttpRequest& aRequest)
+{
+  return StreamPart(aRequest, Hang());
+}
+
+void
+CheckIsRefusedForTheStop(const std::string& aAnswer)
+{
+  CHECK_EQUAL(503, StatusOf(aAnswer));
+  CHECK(RetryAfterOf(aAnswer) > 0);
+  STRCMP_CONTAINS("Connection: close", aAnswer.c_str());
+  STRCMP_CONTAINS("this VM is about to end", aAnswer.c_str());
+}
+
 } // namespace
 
 // clang-format off
@@ -54,14 +70,14 @@
   void teardown() override { m_fixture.reset(); }
 
   // Starts the gateway with a plain endpoint that never answers and an engine
-  // that never answers either.
+  // whose streams begin and never end.
   void Start()
   {
     m_fixture->PutConfig();
     m_plain = &m_fixture->AddPlainEndpoint();
     m_plain->SetScript(NeverAnswer);
     m_engine = &m_fixture->AddEngine(0, 4);
-    m_engine->SetScript(WithEngineState(NeverAnswer));
+    m_engine->SetScript(WithEngineState(BeginStream));
     m_fixture->Start();
   }
   // Starts a gateway whose links to the endpoints are cut, and a second one
@@ -139,3 +155,60 @@
   CHECK_EQUAL(503, StatusOf(answer));
   CHECK_EQUAL(asked, AttemptsAt(*m_plain));
 }
+
+TEST(StoppingGateway, AStreamThatWaitsForAPathWhenTheRefusalBeginsIsNotSent)
+{
+  m_fixture->PutConfig();
+  m_fixture->AddEngine(0, 2).SetScript(WithEngineState(StreamAll));
+  m_fixture->Start();
+  const auto caller = Send("POST", "/stream/x");
+  Settle();
+  m_fixture->m_gateway->BeginStop();
+  RunUntilRefusing();
+  m_fixture->AddEngine(2, 4).SetScript(WithEngineState(StreamAll));
+  CHECK(m_fixture->RunUntil([&] { return caller->IsClosed(); }));
+  CheckIsRefusedForTheStop(caller->Received());
+}
+
+TEST(StoppingGateway, ARequestThatWaitsForAConfigurationIsRefused)
+{
+  m_fixture->m_options.m_stopGrace = std::chrono::seconds(1);
+  m_fixture->Start();
+  const auto caller = Send("POST", "/unsafe/x");
+  Settle();
+  Stop();
+  CheckIsRefusedForTheStop(caller->Received());
+}
+
+TEST(StoppingGateway, ARequestWhoseBodyEndsAfterTheRefusalBeganIsNotSent)
+{
+  m_fixture->m_options.m_stopGrace = std::chrono::seconds(20);
+  Start();
+  // Keeps the gateway up.
+  const auto longer = Send("POST", "/once/x");
+  RunUntilAsked(*m_engine);
+  const auto caller = m_fixture->Connect();
+  const std::string request =
+    MakeRequest("POST", "/unsafe/x", "", std::string(kBodyBytes, 'b'));
+  caller->Send(request.substr(0, request.size() - kBodyBytes / 2));
+  Settle();
+  m_fixture->m_gateway->BeginStop();
+  RunUntilRefusing();
+  CHECK_FALSE(caller->IsClosed());
+  caller->Send(request.substr(request.size() - kBodyBytes / 2));
+  CHECK(m_fixture->RunUntil([&] { return caller->IsClosed(); }));
+  CheckIsRefusedForTheStop(caller->Received());
+  CHECK_EQUAL(0U, m_plain->Requests().size());
+}
+
+TEST(StoppingGateway, AKeptConnectionIsServedAndThenClosedUnread)
+{
+  Start();
+  m_plain->SetScript(AnswerOk);
+  const auto idle = Send("POST", "/unsafe/x");
+  CHECK(m_fixture->RunUntil([&] { return StatusOf(idle->Received()) == 200; }));
+  const std::string before = idle->Received();
+  m_fixture->m_gateway->BeginStop();
+  CHECK(m_fixture->RunUntil([&] { return idle->IsClosed(); }));
+  STRCMP_EQUAL(before.c_str(), idle->Received().c_str());
+}
