Forwarding: Answer what still runs before the stop grace ends

Seen: in a planned stop of an entry VM, requests that outlast the stop grace ended with a closed connection and no answer when the process ended, among them requests that may not be repeated.

Cause: the process ended 400 ms before the end of the grace, whatever was in progress; nothing ended the requests. Requests taken after SIGTERM went to endpoints with their whole time-out, however little of the grace was left.

Ruled out: SIGTERM twice (ProcessFrame passes the first one on only); SIGHUP (SettingsWatch adds seeds and changes nothing else); both by reading.

Change: a stop has a deadline for its work, 600 ms before the end of the grace, or a sixth of a short grace. It limits the deadline of each request, so that an endpoint is told of it, and ends the calls that were sent earlier: 504 where no answer has begun; a stream that has begun ends without its last chunk. The process ends 200 ms later, or at once when nothing is in progress.

A stream with three events: connection open, and closed without the last chunk.

--- a/Source/Base/DrainState.cxx
+++ b/Source/Base/DrainState.cxx
@@ -21,6 +21,15 @@
   return inGrace ? DrainPhase::TurningAway : DrainPhase::Draining;
 }
 
+TimePoint
+DrainState::WorkDeadline() const
+{
+  const Duration::rep begunAt = m_begunAt;
+  return begunAt == 0 || m_workLimit == Duration::max()
+           ? TimePoint::max()
+           : TimePoint(Duration(begunAt)) + m_workLimit;
+}
+
 bool
 DrainState::IsFinished(TimePoint aNow) const
 {
--- a/Source/Base/DrainState.h
+++ b/Source/Base/DrainState.h
@@ -24,13 +24,18 @@
 class DrainState
 {
 public:
-  explicit DrainState(Duration aGrace)
+  // aWorkLimit: all work ends this long after the stop begins; Duration::max()
+  // if the process is not killed.
+  explicit DrainState(Duration aGrace, Duration aWorkLimit = Duration::max())
     : m_grace(aGrace)
+    , m_workLimit(aWorkLimit)
   {
   }
 
   void Begin(TimePoint aNow);
   DrainPhase Phase(TimePoint aNow) const;
+  // Returns when all work has to end; TimePoint::max() before a stop begins.
+  TimePoint WorkDeadline() const;
 
   // Work in progress: requests that run something.
   void Enter() { ++m_active; }
@@ -41,6 +46,7 @@
 
 private:
   const Duration m_grace;
+  const Duration m_workLimit;
   // Time since the clock's epoch at which the stop began; 0: not yet.
   std::atomic<Duration::rep> m_begunAt{ 0 };
   std::atomic<std::uint64_t> m_active{ 0 };
--- a/Source/Forwarding/DeadlineMonitor.cxx
+++ b/Source/Forwarding/DeadlineMonitor.cxx
@@ -22,6 +22,14 @@
   }
 }
 
+void
+DeadlineMonitor::LimitDeadlines(TimePoint aLatest)
+{
+  for (MonitoredWait& wait : m_waits) {
+    wait.LimitDeadline(aLatest);
+  }
+}
+
 void
 DeadlineMonitor::SetObserver(std::function<void(TimePoint)> aObserver)
 {
--- a/Source/Forwarding/DeadlineMonitor.h
+++ b/Source/Forwarding/DeadlineMonitor.h
@@ -1,6 +1,7 @@
 // Ends waits whose deadline has passed.
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <functional>
 
@@ -22,6 +23,11 @@
   // Called at every check after Deadline(). Must not destroy any monitored
   // wait.
   virtual void OnDeadline(TimePoint aNow) = 0;
+  // Brings the end of the wait forward to aLatest, if it is later.
+  virtual void LimitDeadline(TimePoint aLatest)
+  {
+    m_deadline = std::min(m_deadline, aLatest);
+  }
 
   TimePoint Deadline() const { return m_deadline; }
   void SetDeadline(TimePoint aDeadline) { m_deadline = aDeadline; }
@@ -40,6 +46,8 @@
   DeadlineMonitor(boost::asio::io_context& aContext, Duration aInterval);
 
   void Add(MonitoredWait& aWait);
+  // Limits the deadlines of the waits that were added before.
+  void LimitDeadlines(TimePoint aLatest);
   // Sets a function that runs at every check, before overdue waits are
   // notified.
   void SetObserver(std::function<void(TimePoint)> aObserver);
--- a/Source/Forwarding/EndpointCall.cxx
+++ b/Source/Forwarding/EndpointCall.cxx
@@ -145,6 +145,13 @@
   }
 }
 
+void
+EndpointCall::LimitDeadline(TimePoint aLatest)
+{
+  MonitoredWait::LimitDeadline(aLatest);
+  m_finalDeadline = std::min(m_finalDeadline, aLatest);
+}
+
 asio::awaitable<bool>
 EndpointCall::Connect(Duration aTimeout)
 {
--- a/Source/Forwarding/EndpointCall.h
+++ b/Source/Forwarding/EndpointCall.h
@@ -106,6 +106,7 @@
   // request may move to another endpoint, and aborted after aDeadline.
   void SetDeadlines(TimePoint aMoveAfter, TimePoint aDeadline);
   void OnDeadline(TimePoint aNow) override;
+  void LimitDeadline(TimePoint aLatest) override;
 
   // Returns true once the header of an answer was read whole.
   bool HasAnswerHeader() const
--- a/Source/Forwarding/ForwardGateway.cxx
+++ b/Source/Forwarding/ForwardGateway.cxx
@@ -28,7 +28,25 @@
 // A new version of the configuration comes into force at the next request or
 // the next maintenance run.
 constexpr Duration kMaintenanceInterval = std::chrono::milliseconds(150);
-constexpr Duration kStopMargin = std::chrono::milliseconds(400);
+// At the end of the stop grace, for the end of the process and before that for
+// the last answers; at most these shares of the grace.
+constexpr Duration kEndMargin = std::chrono::milliseconds(400);
+constexpr Duration kLastAnswersTime = std::chrono::milliseconds(200);
+constexpr int kMarginDivisor = 12;
+
+Duration
+LastAnswersTime(const ForwardOptions& aOptions)
+{
+  return std::min(kLastAnswersTime, aOptions.m_stopGrace / kMarginDivisor);
+}
+
+// Returns how long after the begin of a stop all requests are ended.
+Duration
+WorkLimit(const ForwardOptions& aOptions)
+{
+  return aOptions.m_stopGrace - LastAnswersTime(aOptions) -
+         std::min(kEndMargin, aOptions.m_stopGrace / kMarginDivisor);
+}
 
 } // namespace
 
@@ -47,7 +65,7 @@
     , m_callDeadlines(aContext, kCallCheckInterval)
     , m_callerDeadlines(aContext, kCallerCheckInterval)
     , m_failureDetector(aContext, aDialect, aLog)
-    , m_drain(m_options.m_drainGrace)
+    , m_drain(m_options.m_drainGrace, WorkLimit(m_options))
     , m_metrics(aMetrics)
     , m_unread(aMetrics)
     , m_receiveBudget(
@@ -87,6 +105,7 @@
         [this](const HttpRequest&) { return AnswerReadiness(); },
         kSmallRequests)
     , m_maintenanceTimer(aContext)
+    , m_workTimer(aContext)
   {
     m_failureDetector.Attach(m_routing,
                              m_metrics,
@@ -128,6 +147,18 @@
     co_await RunForwardSession(m_services, caller, aKind);
   }
 
+  // Ends what is still in progress shortly before the process ends.
+  void EndWorkLater()
+  {
+    m_workTimer.expires_after(m_drain.WorkDeadline() - BootClock::now());
+    m_workTimer.async_wait([this](const beast::error_code& aError) {
+      if (!aError) {
+        m_workEndedAt = BootClock::now();
+        m_callDeadlines.LimitDeadlines(m_workEndedAt);
+      }
+    });
+  }
+
   void RunMaintenance()
   {
     const TimePoint now = BootClock::now();
@@ -175,8 +206,10 @@
   AcceptLoop m_takeover;
   HttpService m_readiness;
   asio::steady_timer m_maintenanceTimer;
+  asio::steady_timer m_workTimer;
   std::vector<std::weak_ptr<CallerConnection>> m_callers;
-  TimePoint m_stopBegunAt{};
+  // TimePoint::max() until the requests in progress were ended.
+  TimePoint m_workEndedAt = TimePoint::max();
 };
 
 ForwardGateway::ForwardGateway(asio::io_context& aContext,
@@ -233,8 +266,8 @@
 void
 ForwardGateway::BeginStop()
 {
-  m_parts->m_stopBegunAt = BootClock::now();
-  m_parts->m_drain.Begin(m_parts->m_stopBegunAt);
+  m_parts->m_drain.Begin(BootClock::now());
+  m_parts->EndWorkLater();
   m_parts->m_reach.AnnounceStopping();
 }
 
@@ -247,7 +280,7 @@
   }
   const bool isIdle = parts.m_drain.Active() == 0;
   const bool isGraceOver =
-    aNow - parts.m_stopBegunAt > parts.m_options.m_stopGrace - kStopMargin;
+    aNow - parts.m_workEndedAt > LastAnswersTime(parts.m_options);
   return isIdle || isGraceOver;
 }
 
--- a/Source/Forwarding/ForwardGateway.h
+++ b/Source/Forwarding/ForwardGateway.h
@@ -35,7 +35,8 @@
   std::uint16_t Port() const;
 
   // Makes the gateway report that it is not ready. Requests in progress
-  // continue to their end.
+  // continue to their end, but not beyond the stop grace: shortly before that
+  // they are answered with a failure, and streams end as incomplete.
   void BeginStop();
   // Returns true once the gateway drains and either no request is in progress
   // or the stop grace is almost over.
--- a/Source/Forwarding/ForwardedRequest.h
+++ b/Source/Forwarding/ForwardedRequest.h
@@ -1,6 +1,7 @@
 // State and answers of one attempt of a caller, from its arrival to its end.
 #pragma once
 
+#include <algorithm>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -82,7 +83,13 @@
   // Returns what may crash endpoints: the parts of the prompt that other
   // requests may have, too, and the request as a whole.
   std::vector<std::string_view> Parts() const;
-  Duration TimeLeft() const { return m_deadline - BootClock::now(); }
+  // Returns when the request has to be answered: at its own deadline or when
+  // this VM ends its work, whichever is first.
+  TimePoint Deadline() const
+  {
+    return std::min(m_deadline, m_services.m_drain.WorkDeadline());
+  }
+  Duration TimeLeft() const { return Deadline() - BootClock::now(); }
   bool IsOutOfTime() const { return TimeLeft() <= Duration::zero(); }
   // Returns why the request may not be sent now; std::nullopt if it may.
   // aMayHaveRun: an endpoint may have executed the request already, so that it
--- a/Source/Forwarding/PlainForwarder.cxx
+++ b/Source/Forwarding/PlainForwarder.cxx
@@ -200,7 +200,7 @@
     ++m_request.m_attempts;
     ++m_possibleExecutions;
     m_hasRetryClaim = false;
-    call->SetDeadlines(ChooseMoveTime(aRunner), m_request.m_deadline);
+    call->SetDeadlines(ChooseMoveTime(aRunner), m_request.Deadline());
     call->SetMoveClaim([this, aRunner] { return ClaimMove(aRunner); });
     m_body.clear();
     if (m_silentCalls.HasAnswered()) {
@@ -298,7 +298,7 @@
       co_return ForwardOutcome::Failed;
     }
     m_request.m_lastEndpoint = call->Target()->m_id;
-    call->SetDeadline(m_request.m_deadline);
+    call->SetDeadline(m_request.Deadline());
     co_return co_await FollowCall(call, call->SentAt());
   }
 
@@ -322,7 +322,7 @@
     }
     // The answer is complete, so the request moves no more.
     aCall.SetMoveClaim(nullptr);
-    aCall.SetDeadlines(m_request.m_deadline, m_request.m_deadline);
+    aCall.SetDeadlines(m_request.Deadline(), m_request.Deadline());
     const EndpointCall::Header& answer = aCall.Answer();
     const unsigned status = answer.result_int();
     const AnswerHeaders headers =
--- a/Source/Forwarding/StreamAttempt.cxx
+++ b/Source/Forwarding/StreamAttempt.cxx
@@ -79,7 +79,7 @@
   ++m_request.m_attempts;
   ++m_possibleExecutions;
   m_hasRetryClaim = false;
-  call->SetDeadline(m_request.m_deadline);
+  call->SetDeadline(m_request.Deadline());
   call->SetFirstEventTarget(m_request.m_route->m_target);
   if (!first->m_isGateway) {
     m_firstRunners.Add(first);
--- a/Tests/Forwarding/StoppingGatewayTest.cxx
+++ b/Tests/Forwarding/StoppingGatewayTest.cxx
@@ -141,6 +141,82 @@
 };
 // clang-format on
 
+TEST(StoppingGateway, ARequestThatOutlastsTheGraceIsAnswered)
+{
+  Start();
+  const auto caller = Send("POST", "/unsafe/x");
+  RunUntilAsked(*m_plain);
+  Stop();
+  CHECK_EQUAL(504, StatusOf(caller->Received()));
+  CHECK(caller->IsClosed());
+}
+
+TEST(StoppingGateway, ASafeRequestThatOutlastsTheGraceIsAnswered)
+{
+  Start();
+  StubEndpoint& other = m_fixture->AddPlainEndpoint();
+  other.SetScript(NeverAnswer);
+  const auto caller = Send("GET", "/safe/x");
+  CHECK(m_fixture->RunUntil(
+    [&] { return AttemptsAt(*m_plain) * AttemptsAt(other) != 0; }));
+  Stop();
+  CHECK_EQUAL(504, StatusOf(caller->Received()));
+}
+
+TEST(StoppingGateway, ARequestTakenWhileItTurnsAwayIsAnswered)
+{
+  m_fixture->m_options.m_drainGrace = std::chrono::milliseconds(500);
+  Start();
+  m_fixture->m_gateway->BeginStop();
+  const auto caller = Send("POST", "/unsafe/x");
+  RunUntilAsked(*m_plain);
+  RunUntilStopped(*m_fixture->m_gateway);
+  CHECK_EQUAL(504, StatusOf(caller->Received()));
+  // The endpoint is told how long the VM can wait for its answer.
+  CHECK(std::stoi(std::string(m_plain->Requests()[0]["Deadline-Ms"])) < 2000);
+}
+
+TEST(StoppingGateway, AStreamThatHasNotBegunIsAnswered)
+{
+  Start();
+  m_engine->SetScript(WithEngineState(NeverAnswer));
+  const auto caller = Send("POST", "/once/x");
+  RunUntilAsked(*m_engine);
+  Stop();
+  CHECK_EQUAL(504, StatusOf(caller->Received()));
+}
+
+TEST(StoppingGateway, AStreamThatOutlastsTheGraceEndsAsIncomplete)
+{
+  Start();
+  const auto caller = Send("POST", "/stream/x");
+  CHECK(m_fixture->RunUntil(
+    [&] { return EventsOf(caller->Received()).size() == 3; }));
+  Stop();
+  CHECK(caller->IsClosed());
+  CHECK_EQUAL(200, StatusOf(caller->Received()));
+  CHECK_FALSE(IsComplete(caller->Received()));
+}
+
+TEST(StoppingGateway, ARequestThatAHelperTookOverIsAnsweredWhereTheHelperStops)
+{
+  StartCutOff();
+  const auto caller = Send("POST", "/unsafe/x");
+  RunUntilAsked(*m_plain);
+  m_fixture->m_secondGateway->BeginStop();
+  RunUntilStopped(*m_fixture->m_secondGateway);
+  CHECK_EQUAL(504, StatusOf(caller->Received()));
+}
+
+TEST(StoppingGateway, ARequestThatAHelperTookOverIsAnsweredWhereItsVmStops)
+{
+  StartCutOff();
+  const auto caller = Send("POST", "/unsafe/x");
+  RunUntilAsked(*m_plain);
+  Stop();
+  CHECK_EQUAL(504, StatusOf(caller->Received()));
+}
+
 TEST(StoppingGateway, AHelpersRefusalPromisesThatTheRequestHasNotRun)
 {
   StartCutOff();
--- a/Tests/Gateway/DrainStateTest.cxx
+++ b/Tests/Gateway/DrainStateTest.cxx
@@ -42,3 +42,14 @@
   m_state.Begin(kStart + kGrace);
   CHECK(m_state.Phase(kStart + kGrace) == DrainPhase::Draining);
 }
+
+TEST(DrainState, WorkEndsAtItsLimitAfterTheStopBegan)
+{
+  DrainState limited(kGrace, 2 * kGrace);
+  CHECK(limited.WorkDeadline() == TimePoint::max());
+  limited.Begin(kStart);
+  limited.Begin(kStart + kGrace);
+  CHECK(limited.WorkDeadline() == kStart + 2 * kGrace);
+  m_state.Begin(kStart);
+  CHECK(m_state.WorkDeadline() == TimePoint::max());
+}
