Forwarding: Turn away for half of the stop grace at most

Seen: with a stop grace shorter than the time of turning away (3 s unless set), an entry VM took requests until it was killed, refused none, and cut all that was in progress.

Cause: the two settings were used apart. The end of the grace was looked at only once the time of turning away was over.

Change: an entry VM turns away for drain-grace-ms, but not longer than half of stop-grace-ms. With the settings' defaults, 3 s and 8 s, nothing changes.

--- a/Source/Daemon/SettingTable.cxx
+++ b/Source/Daemon/SettingTable.cxx
@@ -120,7 +120,8 @@
     "PARSLEYCOVE_DRAIN_GRACE_MS",
     "3000",
     "0 to 600000 milliseconds, such as 2500 or 2.5s",
-    "how long a stopping VM still serves callers that the balancer sends" },
+    "how long a stopping VM still serves callers that the balancer sends; "
+    "role entry: at most half of stop-grace-ms" },
   { SettingId::Role,
     "role",
     "PARSLEYCOVE_ROLE",
--- a/Source/Forwarding/ForwardGateway.cxx
+++ b/Source/Forwarding/ForwardGateway.cxx
@@ -33,6 +33,8 @@
 constexpr Duration kEndMargin = std::chrono::milliseconds(400);
 constexpr Duration kLastAnswersTime = std::chrono::milliseconds(200);
 constexpr int kMarginDivisor = 12;
+// At least half of the stop grace is left for the requests that were taken.
+constexpr int kDrainGraceDivisor = 2;
 
 Duration
 LastAnswersTime(const ForwardOptions& aOptions)
@@ -65,7 +67,9 @@
     , m_callDeadlines(aContext, kCallCheckInterval)
     , m_callerDeadlines(aContext, kCallerCheckInterval)
     , m_failureDetector(aContext, aDialect, aLog)
-    , m_drain(m_options.m_drainGrace, WorkLimit(m_options))
+    , m_drain(std::min(m_options.m_drainGrace,
+                       m_options.m_stopGrace / kDrainGraceDivisor),
+              WorkLimit(m_options))
     , m_metrics(aMetrics)
     , m_unread(aMetrics)
     , m_receiveBudget(
--- a/Tests/Forwarding/StoppingGatewayTest.cxx
+++ b/Tests/Forwarding/StoppingGatewayTest.cxx
@@ -288,3 +288,17 @@
   CHECK(m_fixture->RunUntil([&] { return idle->IsClosed(); }));
   STRCMP_EQUAL(before.c_str(), idle->Received().c_str());
 }
+
+TEST(StoppingGateway, AGraceShorterThanTheTimeOfTurningAwayIsKept)
+{
+  m_fixture->m_options.m_drainGrace = std::chrono::seconds(60);
+  Start();
+  const auto caller = Send("POST", "/unsafe/x");
+  RunUntilAsked(*m_plain);
+  const TimePoint begunAt = BootClock::now();
+  m_fixture->m_gateway->BeginStop();
+  RunUntilRefusing();
+  CHECK(BootClock::now() - begunAt < m_fixture->m_options.m_stopGrace);
+  RunUntilStopped(*m_fixture->m_gateway);
+  CHECK_EQUAL(504, StatusOf(caller->Received()));
+}
