Wire: Refuse answers whose head is malformed, in all readers

Callers saw: an endpoint's status 000 was passed on as an answer, as were 099, 600, 999 and 101; a line of the head that begins with a blank or a tab was passed on inside the field before it, and if it was the length, the body ended elsewhere.

Cause: the HTTP library takes any three digits as a status, joins a line that begins with a blank to the field before it, and takes a transfer coding that it does not know as none (with "gzip, chunked" as chunked). It also adds trailers to the fields of the head, and an interim answer (1xx) is a complete answer to it. Other names that are no tokens, control bytes in values, and lengths that contradict each other were refused before.

Change: one parser, AnswerParser, reads all answers: of requests, of probes, orders and services, and of the command line. It refuses statuses beyond 100 to 599, 101, folded fields, and any transfer coding but chunked in HTTP/1.1. Trailers are checked in the same way and are no fields of the head. Interim answers are skipped: in requests as long as all heads stay within the limit of one, elsewhere 16 of them. A refused answer ends the call as broken, so the request may have run.

--- a/Source/Ctl/HttpTransport.cxx
+++ b/Source/Ctl/HttpTransport.cxx
@@ -13,10 +13,11 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "Wire/AnswerParser.h"
+
 namespace parsleycove {
 
 namespace {
@@ -25,6 +26,7 @@
 namespace http = boost::beast::http;
 
 constexpr std::chrono::milliseconds kConnectTimeout(2000);
+constexpr std::size_t kMaxAnswerBytes = 8ULL * 1024 * 1024;
 
 using Request = http::request<http::string_body>;
 using Response = http::response<http::string_body>;
@@ -73,11 +75,14 @@
     co_return;
   }
   boost::beast::flat_buffer buffer;
-  const auto [readError, readBytes] =
-    co_await http::async_read(stream, buffer, aExchange.m_response, use);
+  std::optional<StringAnswerParser> parser;
+  const auto readError =
+    co_await ReadAnswer(stream, buffer, parser, kMaxAnswerBytes);
   if (readError) {
     aExchange.m_reason.Set(TransportError::AnswerLost, readError.message());
+    co_return;
   }
+  aExchange.m_response = parser->release();
 }
 
 } // namespace
--- a/Source/Forwarding/EndpointCall.cxx
+++ b/Source/Forwarding/EndpointCall.cxx
@@ -191,6 +191,7 @@
   m_sent = true;
   m_sentAt = BootClock::now();
   m_progressAt = m_sentAt;
+  m_headerBytes = 0;
   StartParser();
   const std::array<asio::const_buffer, 2> buffers{ asio::buffer(m_header),
                                                    asio::buffer(m_body) };
@@ -206,7 +207,6 @@
 EndpointCall::StartParser()
 {
   m_parser.emplace();
-  m_headerBytes = 0;
   m_parser->header_limit(kMaxHeaderBytes);
   m_parser->body_limit(boost::none);
   m_parser->eager(false);
@@ -253,6 +253,17 @@
 
 asio::awaitable<bool>
 EndpointCall::ReadHeader()
+{
+  bool isRead = co_await ReadNextHeader();
+  while (isRead && m_parser->IsInterim()) {
+    StartParser();
+    isRead = co_await ReadNextHeader();
+  }
+  co_return isRead;
+}
+
+asio::awaitable<bool>
+EndpointCall::ReadNextHeader()
 {
   beast::flat_buffer& buffer = m_connection->m_buffer;
   while (!m_parser->is_header_done()) {
@@ -336,6 +347,7 @@
 bool
 EndpointCall::SkipAnswer()
 {
+  m_headerBytes = 0;
   StartParser();
   return true;
 }
--- a/Source/Forwarding/EndpointCall.h
+++ b/Source/Forwarding/EndpointCall.h
@@ -9,12 +9,12 @@
 
 #include <boost/asio/cancellation_signal.hpp>
 #include <boost/beast/http/buffer_body.hpp>
-#include <boost/beast/http/parser.hpp>
 
 #include "Forwarding/ConnectionPool.h"
 #include "Forwarding/DeadlineMonitor.h"
 #include "Forwarding/EndpointConnection.h"
 #include "Routing/PathSelector.h"
+#include "Wire/AnswerParser.h"
 
 namespace parsleycove {
 
@@ -77,7 +77,7 @@
   // Sends without waiting: an endpoint may answer before it has read the whole
   // request.
   void Send(std::string aHeader, std::string_view aBody);
-  // Reads up to the end of the answer's header. Returns false if the call
+  // Reads up to the end of the final answer's header. Returns false if the call
   // ended.
   asio::awaitable<bool> ReadHeader();
   // Appends the next bytes of the body. Returns false at the end of the answer:
@@ -159,9 +159,10 @@
   bool ClaimMove() const { return m_moveClaim && m_moveClaim(); }
 
 private:
-  using Parser = http::response_parser<http::buffer_body>;
+  using Parser = AnswerParser<http::buffer_body>;
 
   void StartParser();
+  asio::awaitable<bool> ReadNextHeader();
   asio::awaitable<bool> ReadMore();
   bool Fail(CallEnd aWhy);
 
@@ -176,7 +177,8 @@
   // Null after the connection was returned to the pool.
   EndpointConnectionPtr m_connection;
   std::optional<Parser> m_parser;
-  // Bytes of the current answer's header that the parser has taken.
+  // Bytes of the headers of the current answer, and of the interim answers
+  // before it, that the parser has taken.
   std::size_t m_headerBytes = 0;
   std::string m_header;
   std::string_view m_body;
--- a/Source/Forwarding/EndpointClient.cxx
+++ b/Source/Forwarding/EndpointClient.cxx
@@ -6,10 +6,10 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "Wire/AnswerParser.h"
+
 namespace parsleycove {
 
 namespace {
@@ -156,10 +156,9 @@
                             " failed: " + sendError.message());
   }
   beast::flat_buffer buffer(kMaxBufferedBytes);
-  http::response_parser<http::string_body> parser;
-  parser.body_limit(kMaxAnswerBytes);
-  const auto [readError, received] =
-    co_await http::async_read(*aConnection, buffer, parser, kAwait);
+  std::optional<StringAnswerParser> parser;
+  const beast::error_code readError =
+    co_await ReadAnswer(*aConnection, buffer, parser, kMaxAnswerBytes);
   if (readError == beast::error::timeout) {
     m_idle.erase(aAddress);
     CallResult failure =
@@ -173,7 +172,7 @@
                             " broke: " + readError.message());
   }
   CallResult result;
-  result.m_response = parser.release();
+  result.m_response = parser->release();
   // Bytes left over would be taken for the next call's answer or lost.
   if (result.m_response->keep_alive() && buffer.size() == 0) {
     AddIdle(aAddress, std::move(aConnection));
--- /dev/null
+++ b/Source/Wire/FieldCheck.h
@@ -0,0 +1,23 @@
+// Checks header fields for what the HTTP library lets pass.
+#pragma once
+
+#include <string_view>
+
+#include <boost/beast/http/field.hpp>
+
+#include "Wire/Http.h"
+
+namespace parsleycove {
+
+// Returns an error for a field whose value is folded over several lines, since
+// a line that begins with a blank may as well be a field with a blank in its
+// name, and for a transfer coding other than chunked in HTTP/1.1. aName and
+// aValue must refer to the bytes that the parser was given; aVersion is 10 or
+// 11.
+beast::error_code
+CheckField(unsigned aVersion,
+           http::field aField,
+           std::string_view aName,
+           std::string_view aValue);
+
+} // namespace parsleycove
--- a/Tests/Ctl/HttpTransportTest.cxx
+++ b/Tests/Ctl/HttpTransportTest.cxx
@@ -1,6 +1,8 @@
 // Tests of the calls to gateways against an HTTP server in this process.
 #include <thread>
 
+#include <boost/asio/write.hpp>
+
 #include "Ctl/HttpTransport.h"
 #include "Fakes/HttpServer.h"
 
@@ -65,6 +67,35 @@
   STRCMP_EQUAL("Bearer secret|body", answer->m_body.c_str());
 }
 
+TEST(HttpTransport, AMalformedAnswerIsLost)
+{
+  using boost::asio::ip::tcp;
+  for (const char* head : { "HTTP/1.1 000 OK\r\n",
+                            "HTTP/1.1 200 OK\r\nX-A: b\r\n ",
+                            "HTTP/1.1 200 OK\r\nX A: b\r\n" }) {
+    tcp::acceptor acceptor(m_context,
+                           { boost::asio::ip::make_address("127.0.0.1"), 0 });
+    std::thread server([&] {
+      tcp::socket socket = acceptor.accept();
+      boost::asio::write(
+        socket,
+        boost::asio::buffer(std::string(head) + "Content-Length: 0\r\n\r\n"));
+      char byte = 0;
+      boost::system::error_code ended;
+      while (!ended) {
+        socket.read_some(boost::asio::buffer(&byte, 1), ended);
+      }
+    });
+    const auto answer =
+      m_transport.Send({ "127.0.0.1", acceptor.local_endpoint().port() },
+                       { HttpMethod::Post, "/x", "body" },
+                       m_reason);
+    server.join();
+    CHECK_FALSE_TEXT(answer.has_value(), head);
+    CHECK_TRUE(m_reason.m_code == TransportError::AnswerLost);
+  }
+}
+
 TEST(HttpTransport, TellsALostAnswerFromARefusedConnection)
 {
   boost::json::object switches;
--- a/Tests/Forwarding/EndpointClientTest.cxx
+++ b/Tests/Forwarding/EndpointClientTest.cxx
@@ -89,6 +89,30 @@
   CheckBroken(kChunkedHead + "0\r\n", "X-A: b\r\n");
 }
 
+TEST(EndpointClient, AMalformedHeadBreaksTheCall)
+{
+  const std::string end = "Content-Length: 2\r\n\r\n{}";
+  for (const std::string& head : { "HTTP/1.1 000 OK\r\n" + end,
+                                   "HTTP/1.1 101 OK\r\n" + end,
+                                   "HTTP/1.1 200 OK\r\nX-A: b\r\n " + end,
+                                   "HTTP/1.1 200 OK\r\nX A: b\r\n" + end,
+                                   std::string("HTTP/1.1 200 OK\r\nX-A: b") }) {
+    const CallResult result = Call({ Send(head), CloseNow() });
+    CHECK_FALSE_TEXT(result.m_response.has_value(), head.c_str());
+    CHECK(result.m_reason.m_code == CallError::Broken);
+  }
+}
+
+TEST(EndpointClient, InterimAnswersAreSkippedButNotWithoutEnd)
+{
+  const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+  const CallResult result = Call({ Send(
+    interim + interim + "HTTP/1.1 404 None\r\nContent-Length: 2\r\n\r\n{}") });
+  CHECK(result.m_response.has_value());
+  CHECK_EQUAL(404, result.m_response->result_int());
+  CheckBroken(interim, interim);
+}
+
 TEST(EndpointClient, AConnectionWithBytesLeftOverIsNotUsedAgain)
 {
   const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
