Forwarding: Refuse requests whose length is hidden in a folded field or coding

Callers saw: a request with a folded Content-Length, or with a transfer coding other than chunked, was served without its body, and the bytes of the body were read as the next request. Trailers of a chunked request became fields of the forwarded request.

What it refuses is answered 400 and the connection is closed. Trailers are checked and dropped.

--- a/Source/Forwarding/BoundedRead.h
+++ b/Source/Forwarding/BoundedRead.h
@@ -13,15 +13,15 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/read_size.hpp>
-#include <boost/beast/http/parser.hpp>
 
 #include "Forwarding/ReadResult.h"
 #include "Forwarding/ReceiveBudget.h"
 #include "Wire/Http.h"
+#include "Wire/StrictParser.h"
 
 namespace parsleycove {
 
-using RequestParser = http::request_parser<http::string_body>;
+using RequestParser = StrictParser<true, http::string_body>;
 
 // Counts what one request holds while it is read.
 class BoundedRead final : public ReceiveBudget::Reader
--- a/Source/Gateway/HttpSession.cxx
+++ b/Source/Gateway/HttpSession.cxx
@@ -6,7 +6,6 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 
 #include "Base/DrainState.h"
@@ -20,6 +19,7 @@
 #include "Gateway/Worker.h"
 #include "Telemetry/Logging.h"
 #include "Telemetry/MetricRegistry.h"
+#include "Wire/StrictParser.h"
 
 namespace parsleycove {
 
@@ -29,7 +29,7 @@
 // A caller that takes nothing for this long is given up.
 constexpr Duration kWriteTimeout = std::chrono::seconds(20);
 
-using Parser = http::request_parser<http::string_body>;
+using Parser = StrictParser<true, http::string_body>;
 
 // Returns the error that a broken request is answered with, or nothing when
 // the connection just ended.
--- a/Tests/Forwarding/BoundedReadTest.cxx
+++ b/Tests/Forwarding/BoundedReadTest.cxx
@@ -50,6 +50,7 @@
     m_fixture->AddPlainEndpoint().SetScript(
       [this](const HttpRequest& aRequest) {
         m_bodies.push_back(aRequest.body());
+        m_lastFields = aRequest.base();
         return std::vector<StubStep>{ Send(
           MakeAnswer(std::string(aRequest["Attempt-Id"]), 200, "done")) };
       });
@@ -58,6 +59,7 @@
   {
     m_fixture.reset();
     m_bodies = {};
+    m_lastFields.clear();
   }
 
   // Sends a chunked request and returns the status of its answer.
@@ -77,6 +79,8 @@
   }
 
   std::vector<std::string> m_bodies;
+  // Header fields of the last request that reached the endpoint.
+  http::fields m_lastFields;
 };
 
 TEST(BoundedRead, TheLargestBodyIsServedInChunksOfAnySize)
@@ -96,6 +100,32 @@
                           std::string(1500, 't') + "\r\n\r\n"));
 }
 
+TEST(BoundedRead, AFieldThatHidesTheBodysLengthIsRefused)
+{
+  m_fixture->Start();
+  for (const char* fields : { "X-A: b\r\n Content-Length: 1\r\n",
+                              "X-A:\r\n\tContent-Length: 1\r\n",
+                              "X A: b\r\n",
+                              "X-A : b\r\n",
+                              "Transfer-Encoding: gzip\r\n",
+                              "Transfer-Encoding: gzip, chunked\r\n",
+                              "Transfer-Encoding: chunked, identity\r\n" }) {
+    auto caller = m_fixture->Connect();
+    caller->Send(MakeRequest("POST", "/unsafe/x", fields) +
+                 MakeRequest("POST", "/unsafe/smuggled"));
+    CHECK(m_fixture->RunUntil([&] { return caller->IsClosed(); }));
+    CHECK_EQUAL_TEXT(400, StatusOf(caller->Received()), fields);
+  }
+  CHECK_EQUAL(0U, m_bodies.size());
+}
+
+TEST(BoundedRead, ATrailerIsNoFieldOfTheForwardedRequest)
+{
+  m_fixture->Start();
+  CHECK_EQUAL(200, SendChunked("1\r\nb\r\n0\r\nX-Late: t\r\n\r\n"));
+  CHECK_EQUAL(0U, m_lastFields.count("X-Late"));
+}
+
 TEST(BoundedRead, EndlessTrailersAreRefused)
 {
   m_fixture->Start();
