Forwarding: Take an answer that was reset during the upload as incomplete

Callers saw: an endpoint answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection. The caller got that part as a complete answer.

Cause: a socket reports a reset only once. The request was still being written, so the write took the error and the read found the end of the file, which completes an answer that ends with its connection. The result of the write only decided whether the connection is kept. The read may also be completed before the write that took the error.

Change: at the end of such an answer the write is stopped and its result awaited; if it had failed, the call is broken. An endpoint that ends its side in order while the request is still being sent has answered completely, as before. One that ends in order and resets afterwards counts as broken if the write fails before the end is read. Answers with a length or in chunks are complete by their own framing; their connections are not kept unless the request was written whole, as before. Clients of probes, orders and operators read only after the request was written.

The test endpoint can answer before it reads the body and end its side; the test caller sends on what its socket does not hold while the test runs.

--- a/Source/Forwarding/EndpointCall.cxx
+++ b/Source/Forwarding/EndpointCall.cxx
@@ -7,6 +7,7 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
@@ -199,7 +200,11 @@
     m_connection->m_socket,
     buffers,
     [self = shared_from_this()](const beast::error_code& aError, std::size_t) {
-      self->m_written = !aError;
+      if (aError == asio::error::operation_aborted) {
+        self->m_sendState = SendState::Stopped;
+      } else {
+        self->m_sendState = aError ? SendState::Failed : SendState::Sent;
+      }
     });
 }
 
@@ -291,6 +296,23 @@
   co_return true;
 }
 
+asio::awaitable<bool>
+EndpointCall::IsOrderlyEnd()
+{
+  if (!m_parser->need_eof()) {
+    co_return true;
+  }
+  // The write may have failed, but not been completed. Nobody needs the rest
+  // of the request any more.
+  while (m_sendState == SendState::Sending) {
+    beast::error_code ignored;
+    m_connection->m_socket.cancel(ignored);
+    co_await asio::post(m_connection->m_socket.get_executor(),
+                        asio::use_awaitable);
+  }
+  co_return m_sendState != SendState::Failed;
+}
+
 asio::awaitable<bool>
 EndpointCall::ReadBody(std::string& aOut)
 {
@@ -321,9 +343,13 @@
       co_return true;
     }
     if (m_atEnd) {
+      const bool isWhole = co_await IsOrderlyEnd();
+      if (m_end != CallEnd::None) {
+        co_return false;
+      }
       beast::error_code error;
       m_parser->put_eof(error);
-      co_return error ? Fail(CallEnd::Broken) : false;
+      co_return error || !isWhole ? Fail(CallEnd::Broken) : false;
     }
     // The parser keeps a chunk's header in the buffer until its end has
     // arrived.
@@ -358,7 +384,7 @@
   ClearDeadline();
   const bool isWhole = m_end == CallEnd::None && m_parser &&
                        m_parser->is_done() && !m_parser->need_eof() &&
-                       !m_atEnd && m_written;
+                       !m_atEnd && m_sendState == SendState::Sent;
   const bool isClean = isWhole && m_connection->m_buffer.size() == 0 &&
                        m_parser->get().keep_alive();
   if (!isClean) {
--- a/Source/Forwarding/EndpointCall.h
+++ b/Source/Forwarding/EndpointCall.h
@@ -159,11 +159,23 @@
   bool ClaimMove() const { return m_moveClaim && m_moveClaim(); }
 
 private:
+  enum class SendState
+  {
+    Sending,
+    Sent,
+    // Ended by this VM.
+    Stopped,
+    Failed,
+  };
   using Parser = AnswerParser<http::buffer_body>;
 
   void StartParser();
   asio::awaitable<bool> ReadNextHeader();
   asio::awaitable<bool> ReadMore();
+  // Returns false if the connection was reset in an answer that ends with its
+  // connection. A socket reports a reset only once: if the write took the
+  // error, the read just finds the end.
+  asio::awaitable<bool> IsOrderlyEnd();
   bool Fail(CallEnd aWhy);
 
   ConnectionPool& m_pool;
@@ -187,7 +199,7 @@
   TimePoint m_sentAt{};
   TimePoint m_progressAt{};
   bool m_sent = false;
-  bool m_written = false;
+  SendState m_sendState = SendState::Sending;
   bool m_isSuspended = false;
   bool m_isNew = false;
   bool m_connectTimedOut = false;
--- a/Tests/Forwarding/AnswerEndTest.cxx
+++ b/Tests/Forwarding/AnswerEndTest.cxx
@@ -10,6 +10,9 @@
 
 namespace {
 
+// More than the sockets of a connection hold.
+constexpr std::size_t kLongBodyBytes = 8UL * 1024 * 1024;
+
 // Returns a head without Content-Length and Transfer-Encoding.
 std::string
 MakeOpenHead(const HttpRequest& aRequest)
@@ -73,6 +76,16 @@
     }
     m_fixture->Start();
   }
+  // Lets the endpoints answer before they read a body, which is so long that
+  // the gateway is still sending it then.
+  void StartBeforeBody(bool aIsStream, const std::vector<StubStep>& aFirst)
+  {
+    m_fixture->m_maxBodyBytes = kLongBodyBytes;
+    Start(aIsStream, aFirst, AnswerOk);
+    for (StubEndpoint* endpoint : m_endpoints) {
+      endpoint->AnswerBeforeBody();
+    }
+  }
   // Bytes are known to have arrived before the reset: a reset discards bytes
   // that the receiver has not read.
   StubStep AwaitEvents(int aCount)
@@ -83,11 +96,12 @@
                static_cast<std::size_t>(aCount);
     });
   }
-  std::string AskStream(const std::string& aPath)
+  std::string AskStream(const std::string& aPath,
+                        const std::string& aBody = "prompt")
   {
     m_caller = m_fixture->Connect();
     m_caller->Send(MakeRequest(
-      "POST", aPath, kStreamHeader + "Connection: close\r\n", "prompt"));
+      "POST", aPath, kStreamHeader + "Connection: close\r\n", aBody));
     return m_fixture->RunUntil([this] { return m_caller->IsClosed(); })
              ? m_caller->Received()
              : "no answer";
@@ -140,6 +154,34 @@
   CHECK_EQUAL(1, m_calls);
 }
 
+TEST(AnswerEnd, AnAnswerThatIsResetWhileTheRequestIsSentIsNotComplete)
+{
+  StartBeforeBody(false, { Send("part"), ResetNow() });
+  const std::string answer = m_fixture->SendRequest(
+    "POST", "/unsafe/x", "", std::string(kLongBodyBytes, 'b'));
+  CHECK_EQUAL(502, StatusOf(answer));
+  CHECK_EQUAL(1, m_calls);
+}
+
+TEST(AnswerEnd, AStreamThatIsResetWhileTheRequestIsSentDoesNotLookComplete)
+{
+  StartBeforeBody(true,
+                  { Send(MakePlainEvents(3)), AwaitEvents(3), ResetNow() });
+  const std::string answer =
+    AskStream("/once/x", std::string(kLongBodyBytes, 'b'));
+  CHECK_FALSE(IsComplete(answer));
+  CHECK_EQUAL(1, m_calls);
+}
+
+TEST(AnswerEnd, AnAnswerThatEndsInOrderWhileTheRequestIsSentIsComplete)
+{
+  StartBeforeBody(false, { Send("whole body"), EndNow() });
+  const std::string answer = m_fixture->SendRequest(
+    "POST", "/unsafe/x", "", std::string(kLongBodyBytes, 'b'));
+  CHECK_EQUAL(200, StatusOf(answer));
+  CHECK(answer.ends_with("\r\n\r\nwhole body"));
+}
+
 TEST(AnswerEnd, AConnectionThatEndsAnAnswerIsNotUsedAgain)
 {
   Start(false, { Send("whole body"), CloseNow() }, AnswerOk);
--- a/Tests/Forwarding/ForwardFixture.cxx
+++ b/Tests/Forwarding/ForwardFixture.cxx
@@ -31,7 +31,7 @@
 "services":[{"name":"plain"},{"name":"model","engine":{"layers":4,
  "layer-mb":10,"kv-token-bytes":1000,"step_ms":1,"read_per_s":1000,
  "kinds":[{"name":"card","mb":1000,"pace":1,"read-x":1}]}}],
-"limits":{"max-header-bytes":2048,"max-body-bytes":4096},)";
+"limits":{"max-header-bytes":2048,"max-body-bytes":)";
 
 constexpr char kPlainConfig[] = R"({"routes":[
 {"name":"safe","host":"one.example","path-prefix":"/safe/","kind":"safe",
@@ -80,7 +80,8 @@
   std::string text = kConfig;
   ReplaceValue(text, "\"target-latency-ms\":", 500, m_streamTargetMs);
   ReplaceValue(text, "\"timeout-ms\":", 1000, m_plainTimeoutMs);
-  PutDocument(aVersion, text + "\"tenants\":[" + accounts + "],");
+  text += std::to_string(m_maxBodyBytes) + "},\"tenants\":[" + accounts + "],";
+  PutDocument(aVersion, text);
 }
 
 void
@@ -281,7 +282,18 @@
 void
 ForwardFixture::Caller::Send(const std::string& aBytes)
 {
-  boost::asio::write(m_socket, boost::asio::buffer(aBytes));
+  boost::system::error_code error;
+  m_socket.non_blocking(true);
+  const std::size_t sent = asio::write(m_socket, asio::buffer(aBytes), error);
+  if (!error) {
+    return;
+  }
+  if (error != asio::error::would_block) {
+    throw boost::system::system_error(error);
+  }
+  // What the socket does not hold is sent while the test runs.
+  m_unsent = aBytes.substr(sent);
+  asio::async_write(m_socket, asio::buffer(m_unsent), [](auto, std::size_t) {});
 }
 
 void
--- a/Tests/Forwarding/ForwardFixture.h
+++ b/Tests/Forwarding/ForwardFixture.h
@@ -71,6 +71,7 @@
 
     boost::asio::ip::tcp::socket m_socket;
     std::string m_received;
+    std::string m_unsent;
     std::array<char, 4096> m_chunk{};
     bool m_closed = false;
   };
@@ -103,6 +104,8 @@
   int m_streamTargetMs = 500;
   // Time-out of the plain requests that PutConfig configures.
   int m_plainTimeoutMs = 1000;
+  // Limit of callers' bodies that PutConfig configures.
+  std::size_t m_maxBodyBytes = 4096;
   std::unique_ptr<ForwardGateway> m_gateway;
   MetricRegistry m_secondMetrics;
   std::unique_ptr<ForwardGateway> m_secondGateway;
--- a/Tests/Forwarding/StubEndpoint.cxx
+++ b/Tests/Forwarding/StubEndpoint.cxx
@@ -47,6 +47,12 @@
   return { StubStep::Kind::Close, {}, {}, {} };
 }
 
+StubStep
+EndNow()
+{
+  return { StubStep::Kind::End, {}, {}, {} };
+}
+
 StubStep
 ResetNow()
 {
@@ -133,21 +139,42 @@
     beast::flat_buffer buffer;
     for (;;) {
       http::request_parser<http::string_body> parser;
-      const auto [error, bytes] =
-        co_await http::async_read(*aSocket, buffer, parser, kAwait);
-      if (error) {
+      parser.body_limit(boost::none);
+      const auto [headError, headBytes] =
+        co_await http::async_read_header(*aSocket, buffer, parser, kAwait);
+      if (headError) {
         co_return;
       }
-      m_requests.push_back(parser.release());
+      if (!m_answersBeforeBody &&
+          !co_await ReadRest(*aSocket, buffer, parser)) {
+        co_return;
+      }
+      m_requests.push_back(parser.get());
       const std::vector<StubStep> steps = m_script(m_requests.back());
       for (const StubStep& step : steps) {
         if (!co_await Perform(*aSocket, step)) {
           co_return;
         }
       }
+      if (!co_await ReadRest(*aSocket, buffer, parser)) {
+        co_return;
+      }
     }
   }
 
+  static asio::awaitable<bool> ReadRest(
+    Tcp::socket& aSocket,
+    beast::flat_buffer& aBuffer,
+    http::request_parser<http::string_body>& aParser)
+  {
+    if (aParser.is_done()) {
+      co_return true;
+    }
+    const auto [error, bytes] =
+      co_await http::async_read(aSocket, aBuffer, aParser, kAwait);
+    co_return !error;
+  }
+
   asio::awaitable<bool> Perform(Tcp::socket& aSocket, const StubStep& aStep)
   {
     asio::steady_timer timer(m_context);
@@ -171,6 +198,11 @@
       case StubStep::Kind::Close:
         aSocket.close();
         co_return false;
+      case StubStep::Kind::End: {
+        beast::error_code ignored;
+        aSocket.shutdown(Tcp::socket::shutdown_send, ignored);
+        co_return true;
+      }
       case StubStep::Kind::Reset: {
         beast::error_code ignored;
         aSocket.set_option(asio::socket_base::linger(true, 0), ignored);
@@ -214,6 +246,7 @@
   std::size_t m_floodBytes = 0;
   int m_abandoned = 0;
   int m_connections = 0;
+  bool m_answersBeforeBody = false;
 };
 
 StubEndpoint::StubEndpoint(asio::io_context& aContext)
@@ -239,6 +272,15 @@
   m_parts->m_script = std::move(aScript);
 }
 
+void
+StubEndpoint::AnswerBeforeBody()
+{
+  constexpr int kReceiveBytes = 4096;
+  m_parts->m_answersBeforeBody = true;
+  m_parts->m_acceptor.set_option(
+    asio::socket_base::receive_buffer_size(kReceiveBytes));
+}
+
 void
 StubEndpoint::Stop()
 {
--- a/Tests/Forwarding/StubEndpoint.h
+++ b/Tests/Forwarding/StubEndpoint.h
@@ -25,6 +25,8 @@
     Await,
     // Closes the connection in order.
     Close,
+    // Sends the end of the connection, and reads on.
+    End,
     // Resets the connection.
     Reset,
     // Sends its bytes again and again until the peer closes the connection, but
@@ -49,6 +51,8 @@
 StubStep
 CloseNow();
 StubStep
+EndNow();
+StubStep
 ResetNow();
 StubStep
 Flood(std::string aBytes);
@@ -86,6 +90,9 @@
 
   std::uint16_t Port() const;
   void SetScript(Script aScript);
+  // Answers each request once its header was read, and reads its body after
+  // the script. Little of the body fits into the socket until then.
+  void AnswerBeforeBody();
   // Refuses new connections from now on and closes the open ones.
   void Stop();
   // Returns all requests received so far.
