Forwarding: Limit the memory of the answers that a process holds

Callers saw: one endpoint sent bytes without end in place of answers; the VM that called it ran out of memory, and the requests of other callers on it ended with the process.

Cause: heads (64 KiB), lines of chunks (64 KiB), plain bodies (8 MiB), events (1 MiB) and kept silent calls (8 MiB) are limited for each call, and nothing limits their sum over the calls of a process. The same holds for large answers whose callers do not read; they were held twice, as the body and behind its header.

Evidence: Crowd-endless-answers-endpoint sends 400 requests to a real entry process with two endpoints, one of which answers without end. The tests of EndlessAnswer for the budget fail with HeldAnswer::Hold taken out.

Change: the calls of role entry share a second ReceiveBudget, answer-budget-bytes (32 MiB). Each call counts what it has received and not passed on. Over the budget the call that holds most is broken off, except the largest, and ends like any broken answer: the endpoint has failed, the request is repeated if it may be, and is answered 502 otherwise. Calls of silent endpoints are not preferred for that. If the answer is complete and its caller does not read, the caller's connection is closed and the endpoint is not blamed. An answer is held once while it is written, a broken one is freed at once, and connections and streams do not keep large buffers. New metrics: parsleycove_answer_budget_held_bytes and parsleycove_answers_over_budget_total.

Ruled out: passing plain bodies on as they arrive, see docs/design/receive-limits.md.

--- a/Source/Daemon/DaemonSettings.cxx
+++ b/Source/Daemon/DaemonSettings.cxx
@@ -319,6 +319,8 @@
   if (settings.m_role == DaemonRole::Entry) {
     settings.m_forward = CheckForward(aReader, checker, aEpoch);
     settings.m_forward.m_receiveBudgetBytes = settings.m_receiveBudgetBytes;
+    settings.m_forward.m_answerBudgetBytes = checker.Number(
+      SettingId::AnswerBudgetBytes, kMinBudgetBytes, kMaxBudgetBytes);
   } else if (settings.m_role == DaemonRole::Control) {
     CheckGroup(aReader, checker, settings);
   }
--- a/Source/Daemon/SettingTable.cxx
+++ b/Source/Daemon/SettingTable.cxx
@@ -109,6 +109,13 @@
     "roles entry and control: memory of requests that are not yet read to "
     "their "
     "end; beyond it stalled and large ones are refused" },
+  { SettingId::AnswerBudgetBytes,
+    "answer-budget-bytes",
+    "PARSLEYCOVE_ANSWER_BUDGET_BYTES",
+    "33554432",
+    "a whole number from 65536 to 4294967296",
+    "role entry: memory of endpoints' answers that are not yet passed on; "
+    "beyond it the largest are broken off" },
   { SettingId::IdleTimeoutMs,
     "idle-timeout-ms",
     "PARSLEYCOVE_IDLE_TIMEOUT_MS",
--- a/Source/Daemon/SettingTable.h
+++ b/Source/Daemon/SettingTable.h
@@ -25,6 +25,7 @@
   MaxHeaderBytes,
   MaxBodyBytes,
   ReceiveBudgetBytes,
+  AnswerBudgetBytes,
   IdleTimeoutMs,
   DrainGraceMs,
   Role,
@@ -59,7 +60,7 @@
 };
 
 inline constexpr std::string_view kVariablePrefix = "PARSLEYCOVE_";
-inline constexpr std::size_t kSettingCount = 37;
+inline constexpr std::size_t kSettingCount = 38;
 
 extern const std::array<SettingRow, kSettingCount> kSettings;
 
--- a/Source/Forwarding/EndpointCall.cxx
+++ b/Source/Forwarding/EndpointCall.cxx
@@ -80,6 +80,26 @@
   }
 }
 
+void
+EndpointCall::CountAnswer(std::shared_ptr<ReceiveBudget> aBudget,
+                          std::function<void()> aOnRefused)
+{
+  m_held.emplace(std::move(aBudget), [this, onRefused = std::move(aOnRefused)] {
+    Abort(CallEnd::Broken);
+    onRefused();
+    if (const auto free = std::exchange(m_onRefused, nullptr)) {
+      free();
+    }
+  });
+}
+
+bool
+EndpointCall::Hold(std::size_t aBodyBytes)
+{
+  return !m_held || m_held->Hold(aBodyBytes + m_keptBytes + m_headerBytes +
+                                 m_connection->m_buffer.size());
+}
+
 bool
 EndpointCall::Fail(CallEnd aWhy)
 {
@@ -292,6 +312,9 @@
     if (m_atEnd) {
       co_return Fail(CallEnd::Broken);
     }
+    if (!Hold(0)) {
+      co_return false;
+    }
   }
   co_return true;
 }
@@ -336,6 +359,9 @@
         break;
       }
     }
+    if (!Hold(aOut.capacity())) {
+      co_return false;
+    }
     if (m_parser->is_done()) {
       co_return aOut.size() != before;
     }
@@ -382,6 +408,9 @@
 EndpointCall::Release(TimePoint aNow)
 {
   ClearDeadline();
+  if (m_held) {
+    m_held->Release();
+  }
   const bool isWhole = m_end == CallEnd::None && m_parser &&
                        m_parser->is_done() && !m_parser->need_eof() &&
                        !m_atEnd && m_sendState == SendState::Sent;
@@ -394,6 +423,9 @@
   }
   const Duration idle =
     ReadIdleLimit(m_parser->get()[http::field::keep_alive]) - kIdleMargin;
+  if (m_connection->m_buffer.capacity() > kReadBytes) {
+    m_connection->m_buffer.shrink_to_fit();
+  }
   m_pool.AddIdle(*m_runner, std::move(m_connection), aNow, idle);
 }
 
--- a/Source/Forwarding/EndpointCall.h
+++ b/Source/Forwarding/EndpointCall.h
@@ -13,6 +13,7 @@
 #include "Forwarding/ConnectionPool.h"
 #include "Forwarding/DeadlineMonitor.h"
 #include "Forwarding/EndpointConnection.h"
+#include "Forwarding/HeldAnswer.h"
 #include "Routing/PathSelector.h"
 #include "Wire/AnswerParser.h"
 
@@ -71,6 +72,19 @@
                CallInfo aInfo);
   ~EndpointCall() override;
 
+  // Counts what is held of the answer against aBudget. If the answer is refused
+  // in favour of others, the call ends as broken and aOnRefused is called.
+  void CountAnswer(std::shared_ptr<ReceiveBudget> aBudget,
+                   std::function<void()> aOnRefused);
+  // Sets what else is held of the answer besides what ReadBody appends to.
+  void SetKeptBytes(std::size_t aBytes) { m_keptBytes = aBytes; }
+  // Sets what frees the answer when it is refused while nothing is read; null
+  // if the next read does.
+  void SetOnRefused(std::function<void()> aOnRefused)
+  {
+    m_onRefused = std::move(aOnRefused);
+  }
+
   // Takes an idle connection from the pool or opens a new connection. Returns
   // false, with End() set, if there is none within aTimeout.
   asio::awaitable<bool> Connect(Duration aTimeout);
@@ -177,6 +191,9 @@
   // error, the read just finds the end.
   asio::awaitable<bool> IsOrderlyEnd();
   bool Fail(CallEnd aWhy);
+  // Counts aBodyBytes and what the call itself holds. Returns false, with End()
+  // set, if the answer is refused.
+  bool Hold(std::size_t aBodyBytes);
 
   ConnectionPool& m_pool;
   const RunnerPtr m_runner;
@@ -192,6 +209,10 @@
   // Bytes of the headers of the current answer, and of the interim answers
   // before it, that the parser has taken.
   std::size_t m_headerBytes = 0;
+  // Empty if answers are not counted.
+  std::optional<HeldAnswer> m_held;
+  std::size_t m_keptBytes = 0;
+  std::function<void()> m_onRefused;
   std::string m_header;
   std::string_view m_body;
   std::array<char, 8192> m_chunk{};
--- a/Source/Forwarding/EventSplitter.cxx
+++ b/Source/Forwarding/EventSplitter.cxx
@@ -33,6 +33,8 @@
 }
 
 constexpr std::size_t kLongestEndBytes = 4;
+// Memory that is kept for the next events.
+constexpr std::size_t kMaxSpareBytes = 64UL * 1024;
 
 // Returns the length of the first event including its empty line, or 0 if the
 // event is incomplete. The end of the event must not start before aFrom.
@@ -71,6 +73,9 @@
   }
   m_pending.erase(0, m_pending.size() - rest.size());
   m_searched = m_pending.size();
+  if (taken != 0 && m_pending.capacity() - m_pending.size() > kMaxSpareBytes) {
+    m_pending.shrink_to_fit();
+  }
   return taken;
 }
 
--- a/Source/Forwarding/ForwardGateway.cxx
+++ b/Source/Forwarding/ForwardGateway.cxx
@@ -74,6 +74,9 @@
     , m_unread(aMetrics)
     , m_receiveBudget(
         std::make_shared<ReceiveBudget>(m_options.m_receiveBudgetBytes))
+    , m_answerBudget(
+        std::make_shared<ReceiveBudget>(m_options.m_answerBudgetBytes,
+                                        ReceiveBudget::kNeverStalled))
     , m_limits(m_routing, aControl, aLog, m_metrics)
     , m_notices(m_routing, m_pool, m_limits, m_metrics, aLog)
     , m_promptParts(aContext, aControl, aLog, m_metrics, m_options.m_seed)
@@ -101,7 +104,8 @@
                   m_drain,
                   aLog,
                   m_metrics,
-                  m_unread }
+                  m_unread,
+                  m_answerBudget }
     , m_accept(aContext, m_options.m_maxConnections)
     , m_takeover(aContext, m_options.m_maxConnections)
     , m_readiness(
@@ -122,6 +126,10 @@
       "parsleycove_receive_budget_held_bytes", "", [budget = m_receiveBudget] {
         return static_cast<double>(budget->HeldBytes());
       });
+    aMetrics.AddGauge(
+      "parsleycove_answer_budget_held_bytes", "", [budget = m_answerBudget] {
+        return static_cast<double>(budget->HeldBytes());
+      });
     m_callDeadlines.SetObserver(
       [this](TimePoint aNow) { m_failureDetector.Check(aNow); });
   }
@@ -199,6 +207,9 @@
   UnreadRequests m_unread;
   // Of callers' connections and of those of other VMs together.
   const std::shared_ptr<ReceiveBudget> m_receiveBudget;
+  // Of all calls to endpoints and to other VMs. An endpoint may be silent for
+  // a while.
+  const std::shared_ptr<ReceiveBudget> m_answerBudget;
   LimitExchange m_limits;
   NoticeRecorder m_notices;
   PromptPartReporter m_promptParts;
--- a/Source/Forwarding/ForwardMetrics.cxx
+++ b/Source/Forwarding/ForwardMetrics.cxx
@@ -26,6 +26,8 @@
   , m_cutsAfterSilence(
       aRegistry.AddCounter("parsleycove_cuts_after_silence_total", ""))
   , m_stays(aRegistry.AddCounter("parsleycove_stream_stays_total", ""))
+  , m_answersOverBudget(
+      aRegistry.AddCounter("parsleycove_answers_over_budget_total", ""))
   , m_promptCrashReports(
       aRegistry.AddCounter("parsleycove_prompt_crash_reports_total", ""))
   , m_lostServices(aRegistry.AddCounter("parsleycove_services_lost_total", ""))
--- a/Source/Forwarding/ForwardMetrics.h
+++ b/Source/Forwarding/ForwardMetrics.h
@@ -76,6 +76,8 @@
   // Engines whose crash was reported with the requests that they had not begun
   // to answer.
   Counter& PromptCrashReports() { return m_promptCrashReports; }
+  // Calls broken off since the process held too much of all answers.
+  Counter& AnswersOverBudget() { return m_answersOverBudget; }
   // Streams that went back to their silent engine, since no other served them.
   Counter& Stays() { return m_stays; }
   // Answers that were cut after their engine or a stage fell silent, without a
@@ -140,6 +142,7 @@
   Counter& m_limitNotices;
   Counter& m_cutsAfterSilence;
   Counter& m_stays;
+  Counter& m_answersOverBudget;
   Counter& m_promptCrashReports;
   Counter& m_lostServices;
   Counter& m_passedOn;
--- a/Source/Forwarding/ForwardOptions.h
+++ b/Source/Forwarding/ForwardOptions.h
@@ -15,6 +15,7 @@
 namespace parsleycove {
 
 inline constexpr std::size_t kDefaultReceiveBudgetBytes = 32UL * 1024 * 1024;
+inline constexpr std::size_t kDefaultAnswerBudgetBytes = 32UL * 1024 * 1024;
 
 struct ForwardOptions
 {
@@ -31,6 +32,8 @@
   std::size_t m_maxConnections = 3000;
   // Memory of requests that are not yet read to their end.
   std::size_t m_receiveBudgetBytes = kDefaultReceiveBudgetBytes;
+  // Memory of endpoints' answers that are not yet passed on.
+  std::size_t m_answerBudgetBytes = kDefaultAnswerBudgetBytes;
   // How long new connections may still arrive after a stop begins. The balancer
   // checks readiness every second and stops sending callers after two failed
   // checks.
--- a/Source/Forwarding/ForwardServices.h
+++ b/Source/Forwarding/ForwardServices.h
@@ -1,12 +1,15 @@
 // Objects that all forwarded requests of a process share.
 #pragma once
 
+#include <memory>
+
 #include "Base/DrainState.h"
 #include "Forwarding/ConnectionPool.h"
 #include "Forwarding/DeadlineMonitor.h"
 #include "Forwarding/ForwardDialect.h"
 #include "Forwarding/ForwardMetrics.h"
 #include "Forwarding/ForwardOptions.h"
+#include "Forwarding/ReceiveBudget.h"
 #include "Forwarding/RoutingState.h"
 #include "Forwarding/UnreadRequests.h"
 #include "Telemetry/DecisionLog.h"
@@ -40,6 +43,8 @@
   DecisionLog& m_log;
   ForwardMetrics& m_metrics;
   UnreadRequests& m_unread;
+  // Memory of endpoints' answers that are not yet passed on.
+  std::shared_ptr<ReceiveBudget> m_answerBudget;
 };
 
 } // namespace parsleycove
--- a/Source/Forwarding/ForwardedRequest.cxx
+++ b/Source/Forwarding/ForwardedRequest.cxx
@@ -359,6 +359,30 @@
   return out;
 }
 
+asio::awaitable<bool>
+WriteAnswer(ForwardedRequest& aRequest,
+            EndpointCall& aCall,
+            std::string aBytes,
+            Duration aTimeout)
+{
+  aCall.SetOnRefused([caller = aRequest.m_caller] { caller->Close(); });
+  const bool isWritten =
+    co_await aRequest.m_caller->Write(std::move(aBytes), aTimeout);
+  aCall.SetOnRefused(nullptr);
+  co_return isWritten;
+}
+
+RequestEnd
+EndOfUnwritten(ForwardedRequest& aRequest, const EndpointCall& aCall)
+{
+  if (aCall.End() != CallEnd::Broken) {
+    return RequestEnd::CallerGone;
+  }
+  aRequest.m_why =
+    "the caller read too slowly while the answers' memory was full";
+  return RequestEnd::Cut;
+}
+
 std::string
 MakeGatewayAnswer(const ForwardedRequest& aRequest,
                   unsigned aStatus,
@@ -489,6 +513,8 @@
               aRequest.m_expectedTokens,
               aRequest.m_headers.m_promptTokens,
               aRequest.m_level.value_or(0) });
+  call->CountAnswer(services.m_answerBudget,
+                    [&services] { ++services.m_metrics.AnswersOverBudget(); });
   services.m_callDeadlines.Add(*call);
   aRequest.m_call = call;
   QuotaClaim quota(BootClock::now(), *aRunner, call->Path().get());
--- a/Source/Forwarding/ForwardedRequest.h
+++ b/Source/Forwarding/ForwardedRequest.h
@@ -136,6 +136,19 @@
                  const EndpointCall::Header& aAnswer,
                  std::int64_t aLength);
 
+// Writes a part of an endpoint's answer to the caller. Closes the connection if
+// the answer is refused meanwhile, so that a caller that does not read holds no
+// memory. Returns false if the bytes could not be written.
+asio::awaitable<bool>
+WriteAnswer(ForwardedRequest& aRequest,
+            EndpointCall& aCall,
+            std::string aBytes,
+            Duration aTimeout);
+
+// Returns how a request ends after WriteAnswer() returned false.
+RequestEnd
+EndOfUnwritten(ForwardedRequest& aRequest, const EndpointCall& aCall);
+
 // Returns an answer made by this gateway. Retry-After is left out if
 // aRetryAfter is zero.
 std::string
--- a/Source/Forwarding/PlainForwarder.cxx
+++ b/Source/Forwarding/PlainForwarder.cxx
@@ -228,6 +228,8 @@
         [this] { EndSuccessor(); });
       co_return outcome;
     }
+    m_body.clear();
+    m_body.shrink_to_fit();
     const TimePoint now = BootClock::now();
     aCall->Release(now);
     if (outcome != ForwardOutcome::NotExecuted) {
@@ -450,13 +452,16 @@
     } else if (m_request.m_end == RequestEnd::Failed) {
       m_request.m_why = "the endpoint answered with this status";
     }
-    std::string out = MakeAnswerHeader(
-      m_request, status, answer, static_cast<std::int64_t>(aBody.size()));
-    if (m_request.Http().method() != http::verb::head) {
-      out.append(aBody);
+    const auto length = static_cast<std::int64_t>(aBody.size());
+    if (m_request.Http().method() == http::verb::head) {
+      aBody.clear();
     }
-    if (!co_await m_request.m_caller->Write(std::move(out), kWriteTimeout)) {
-      m_request.m_end = RequestEnd::CallerGone;
+    // In place, so that a large body is held once.
+    aBody.insert(0, MakeAnswerHeader(m_request, status, answer, length));
+    const bool written =
+      co_await WriteAnswer(m_request, aCall, std::move(aBody), kWriteTimeout);
+    if (!written) {
+      m_request.m_end = EndOfUnwritten(m_request, aCall);
     }
   }
 
--- a/Source/Forwarding/ReceiveBudget.cxx
+++ b/Source/Forwarding/ReceiveBudget.cxx
@@ -1,4 +1,4 @@
-// Limits the memory of requests that are not yet read to their end.
+// Limits the memory of messages that are not yet read to their end.
 #include "Forwarding/ReceiveBudget.h"
 
 #include <iterator>
@@ -7,8 +7,6 @@
 
 namespace {
 
-// A caller inside the limits sends its request without longer pauses.
-constexpr Duration kStalledAfter = std::chrono::seconds(1);
 // A request that holds at most this is read also while requests that are being
 // served take the budget.
 constexpr std::size_t kSmallBytes = 16UL * 1024;
@@ -67,7 +65,7 @@
 ReceiveBudget::ChooseRefused(TimePoint aNow)
 {
   Reader& oldest = m_byProgress.front();
-  return aNow - oldest.m_receivedAt >= kStalledAfter
+  return aNow - oldest.m_receivedAt >= m_stalledAfter
            ? oldest
            : *std::next(m_bySize.rbegin());
 }
--- a/Source/Forwarding/ReceiveBudget.h
+++ b/Source/Forwarding/ReceiveBudget.h
@@ -1,7 +1,8 @@
-// Limits the memory of requests that are not yet read to their end, over all
+// Limits the memory of messages that are not yet read to their end, over all
 // connections of a process. Load pattern: clients that keep to no limit send
 // parts of requests on many connections and keep them open, while ordinary
-// callers send small requests.
+// callers send small requests; or endpoints send bytes without end in place of
+// answers.
 #pragma once
 
 #include <cstddef>
@@ -18,9 +19,9 @@
 // Refuses readers rather than letting them wait, since bytes that wait in the
 // kernel take the machine's memory as well. When the budget is full, the reader
 // that has received nothing for longest is refused first, and while none has
-// stalled, the one that holds most. The largest reader is not counted, so that
-// a single request is read to its end whatever the budget: all readers hold at
-// most the budget and one request together.
+// stalled, the one that holds most of those that are counted. The largest
+// reader is not counted, so that a single request is read to its end whatever
+// the budget: all readers hold at most the budget and one request together.
 //
 // Invariant: used by one thread.
 class ReceiveBudget
@@ -76,8 +77,16 @@
     const std::size_t m_bytes;
   };
 
-  explicit ReceiveBudget(std::size_t aLimitBytes)
+  // A reader that has received nothing for this long has stalled: a caller
+  // inside the limits sends its request without longer pauses.
+  static constexpr Duration kStalledAfter = std::chrono::seconds(1);
+  // For peers that may pause for any time.
+  static constexpr Duration kNeverStalled = Duration::max();
+
+  explicit ReceiveBudget(std::size_t aLimitBytes,
+                         Duration aStalledAfter = kStalledAfter)
     : m_limitBytes(aLimitBytes)
+    , m_stalledAfter(aStalledAfter)
   {
   }
 
@@ -102,6 +111,7 @@
   Reader& ChooseRefused(TimePoint aNow);
 
   const std::size_t m_limitBytes;
+  const Duration m_stalledAfter;
   std::size_t m_heldBytes = 0;
   std::size_t m_servedBytes = 0;
   // Readers that hold something. Invariant: a reader is in both or in none; the
--- a/Source/Forwarding/SilentCalls.cxx
+++ b/Source/Forwarding/SilentCalls.cxx
@@ -28,6 +28,13 @@
   IsUsable m_isUsable;
   std::function<void()> m_onAnswer;
   State m_state = State::Reading;
+
+  void Break()
+  {
+    m_state = State::Broken;
+    m_unusedBytes.clear();
+    m_unusedBytes.shrink_to_fit();
+  }
 };
 
 SilentCalls::SilentCalls(asio::io_context& aContext)
@@ -52,6 +59,13 @@
   entry->m_unusedBytes = std::move(aUnusedBytes);
   entry->m_isUsable = std::move(aIsUsable);
   entry->m_onAnswer = std::move(aOnAnswer);
+  // An answer that is read no more waits for the other calls.
+  entry->m_call->SetOnRefused([weak = std::weak_ptr(entry)] {
+    if (const EntryPtr refused = weak.lock();
+        refused && refused->m_state == State::Failed) {
+      refused->Break();
+    }
+  });
   m_entries.push_back(entry);
   SpawnLogged(m_context, "reading a silent call", Read(entry));
 }
@@ -71,6 +85,9 @@
     isUsable = isOpen && aEntry->m_isUsable(aEntry->m_unusedBytes, false);
   }
   aEntry->m_state = StateAfterReading(*aEntry, !isOpen);
+  if (aEntry->m_state == State::Broken && !call.IsSuspended()) {
+    aEntry->Break();
+  }
   if (aEntry->m_state == State::Answered && aEntry->m_onAnswer) {
     std::exchange(aEntry->m_onAnswer, nullptr)();
   }
@@ -114,6 +131,7 @@
 {
   for (EntryPtr entry = TakeBest(); entry; entry = TakeBest()) {
     entry->m_onAnswer = nullptr;
+    entry->m_call->SetOnRefused(nullptr);
     if (entry->m_state == State::Reading) {
       entry->m_call->Suspend(CallEnd::Stalled);
       while (entry->m_state == State::Reading) {
--- a/Source/Forwarding/StreamAttempt.cxx
+++ b/Source/Forwarding/StreamAttempt.cxx
@@ -262,6 +262,7 @@
 {
   // A kept call may have read a part of the body as if it were events.
   std::string body = m_events.TakePartialEvent();
+  aCall.SetKeptBytes(0);
   while (co_await aCall.ReadBody(body)) {
     if (body.size() > kMaxErrorBytes) {
       aCall.Abort(CallEnd::Broken);
@@ -287,7 +288,8 @@
                                      m_request.m_status,
                                      aCall.Answer(),
                                      static_cast<std::int64_t>(body.size()));
-  co_await m_request.m_caller->Write(out.append(body), kWriteTimeout);
+  co_await WriteAnswer(
+    m_request, aCall, std::move(out.append(body)), kWriteTimeout);
   co_return AttemptOutcome::Finished;
 }
 
@@ -302,12 +304,14 @@
     if (!isConnected) {
       co_return AttemptOutcome::Finished;
     }
+    aCall.SetKeptBytes(m_events.PendingBytes());
   }
   while (co_await aCall.ReadBody(bytes)) {
     if (!co_await RelayBytes(aCall, bytes)) {
       co_return AttemptOutcome::Finished;
     }
     bytes.clear();
+    aCall.SetKeptBytes(m_events.PendingBytes());
     if (m_events.PendingBytes() > kMaxEventBytes) {
       aCall.Abort(CallEnd::Broken);
     }
@@ -379,10 +383,10 @@
   m_lastEventAt = now;
   m_lastEventPath = aCall.Path();
   AppendChunk(out, events);
-  if (co_await m_request.m_caller->Write(std::move(out), kWriteTimeout)) {
+  if (co_await WriteAnswer(m_request, aCall, std::move(out), kWriteTimeout)) {
     co_return true;
   }
-  m_request.m_end = RequestEnd::CallerGone;
+  m_request.m_end = EndOfUnwritten(m_request, aCall);
   aCall.Abort(CallEnd::CallerGone);
   co_return false;
 }
@@ -405,6 +409,7 @@
     return AttemptOutcome::Finished;
   }
   std::string partialEvent = m_events.TakePartialEvent();
+  aCall.SetKeptBytes(0);
   if (end == CallEnd::Superseded) {
     return AttemptOutcome::Broken;
   }
--- a/Tests/Crowd/Crowd.cxx
+++ b/Tests/Crowd/Crowd.cxx
@@ -14,14 +14,16 @@
 namespace {
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+constexpr char kNoBody[] = "Content-Length: 0\r\n\r\n";
+constexpr std::size_t kAnswerPieceBytes = 16UL * 1024;
 constexpr char kChunked[] = "Transfer-Encoding: chunked\r\n\r\n";
 
-const std::array<CrowdScript, 5>&
+const std::array<CrowdScript, 6>&
 Scripts()
 {
   // The body limit of the tests is 65536 bytes at entry VMs: chunked bodies
   // stop just short of it.
-  static const std::array<CrowdScript, 5> kScripts{ {
+  static const std::array<CrowdScript, 6> kScripts{ {
     { CrowdKind::EndlessTrailers,
       "endless-trailers",
       std::string(kChunked) + "1\r\nx\r\n0\r\n",
@@ -47,6 +49,13 @@
       kChunked,
       "1000\r\n" + std::string(4096, 'x') + "\r\n",
       256 },
+    { CrowdKind::EndlessAnswers,
+      "endless-answers",
+      kNoBody,
+      "",
+      0,
+      "\r\n",
+      std::string(kAnswerPieceBytes, 'x') },
   } };
   return kScripts;
 }
@@ -72,8 +81,7 @@
   , m_to(std::move(aTo))
   , m_script(aScript)
   , m_head("POST " + std::string(aTarget) +
-           " HTTP/1.1\r\nHost: one.example\r\nAuthorization: Bearer k1\r\n" +
-           aScript.m_head)
+           " HTTP/1.1\r\nHost: one.example\r\nAuthorization: Bearer k1\r\n")
 {
 }
 
@@ -84,18 +92,20 @@
     m_sockets.push_back(std::make_unique<Tcp::socket>(m_context));
     ++m_sending;
     boost::asio::co_spawn(
-      m_context, Send(*m_sockets.back()), boost::asio::detached);
+      m_context, Send(*m_sockets.back(), i), boost::asio::detached);
   }
 }
 
 boost::asio::awaitable<void>
-Crowd::Send(Tcp::socket& aSocket)
+Crowd::Send(Tcp::socket& aSocket, std::size_t aNumber)
 {
   constexpr std::size_t kPiecesAtOnce = 512;
   auto [error] = co_await aSocket.async_connect(
     { asio::ip::make_address(m_to.m_address), m_to.m_port }, kAwait);
-  std::string bytes = m_head;
-  for (std::size_t sent = 0; !error && sent < m_script.m_pieces;) {
+  std::string bytes = m_head + "Attempt-Id: crowd-" + std::to_string(aNumber) +
+                      "\r\n" + m_script.m_head;
+  std::size_t sent = 0;
+  while (!error && (!bytes.empty() || sent < m_script.m_pieces)) {
     const std::size_t more = std::min(kPiecesAtOnce, m_script.m_pieces - sent);
     for (std::size_t i = 0; i < more; ++i) {
       bytes += m_script.m_piece;
--- a/Tests/Crowd/Crowd.h
+++ b/Tests/Crowd/Crowd.h
@@ -1,5 +1,5 @@
 // Clients that keep to no limit: each sends a part of a request that never ends
-// and keeps its connection open.
+// and keeps its connection open; and clients whose endpoint keeps to none.
 #pragma once
 
 #include <array>
@@ -26,6 +26,8 @@
   OneByteChunks,
   AnnouncedBody,
   SentBody,
+  // Ordinary requests whose endpoint answers without end.
+  EndlessAnswers,
 };
 
 struct CrowdScript
@@ -37,6 +39,10 @@
   // Sent again and again.
   std::string m_piece;
   std::size_t m_pieces;
+  // What an endpoint sends in place of an answer: the end of its head, and
+  // bytes without end; empty for crowds that are at fault themselves.
+  std::string m_answerHead{};
+  std::string m_answerBytes{};
 };
 
 // Returns the script of a name, or nullptr if there is none.
@@ -58,7 +64,7 @@
   std::size_t CutOff() const { return m_cutOff; }
 
 private:
-  boost::asio::awaitable<void> Send(Tcp::socket& aSocket);
+  boost::asio::awaitable<void> Send(Tcp::socket& aSocket, std::size_t aNumber);
 
   boost::asio::io_context& m_context;
   const SocketAddress m_to;
--- a/Tests/Crowd/CrowdMain.cxx
+++ b/Tests/Crowd/CrowdMain.cxx
@@ -20,6 +20,10 @@
 
 // What one crowd may add to a process that serves ordinary requests.
 constexpr std::size_t kMaxGrowthBytes = 16UL * 1024 * 1024;
+// The same where endpoints are at fault: one answer of 8 MiB is not counted,
+// and what holds an answer grows by copies.
+constexpr std::size_t kMaxAnswerGrowthBytes = 96UL * 1024 * 1024;
+constexpr int kLeastEndlessAnswers = 32;
 constexpr std::size_t kMaxMoreDescriptors = kCrowdClients + 32;
 // Only a failing run waits so long.
 constexpr std::chrono::seconds kPatienceS{ 60 };
@@ -32,10 +36,13 @@
 class CrowdTest
 {
 public:
-  CrowdTest(SoakOptions aOptions, const CrowdScript& aScript, bool aIsControl)
+  CrowdTest(SoakOptions aOptions,
+            const CrowdScript& aScript,
+            std::string_view aListener)
     : m_scene(std::move(aOptions))
     , m_script(aScript)
-    , m_isControl(aIsControl)
+    , m_isControl(aListener == "control")
+    , m_isEndpoint(aListener == "endpoint")
   {
   }
 
@@ -44,6 +51,9 @@
     m_scene.m_fleet.StartAll();
     m_scene.m_operator->Change(false);
     m_scene.AddBackend(false);
+    if (m_isEndpoint) {
+      m_scene.AddBackend(false);
+    }
     if (!RunUntil([this] { return m_scene.m_operator->IsSettled(); }) ||
         !RunUntil([this] { return Ask() == kOk; })) {
       return Fail("the fleet does not start to serve");
@@ -51,23 +61,32 @@
     const pid_t process = Process().Id();
     const std::size_t memory = PeakMemoryBytes(process);
     const std::size_t descriptors = OpenDescriptors(process);
-    Crowd crowd(m_scene.m_context,
-                Address(),
-                m_isControl ? "/parsleycove/config" : "/safe/crowd",
-                m_script);
+    SoakBackend& endless = *m_scene.m_backends.front();
+    const int closedBefore = endless.ClosedAnswers();
+    if (m_isEndpoint) {
+      endless.SendEndlessly(m_script.m_answerHead, m_script.m_answerBytes);
+    }
+    Crowd crowd(m_scene.m_context, Address(), Target(), m_script);
     crowd.Start();
+    if (m_isEndpoint && (!RunUntil([&] {
+          return endless.EndlessAnswers() >= kLeastEndlessAnswers;
+        }) || !RunUntil([this] { return Ask() == kOk; }))) {
+      return Fail("ordinary requests beside endless answers are not served");
+    }
     std::size_t mostDescriptors = 0;
     const bool isRead = RunUntil([&] {
       mostDescriptors = std::max(mostDescriptors, OpenDescriptors(process));
       return !Process().IsRunning() ||
-             (crowd.HasSent() && !HasUnreadBytes(Address()));
+             (crowd.HasSent() && !HasUnreadBytes(Address()) &&
+              endless.ClosedAnswers() - closedBefore >=
+                endless.EndlessAnswers());
     });
     const unsigned status = Ask();
     const std::size_t peak = PeakMemoryBytes(process);
     std::cout << "peak memory " << memory / 1024 << " KiB before and "
               << peak / 1024 << " KiB after, most descriptors "
               << mostDescriptors << ", clients cut off " << crowd.CutOff()
-              << "\n";
+              << ", endless answers " << endless.EndlessAnswers() << "\n";
     bool isGood = true;
     if (!Process().IsRunning() || Process().Id() != process) {
       isGood = Fail("the process has ended");
@@ -75,10 +94,13 @@
     if (!isRead) {
       isGood = Fail("the process hangs");
     }
-    if (peak > memory + kMaxGrowthBytes) {
+    if (peak >
+        memory + (m_isEndpoint ? kMaxAnswerGrowthBytes : kMaxGrowthBytes)) {
       isGood = Fail("the process takes too much memory");
     }
-    if (mostDescriptors > descriptors + kMaxMoreDescriptors) {
+    // Each request has a connection to its endpoint besides.
+    const std::size_t connections = m_isEndpoint ? 2 : 1;
+    if (mostDescriptors > descriptors + connections * kMaxMoreDescriptors) {
       isGood = Fail("the process takes too many descriptors");
     }
     if (status != kOk) {
@@ -130,6 +152,14 @@
     return false;
   }
 
+  const char* Target() const
+  {
+    if (m_isControl) {
+      return "/parsleycove/config";
+    }
+    return m_isEndpoint ? "/unsafe/crowd" : "/safe/crowd";
+  }
+
   SoakProcess& Process()
   {
     return m_isControl ? m_scene.m_fleet.Control(0) : m_scene.m_fleet.Entry(0);
@@ -144,6 +174,8 @@
   SoakScene m_scene;
   const CrowdScript& m_script;
   const bool m_isControl;
+  // The crowd's endpoint is at fault, and not the crowd.
+  const bool m_isEndpoint;
   EndpointClient m_client{ m_scene.m_context.get_executor() };
 };
 
@@ -155,9 +187,11 @@
   constexpr int kArguments = 5;
   const CrowdScript* script = argc == kArguments ? FindCrowd(argv[3]) : nullptr;
   const std::string listener = argc == kArguments ? argv[4] : "";
-  if (script == nullptr || (listener != "entry" && listener != "control")) {
-    std::cerr
-      << "usage: parsleycove-crowd PROGRAM FOLDER CROWD entry|control\n";
+  const bool isEndpoint = listener == "endpoint";
+  if (script == nullptr || isEndpoint == script->m_answerBytes.empty() ||
+      (!isEndpoint && listener != "entry" && listener != "control")) {
+    std::cerr << "usage: parsleycove-crowd PROGRAM FOLDER CROWD "
+                 "entry|control|endpoint\n";
     return 2;
   }
   SoakOptions options;
@@ -166,8 +200,9 @@
                      argv[3] + "-" + listener;
   options.m_seed = kSeed;
   options.m_entries = 1;
-  options.m_settings = { "PARSLEYCOVE_RECEIVE_BUDGET_BYTES=4194304" };
+  options.m_settings = { "PARSLEYCOVE_RECEIVE_BUDGET_BYTES=4194304",
+                         "PARSLEYCOVE_ANSWER_BUDGET_BYTES=4194304" };
   std::filesystem::remove_all(options.m_folder);
   std::filesystem::create_directories(options.m_folder);
-  return CrowdTest(options, *script, listener == "control").Run() ? 0 : 1;
+  return CrowdTest(options, *script, listener).Run() ? 0 : 1;
 }
--- a/Tests/Forwarding/EndlessAnswerTest.cxx
+++ b/Tests/Forwarding/EndlessAnswerTest.cxx
@@ -1,4 +1,8 @@
 // Tests of endpoints that send bytes without end in place of an answer.
+#include <algorithm>
+
+#include <boost/asio/write.hpp>
+
 #include "Forwarding/ForwardFixture.h"
 #include "Forwarding/StreamScripts.h"
 
@@ -9,6 +13,11 @@
 
 namespace {
 
+constexpr int kCallersAtOnce = 8;
+constexpr int kBudgetBytes = 64 * 1024;
+// What the tests of the budget send of one answer, and its buffers.
+constexpr int kAnswerBytesAtMost = 128 * 1024;
+
 // Returns aBytes repeated to about 4 KiB.
 std::string
 Repeat(const std::string& aBytes)
@@ -178,6 +187,55 @@
     CHECK(IsFloodClosed());
     CHECK_EQUAL(2, m_calls);
   }
+  int HeldBytes() const
+  {
+    return m_fixture->MetricOf("parsleycove_answer_budget_held_bytes");
+  }
+  int OverBudget() const
+  {
+    return m_fixture->MetricOf("parsleycove_answers_over_budget_total");
+  }
+  // Starts an endpoint that answers by aScript, and an engine.
+  void StartWithBudget(const StubEndpoint::Script& aScript)
+  {
+    m_fixture->m_options.m_answerBudgetBytes = kBudgetBytes;
+    m_fixture->PutConfig();
+    m_fixture->AddPlainEndpoint().SetScript(aScript);
+    m_fixture->AddEngine(0, 4).SetScript(WithEngineState(StreamAll));
+    m_fixture->Start();
+  }
+  // Checks that answers of which each is within its own limits are held within
+  // the limit of all.
+  void CheckHeldTogether(const StubEndpoint::Script& aScript)
+  {
+    StartWithBudget([aScript](const HttpRequest& aRequest) {
+      std::vector<StubStep> steps = aScript(aRequest);
+      steps.back() = Send(steps.back().m_bytes + Repeat("x"));
+      steps.insert(steps.end(), 5, steps.back());
+      steps.push_back(Hang());
+      return steps;
+    });
+    std::vector<std::unique_ptr<ForwardFixture::Caller>> callers;
+    int most = 0;
+    for (int i = 0; i < kCallersAtOnce; ++i) {
+      callers.push_back(m_fixture->Connect());
+      callers.back()->Send(MakeRequest("POST", "/unsafe/x", "", "b"));
+    }
+    CHECK(m_fixture->RunUntil([&] {
+      most = std::max(most, HeldBytes());
+      return OverBudget() >= 1;
+    }));
+    CHECK(most <= kBudgetBytes + kAnswerBytesAtMost);
+    CheckAllEventsOnce(AskStream("/stream/x"));
+    const auto isFailed = [](const auto& aCaller) {
+      return StatusOf(aCaller->Received()) == 502;
+    };
+    CHECK(m_fixture->RunUntil([&] {
+      return std::count_if(callers.begin(), callers.end(), isFailed) ==
+             OverBudget();
+    }));
+    CHECK(OverBudget() < kCallersAtOnce);
+  }
   void CheckStream(const StubEndpoint::Script& aScript)
   {
     Start(aScript);
@@ -292,6 +350,76 @@
   CHECK(m_fixture->m_sink.Has({ "request_cut", "\"why\":\"overdue\"" }));
 }
 
+TEST(EndlessAnswer, ManyAnswersWithoutEndAreHeldWithinTheBudget)
+{
+  CheckHeldTogether(FloodBody);
+}
+
+TEST(EndlessAnswer, ManyHeadsWithoutEndAreHeldWithinTheBudget)
+{
+  CheckHeldTogether(FloodField);
+}
+
+TEST(EndlessAnswer, ManyChunkExtensionsWithoutEndAreHeldWithinTheBudget)
+{
+  CheckHeldTogether(FloodChunkExtension);
+}
+
+TEST(EndlessAnswer, ManyEventsWithoutEndAreHeldWithinTheBudget)
+{
+  // More than the buffers of the streams together.
+  constexpr int kLimitBytes = 512 * 1024;
+  m_fixture->m_options.m_answerBudgetBytes = kLimitBytes;
+  m_fixture->PutConfig();
+  m_fixture->AddPlainEndpoint().SetScript([](const HttpRequest& aRequest) {
+    return std::vector<StubStep>{ Send(
+      MakeAnswer(AttemptIdOf(aRequest), 200, "done")) };
+  });
+  m_fixture->AddEngine(0, 4).SetScript(
+    WithEngineState([](const HttpRequest& aRequest) {
+      return std::vector<StubStep>{ Send(MakeOpenHead(aRequest) + "\r\n" +
+                                         std::string(kLimitBytes, 'x')),
+                                    Hang() };
+    }));
+  m_fixture->Start();
+  std::vector<std::unique_ptr<ForwardFixture::Caller>> callers;
+  for (int i = 0; i < kCallersAtOnce; ++i) {
+    callers.push_back(m_fixture->Connect());
+    callers.back()->Send(
+      MakeRequest("POST", "/once/x", kStreamHeader, "prompt"));
+  }
+  int most = 0;
+  CHECK(m_fixture->RunUntil([&] {
+    most = std::max(most, HeldBytes());
+    return OverBudget() >= 1;
+  }));
+  CHECK(most <= 2 * kLimitBytes + kAnswerBytesAtMost);
+  CHECK_EQUAL(200, StatusOf(m_fixture->SendRequest("GET", "/safe/x")));
+}
+
+TEST(EndlessAnswer, AnswersThatNoCallerReadsAreHeldWithinTheBudget)
+{
+  constexpr int kAnswerBytes = 7 * 1024 * 1024;
+  StartWithBudget([](const HttpRequest& aRequest) {
+    return std::vector<StubStep>{ Send(
+      MakeAnswer(AttemptIdOf(aRequest), 200, std::string(kAnswerBytes, 'x'))) };
+  });
+  std::vector<std::unique_ptr<Tcp::socket>> callers;
+  for (int i = 0; i < kCallersAtOnce; ++i) {
+    callers.push_back(std::make_unique<Tcp::socket>(m_fixture->m_context));
+    callers.back()->open(Tcp::v4());
+    callers.back()->set_option(asio::socket_base::receive_buffer_size(4096));
+    callers.back()->connect(
+      { asio::ip::make_address("127.0.0.1"), m_fixture->m_gateway->Port() });
+    asio::write(*callers.back(),
+                asio::buffer(MakeRequest("POST", "/unsafe/x", "", "b")));
+  }
+  CHECK(
+    m_fixture->RunUntil([this] { return OverBudget() == kCallersAtOnce - 1; }));
+  CheckAllEventsOnce(AskStream("/stream/x"));
+  CHECK(HeldBytes() < 2 * kAnswerBytes);
+}
+
 TEST(EndlessAnswer, AnErrorBodyWithoutEnd)
 {
   CheckPlain(FloodErrorBody);
--- a/Tests/Forwarding/ReceiveBudgetTest.cxx
+++ b/Tests/Forwarding/ReceiveBudgetTest.cxx
@@ -81,6 +81,21 @@
   CHECK_EQUAL(0, moving.m_refusals);
 }
 
+TEST(ReceiveBudget, AReaderThatMayPauseIsNotRefusedForIt)
+{
+  const auto budget =
+    std::make_shared<ReceiveBudget>(kLimit, ReceiveBudget::kNeverStalled);
+  TestReader paused(budget);
+  TestReader moving(budget);
+  CHECK_TRUE(budget->Hold(paused, 600, m_now));
+  CHECK_TRUE(budget->Hold(moving, 1100, m_now));
+  m_now += std::chrono::hours(1);
+  TestReader larger(budget);
+  CHECK_FALSE(budget->Hold(larger, 1000, m_now));
+  CHECK_EQUAL(0, paused.m_refusals);
+  CHECK_EQUAL(0, moving.m_refusals);
+}
+
 TEST(ReceiveBudget, TellsAReaderThatIsRefusedItself)
 {
   TestReader largest(m_budget);
--- a/Tests/Forwarding/StubEndpoint.cxx
+++ b/Tests/Forwarding/StubEndpoint.cxx
@@ -211,7 +211,7 @@
       }
       case StubStep::Kind::Flood: {
         beast::error_code error;
-        while (!error && m_floodBytes < kMaxFloodBytes) {
+        while (!error && m_floodBytes < m_maxFloodBytes) {
           const auto [failure, bytes] = co_await asio::async_write(
             aSocket, asio::buffer(aStep.m_bytes), kAwait);
           error = failure;
@@ -244,6 +244,7 @@
   std::vector<HttpRequest> m_requests;
   std::vector<std::weak_ptr<Tcp::socket>> m_sockets;
   std::size_t m_floodBytes = 0;
+  std::size_t m_maxFloodBytes = kMaxFloodBytes;
   int m_abandoned = 0;
   int m_connections = 0;
   bool m_answersBeforeBody = false;
@@ -317,4 +318,10 @@
   return m_parts->m_floodBytes;
 }
 
+void
+StubEndpoint::SetMaxFloodBytes(std::size_t aBytes)
+{
+  m_parts->m_maxFloodBytes = aBytes;
+}
+
 } // namespace parsleycove
--- a/Tests/Forwarding/StubEndpoint.h
+++ b/Tests/Forwarding/StubEndpoint.h
@@ -30,7 +30,8 @@
     // Resets the connection.
     Reset,
     // Sends its bytes again and again until the peer closes the connection, but
-    // not more than kMaxFloodBytes.
+    // not more than kMaxFloodBytes unless SetMaxFloodBytes() sets another
+    // limit.
     Flood,
     // Sends nothing more and keeps the connection open.
     Hang,
@@ -103,6 +104,7 @@
   int Connections() const;
   // Returns the number of bytes sent by Flood.
   std::size_t FloodBytes() const;
+  void SetMaxFloodBytes(std::size_t aBytes);
 
 private:
   struct Parts;
--- a/Tests/Soak/SoakBackend.cxx
+++ b/Tests/Soak/SoakBackend.cxx
@@ -2,6 +2,7 @@
 #include "Soak/SoakBackend.h"
 
 #include <algorithm>
+#include <limits>
 #include <sstream>
 #include <utility>
 
@@ -100,6 +101,14 @@
   m_refusesUntil = std::max(m_refusesUntil, BootClock::now() + aLength);
 }
 
+void
+SoakBackend::SendEndlessly(std::string aHead, std::string aBytes)
+{
+  m_endlessHead = std::move(aHead);
+  m_endlessBytes = std::move(aBytes);
+  m_stub.SetMaxFloodBytes(std::numeric_limits<std::size_t>::max());
+}
+
 void
 SoakBackend::NameLimit(double aPerSecond, Duration aLength)
 {
@@ -169,6 +178,12 @@
     Crash();
     return { Hang() };
   }
+  if (!m_endlessBytes.empty()) {
+    ++m_endlessAnswers;
+    return { Send("HTTP/1.1 200 OK\r\nResponse-Signature: s1\r\nAttempt-Id: " +
+                  attempt + "\r\n" + m_endlessHead),
+             Flood(m_endlessBytes) };
+  }
   if (m_random.Below(kUnframedShare) == 0) {
     const std::size_t half = m_random.Below(attempt.size() + 1);
     return { Send(WithLimit(MakeUnframedHead(attempt, "text/plain")) +
--- a/Tests/Soak/SoakBackend.h
+++ b/Tests/Soak/SoakBackend.h
@@ -47,6 +47,13 @@
   void RefuseWork(Duration aLength);
   // Names a limit of requests a second in its answers for a while.
   void NameLimit(double aPerSecond, Duration aLength);
+  // Sends aHead, after the status line and the attempt's id, and then aBytes
+  // without end in place of every plain answer.
+  void SendEndlessly(std::string aHead, std::string aBytes);
+  // Returns the numbers of endless answers begun, and of those that the gateway
+  // has closed.
+  int EndlessAnswers() const { return m_endlessAnswers; }
+  int ClosedAnswers() const { return m_stub.Abandoned(); }
   // Announces itself to one control VM after the other, until Stop. When it
   // leaves, aOnLeaving is called once that was acknowledged.
   void Announce(std::vector<SocketAddress> aControls);
@@ -86,6 +93,10 @@
   int m_sequence = 0;
   int m_born = 1;
   TimePoint m_refusesUntil{};
+  std::string m_endlessHead;
+  // Empty: plain answers have an end.
+  std::string m_endlessBytes;
+  int m_endlessAnswers = 0;
   double m_limit = 0;
   TimePoint m_limitUntil{};
   bool m_isStopped = false;
