Forwarding: Limit the memory of the answers to probes and orders

Callers saw nothing of this; the cause is the one of endless answers to requests: a client of probes and orders limits each answer to 8 MiB, and nothing limits the answers of all endpoints that it asks at once.

Evidence: EndpointClient.AnswersWithoutEndAreHeldWithinOneLimit fails with HeldAnswer::Hold taken out: of two bodies without end both are held until the time-out.

Change: all calls of one EndpointClient share a ReceiveBudget of 32 MiB, and of 4 MiB where answers are short: probes of engines, probes of VMs and orders to reroute.

--- a/Source/Ctl/HttpTransport.cxx
+++ b/Source/Ctl/HttpTransport.cxx
@@ -76,8 +76,8 @@
   }
   boost::beast::flat_buffer buffer;
   std::optional<StringAnswerParser> parser;
-  const auto readError =
-    co_await ReadAnswer(stream, buffer, parser, kMaxAnswerBytes);
+  const auto readError = co_await ReadAnswer(
+    stream, buffer, parser, kMaxAnswerBytes, [](std::size_t) { return true; });
   if (readError) {
     aExchange.m_reason.Set(TransportError::AnswerLost, readError.message());
     co_return;
--- a/Source/Forwarding/EndpointClient.cxx
+++ b/Source/Forwarding/EndpointClient.cxx
@@ -8,6 +8,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "Forwarding/HeldAnswer.h"
 #include "Wire/AnswerParser.h"
 
 namespace parsleycove {
@@ -45,8 +46,11 @@
 
 } // namespace
 
-EndpointClient::EndpointClient(asio::any_io_executor aExecutor)
+EndpointClient::EndpointClient(asio::any_io_executor aExecutor,
+                               std::size_t aMaxHeldBytes)
   : m_executor(std::move(aExecutor))
+  , m_budget(std::make_shared<ReceiveBudget>(aMaxHeldBytes,
+                                             ReceiveBudget::kNeverStalled))
 {
 }
 
@@ -157,8 +161,13 @@
   }
   beast::flat_buffer buffer(kMaxBufferedBytes);
   std::optional<StringAnswerParser> parser;
+  HeldAnswer held(m_budget,
+                  [connection = aConnection.get()] { connection->cancel(); });
+  const auto mayHold = [&held](std::size_t aBytes) {
+    return held.Hold(aBytes);
+  };
   const beast::error_code readError =
-    co_await ReadAnswer(*aConnection, buffer, parser, kMaxAnswerBytes);
+    co_await ReadAnswer(*aConnection, buffer, parser, kMaxAnswerBytes, mayHold);
   if (readError == beast::error::timeout) {
     m_idle.erase(aAddress);
     CallResult failure =
--- a/Source/Forwarding/EndpointClient.h
+++ b/Source/Forwarding/EndpointClient.h
@@ -1,6 +1,7 @@
 // HTTP client for endpoints with persistent connections.
 #pragma once
 
+#include <cstddef>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -9,6 +10,7 @@
 #include "Base/Clock.h"
 #include "Base/SocketAddress.h"
 #include "Forwarding/CallResult.h"
+#include "Forwarding/ReceiveBudget.h"
 #include "Wire/Http.h"
 
 namespace parsleycove {
@@ -31,7 +33,13 @@
 class EndpointClient
 {
 public:
-  explicit EndpointClient(asio::any_io_executor aExecutor);
+  // Memory that the answers of all calls hold together, besides the largest.
+  static constexpr std::size_t kMaxHeldBytes = 32UL * 1024 * 1024;
+  // The same for short answers, such as those to probes.
+  static constexpr std::size_t kMaxShortHeldBytes = 4UL * 1024 * 1024;
+
+  explicit EndpointClient(asio::any_io_executor aExecutor,
+                          std::size_t aMaxHeldBytes = kMaxHeldBytes);
   ~EndpointClient();
   EndpointClient(const EndpointClient&) = delete;
   EndpointClient& operator=(const EndpointClient&) = delete;
@@ -61,6 +69,7 @@
                                        TimePoint aDeadline);
 
   asio::any_io_executor m_executor;
+  const std::shared_ptr<ReceiveBudget> m_budget;
   // The most recently used connection of an address is last.
   std::unordered_map<std::string, std::vector<Connection>> m_idle;
 };
--- a/Source/Forwarding/EngineFailureDetector.cxx
+++ b/Source/Forwarding/EngineFailureDetector.cxx
@@ -38,7 +38,7 @@
   , m_dialect(aDialect)
   , m_log(aLog)
   , m_settings(aSettings)
-  , m_client(aContext.get_executor())
+  , m_client(aContext.get_executor(), EndpointClient::kMaxShortHeldBytes)
   , m_rerouter(aContext, aDialect, aLog)
 {
 }
--- a/Source/Forwarding/ReachMonitor.cxx
+++ b/Source/Forwarding/ReachMonitor.cxx
@@ -57,7 +57,7 @@
   , m_promptParts(aPromptParts)
   , m_log(aLog)
   , m_metrics(aMetrics)
-  , m_client(aContext.get_executor())
+  , m_client(aContext.get_executor(), EndpointClient::kMaxShortHeldBytes)
   , m_helpers(aOptions.m_vm, aOptions.m_zone, aOptions.m_seed + 2)
 {
 }
--- a/Source/Forwarding/StreamRerouter.cxx
+++ b/Source/Forwarding/StreamRerouter.cxx
@@ -33,7 +33,7 @@
   : m_context(aContext)
   , m_dialect(aDialect)
   , m_log(aLog)
-  , m_client(aContext.get_executor())
+  , m_client(aContext.get_executor(), EndpointClient::kMaxShortHeldBytes)
 {
 }
 
--- a/Source/Wire/AnswerParser.h
+++ b/Source/Wire/AnswerParser.h
@@ -1,10 +1,12 @@
 // Reads answers to HTTP requests.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/error.hpp>
@@ -52,22 +54,34 @@
 
 using StringAnswerParser = AnswerParser<http::string_body>;
 
-// Reads one whole answer into aParser and skips interim answers.
-template<class Stream>
+// Reads one whole answer into aParser and skips interim answers. aMayHold is
+// called with the bytes that are held after each read, and returns false to end
+// it.
+template<class Stream, class MayHold>
 asio::awaitable<beast::error_code>
 ReadAnswer(Stream& aStream,
            beast::flat_buffer& aBuffer,
            std::optional<StringAnswerParser>& aParser,
-           std::uint64_t aMaxBodyBytes)
+           std::uint64_t aMaxBodyBytes,
+           const MayHold& aMayHold)
 {
   constexpr int kMaxInterimAnswers = 16;
   for (int i = 0; i <= kMaxInterimAnswers; ++i) {
     aParser.emplace();
     aParser->body_limit(aMaxBodyBytes);
-    const auto [error, bytes] = co_await http::async_read(
-      aStream, aBuffer, *aParser, asio::as_tuple(asio::use_awaitable));
-    if (error || !aParser->IsInterim()) {
-      co_return error;
+    aParser->eager(true);
+    while (!aParser->is_done()) {
+      const auto [error, bytes] = co_await http::async_read_some(
+        aStream, aBuffer, *aParser, asio::as_tuple(asio::use_awaitable));
+      if (error) {
+        co_return error;
+      }
+      if (!aMayHold(aParser->get().body().size() + aBuffer.size())) {
+        co_return asio::error::no_buffer_space;
+      }
+    }
+    if (!aParser->IsInterim()) {
+      co_return beast::error_code{};
     }
   }
   co_return http::error::bad_status;
--- a/Tests/Forwarding/EndpointClientTest.cxx
+++ b/Tests/Forwarding/EndpointClientTest.cxx
@@ -113,6 +113,40 @@
   CheckBroken(interim, interim);
 }
 
+TEST(EndpointClient, AnswersWithoutEndAreHeldWithinOneLimit)
+{
+  asio::io_context context;
+  StubEndpoint endpoint(context);
+  // Two bodies within the limit of one, neither of which ends.
+  endpoint.SetScript([](const HttpRequest&) {
+    return std::vector<StubStep>{
+      Send("HTTP/1.1 200 OK\r\n\r\n" + std::string(1024UL * 1024, 'x')), Hang()
+    };
+  });
+  EndpointClient client(context.get_executor(), 64UL * 1024);
+  const SocketAddress address{ "127.0.0.1", endpoint.Port() };
+  std::vector<CallResult> results;
+  for (int i = 0; i < 2; ++i) {
+    asio::co_spawn(
+      context,
+      [&]() -> asio::awaitable<void> {
+        results.push_back(co_await client.Call(
+          address,
+          EndpointClient::MakeJsonPost(address, "/x", "{}"),
+          kCallTimeout,
+          ConnectionChoice::New));
+      },
+      asio::detached);
+  }
+  while (results.size() < 2) {
+    context.run_one();
+  }
+  CHECK_FALSE(results.front().m_hasTimedOut);
+  CHECK(results.front().m_reason.m_code == CallError::Broken);
+  // The largest alone may be held.
+  CHECK(results.back().m_hasTimedOut);
+}
+
 TEST(EndpointClient, AConnectionWithBytesLeftOverIsNotUsedAgain)
 {
   const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
