Ctl: Limit the line of a chunk in an answer

Callers saw nothing of this; operators whose call is answered with a chunk line without end would see parsleycovectl take memory until the call's time-out.

Cause: the parser limits heads and bodies, but keeps the line of a chunk, with its extensions, in a buffer that had no limit. Found by looking for the cause of endless answers in the other readers of HTTP.

Evidence: HttpTransport.AChunkLineWithoutEndEndsTheCall fails without the limit: all 32 MiB that its server has are read.

Change: the buffer holds 64 KiB at most, as that of EndpointClient.

--- a/Source/Ctl/HttpTransport.cxx
+++ b/Source/Ctl/HttpTransport.cxx
@@ -27,6 +27,9 @@
 
 constexpr std::chrono::milliseconds kConnectTimeout(2000);
 constexpr std::size_t kMaxAnswerBytes = 8ULL * 1024 * 1024;
+// Limit of received bytes that the parser cannot take yet, such as the line of
+// a chunk; the parser limits heads and bodies.
+constexpr std::size_t kMaxBufferedBytes = 64UL * 1024;
 
 using Request = http::request<http::string_body>;
 using Response = http::response<http::string_body>;
@@ -74,7 +77,7 @@
     aExchange.m_reason.Set(TransportError::AnswerLost, writeError.message());
     co_return;
   }
-  boost::beast::flat_buffer buffer;
+  boost::beast::flat_buffer buffer(kMaxBufferedBytes);
   std::optional<StringAnswerParser> parser;
   const auto readError = co_await ReadAnswer(
     stream, buffer, parser, kMaxAnswerBytes, [](std::size_t) { return true; });
--- a/Tests/Ctl/HttpTransportTest.cxx
+++ b/Tests/Ctl/HttpTransportTest.cxx
@@ -1,6 +1,7 @@
 // Tests of the calls to gateways against an HTTP server in this process.
 #include <thread>
 
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 
 #include "Ctl/HttpTransport.h"
@@ -109,3 +110,29 @@
   CHECK_FALSE(m_transport.Send({ "127.0.0.1", 1 }, call, m_reason).has_value());
   CHECK_TRUE(m_reason.m_code == TransportError::NotSent);
 }
+
+TEST(HttpTransport, AChunkLineWithoutEndEndsTheCall)
+{
+  constexpr std::size_t kMaxSentBytes = 32UL * 1024 * 1024;
+  using Tcp = boost::asio::ip::tcp;
+  Tcp::acceptor acceptor(m_context,
+                         { boost::asio::ip::make_address("127.0.0.1"), 0 });
+  std::size_t sent = 0;
+  m_thread = std::thread([&] {
+    Tcp::socket socket = acceptor.accept();
+    std::string bytes =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;name=";
+    boost::system::error_code error;
+    while (!error && sent < kMaxSentBytes) {
+      sent += boost::asio::write(socket, boost::asio::buffer(bytes), error);
+      bytes.assign(64UL * 1024, 'x');
+    }
+  });
+  const std::uint16_t port = acceptor.local_endpoint().port();
+  const AdminCall call{ HttpMethod::Get, "/x", "" };
+  CHECK_FALSE(
+    m_transport.Send({ "127.0.0.1", port }, call, m_reason).has_value());
+  m_thread.join();
+  CHECK_TRUE(m_reason.m_code == TransportError::AnswerLost);
+  CHECK(sent < kMaxSentBytes);
+}
