Control: Count gateways only when all have been reported

Cause: each gateway spends its part of the retry budget, the slack divided by the number of gateways. A control process that has just started said 0, a new leader added up what had been reported in its term so far, and a gateway took either for the size of the fleet. Parts of endpoints' named limits come from the same number. The same happened in small when one replica started again: its first report, before its gateways were back, lowered the sum.

Change: GatewayCount keeps the number over terms. It is unknown until the leader has had a lease of reports and a quorum; a new leader goes on with the last number it knew; the number grows at once and falls only to the highest sum of a whole such lease. Unknown is 0 on the wire, as the schema says, so nothing changes there. A gateway that is told 0 keeps the last number for 15 s; after that, and in a process that has never had one, the replicated list of VMs that take callers stands in, and 32 where that is empty.

Not covered: a gateway that ends leaves its retries in the window, while the parts of the others grow after a lease or two.

--- a/Source/Control/ClientNode.cxx
+++ b/Source/Control/ClientNode.cxx
@@ -296,7 +296,7 @@
     m_confirmedAt, sentAt - std::chrono::milliseconds(aPong.confirmed_ago_ms));
   m_view.Advance(aPong.index);
   m_view.UpdateInForceIndex(aPong.in_force_index);
-  m_view.UpdateGatewayCount(aPong.gateways);
+  m_view.UpdateGatewayCount(BootClock::now(), aPong.gateways);
   if (aPong.lease_ms != 0 && !m_needsImage) {
     m_lastGrantAt = BootClock::now();
     m_view.ExtendLease(sentAt + std::chrono::milliseconds(aPong.lease_ms));
--- a/Source/Control/ControlClient.cxx
+++ b/Source/Control/ControlClient.cxx
@@ -226,7 +226,7 @@
 std::uint32_t
 ControlClient::GatewayCount() const
 {
-  return m_thread->Node().View().GatewayCount();
+  return m_thread->Node().View().GatewayCount(BootClock::now());
 }
 
 void
--- a/Source/Control/FeedBackend.h
+++ b/Source/Control/FeedBackend.h
@@ -36,7 +36,7 @@
   virtual std::uint64_t AppliedIndex() const = 0;
   virtual std::uint64_t InForceIndex() const = 0;
   // Number of gateways of the whole fleet, or 0 if unknown.
-  virtual std::uint32_t GatewayCount() const = 0;
+  virtual std::uint32_t CountGateways() const = 0;
   // Returns std::nullopt if no leader is known.
   virtual std::optional<SocketAddress> LeaderAddress() const = 0;
   virtual feed::WelcomeT DescribeGroup() const = 0;
--- a/Source/Control/FeedServer.cxx
+++ b/Source/Control/FeedServer.cxx
@@ -187,7 +187,7 @@
   // Every delta up to this index has been sent on this link before this Pong.
   pong.index = m_backend.AppliedIndex();
   pong.in_force_index = m_backend.InForceIndex();
-  pong.gateways = m_backend.GatewayCount();
+  pong.gateways = m_backend.CountGateways();
   pong.lease_ms = lease ? ToMs(*lease) : 0;
   pong.confirmed_ago_ms =
     ToMs(std::min(m_gateways.ConfirmedAgo(aNow), kMaxConfirmedAgo));
--- a/Source/Control/LeaderMaintenance.cxx
+++ b/Source/Control/LeaderMaintenance.cxx
@@ -57,7 +57,6 @@
                                 std::uint64_t aReplica,
                                 const consensus::ReadIndexT& aReport)
 {
-  m_feeds[aReplica] = { aReport.report_feeds, aNow };
   m_inForce.Answer(aNow, aReplica, aReport.report_min_index);
   std::vector<state::EndpointRefT> renewed;
   for (const std::uint64_t key : aReport.renewed) {
@@ -80,18 +79,6 @@
   return m_inForce.InForceIndex(aNow, aCommitIndex);
 }
 
-std::uint32_t
-LeaderMaintenance::GatewayCount(TimePoint aNow) const
-{
-  std::uint32_t count = 0;
-  for (const auto& [replica, feeds] : m_feeds) {
-    if (aNow - feeds.m_reportedAt < m_options.m_configLease) {
-      count += feeds.m_count;
-    }
-  }
-  return count;
-}
-
 std::vector<state::CommandT>
 LeaderMaintenance::FindExpired(TimePoint aNow,
                                std::uint64_t aUnixMs,
--- a/Source/Control/LeaderMaintenance.h
+++ b/Source/Control/LeaderMaintenance.h
@@ -30,9 +30,8 @@
                     const state::ConfigImageT& aConfig);
 
   void UpdateConfig(TimePoint aNow, const state::ConfigImageT& aConfig);
-  // Records the report of a replica: the number of gateways that it feeds, the
-  // least index that they have applied, and the renewed leases. The leader also
-  // records its own report.
+  // Records the report of a replica: the least index that its gateways have
+  // applied, and the renewed leases. The leader also records its own report.
   void RecordReport(TimePoint aNow,
                     std::uint64_t aReplica,
                     const consensus::ReadIndexT& aReport);
@@ -40,10 +39,6 @@
   // while none is known.
   std::uint64_t InForceIndex(TimePoint aNow, std::uint64_t aCommitIndex);
 
-  // Returns the number of gateways that serve callers: the sum over the
-  // replicas that reported within the last configuration lease.
-  std::uint32_t GatewayCount(TimePoint aNow) const;
-
   // Returns commands for the leases that expired. A command is returned again
   // until it has been applied.
   std::vector<state::CommandT> FindExpired(TimePoint aNow,
@@ -59,20 +54,12 @@
     const std::string& aVm,
     const ReplicatedState& aState) const;
 
-  // How many gateways a replica feeds, by its latest report.
-  struct FeedReport
-  {
-    std::uint32_t m_count = 0;
-    TimePoint m_reportedAt{};
-  };
-
   const LeaderMaintenanceOptions m_options;
   const TimePoint m_startedAt;
   EndpointLeaseTable m_endpoints;
   InForceTracker m_inForce;
   // Endpoints of the registry by the hash that identifies them in reports.
   std::unordered_map<std::uint64_t, state::EndpointRefT> m_endpointOfKey;
-  std::unordered_map<std::uint64_t, FeedReport> m_feeds;
   // When a replica last reported each gateway process, by its hash.
   std::unordered_map<std::uint64_t, TimePoint> m_gatewayReportedAt;
 };
--- a/Source/Control/LeasedConfigView.cxx
+++ b/Source/Control/LeasedConfigView.cxx
@@ -80,6 +80,23 @@
   m_inForceIndex.store(std::max(m_inForceIndex.load(), aIndex));
 }
 
+void
+LeasedConfigView::UpdateGatewayCount(TimePoint aNow, std::uint32_t aCount)
+{
+  if (aCount != 0) {
+    m_gatewayCount = aCount;
+    m_gatewayCountEnd = (aNow + kGatewayCountHold).time_since_epoch().count();
+  }
+}
+
+std::uint32_t
+LeasedConfigView::GatewayCount(TimePoint aNow) const
+{
+  return aNow.time_since_epoch().count() < m_gatewayCountEnd.load()
+           ? m_gatewayCount.load()
+           : 0;
+}
+
 boost::intrusive_ptr<const ClusterView>
 LeasedConfigView::Read() const
 {
--- a/Source/Control/LeasedConfigView.h
+++ b/Source/Control/LeasedConfigView.h
@@ -12,6 +12,10 @@
 
 namespace parsleycove {
 
+// How long a gateway goes on with the last known number of gateways; longer
+// than a restart of the whole control group takes.
+inline constexpr std::chrono::seconds kGatewayCountHold{ 15 };
+
 // One thread makes all changes; any thread may read.
 //
 // Invariant: the index of the published view never decreases.
@@ -33,7 +37,9 @@
   // before the lease is extended. Does nothing before the first image.
   void ExtendLease(TimePoint aLeaseEnd);
   void UpdateInForceIndex(std::uint64_t aIndex);
-  void UpdateGatewayCount(std::uint32_t aCount) { m_gatewayCount = aCount; }
+  // Records the number of gateways that the replica names; 0, unknown, leaves
+  // the last number in use.
+  void UpdateGatewayCount(TimePoint aNow, std::uint32_t aCount);
 
   bool HasImage() const { return m_hasImage; }
   // Index to acknowledge to the replica.
@@ -44,7 +50,8 @@
   boost::intrusive_ptr<const ClusterView> Read() const;
   bool HasLease(TimePoint aNow) const;
   std::uint64_t InForceIndex() const { return m_inForceIndex.load(); }
-  std::uint32_t GatewayCount() const { return m_gatewayCount.load(); }
+  // Returns 0 if no number has been received for kGatewayCountHold.
+  std::uint32_t GatewayCount(TimePoint aNow) const;
 
 private:
   ConfigState m_config;
@@ -56,6 +63,7 @@
   std::atomic<Duration::rep> m_leaseEnd{ 0 }; // ns of BootClock; 0: no lease
   std::atomic<std::uint64_t> m_inForceIndex{ 0 };
   std::atomic<std::uint32_t> m_gatewayCount{ 0 };
+  std::atomic<Duration::rep> m_gatewayCountEnd{ 0 }; // ns of BootClock
 };
 
 } // namespace parsleycove
--- a/Source/Control/ReplicaNode.cxx
+++ b/Source/Control/ReplicaNode.cxx
@@ -70,6 +70,7 @@
   , m_tickTimer(aContext)
   , m_roundTimer(aContext)
   , m_maintenanceTimer(aContext)
+  , m_gatewayCount(aOptions.m_configLease, aOptions.m_gatewayLease)
   , m_repair({ aOptions.m_targetVoters, aOptions.m_memberTimeout })
   , m_report(aOptions.m_targetVoters)
   , m_shortageLine(kShortageLineS)
@@ -133,7 +134,7 @@
   if (const auto* reply = aMessage.body.AsReadIndexReply();
       reply != nullptr && reply->ok) {
     m_inForceIndex = std::max(m_inForceIndex, reply->in_force);
-    m_gatewayCount = reply->gateways;
+    m_gatewayCount.RecordLeaderCount(BootClock::now(), reply->gateways);
   }
   m_repair.RecordMessage(BootClock::now(), aMessage.from);
   m_core->Step(BootClock::now(), aMessage);
@@ -145,7 +146,7 @@
 {
   if (auto* reply = aMessage.body.AsReadIndexReply()) {
     reply->in_force = m_inForceIndex;
-    reply->gateways = m_gatewayCount;
+    reply->gateways = CountGateways();
   }
   const std::uint64_t replica = aMessage.to;
   const Frame::Pointer frame = EncodePeerFrame(aMessage);
@@ -200,6 +201,7 @@
       m_maintenance.emplace(MakeLeaderMaintenanceOptions(m_options),
                             BootClock::now(),
                             State().Config());
+      m_gatewayCount.StartTerm(BootClock::now());
     }
   }
   m_leads = leads && log.HasLeaderLease(BootClock::now());
@@ -257,14 +259,29 @@
 void
 ReplicaNode::OnReport(const FollowerReport& aReport)
 {
-  if (m_maintenance) {
-    const TimePoint now = BootClock::now();
-    m_maintenance->RecordReport(now, aReport.m_replica, aReport.m_request);
-    m_inForceIndex =
-      std::max(m_inForceIndex,
-               m_maintenance->InForceIndex(now, m_core->Log().CommitIndex()));
-    m_gatewayCount = m_maintenance->GatewayCount(now);
+  RecordReport(BootClock::now(), aReport.m_replica, aReport.m_request);
+}
+
+void
+ReplicaNode::RecordReport(TimePoint aNow,
+                          std::uint64_t aReplica,
+                          const consensus::ReadIndexT& aReport)
+{
+  if (!m_maintenance) {
+    return;
   }
+  const Replica& log = m_core->Log();
+  m_maintenance->RecordReport(aNow, aReplica, aReport);
+  m_inForceIndex = std::max(
+    m_inForceIndex, m_maintenance->InForceIndex(aNow, log.CommitIndex()));
+  m_gatewayCount.RecordReport(
+    aNow, aReplica, aReport.report_feeds, log.HasLeaderLease(aNow));
+}
+
+std::uint32_t
+ReplicaNode::CountGateways() const
+{
+  return m_gatewayCount.Get(BootClock::now());
 }
 
 void
@@ -319,13 +336,7 @@
   const TimePoint now = BootClock::now();
   m_feeds.RemoveExpiredGateways(now);
   consensus::ReadIndexT report = MakeReport();
-  if (m_maintenance) {
-    m_maintenance->RecordReport(now, m_options.m_replica, report);
-    m_inForceIndex =
-      std::max(m_inForceIndex,
-               m_maintenance->InForceIndex(now, m_core->Log().CommitIndex()));
-    m_gatewayCount = m_maintenance->GatewayCount(now);
-  }
+  RecordReport(now, m_options.m_replica, report);
   m_core->Read(now, std::move(report), [this](const ReadState& aRead) {
     if (aRead.m_ok) {
       m_feeds.ConfirmRead(BootClock::now(), aRead);
--- a/Source/Control/ReplicaNode.h
+++ b/Source/Control/ReplicaNode.h
@@ -16,6 +16,7 @@
 
 #include "Control/FailureReportFilter.h"
 #include "Control/FeedServer.h"
+#include "Control/GatewayCount.h"
 #include "Control/GroupGauges.h"
 #include "Control/InboundLinks.h"
 #include "Control/LeaderMaintenance.h"
@@ -80,7 +81,7 @@
   const ReplicatedState& State() const override { return m_core->State(); }
   std::uint64_t AppliedIndex() const override;
   std::uint64_t InForceIndex() const override { return m_inForceIndex; }
-  std::uint32_t GatewayCount() const override { return m_gatewayCount; }
+  std::uint32_t CountGateways() const override;
   std::optional<SocketAddress> LeaderAddress() const override;
   feed::WelcomeT DescribeGroup() const override;
   feed::StatusReplyT DescribeStatus() const override;
@@ -108,6 +109,10 @@
   consensus::ReadIndexT MakeReport();
   void ScheduleMaintenance();
   void PerformMaintenance();
+  // Records the report of a replica at the leader, does nothing at a follower.
+  void RecordReport(TimePoint aNow,
+                    std::uint64_t aReplica,
+                    const consensus::ReadIndexT& aReport);
   void RepairMembership(TimePoint aNow);
   // Makes the next change of a repair that is under way at once: until the
   // last one, the group tolerates fewer losses than its target allows.
@@ -154,7 +159,7 @@
   // Hashes of the endpoints and gateways renewed since the last full report.
   std::unordered_set<std::uint64_t> m_renewedKeys;
   std::uint64_t m_inForceIndex = 0;
-  std::uint32_t m_gatewayCount = 0;
+  GatewayCount m_gatewayCount;
   MembershipRepair m_repair;
   MembershipReport m_report;
   LineRepeater m_shortageLine;
--- a/Source/Forwarding/RoutingState.cxx
+++ b/Source/Forwarding/RoutingState.cxx
@@ -5,6 +5,7 @@
 
 #include "Forwarding/ControlCalls.h"
 #include "Forwarding/ForwardMetrics.h"
+#include "State/EntryGatewayTable.h"
 #include "Telemetry/DecisionLog.h"
 #include "Telemetry/Logging.h"
 
@@ -45,7 +46,7 @@
 std::uint32_t
 RoutingState::GatewayCount() const
 {
-  return std::max(1U, m_control.GatewayCount());
+  return EstimateGatewayCount(m_control.GatewayCount(), m_view->Image());
 }
 
 void
--- a/Source/State/EntryGatewayTable.cxx
+++ b/Source/State/EntryGatewayTable.cxx
@@ -39,6 +39,17 @@
 
 } // namespace
 
+std::uint32_t
+EstimateGatewayCount(std::uint32_t aCounted, const state::ConfigImageT& aImage)
+{
+  if (aCounted != 0) {
+    return aCounted;
+  }
+  return aImage.gateways.empty()
+           ? kAssumedGateways
+           : static_cast<std::uint32_t>(aImage.gateways.size());
+}
+
 void
 ApplyAnnounceGateway(state::ConfigImageT& aImage,
                      const state::AnnounceGatewayT& aCommand,
--- a/Source/State/EntryGatewayTable.h
+++ b/Source/State/EntryGatewayTable.h
@@ -20,6 +20,16 @@
 inline constexpr std::uint64_t kGatewayRefreshMs = 600'000;
 inline constexpr std::uint64_t kGatewayLifetimeMs = 1'500'000;
 
+// How many gateways each one assumes in the fleet if neither the replicas nor
+// the list say so; large, so that its part of common limits is small.
+inline constexpr std::uint32_t kAssumedGateways = 32;
+
+// Returns the number by which a gateway divides common limits, at least 1:
+// aCounted unless that is 0 (unknown), then the length of the list, which
+// outlasts restarts and keeps VMs that ended without saying so for a while.
+std::uint32_t
+EstimateGatewayCount(std::uint32_t aCounted, const state::ConfigImageT& aImage);
+
 // Result codes: Invalid for a gateway without a name or an address, or with too
 // many services, and Duplicate for what the list holds already.
 void
--- a/Tests/Control/ClientPartsTest.cxx
+++ b/Tests/Control/ClientPartsTest.cxx
@@ -217,6 +217,18 @@
   CHECK_EQUAL(1, m_view.Read()->Index());
 }
 
+TEST(LeasedConfigView, AnUnknownNumberOfGatewaysLeavesTheLastOneForAWhile)
+{
+  const int holdMs = std::chrono::milliseconds(kGatewayCountHold).count();
+  CHECK_EQUAL(0, m_view.GatewayCount(At(0)));
+  m_view.UpdateGatewayCount(At(0), 7);
+  m_view.UpdateGatewayCount(At(1000), 0);
+  CHECK_EQUAL(7, m_view.GatewayCount(At(holdMs - 1)));
+  CHECK_EQUAL(0, m_view.GatewayCount(At(holdMs)));
+  m_view.UpdateGatewayCount(At(holdMs), 6);
+  CHECK_EQUAL(6, m_view.GatewayCount(At(holdMs)));
+}
+
 TEST(LeasedConfigView, ADeltaThatDoesNotFitIsReported)
 {
   m_view.ApplyImage(ImageAt(10));
--- a/Tests/Control/EndToEndTest.cxx
+++ b/Tests/Control/EndToEndTest.cxx
@@ -1,5 +1,7 @@
 // Tests of replicas and clients together: commits, changes in force, failed
 // quorum, restarts from disk and replacement of a failed member.
+#include <algorithm>
+#include <future>
 #include <memory>
 #include <string>
 #include <vector>
@@ -206,6 +208,44 @@
   CHECK_EQUAL(8, again.m_value->revision);
 }
 
+// Fault pattern: all control processes are killed at once and come back.
+TEST(EndToEnd, NoGatewayIsToldOfFewerGatewaysAfterARestartOfAllReplicas)
+{
+  constexpr std::size_t kGateways = 6;
+  for (std::size_t i = 0; i < 3; ++i) {
+    m_cluster.Stop(i);
+    m_cluster.Options(i).m_configLease = std::chrono::seconds(3);
+    m_cluster.Start(i);
+  }
+  std::vector<std::unique_ptr<ControlClient>> clients;
+  for (std::size_t i = 0; i < kGateways; ++i) {
+    clients.push_back(Connect("gateway-" + std::to_string(i), i % 3));
+  }
+  for (const auto& client : clients) {
+    CHECK(WaitUntil([&] { return client->GatewayCount() == kGateways; }));
+  }
+  for (std::size_t i = 0; i < 3; ++i) {
+    m_cluster.Stop(i);
+  }
+  for (std::size_t i = 0; i < 3; ++i) {
+    m_cluster.Start(i);
+  }
+  std::uint32_t lowest = kGateways;
+  const auto made = std::async(std::launch::async, [&] {
+    return Propose(*clients[0], MakeChange("c1", 0, "urgent"));
+  });
+  CHECK(WaitUntil([&] {
+    for (const auto& client : clients) {
+      lowest = std::min(lowest, client->GatewayCount());
+    }
+    return std::all_of(clients.begin(), clients.end(), [](const auto& aClient) {
+      return aClient->View()->FindClass("urgent") != nullptr &&
+             aClient->HasLease(BootClock::now());
+    });
+  }));
+  CHECK_EQUAL(kGateways, lowest);
+}
+
 TEST(EndToEnd, ViewsOnlyMoveForwardWhileReplicasComeAndGo)
 {
   m_cluster.WaitForLeader();
--- a/Tests/Control/ReplicaPartsTest.cxx
+++ b/Tests/Control/ReplicaPartsTest.cxx
@@ -5,6 +5,7 @@
 
 #include "Control/DeltaRing.h"
 #include "Control/FailureReportFilter.h"
+#include "Control/GatewayCount.h"
 #include "Control/LeaderMaintenance.h"
 #include "Control/LeaseKey.h"
 #include "Control/PendingProposals.h"
@@ -174,6 +175,72 @@
   CHECK_EQUAL(2, maintenance.FindExpired(At(190), 5, m_state).size());
 }
 
+// clang-format off
+TEST_GROUP(GatewayCount)
+{
+  GatewayCount m_count{ std::chrono::milliseconds(300), std::chrono::milliseconds(1500) };
+
+  // Three replicas report at aMs.
+  void Report(int aMs, std::uint32_t aFirst, std::uint32_t aSecond, std::uint32_t aThird, bool aHasQuorum = true)
+  {
+    m_count.RecordReport(At(aMs), 1, aFirst, aHasQuorum);
+    m_count.RecordReport(At(aMs), 2, aSecond, aHasQuorum);
+    m_count.RecordReport(At(aMs), 3, aThird, aHasQuorum);
+  }
+};
+// clang-format on
+
+TEST(GatewayCount, IsUnknownUntilALeaseOfReportsAfterARestart)
+{
+  CHECK_EQUAL(0, m_count.Get(At(0)));
+  m_count.StartTerm(At(0));
+  for (int now = 0; now < 300; now += 100) {
+    Report(now, 1, 0, now / 100);
+    CHECK_EQUAL(0, m_count.Get(At(now)));
+  }
+  Report(300, 1, 2, 4);
+  CHECK_EQUAL(7, m_count.Get(At(300)));
+}
+
+TEST(GatewayCount, ANewLeaderKeepsTheLastNumberUntilItsOwnIsComplete)
+{
+  m_count.RecordLeaderCount(At(0), 7);
+  m_count.RecordLeaderCount(At(10), 0);
+  m_count.StartTerm(At(100));
+  Report(100, 1, 0, 0);
+  CHECK_EQUAL(7, m_count.Get(At(100)));
+  Report(200, 3, 3, 3);
+  CHECK_EQUAL(9, m_count.Get(At(200)));
+  for (int now = 300; now < 700; now += 100) {
+    Report(now, 2, 2, 1);
+    CHECK_EQUAL(9, m_count.Get(At(now)));
+  }
+  Report(700, 2, 2, 1);
+  CHECK_EQUAL(5, m_count.Get(At(700)));
+}
+
+TEST(GatewayCount, StaysWhileTheGatewaysOfARestartedReplicaConnectAgain)
+{
+  m_count.StartTerm(At(0));
+  for (int now = 0; now <= 3000; now += 50) {
+    const bool connects = now % 1000 > 500 && now % 1000 < 750;
+    Report(now, 2, 2, connects ? 0 : 3);
+    CHECK_EQUAL(now < 300 ? 0 : 7, m_count.Get(At(now)));
+  }
+}
+
+TEST(GatewayCount, DoesNotFallAtALeaderThatHasLostItsQuorum)
+{
+  m_count.StartTerm(At(0));
+  Report(0, 2, 2, 3);
+  Report(300, 2, 2, 3);
+  for (int now = 400; now < 1800; now += 100) {
+    m_count.RecordReport(At(now), 1, 1, /*aHasQuorum=*/false);
+    CHECK_EQUAL(7, m_count.Get(At(now)));
+  }
+  CHECK_EQUAL(0, m_count.Get(At(1800)));
+}
+
 // Load pattern: four engines fail, and each of ninety gateways reports them.
 TEST(FailureReportFilter, OneReportOfEachDeadEndpointPasses)
 {
--- a/Tests/State/EntryGatewayTableTest.cxx
+++ b/Tests/State/EntryGatewayTableTest.cxx
@@ -62,6 +62,15 @@
         state::ResultCode::Ok);
 }
 
+TEST(EntryGatewayTable, StandsInForAnUnknownNumberOfGateways)
+{
+  CHECK_EQUAL(kAssumedGateways, EstimateGatewayCount(0, m_state.Config()));
+  Apply(Announce("vm-1", 1000));
+  Apply(Announce("vm-2", 1000));
+  CHECK_EQUAL(2U, EstimateGatewayCount(0, m_state.Config()));
+  CHECK_EQUAL(7U, EstimateGatewayCount(7, m_state.Config()));
+}
+
 TEST(EntryGatewayTable, AVmThatLeavesIsTakenOff)
 {
   Apply(Announce("vm-1", 1000));
