Forwarding: Take an answer that was reset while its call was suspended as incomplete

Callers may see: an endpoint sends a part of an answer that has no length and resets the connection in the moment in which its call is suspended for silence. The call is kept, and the part is delivered as a complete answer, or the stream ends as complete.

Cause: a socket reports a reset only once. The read that had already ended with the reset found the call suspended and returned without looking at its result. After Resume the next read just found the end of the file, which completes an answer that ends with its connection.

Change: the result of a read is looked at first. A reset closes the connection also of a suspended call, so that it is not kept. An end in order is found again after Resume.

--- a/Source/Forwarding/EndpointCall.cxx
+++ b/Source/Forwarding/EndpointCall.cxx
@@ -249,17 +249,14 @@
     buffer.prepare(kReadBytes),
     asio::bind_cancellation_slot(m_cancelRead.slot(), kAwait));
   buffer.commit(bytes);
-  if (m_end != CallEnd::None) {
-    co_return false;
-  }
   if (error == asio::error::eof) {
     m_atEnd = true;
-    co_return true;
-  }
-  if (error) {
-    co_return Fail(CallEnd::Broken);
+  } else if (error && (error != asio::error::operation_aborted ||
+                       m_end == CallEnd::None)) {
+    // Also if the call was suspended: its next read would just find the end.
+    Abort(CallEnd::Broken);
   }
-  co_return true;
+  co_return m_end == CallEnd::None;
 }
 
 void
