--- a/Tests/Control/MembershipRepairTest.cxx
+++ b/Tests/Control/MembershipRepairTest.cxx
@@ -34,6 +34,18 @@
   return group;
 }
 
+// Five voters and a learner, member 6, that runs at the address of member 3.
+consensus::MembershipT
+MakeGroupWithReplacement()
+{
+  auto group = MakeGroup(5, 1);
+  for (const std::size_t index : { 2, 5 }) {
+    group.members[index]->address = "10.0.0.3";
+    group.members[index]->port = 7000;
+  }
+  return group;
+}
+
 } // namespace
 
 // clang-format off
@@ -123,11 +135,7 @@
 
 TEST(MembershipRepair, AVoterIsLostOnceAnotherMemberRunsAtItsAddress)
 {
-  auto group = MakeGroup(5, 1);
-  for (const std::size_t index : { 2, 5 }) {
-    group.members[index]->address = "10.0.0.3";
-    group.members[index]->port = 7000;
-  }
+  auto group = MakeGroupWithReplacement();
   m_repair.Start(At(0));
   RecordMessages(100, 5, 0);
   CHECK_FALSE(m_repair.NeedsVoter(At(200), group, kSelf));
@@ -145,11 +153,7 @@
 
 TEST(MembershipRepair, ANewMemberIsNotSilentBeforeItsAddition)
 {
-  auto group = MakeGroup(5, 1);
-  for (const std::size_t index : { 2, 5 }) {
-    group.members[index]->address = "10.0.0.3";
-    group.members[index]->port = 7000;
-  }
+  auto group = MakeGroupWithReplacement();
   m_repair.Start(At(0));
   m_repair.UpdateMembers(At(0), MakeGroup(5));
   RecordMessages(19000, 5, 0);
