Control: Name an uncommitted change in the line of a group below its target

Since the repair asks the log first whether a change is possible, an earlier change that does not commit was no longer named as the reason; that reason once told hypotheses apart (control-vm-stays-out). RepairEndToEnd passes (6 tests).

--- a/Source/Control/ReplicaNodeGroup.cxx
+++ b/Source/Control/ReplicaNodeGroup.cxx
@@ -256,6 +256,9 @@
 {
   const Replica& log = m_core->Log();
   if (!log.CanChangeMembers()) {
+    if (!m_repair.IsComplete(log.Members())) {
+      m_lastRefusal = "an earlier change is not committed yet";
+    }
     return;
   }
   auto change =
