Tests: Begin the endless answers of a crowd together

The test waits for 32 endless answers. Once the first ones are broken off, the entry VM keeps other requests away from that endpoint, as it should, and they go to the sound one; where few had begun by then, the 32 were never reached.

The endpoint now begins no body before 32 answers have begun, and the sound one joins after that, so that the crowd holds at least what the test asks for. Bounds are unchanged.

--- a/Tests/Crowd/CrowdMain.cxx
+++ b/Tests/Crowd/CrowdMain.cxx
@@ -51,9 +51,6 @@
     m_scene.m_fleet.StartAll();
     m_scene.m_operator->Change(false);
     m_scene.AddBackend(false);
-    if (m_isEndpoint) {
-      m_scene.AddBackend(false);
-    }
     if (!RunUntil([this] { return m_scene.m_operator->IsSettled(); }) ||
         !RunUntil([this] { return Ask() == kOk; })) {
       return Fail("the fleet does not start to serve");
@@ -64,14 +61,21 @@
     SoakBackend& endless = *m_scene.m_backends.front();
     const int closedBefore = endless.ClosedAnswers();
     if (m_isEndpoint) {
-      endless.SendEndlessly(m_script.m_answerHead, m_script.m_answerBytes);
+      endless.SendEndlessly(
+        m_script.m_answerHead, m_script.m_answerBytes, kLeastEndlessAnswers);
     }
     Crowd crowd(m_scene.m_context, Address(), Target(), m_script);
     crowd.Start();
-    if (m_isEndpoint && (!RunUntil([&] {
-          return endless.EndlessAnswers() >= kLeastEndlessAnswers;
-        }) || !RunUntil([this] { return Ask() == kOk; }))) {
-      return Fail("ordinary requests beside endless answers are not served");
+    if (m_isEndpoint) {
+      if (!RunUntil(
+            [&] { return endless.EndlessAnswers() >= kLeastEndlessAnswers; })) {
+        return Fail("too few endless answers have begun: " +
+                    std::to_string(endless.EndlessAnswers()));
+      }
+      m_scene.AddBackend(false);
+      if (!RunUntil([this] { return Ask() == kOk; })) {
+        return Fail("ordinary requests beside endless answers are not served");
+      }
     }
     std::size_t mostDescriptors = 0;
     const bool isRead = RunUntil([&] {
--- a/Tests/Soak/SoakBackend.cxx
+++ b/Tests/Soak/SoakBackend.cxx
@@ -102,8 +102,9 @@
 }
 
 void
-SoakBackend::SendEndlessly(std::string aHead, std::string aBytes)
+SoakBackend::SendEndlessly(std::string aHead, std::string aBytes, int aLeast)
 {
+  m_leastEndless = aLeast;
   m_endlessHead = std::move(aHead);
   m_endlessBytes = std::move(aBytes);
   m_stub.SetMaxFloodBytes(std::numeric_limits<std::size_t>::max());
@@ -182,6 +183,7 @@
     ++m_endlessAnswers;
     return { Send("HTTP/1.1 200 OK\r\nResponse-Signature: s1\r\nAttempt-Id: " +
                   attempt + "\r\n" + m_endlessHead),
+             Await([this] { return m_endlessAnswers >= m_leastEndless; }),
              Flood(m_endlessBytes) };
   }
   if (m_random.Below(kUnframedShare) == 0) {
--- a/Tests/Soak/SoakBackend.h
+++ b/Tests/Soak/SoakBackend.h
@@ -48,8 +48,9 @@
   // Names a limit of requests a second in its answers for a while.
   void NameLimit(double aPerSecond, Duration aLength);
   // Sends aHead, after the status line and the attempt's id, and then aBytes
-  // without end in place of every plain answer.
-  void SendEndlessly(std::string aHead, std::string aBytes);
+  // without end in place of every plain answer. No body begins before aLeast
+  // such answers have: one that is broken off may keep other requests away.
+  void SendEndlessly(std::string aHead, std::string aBytes, int aLeast);
   // Returns the numbers of endless answers begun, and of those that the gateway
   // has closed.
   int EndlessAnswers() const { return m_endlessAnswers; }
@@ -96,6 +97,7 @@
   std::string m_endlessHead;
   // Empty: plain answers have an end.
   std::string m_endlessBytes;
+  int m_leastEndless = 0;
   int m_endlessAnswers = 0;
   double m_limit = 0;
   TimePoint m_limitUntil{};
