Control: Replace lost voters of a group in one zone

A control group whose VMs are all in one availability zone was lost for good with the third disk that was lost in turn. The rule that no zone may hold a majority refused the removal of a lost voter once two replacements had named their zone (founding members have none), and then the promotion of the next replacement: the lost voters stayed in the count.

The rule protects a spread group from a zone that could commit alone. A group of three or more voters none of whose members, learners included, is known to be elsewhere cannot be spread; it only lost by the refusal, and may change now. As soon as one member is elsewhere the rule holds as before, also for a group that grows to its third voter.

MembershipReturn.DisksInTurnInOneZone failed before and passes, with the eight other tests of the model (safety among them); of the three new tests of the rule the first one failed before (MayPromote "aaaA").

--- a/Source/Consensus/MembershipRules.cxx
+++ b/Source/Consensus/MembershipRules.cxx
@@ -29,6 +29,68 @@
                        });
 }
 
+// Returns why the voters are not spread over enough availability zones, or
+// std::nullopt if they are.
+std::optional<std::string>
+FindZoneFault(const MembershipT& aMembership)
+{
+  const std::size_t voters = CountVoters(aMembership);
+  if (voters < kZoneRuleMinVoters) {
+    return std::nullopt;
+  }
+  for (const auto& member : aMembership.members) {
+    // Founding members that know each other only by address have no zone, so
+    // the rule of the zones cannot be checked for them.
+    if (member->zone.empty()) {
+      continue;
+    }
+    const std::size_t ofZone = CountVotersOfZone(aMembership, member->zone);
+    if (ofZone >= QuorumSize(aMembership)) {
+      return "membership: availability zone \"" + member->zone + "\" has " +
+             std::to_string(ofZone) + " of " + std::to_string(voters) +
+             " voters; expected fewer than a majority";
+    }
+  }
+  return std::nullopt;
+}
+
+// Returns why a member is not valid, or std::nullopt if all are.
+std::optional<std::string>
+FindMemberFault(const MembershipT& aMembership)
+{
+  if (CountVoters(aMembership) == 0) {
+    return "membership: no voter; expected at least one";
+  }
+  for (const auto& member : aMembership.members) {
+    if (member->replica == 0) {
+      return "membership: replica 0 on VM \"" + member->vm +
+             "\"; expected an identity other than 0";
+    }
+    if (FindMember(aMembership, member->replica) != member.get()) {
+      return "membership: " + NameMember(*member) + " is listed twice";
+    }
+  }
+  return std::nullopt;
+}
+
+// True if no member is known to be in another availability zone than the
+// others.
+bool
+IsInOneZone(const MembershipT& aMembership)
+{
+  const std::string* zone = nullptr;
+  for (const auto& member : aMembership.members) {
+    if (member->zone.empty()) {
+      continue;
+    }
+    if (zone != nullptr && *zone != member->zone) {
+      return false;
+    }
+    zone = &member->zone;
+  }
+  return true;
+}
+
 bool
 HasSameAddress(const MemberT& aLeft, const MemberT& aRight)
 {
@@ -73,37 +135,22 @@
 std::optional<std::string>
 FindMembershipFault(const MembershipT& aMembership)
 {
-  const std::size_t voters = CountVoters(aMembership);
-  if (voters == 0) {
-    return "membership: no voter; expected at least one";
-  }
-  for (const auto& member : aMembership.members) {
-    if (member->replica == 0) {
-      return "membership: replica 0 on VM \"" + member->vm +
-             "\"; expected an identity other than 0";
-    }
-    if (FindMember(aMembership, member->replica) != member.get()) {
-      return "membership: " + NameMember(*member) + " is listed twice";
-    }
-    // Founding members that know each other only by address have no zone, so
-    // the rule of the zones cannot be checked for them.
-    if (member->zone.empty()) {
-      continue;
-    }
-    const std::size_t ofZone = CountVotersOfZone(aMembership, member->zone);
-    if (voters >= kZoneRuleMinVoters && ofZone >= QuorumSize(aMembership)) {
-      return "membership: availability zone \"" + member->zone + "\" has " +
-             std::to_string(ofZone) + " of " + std::to_string(voters) +
-             " voters; expected fewer than a majority";
-    }
+  if (auto fault = FindMemberFault(aMembership)) {
+    return fault;
   }
-  return std::nullopt;
+  return FindZoneFault(aMembership);
 }
 
 std::optional<std::string>
 FindChangeFault(const MembershipT& aCurrent, const MembershipT& aNext)
 {
-  if (auto fault = FindMembershipFault(aNext)) {
+  if (auto fault = FindMemberFault(aNext)) {
+    return fault;
+  }
+  // Without a member elsewhere the group can only lose by keeping lost voters.
+  const bool mustSpread =
+    CountVoters(aCurrent) < kZoneRuleMinVoters || !IsInOneZone(aNext);
+  if (auto fault = FindZoneFault(aNext); fault && mustSpread) {
     return fault;
   }
   std::size_t changes = 0;
--- a/Source/Consensus/MembershipRules.h
+++ b/Source/Consensus/MembershipRules.h
@@ -33,7 +33,9 @@
 
 // Returns why aNext must not follow aCurrent, or std::nullopt if it may. A
 // change adds one learner, promotes one learner, removes one member or moves
-// one member to another address.
+// one member to another address. A group of three or more voters whose members
+// are all in one availability zone, as far as is known, stays changeable, so
+// that lost voters are replaced.
 std::optional<std::string>
 FindChangeFault(const consensus::MembershipT& aCurrent,
                 const consensus::MembershipT& aNext);
