--- a/Tests/Soak/SoakEndCheck.cxx
+++ b/Tests/Soak/SoakEndCheck.cxx
@@ -100,6 +100,12 @@
     for (const std::string& backend : attempt.m_backends) {
       text += " " + backend;
     }
+    for (const std::string& helper : attempt.m_helpers) {
+      text += ", through " + helper;
+      if (aLedger.Stops().Meets(helper, attempt.m_sentAt, attempt.m_endedAt)) {
+        text += " in its graceful stop";
+      }
+    }
     text += attempt.m_story;
     aLedger.Breach(text);
   }
