Daemon: Drop what is left undone before it is out of reach

At the end of an entry or control process, and of the fixture of the forwarding tests, coroutines of requests in progress were destroyed with the io_context, after the gateway, the drain state and the calls that they refer to: a use after free whenever a stop ended with requests in progress.

EventLoop drops pending operations on demand; a process does so as the first thing that it destroys, and the fixture before its gateways.

AddressSanitizer stopped the forwarding tests in their first test before.

--- a/Source/Daemon/ControlProcess.cxx
+++ b/Source/Daemon/ControlProcess.cxx
@@ -185,6 +185,7 @@
     limits,
     &unread);
   asio::steady_timer stopTimer(context);
+  const OperationDropper dropper(frame);
   const auto stop = [&] {
     calls.Close();
     stopTimer.expires_after(kStopPauseMs);
--- a/Source/Daemon/EntryProcess.cxx
+++ b/Source/Daemon/EntryProcess.cxx
@@ -65,6 +65,7 @@
                          frame.Decisions(),
                          frame.Metrics());
   StopCheck stop(frame, gateway);
+  const OperationDropper dropper(frame);
   std::string reason;
   if (!gateway.Start(reason) || !frame.Start(
                                   control,
--- a/Source/Daemon/ProcessFrame.h
+++ b/Source/Daemon/ProcessFrame.h
@@ -14,6 +14,7 @@
 #include "Forwarding/HttpService.h"
 #include "Telemetry/DecisionLog.h"
 #include "Telemetry/MetricRegistry.h"
+#include "Wire/EventLoop.h"
 
 namespace parsleycove {
 
@@ -31,6 +32,8 @@
   // Waits, before Start; returns false as soon as a signal asks for a stop.
   bool Pause(Duration aPause);
   void Run() { m_context.run(); }
+  // Ends the requests and calls that Run() has left.
+  void DropOperations() { m_context.DropOperations(); }
   void End();
 
   asio::io_context& Context() { return m_context; }
@@ -41,7 +44,7 @@
   void WaitForStop(std::function<void()> aOnStop);
 
   const DaemonSettings& m_settings;
-  asio::io_context m_context{ 1 };
+  EventLoop m_context{ 1 };
   StandardOutputSink m_sink;
   DecisionLog m_decisions;
   MetricRegistry m_metrics;
@@ -51,4 +54,22 @@
   std::unique_ptr<SettingsWatch> m_watch;
 };
 
+// Drops what the process has left undone when its scope ends, before anything
+// that was declared earlier, and that requests and calls refer to, is
+// destroyed.
+class OperationDropper
+{
+public:
+  explicit OperationDropper(ProcessFrame& aFrame)
+    : m_frame(aFrame)
+  {
+  }
+  ~OperationDropper() { m_frame.DropOperations(); }
+  OperationDropper(const OperationDropper&) = delete;
+  OperationDropper& operator=(const OperationDropper&) = delete;
+
+private:
+  ProcessFrame& m_frame;
+};
+
 } // namespace parsleycove
--- a/Tests/Forwarding/ForwardFixture.cxx
+++ b/Tests/Forwarding/ForwardFixture.cxx
@@ -66,6 +66,7 @@
 
 ForwardFixture::~ForwardFixture()
 {
+  m_context.DropOperations();
   m_secondGateway.reset();
   m_gateway.reset();
   m_links.clear();
--- a/Tests/Forwarding/ForwardFixture.h
+++ b/Tests/Forwarding/ForwardFixture.h
@@ -19,6 +19,7 @@
 #include "Support/FakeControl.h"
 #include "Support/MemorySink.h"
 #include "Support/RewiredControl.h"
+#include "Wire/EventLoop.h"
 
 namespace parsleycove {
 
@@ -92,7 +93,7 @@
   // does not contain the metric.
   int MetricOf(const std::string& aName) const;
 
-  boost::asio::io_context m_context;
+  EventLoop m_context;
   FakeControl m_control;
   // The control group as the first gateway sees it.
   RewiredControl m_rewired{ m_control };
