Forwarding: Read all Connection fields of a header, once

Callers got fields of an endpoint's answer that were meant for one connection only, and endpoints got such fields of requests, if a second Connection field named them.

Cause: for each field of a header, the first Connection field alone was split again and searched from its start, so the work grew with the product of the list's length and the number of fields.

Failed before: AnswerHead.AFieldThatAnyConnectionFieldNamesIsNotPassedOn, "CHECK(answer.find("X-Odd") == std::string::npos) failed", and BoundedRead.AFieldThatAnyConnectionFieldNamesIsNotForwarded, "expected <0> but was <1>".

--- a/Source/Forwarding/ForwardedRequest.cxx
+++ b/Source/Forwarding/ForwardedRequest.cxx
@@ -4,12 +4,11 @@
 #include <array>
 #include <utility>
 
-#include <boost/beast/http/rfc7230.hpp>
-
 #include "Base/RequestIdentity.h"
 #include "Forwarding/PromptPartReporter.h"
 #include "Forwarding/ReachMonitor.h"
 #include "Forwarding/RetryAfter.h"
+#include "Wire/ConnectionOptions.h"
 
 namespace parsleycove {
 
@@ -108,14 +107,6 @@
   }
 }
 
-// Fields that the Connection field lists are hop-by-hop, too.
-bool
-IsNamedByConnection(const http::fields& aFields, std::string_view aName)
-{
-  const auto connection = aFields[http::field::connection];
-  return !connection.empty() && http::token_list(connection).exists(aName);
-}
-
 void
 AppendField(std::string& aOut, std::string_view aName, std::string_view aValue)
 {
@@ -292,6 +283,7 @@
   const ForwardDialect& dialect = aRequest.m_services.m_dialect;
   const bool isPassedOn =
     aHeaders.m_runner != nullptr && aHeaders.m_runner->m_isGateway;
+  const ConnectionOptions options(request);
   std::string out;
   out.append(request.method_string()).append(" ");
   out.append(request.target()).append(" HTTP/1.1\r\n");
@@ -300,7 +292,7 @@
     const bool isReplaced = dialect.IsReplacedHeader(name) &&
                             !(isPassedOn && dialect.IsAccountHeader(name));
     if (!IsHopByHop(field.name()) && !isReplaced && !IsPassedOnHeader(name) &&
-        !IsNamedByConnection(request, name)) {
+        !options.Contains(name)) {
       AppendField(out, name, field.value());
     }
   }
@@ -338,11 +330,12 @@
   const std::string_view reason = aAnswer.reason();
   AppendStatusLine(
     out, aStatus, isEndpointStatus ? reason : std::string_view{});
+  const ConnectionOptions options(aAnswer);
   for (const auto& field : aAnswer) {
     const std::string_view name = field.name_string();
     // An endpoint's notices are for the VM that called the endpoint.
     const bool isDropped =
-      IsHopByHop(field.name()) || IsNamedByConnection(aAnswer, name) ||
+      IsHopByHop(field.name()) || options.Contains(name) ||
       (!isEndpointStatus && dialect.IsSignatureHeader(name)) ||
       (aRequest.m_passedOn && dialect.IsNoticeHeader(name));
     if (!isDropped) {
--- a/Tests/Forwarding/AnswerHeadTest.cxx
+++ b/Tests/Forwarding/AnswerHeadTest.cxx
@@ -108,3 +108,14 @@
   CHECK(answer.ends_with("\r\n\r\nfailed"));
   CHECK(answer.find("X-Odd") == std::string::npos);
 }
+
+TEST(AnswerHead, AFieldThatAnyConnectionFieldNamesIsNotPassedOn)
+{
+  Start("HTTP/1.1 200 OK",
+        "Connection: keep-alive\r\nConnection: , x-other, X-ODD\r\n"
+        "X-Odd: b\r\nX-Even: c\r\nContent-Length: 4\r\n\r\ndone");
+  const std::string answer = Ask("/unsafe/x");
+  CHECK_EQUAL(200, StatusOf(answer));
+  CHECK(answer.find("X-Even: c") != std::string::npos);
+  CHECK(answer.find("X-Odd") == std::string::npos);
+}
--- a/Tests/Forwarding/BoundedReadTest.cxx
+++ b/Tests/Forwarding/BoundedReadTest.cxx
@@ -126,6 +126,18 @@
   CHECK_EQUAL(0U, m_lastFields.count("X-Late"));
 }
 
+TEST(BoundedRead, AFieldThatAnyConnectionFieldNamesIsNotForwarded)
+{
+  m_fixture->Start();
+  const std::string answer = m_fixture->SendRequest(
+    "POST",
+    "/unsafe/x",
+    "Connection: keep-alive\r\nConnection: x-odd\r\nX-Odd: 1\r\nX-Even: 2\r\n");
+  CHECK_EQUAL(200, StatusOf(answer));
+  CHECK_EQUAL(1U, m_lastFields.count("X-Even"));
+  CHECK_EQUAL(0U, m_lastFields.count("X-Odd"));
+}
+
 TEST(BoundedRead, EndlessTrailersAreRefused)
 {
   m_fixture->Start();
