Wire: Bound the number of fields of a header

A head of 64 KiB may have some 16,000 fields of four bytes, and one of a caller some 4,000. Each is stored with several times its bytes, which no budget counts, and each is looked up and passed on by itself.

More than 256 fields end a header like one that has too many bytes: 431 for a request, which has not run; an answer is broken, as one whose head goes on without end. Control VMs and the pages of metrics read with the same parser. Trailers are not stored, and stay bounded by their bytes.

--- a/Source/Wire/StrictParser.h
+++ b/Source/Wire/StrictParser.h
@@ -1,6 +1,9 @@
 // HTTP parser that checks the fields of headers and trailers.
 #pragma once
 
+#include <cstddef>
+
+#include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
 
 #include "Wire/FieldCheck.h"
@@ -8,7 +11,8 @@
 namespace parsleycove {
 
 // Trailers are checked, but do not become fields of the header: they could not
-// be told from what the peer said before the body.
+// be told from what the peer said before the body. A header of more than
+// kMaxHeaderFields fields ends with http::error::header_limit.
 template<bool IsRequest, class Body>
 class StrictParser : public http::parser<IsRequest, Body>
 {
@@ -19,10 +23,17 @@
                      beast::error_code& aError) override
   {
     aError = CheckField(this->get().version(), aField, aName, aValue);
-    if (!aError && !this->is_header_done()) {
-      this->get().insert(aField, aName, aValue);
+    if (aError || this->is_header_done()) {
+      return;
+    }
+    if (++m_fieldCount > kMaxHeaderFields) {
+      aError = http::error::header_limit;
+      return;
     }
+    this->get().insert(aField, aName, aValue);
   }
+
+  std::size_t m_fieldCount = 0;
 };
 
 } // namespace parsleycove
--- a/Tests/Forwarding/AnswerHeadTest.cxx
+++ b/Tests/Forwarding/AnswerHeadTest.cxx
@@ -119,3 +119,16 @@
   CHECK(answer.find("X-Even: c") != std::string::npos);
   CHECK(answer.find("X-Odd") == std::string::npos);
 }
+
+TEST(AnswerHead, AHeadOfTooManyFieldsIsNotPassedOn)
+{
+  const std::string end = "X-Odd: b\r\nContent-Length: 0\r\n\r\n";
+  std::string fields;
+  for (int i = 0; i < 250; ++i) {
+    fields += "a:\r\n";
+  }
+  Start("HTTP/1.1 200 OK", fields + end);
+  CHECK_EQUAL(200, StatusOf(Ask("/unsafe/x")));
+  CHECK_EQUAL(1, m_calls);
+  CheckBroken("HTTP/1.1 200 OK", fields + "a:\r\na:\r\na:\r\n" + end);
+}
--- a/Tests/Forwarding/BoundedReadTest.cxx
+++ b/Tests/Forwarding/BoundedReadTest.cxx
@@ -126,6 +126,18 @@
   CHECK_EQUAL(0U, m_lastFields.count("X-Late"));
 }
 
+TEST(BoundedRead, AHeaderOfTooManyFieldsIsRefused)
+{
+  m_fixture->Start();
+  const auto send = [this](std::size_t aFields) {
+    return StatusOf(
+      m_fixture->SendRequest("POST", "/unsafe/x", Repeat("a:\r\n", aFields)));
+  };
+  CHECK_EQUAL(200, send(200));
+  CHECK_EQUAL(431, send(257));
+  CHECK_EQUAL(1U, m_bodies.size());
+}
+
 TEST(BoundedRead, AFieldThatAnyConnectionFieldNamesIsNotForwarded)
 {
   m_fixture->Start();
