Forwarding: Look for the ends of events in one pass

A piece of a stream with many short events took work that grew with the square of its length: for each event, the search for the other kind of line end ran to the end of the piece.

FindEnd now goes from line end to line end and stops at the first empty line of either kind, so each byte is read once.

Failed before: EventSplitter.ManyEventsInOnePieceCostEachByteOnlyOnce, 2 Mi events in one piece, had not ended after 60 s.

--- a/Source/Forwarding/EventSplitter.cxx
+++ b/Source/Forwarding/EventSplitter.cxx
@@ -41,12 +41,19 @@
 std::size_t
 FindEnd(std::string_view aBytes, std::size_t aFrom)
 {
-  const auto plain = aBytes.find("\n\n", aFrom);
-  const auto carriage = aBytes.find("\r\n\r\n", aFrom);
-  if (carriage < plain) {
-    return carriage + 4;
+  // One pass for both kinds of line ends: a search for each would read all
+  // bytes to their end again for each event.
+  for (auto place = aBytes.find('\n', aFrom); place != std::string_view::npos;
+       place = aBytes.find('\n', place + 1)) {
+    const std::string_view next = aBytes.substr(place + 1, 2);
+    if (next.starts_with('\n')) {
+      return place + 2;
+    }
+    if (next == "\r\n" && place > aFrom && aBytes[place - 1] == '\r') {
+      return place + 3;
+    }
   }
-  return plain == std::string_view::npos ? 0 : plain + 2;
+  return 0;
 }
 
 } // namespace
--- a/Tests/Forwarding/PartsTest.cxx
+++ b/Tests/Forwarding/PartsTest.cxx
@@ -49,6 +49,29 @@
   CHECK_EQUAL(kEventBytes + 1, out.size());
 }
 
+// Work that grows with the square of the number of events takes minutes here.
+TEST(EventSplitter, ManyEventsInOnePieceCostEachByteOnlyOnce)
+{
+  constexpr std::size_t kEventCount = 2UL * 1024 * 1024;
+  EventSplitter splitter;
+  std::string out;
+  CHECK_EQUAL(kEventCount,
+              splitter.ExtractEvents(std::string(2 * kEventCount, '\n'), out));
+  CHECK_EQUAL(2 * kEventCount, out.size());
+}
+
+TEST(EventSplitter, FindsTheFirstOfBothKindsOfEnds)
+{
+  for (const std::string event : { "a\r\n\r\n", "a\n\n", "a\r\n\n" }) {
+    for (const std::string rest : { "b\n\n", "\r\n\r\n", "\n\r\n\r\n" }) {
+      EventSplitter splitter;
+      std::string out;
+      CHECK_EQUAL(2U, splitter.ExtractEvents(event + rest, out));
+      STRCMP_EQUAL((event + rest).c_str(), out.c_str());
+    }
+  }
+}
+
 TEST(EventSplitter, FindsTheEndsOfEventsThatArriveByteByByte)
 {
   for (const std::string end : { "\n\n", "\r\n\r\n" }) {
