Routing: Look up no more of a path than the longest prefix

A request whose path is all slashes was looked up, and hashed, once for each slash: work that grows with the square of the path's length, on an entry VM's only thread, where a host has more than a few routes.

No route's prefix is longer than the longest one, so the rest of a path cannot decide which route matches and is cut before the search.

--- a/Source/Routing/RoutingConfig.cxx
+++ b/Source/Routing/RoutingConfig.cxx
@@ -2,6 +2,7 @@
 // configuration.
 #include "Routing/RoutingConfig.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace parsleycove {
@@ -94,6 +95,7 @@
                     where + "prefix is \"" + route.m_prefix +
                       "\", expected it to begin and end with a slash");
     }
+    m_longestPrefix = std::max(m_longestPrefix, route.m_prefix.size());
     if (!m_hosts[route.m_host].emplace(route.m_prefix, &route).second) {
       return Refuse(aReason,
                     where + "host \"" + route.m_host + "\" with prefix \"" +
@@ -127,6 +129,8 @@
   if (host == m_hosts.end()) {
     return nullptr;
   }
+  // A path of slashes would be looked up, and hashed, once for each of them.
+  aPath = aPath.substr(0, m_longestPrefix);
   for (auto slash = aPath.rfind('/'); slash != std::string_view::npos;
        slash = aPath.rfind('/', slash - 1)) {
     const auto route = host->second.find(aPath.substr(0, slash + 1));
--- a/Source/Routing/RoutingConfig.h
+++ b/Source/Routing/RoutingConfig.h
@@ -2,6 +2,7 @@
 // configuration.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -191,6 +192,7 @@
   RoutingDraft m_draft;
   // The keys point into m_draft.
   std::unordered_map<std::string_view, PrefixMap> m_hosts;
+  std::size_t m_longestPrefix = 0;
   std::unordered_map<std::string_view, const AccountRule*> m_keys;
   std::unordered_map<std::string_view, const ServiceRule*> m_services;
 };
--- a/Tests/Routing/RoutingConfigTest.cxx
+++ b/Tests/Routing/RoutingConfigTest.cxx
@@ -59,6 +59,24 @@
   CHECK(config->FindRoute("one.example", "no-slash") == nullptr);
 }
 
+// Work that grows with the square of the path's length takes minutes here.
+TEST(RoutingConfig, ALongPathCostsNoMoreThanTheLongestPrefix)
+{
+  RoutingDraft draft = MakeDraft();
+  // Maps of few entries compare without hashing.
+  for (int i = 0; i < 100; ++i) {
+    const std::string name = "r" + std::to_string(i);
+    draft.m_routes.push_back(MakeRoute(name, "/" + name + "/"));
+  }
+  RoutingReason reason;
+  const auto config = RoutingConfig::Build(std::move(draft), reason);
+  const std::string slashes(4UL * 1024 * 1024, '/');
+  STRCMP_EQUAL("all",
+               config->FindRoute("one.example", slashes)->m_name.c_str());
+  STRCMP_EQUAL(
+    "long", config->FindRoute("one.example", "/a/b" + slashes)->m_name.c_str());
+}
+
 TEST(RoutingConfig, FindsAccountsByTheirKeys)
 {
   RoutingReason reason;
