Platform: Bound documents before they are parsed

Cause: only bytes were limited, but a value of two or three bytes takes tens of bytes once it is parsed, and lists that are not read were parsed, too.

Values are counted as commas and openings outside of texts, which is at least their number in a valid document. A heartbeat that cannot be read now says why in the parser's words; its test expects them.

Failed before: ConfigDocument.MoreValuesThanItsBoundAreRefused, "CHECK_FALSE(platform::ConfigDocument().Decode(aText, reason)) failed", and RunnerReport.ItsSizeIsBounded, "CHECK_FALSE(ReadRunnerReport("i-1", aBody, error).has_value()) failed". They pass, and 20,000 routes are still taken. The memory of a process was not measured again.

--- a/Tests/Platform/ConfigDocumentTest.cxx
+++ b/Tests/Platform/ConfigDocumentTest.cxx
@@ -142,3 +142,47 @@
   DOUBLES_EQUAL(760, model.m_usualPromptTokens, 0);
   DOUBLES_EQUAL(145, model.m_usualAnswerTokens, 0);
 }
+
+TEST(ConfigDocument, MoreValuesThanItsBoundAreRefused)
+{
+  std::string list;
+  for (int i = 0; i < 500'000; ++i) {
+    list += "[],";
+  }
+  const std::string field = "\"later-field\":[" + list + "0,";
+  const std::string error =
+    DecodeError(Replace(kDocument, "\"later-field\":[", field));
+  CHECK_TEXT(error.starts_with("configuration: has "), error.c_str());
+  CHECK_TEXT(error.ends_with(" values, expected at most 500000"),
+             error.c_str());
+  // What looks like values within a text is none.
+  std::string text;
+  for (int i = 0; i < 200'000; ++i) {
+    text += R"(,[{\")";
+  }
+  RoutingReason reason;
+  const auto config = platform::ConfigDocument().Decode(
+    Replace(kDocument,
+            "\"later-field\":[",
+            "\"later-text\":\"" + text + "\",\"later-field\":["),
+    reason);
+  CHECK_TEXT(config != nullptr, reason.m_text.c_str());
+}
+
+TEST(ConfigDocument, LargeConfigurationsAreWithinTheBounds)
+{
+  std::string routes;
+  for (int i = 0; i < 20'000; ++i) {
+    routes += R"({"name":"r","host":"one.example","path-prefix":"/p)" +
+              std::to_string(i) +
+              R"(/","kind":"safe","timeout-ms":1000,"service":"s2",)"
+              R"("traffic-split":[{"service":"s1","weight":90},)"
+              R"({"service":"s2","weight":10}],"max-attempts":2,)"
+              R"("allow-anonymous":false,"session-affinity":true},)";
+  }
+  RoutingReason reason;
+  const auto config = platform::ConfigDocument().Decode(
+    Replace(kDocument, "\"routes\":[", "\"routes\":[" + routes), reason);
+  CHECK_TEXT(config != nullptr, reason.m_text.c_str());
+  CHECK_EQUAL(20'002U, config->Routes().size());
+}
--- a/Tests/Platform/RunnerReportTest.cxx
+++ b/Tests/Platform/RunnerReportTest.cxx
@@ -80,7 +80,7 @@
 
 TEST(RunnerReport, NamesWhatIsWrong)
 {
-  STRCMP_EQUAL("heartbeat: expected a complete JSON object",
+  STRCMP_EQUAL("heartbeat: syntax error, expected a complete JSON object",
                ReadError("\x01\x02").c_str());
   STRCMP_EQUAL("heartbeat: \"state\": expected ready or draining",
                ReadError(Replace(kReport, "\"ready\"", "\"odd\"")).c_str());
@@ -120,3 +120,22 @@
   STRCMP_EQUAL("heartbeat: \"born\": expected a whole number of 0 or more",
                ReadError(Replace(kReport, "1779363788036", "1e300")).c_str());
 }
+
+TEST(RunnerReport, ItsSizeIsBounded)
+{
+  const auto withField = [](const std::string& aValue) {
+    return Replace(kReport, "{", "{\"later\":" + aValue + ",");
+  };
+  std::string list = "[";
+  for (int i = 0; i < 5000; ++i) {
+    list += "[],";
+  }
+  list += "0]";
+  std::string error = ReadError(withField(list));
+  CHECK_TEXT(error.ends_with(" values, expected at most 4096"), error.c_str());
+  error = ReadError(withField("\"" + std::string(64UL * 1024, 'x') + "\""));
+  CHECK_TEXT(error.ends_with(" bytes, expected at most 65536"), error.c_str());
+  const auto report = ReadRunnerReport(
+    "i-1", withField("\"" + std::string(60'000, 'x') + "\""), error);
+  CHECK_TEXT(report.has_value(), error.c_str());
+}
