Platform: Bound each number of a configuration and a heartbeat

A configuration with `layers` of 10^9 took memory without end in control and entry VMs, since tables have an entry for each layer. Other numbers were cut to 32 bits without a word: a weight of 2^32 counted as 0, 2^32 + 2 attempts as 2. A range of layers beyond the model's bound was refused only after it had been written to the replicated log.

JsonReader checks the bounds of a number where it is read; a fault names field, value and bounds. Layers are bounded like those of the product's own models, 1,024; the other bounds lie far above what the platform's pages and sites use (80 layers, 2,068 connections, 2 attempts). `kind` of a heartbeat is bounded like a name, since it is stored.

The test of numbers in a heartbeat expects the new texts and one bound more each.

--- a/Tests/Platform/ConfigDocumentTest.cxx
+++ b/Tests/Platform/ConfigDocumentTest.cxx
@@ -143,6 +143,86 @@
   DOUBLES_EQUAL(145, model.m_usualAnswerTokens, 0);
 }
 
+TEST(ConfigDocument, EachNumberHasItsBounds)
+{
+  struct Row
+  {
+    const char* m_from;
+    const char* m_to;
+    const char* m_fault;
+  };
+  const std::string engine = "\"step_ms\":0.85";
+  for (const Row& row : {
+         Row{ "\"layers\":80",
+              "\"layers\":1000000000",
+              "engine: \"layers\" is 1000000000, expected 0 to 1024" },
+         Row{ "\"layers\":80",
+              "\"layers\":4294967376",
+              "engine: \"layers\" is 4294967376, expected 0 to 1024" },
+         Row{ "\"weight\":90",
+              "\"weight\":4294967296",
+              "traffic-split 0: \"weight\" is 4294967296, "
+              "expected 0 to 1000000" },
+         Row{ "\"priority\":1,\n",
+              "\"priority\":4294967296,",
+              "routes 0: \"priority\" is 4294967296, expected 0 to 1000000" },
+         Row{ "\"priority\":1}]",
+              "\"priority\":1000001}]",
+              "tenants 0: \"priority\" is 1000001, expected 0 to 1000000" },
+         Row{ "\"max-attempts\":2",
+              "\"max-attempts\":4294967298",
+              "routes 0: \"max-attempts\" is 4294967298, expected 0 to 1000" },
+         Row{ "\"max-connections\":988",
+              "\"max-connections\":4294967297",
+              "services 0: \"max-connections\" is 4294967297, "
+              "expected 0 to 1000000" },
+         Row{ "\"max-header-bytes\":16384",
+              "\"max-header-bytes\":4294967296",
+              "limits: \"max-header-bytes\" is 4294967296, "
+              "expected 0 to 1048576" },
+         Row{ "\"max-body-bytes\":4194304",
+              "\"max-body-bytes\":18446744073709551615",
+              "limits: \"max-body-bytes\" is 18446744073709551615, "
+              "expected 0 to 67108864" },
+       }) {
+    STRCMP_EQUAL(row.m_fault,
+                 DecodeError(Replace(kDocument, row.m_from, row.m_to)).c_str());
+  }
+  for (const char* name : { "step_ms",
+                            "layer-mb",
+                            "kv-token-bytes",
+                            "read_per_s",
+                            "chunk",
+                            "stride",
+                            "pairs_per_m" }) {
+    for (const char* value : { "-1", "1e300" }) {
+      const std::string field = "\"" + std::string(name) + "\":" + value;
+      std::string document = Replace(kDocument, engine, field);
+      if (const std::string old = "\"" + std::string(name) + "\":";
+          kDocument.find(old) != std::string::npos) {
+        document = Replace(kDocument, old, field + ",\"later\":");
+      }
+      const std::string error = DecodeError(document);
+      CHECK_TEXT(error.starts_with("engine: \"" + std::string(name) + "\" is "),
+                 error.c_str());
+    }
+  }
+  for (const char* name : { "mb", "pace", "read-x" }) {
+    const std::string old = "\"" + std::string(name) + "\":";
+    const std::string error =
+      DecodeError(Replace(kDocument, old, old + "1e13,\"later\":"));
+    CHECK_TEXT(error.starts_with("kinds 0: \"" + std::string(name) + "\" is "),
+               error.c_str());
+  }
+  for (const char* name : { "prompt", "answer" }) {
+    const std::string usual = ",\"usual\":{\"" + std::string(name) + "\":1e13}";
+    const std::string error =
+      DecodeError(Replace(kDocument, engine, engine + usual));
+    CHECK_TEXT(error.starts_with("usual: \"" + std::string(name) + "\" is "),
+               error.c_str());
+  }
+}
+
 TEST(ConfigDocument, MoreValuesThanItsBoundAreRefused)
 {
   std::string list;
--- a/Tests/Platform/RunnerReportTest.cxx
+++ b/Tests/Platform/RunnerReportTest.cxx
@@ -105,17 +105,22 @@
   }
   // The low 32 bits are those of a sound range.
   STRCMP_EQUAL(
-    "heartbeat: \"layers\": expected a range within 32 bits",
+    "layers: \"target\" is 4294967327, expected 0 to 1024",
     ReadError(Replace(kReport, "\"target\":31", "\"target\":4294967327"))
       .c_str());
-  STRCMP_EQUAL("heartbeat: \"layers\": expected a range within 32 bits",
+  STRCMP_EQUAL(
+    "layers: \"target\" is 1025, expected 0 to 1024",
+    ReadError(Replace(kReport, "\"target\":31", "\"target\":1025")).c_str());
+  STRCMP_EQUAL("layers: \"from\" is 4294967316, expected 0 to 1024",
                ReadError(Replace(kReport,
                                  R"("from":20,"target":31)",
                                  R"("from":4294967316,"target":4294967327)"))
                  .c_str());
-  for (const char* slots : { "4294967296", "18446744073709551615" }) {
-    STRCMP_EQUAL("heartbeat: \"slots\": expected a number of 32 bits",
-                 ReadError(Replace(kReport, "192", slots)).c_str());
+  for (const std::string slots :
+       { "1000001", "4294967296", "18446744073709551615" }) {
+    STRCMP_EQUAL(
+      ("heartbeat: \"slots\" is " + slots + ", expected 0 to 1000000").c_str(),
+      ReadError(Replace(kReport, "192", slots)).c_str());
   }
   STRCMP_EQUAL("heartbeat: \"born\": expected a whole number of 0 or more",
                ReadError(Replace(kReport, "1779363788036", "1e300")).c_str());
@@ -138,4 +143,8 @@
   const auto report = ReadRunnerReport(
     "i-1", withField("\"" + std::string(60'000, 'x') + "\""), error);
   CHECK_TEXT(report.has_value(), error.c_str());
+  STRCMP_EQUAL(
+    "heartbeat: \"kind\": expected at most 64 characters",
+    ReadError(Replace(kReport, "\"l4\"", "\"" + std::string(65, 'k') + "\""))
+      .c_str());
 }
