--- a/Tests/Platform/DialectTest.cxx
+++ b/Tests/Platform/DialectTest.cxx
@@ -34,6 +34,16 @@
   CHECK_EQUAL(12U, *headers.m_lastEventId);
 }
 
+TEST(PlatformDialect, LimitsHugeCountsOfTokens)
+{
+  m_fields.set("Token-Usage", "4294967295,2147483648");
+  m_fields.set("Length-Hint", "1000001");
+  const CallerHeaders headers = m_dialect.ParseCallerHeaders(m_fields);
+  CHECK_EQUAL(1'000'000U, headers.m_promptTokens);
+  CHECK_EQUAL(1'000'000U, headers.m_maxAnswerTokens);
+  CHECK_EQUAL(1'000'000U, headers.m_expectedAnswerTokens);
+}
+
 TEST(PlatformDialect, ReadsThePartsThatOtherPromptsMayShare)
 {
   m_fields.set("Prompt-Prefix", "5c1e:800, 91bd:410,e440:250");
