Forwarding: Give back what a broken kept call held

While another endpoint served a request, what a silent call had read before it broke stayed counted in the budget of all answers until the request's end, though it was freed: ordinary answers were broken off for memory that nobody held. The call's buffer stayed as well.

SilentCalls frees the bytes of a call that breaks; it now tells the call, which closes its connection, frees its buffer and ends the counting.

Failed before: KeptCall.WhatABrokenCallHeldIsGivenBackAtOnce, "expected <200> but was <504>": the bytes were held until the request's deadline.

--- a/Source/Forwarding/EndpointCall.cxx
+++ b/Source/Forwarding/EndpointCall.cxx
@@ -393,6 +393,20 @@
   }
 }
 
+void
+EndpointCall::DropAnswer()
+{
+  if (m_connection) {
+    beast::error_code ignored;
+    m_connection->m_socket.close(ignored);
+    m_connection->m_buffer.clear();
+    m_connection->m_buffer.shrink_to_fit();
+  }
+  if (m_held) {
+    m_held->Release();
+  }
+}
+
 bool
 EndpointCall::SkipAnswer()
 {
--- a/Source/Forwarding/EndpointCall.h
+++ b/Source/Forwarding/EndpointCall.h
@@ -97,6 +97,9 @@
   // Appends the next bytes of the body. Returns false at the end of the answer:
   // End() is None if the answer is complete, and the reason otherwise.
   asio::awaitable<bool> ReadBody(std::string& aOut);
+  // Must be called when what was read of the answer has been freed, and nobody
+  // reads on: closes the connection and ends the counting.
+  void DropAnswer();
   // Prepares to read the next answer on the connection in place of this answer.
   bool SkipAnswer();
   // Must be called when the answer says that the endpoint has not executed the
--- a/Source/Forwarding/SilentCalls.cxx
+++ b/Source/Forwarding/SilentCalls.cxx
@@ -34,6 +34,7 @@
     m_state = State::Broken;
     m_unusedBytes.clear();
     m_unusedBytes.shrink_to_fit();
+    m_call->DropAnswer();
   }
 };
 
--- a/Tests/Forwarding/KeptCallTest.cxx
+++ b/Tests/Forwarding/KeptCallTest.cxx
@@ -297,3 +297,40 @@
   m_fixture->Start();
   CheckAllEventsOnce(Ask());
 }
+
+// A silent call breaks within a large body while its successor is asked.
+TEST(KeptCall, WhatABrokenCallHeldIsGivenBackAtOnce)
+{
+  constexpr int kBytes = 100'000;
+  m_fixture->PutConfig();
+  bool mayBreak = false;
+  bool isGivenBack = false;
+  int calls = 0;
+  for (int i = 0; i < 2; ++i) {
+    m_fixture->AddPlainEndpoint().SetScript([&](const HttpRequest& aRequest)
+                                              -> std::vector<StubStep> {
+      if (++calls != 1) {
+        return { Await([&] { return isGivenBack; }),
+                 Send(MakeAnswer(AttemptIdOf(aRequest), 200, "done")) };
+      }
+      return { Send("HTTP/1.1 200 OK\r\nAttempt-Id: " + AttemptIdOf(aRequest) +
+                    "\r\nResponse-Signature: s1\r\n"
+                    "Content-Length: 200000\r\n\r\n" +
+                    std::string(kBytes, 'x')),
+               Await([&] { return mayBreak; }),
+               CloseNow() };
+    });
+  }
+  m_fixture->Start();
+  const auto held = [this] {
+    return m_fixture->MetricOf("parsleycove_answer_budget_held_bytes");
+  };
+  const auto caller = m_fixture->Connect();
+  caller->Send(MakeRequest("GET", "/safe/x", ""));
+  CHECK(m_fixture->RunUntil([&] { return calls == 2 && held() >= kBytes; }));
+  mayBreak = true;
+  CHECK(m_fixture->RunUntil([&] { return held() == 0; }));
+  isGivenBack = true;
+  CHECK(m_fixture->RunUntil([&] { return !caller->Received().empty(); }));
+  CHECK_EQUAL(200, StatusOf(caller->Received()));
+}
