Forwarding: Blame no endpoint for an answer over the budget

An endpoint of large, sound answers was taken for failed when the budget of all answers was full: its circuit opened, engines were reported as broken and probed, prompts counted as unanswered. The request was sent to another endpoint, whose answer of the same size added to those held.

Cause: a call that the budget breaks off ended as broken, like a call whose connection breaks.

It ends as `over_budget` now. Nothing is recorded against the endpoint, and the request is not sent again: it may have run, so it ends with 502 that says so. An answer without end is still broken by its own limit, and its endpoint then blamed.

Failed before: EndlessAnswer.AnEndpointOfLargeAnswersIsNotBlamedForThe- Budget, "CHECK_FALSE(m_fixture->m_sink.Has({ "endpoint_suspected" })) failed", and EndlessAnswer.AStreamBrokenOffForTheBudgetIsNotSentAgain, "expected <0> but was <11>" repeats.

--- a/Source/Forwarding/EndpointCall.cxx
+++ b/Source/Forwarding/EndpointCall.cxx
@@ -85,7 +85,7 @@
                           std::function<void()> aOnRefused)
 {
   m_held.emplace(std::move(aBudget), [this, onRefused = std::move(aOnRefused)] {
-    Abort(CallEnd::Broken);
+    Abort(CallEnd::OverBudget);
     onRefused();
     if (const auto free = std::exchange(m_onRefused, nullptr)) {
       free();
--- a/Source/Forwarding/EndpointCall.h
+++ b/Source/Forwarding/EndpointCall.h
@@ -27,6 +27,9 @@
   NotConnected,
   // The connection broke, or the received bytes are not a valid answer.
   Broken,
+  // The answer was refused in favour of others, since the budget of all answers
+  // was full. The endpoint is not at fault, and may have run the request.
+  OverBudget,
   // The answer belongs to another request.
   Foreign,
   Overdue,
@@ -73,7 +76,7 @@
   ~EndpointCall() override;
 
   // Counts what is held of the answer against aBudget. If the answer is refused
-  // in favour of others, the call ends as broken and aOnRefused is called.
+  // in favour of others, the call ends as over budget and aOnRefused is called.
   void CountAnswer(std::shared_ptr<ReceiveBudget> aBudget,
                    std::function<void()> aOnRefused);
   // Sets what else is held of the answer besides what ReadBody appends to.
--- a/Source/Forwarding/ForwardedRequest.cxx
+++ b/Source/Forwarding/ForwardedRequest.cxx
@@ -74,10 +74,11 @@
   return kRefusals.front();
 }
 
-constexpr std::array<EnumName<CallEnd>, 9> kCallEndNames{ {
+constexpr std::array<EnumName<CallEnd>, 10> kCallEndNames{ {
   { CallEnd::None, "none" },
   { CallEnd::NotConnected, "not_connected" },
   { CallEnd::Broken, "broken" },
+  { CallEnd::OverBudget, "over_budget" },
   { CallEnd::Foreign, "foreign_answer" },
   { CallEnd::Overdue, "overdue" },
   { CallEnd::CallerGone, "caller_gone" },
@@ -368,7 +369,7 @@
 RequestEnd
 EndOfUnwritten(ForwardedRequest& aRequest, const EndpointCall& aCall)
 {
-  if (aCall.End() != CallEnd::Broken) {
+  if (aCall.End() != CallEnd::OverBudget) {
     return RequestEnd::CallerGone;
   }
   aRequest.m_why =
--- a/Source/Forwarding/PlainForwarder.cxx
+++ b/Source/Forwarding/PlainForwarder.cxx
@@ -151,7 +151,9 @@
       m_possibleExecutions < m_request.m_route->m_maxAttempts;
     const bool trialAllows =
       !m_isTrial || aOutcome == ForwardOutcome::NotExecuted;
-    return kindAllows && countAllows && trialAllows &&
+    // Another answer of that size would only add to those that are held.
+    const bool budgetAllows = m_lastEnd != CallEnd::OverBudget;
+    return kindAllows && countAllows && trialAllows && budgetAllows &&
            !m_request.m_caller->IsDisconnected();
   }
 
@@ -477,6 +479,9 @@
     }
     m_lastEnd = end;
     m_request.m_lastFault = NameOfEnd(end);
+    if (end == CallEnd::OverBudget) {
+      co_return ForwardOutcome::Failed;
+    }
     if (end == CallEnd::Broken && !aCall.HasAnswerHeader() &&
         !aCall.Target()->m_isGateway) {
       const TimePoint now = BootClock::now();
@@ -553,7 +558,9 @@
       m_lastEnd == CallEnd::Overdue || m_request.IsOutOfTime();
     co_await Fail(m_request,
                   isLate ? kGatewayTimeout : kBadGateway,
-                  "the endpoint did not answer: " +
+                  (m_lastEnd == CallEnd::OverBudget
+                     ? "this VM holds too many answers: "
+                     : "the endpoint did not answer: ") +
                     std::string(NameOfEnd(m_lastEnd)));
   }
 
--- a/Source/Forwarding/StreamAttempt.cxx
+++ b/Source/Forwarding/StreamAttempt.cxx
@@ -268,6 +268,9 @@
       aCall.Abort(CallEnd::Broken);
     }
   }
+  if (aCall.End() == CallEnd::OverBudget) {
+    co_return RecordBrokenCall(aCall);
+  }
   const unsigned status = aCall.Answer().result_int();
   // The VM that took the request over has tried other endpoints.
   const bool mayRetry = !aCall.Target()->m_isGateway &&
@@ -415,6 +418,9 @@
   }
   m_lastEnd = end;
   m_request.m_lastFault = NameOfEnd(end);
+  if (end == CallEnd::OverBudget) {
+    return AttemptOutcome::Broken;
+  }
   if (!aCall.HasProgress() && !aCall.Target()->m_isGateway) {
     RecordUnanswered(aCall);
   }
--- a/Source/Forwarding/StreamForwarder.cxx
+++ b/Source/Forwarding/StreamForwarder.cxx
@@ -328,6 +328,10 @@
   if (m_request.m_caller->IsDisconnected()) {
     return true; // Run() handles the disconnect
   }
+  // Another answer of that size would only add to those that are held.
+  if (m_lastEnd == CallEnd::OverBudget) {
+    return false;
+  }
   // A prompt that nobody has begun to answer may crash the next engine, too.
   const std::size_t most = m_isTrial ? 0 : kMaxUnanswered;
   return m_hasSentHeader || m_unanswered <= most ||
