Forwarding: Give an endpoint's answer a class of its own

EndpointAnswer now takes the bytes of an answer from the connection's buffer, judges their form and counts what is held, without input or output; EndpointCall keeps the connection, the deadlines and the end of a call.

--- a/Source/Forwarding/EndpointCall.cxx
+++ b/Source/Forwarding/EndpointCall.cxx
@@ -2,6 +2,7 @@
 #include "Forwarding/EndpointCall.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <utility>
 
@@ -16,10 +17,7 @@
 namespace {
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
-constexpr std::uint32_t kMaxHeaderBytes = 64U * 1024;
 constexpr std::size_t kReadBytes = 16UL * 1024;
-// Limit of the size line of a chunk with its extensions, and of the trailers.
-constexpr std::size_t kMaxChunkHeaderBytes = 64UL * 1024;
 // Idle limit of connections to an endpoint that does not send a limit.
 constexpr Duration kDefaultIdle = std::chrono::seconds(30);
 // Idle connections are closed this long before the endpoint would close them.
@@ -84,7 +82,7 @@
 EndpointCall::CountAnswer(std::shared_ptr<ReceiveBudget> aBudget,
                           std::function<void()> aOnRefused)
 {
-  m_held.emplace(std::move(aBudget), [this, onRefused = std::move(aOnRefused)] {
+  m_answer.Count(std::move(aBudget), [this, onRefused = std::move(aOnRefused)] {
     Abort(CallEnd::OverBudget);
     onRefused();
     if (const auto free = std::exchange(m_onRefused, nullptr)) {
@@ -96,8 +94,7 @@
 bool
 EndpointCall::Hold(std::size_t aBodyBytes)
 {
-  return !m_held || m_held->Hold(aBodyBytes + m_keptBytes + m_headerBytes +
-                                 m_connection->m_buffer.size());
+  return m_answer.Hold(aBodyBytes + m_connection->m_buffer.size());
 }
 
 bool
@@ -212,8 +209,7 @@
   m_sent = true;
   m_sentAt = BootClock::now();
   m_progressAt = m_sentAt;
-  m_headerBytes = 0;
-  StartParser();
+  m_answer.Start();
   const std::array<asio::const_buffer, 2> buffers{ asio::buffer(m_header),
                                                    asio::buffer(m_body) };
   asio::async_write(
@@ -228,15 +224,6 @@
     });
 }
 
-void
-EndpointCall::StartParser()
-{
-  m_parser.emplace();
-  m_parser->header_limit(kMaxHeaderBytes);
-  m_parser->body_limit(boost::none);
-  m_parser->eager(false);
-}
-
 asio::awaitable<bool>
 EndpointCall::ReadMore()
 {
@@ -276,32 +263,13 @@
 asio::awaitable<bool>
 EndpointCall::ReadHeader()
 {
-  bool isRead = co_await ReadNextHeader();
-  while (isRead && m_parser->IsInterim()) {
-    StartParser();
-    isRead = co_await ReadNextHeader();
-  }
-  co_return isRead;
-}
-
-asio::awaitable<bool>
-EndpointCall::ReadNextHeader()
-{
-  beast::flat_buffer& buffer = m_connection->m_buffer;
-  while (!m_parser->is_header_done()) {
-    if (buffer.size() != 0) {
-      beast::error_code error;
-      const std::size_t used = m_parser->put(buffer.data(), error);
-      buffer.consume(used);
-      m_headerBytes += used;
-      // The parser's own limit does not count the fields it has taken before.
-      if ((error && error != http::error::need_more) ||
-          m_headerBytes > kMaxHeaderBytes) {
-        co_return Fail(CallEnd::Broken);
-      }
-      if (m_parser->is_header_done()) {
-        break;
-      }
+  for (;;) {
+    const AnswerStep step = m_answer.TakeHeader(m_connection->m_buffer);
+    if (step == AnswerStep::Malformed) {
+      co_return Fail(CallEnd::Broken);
+    }
+    if (step == AnswerStep::Whole) {
+      co_return true;
     }
     if (!co_await ReadMore()) {
       co_return false;
@@ -313,13 +281,12 @@
       co_return false;
     }
   }
-  co_return true;
 }
 
 asio::awaitable<bool>
 EndpointCall::IsOrderlyEnd()
 {
-  if (!m_parser->need_eof()) {
+  if (!m_answer.NeedsEnd()) {
     co_return true;
   }
   // The write may have failed, but not been completed. Nobody needs the rest
@@ -339,44 +306,27 @@
   beast::flat_buffer& buffer = m_connection->m_buffer;
   const std::size_t before = aOut.size();
   for (;;) {
-    while (!m_parser->is_done() && buffer.size() != 0) {
-      auto& body = m_parser->get().body();
-      body.data = m_chunk.data();
-      body.size = m_chunk.size();
-      beast::error_code error;
-      const std::size_t used = m_parser->put(buffer.data(), error);
-      buffer.consume(used);
-      const std::size_t got = m_chunk.size() - body.size;
-      aOut.append(m_chunk.data(), got);
-      if (error && error != http::error::need_more &&
-          error != http::error::need_buffer) {
-        co_return Fail(CallEnd::Broken);
-      }
-      if (used == 0 && got == 0) {
-        break;
-      }
+    const AnswerStep step = m_answer.TakeBody(buffer, aOut);
+    if (step == AnswerStep::Malformed) {
+      co_return Fail(CallEnd::Broken);
     }
     if (!Hold(aOut.capacity())) {
       co_return false;
     }
-    if (m_parser->is_done()) {
+    if (step == AnswerStep::Whole || aOut.size() != before) {
       co_return aOut.size() != before;
     }
-    if (aOut.size() != before) {
-      co_return true;
-    }
     if (m_atEnd) {
       const bool isWhole = co_await IsOrderlyEnd();
       if (m_end != CallEnd::None) {
         co_return false;
       }
-      beast::error_code error;
-      m_parser->put_eof(error);
-      co_return error || !isWhole ? Fail(CallEnd::Broken) : false;
+      if (m_answer.TakeEnd() != AnswerStep::Whole || !isWhole) {
+        Fail(CallEnd::Broken);
+      }
+      co_return false;
     }
-    // The parser keeps a chunk's header in the buffer until its end has
-    // arrived.
-    if (buffer.size() > kMaxChunkHeaderBytes) {
+    if (EndpointAnswer::IsLineTooLong(buffer)) {
       co_return Fail(CallEnd::Broken);
     }
     if (!co_await ReadMore()) {
@@ -402,16 +352,13 @@
     m_connection->m_buffer.clear();
     m_connection->m_buffer.shrink_to_fit();
   }
-  if (m_held) {
-    m_held->Release();
-  }
+  m_answer.Release();
 }
 
 bool
 EndpointCall::SkipAnswer()
 {
-  m_headerBytes = 0;
-  StartParser();
+  m_answer.Start();
   return true;
 }
 
@@ -419,21 +366,19 @@
 EndpointCall::Release(TimePoint aNow)
 {
   ClearDeadline();
-  if (m_held) {
-    m_held->Release();
-  }
-  const bool isWhole = m_end == CallEnd::None && m_parser &&
-                       m_parser->is_done() && !m_parser->need_eof() &&
-                       !m_atEnd && m_sendState == SendState::Sent;
-  const bool isClean = isWhole && m_connection->m_buffer.size() == 0 &&
-                       m_parser->get().keep_alive();
+  m_answer.Release();
+  const bool isWhole = m_end == CallEnd::None && m_answer.IsWhole() &&
+                       !m_answer.NeedsEnd() && !m_atEnd &&
+                       m_sendState == SendState::Sent;
+  const bool isClean =
+    isWhole && m_connection->m_buffer.size() == 0 && m_answer.KeepsConnection();
   if (!isClean) {
     beast::error_code ignored;
     m_connection->m_socket.close(ignored);
     return;
   }
   const Duration idle =
-    ReadIdleLimit(m_parser->get()[http::field::keep_alive]) - kIdleMargin;
+    ReadIdleLimit(Answer()[http::field::keep_alive]) - kIdleMargin;
   if (m_connection->m_buffer.capacity() > kReadBytes) {
     m_connection->m_buffer.shrink_to_fit();
   }
--- a/Source/Forwarding/EndpointCall.h
+++ b/Source/Forwarding/EndpointCall.h
@@ -1,21 +1,18 @@
 // Sends one request to one endpoint and reads its answer.
 #pragma once
 
-#include <array>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 
 #include <boost/asio/cancellation_signal.hpp>
-#include <boost/beast/http/buffer_body.hpp>
 
 #include "Forwarding/ConnectionPool.h"
 #include "Forwarding/DeadlineMonitor.h"
+#include "Forwarding/EndpointAnswer.h"
 #include "Forwarding/EndpointConnection.h"
-#include "Forwarding/HeldAnswer.h"
 #include "Routing/PathSelector.h"
-#include "Wire/AnswerParser.h"
 
 namespace parsleycove {
 
@@ -66,7 +63,7 @@
   , public std::enable_shared_from_this<EndpointCall>
 {
 public:
-  using Header = http::response_header<>;
+  using Header = EndpointAnswer::Header;
 
   EndpointCall(const asio::any_io_executor& aExecutor,
                ConnectionPool& aPool,
@@ -80,7 +77,7 @@
   void CountAnswer(std::shared_ptr<ReceiveBudget> aBudget,
                    std::function<void()> aOnRefused);
   // Sets what else is held of the answer besides what ReadBody appends to.
-  void SetKeptBytes(std::size_t aBytes) { m_keptBytes = aBytes; }
+  void SetKeptBytes(std::size_t aBytes) { m_answer.SetKeptBytes(aBytes); }
   // Sets what frees the answer when it is refused while nothing is read; null
   // if the next read does.
   void SetOnRefused(std::function<void()> aOnRefused)
@@ -129,11 +126,8 @@
   void LimitDeadline(TimePoint aLatest) override;
 
   // Returns true once the header of an answer was read whole.
-  bool HasAnswerHeader() const
-  {
-    return m_parser && m_parser->is_header_done();
-  }
-  const Header& Answer() const { return m_parser->get().base(); }
+  bool HasAnswerHeader() const { return m_answer.HasHeader(); }
+  const Header& Answer() const { return m_answer.Head(); }
   CallEnd End() const { return m_end; }
   bool MayHaveArrived() const { return m_sent; }
   bool IsNewConnection() const { return m_isNew; }
@@ -187,10 +181,7 @@
     Stopped,
     Failed,
   };
-  using Parser = AnswerParser<http::buffer_body>;
 
-  void StartParser();
-  asio::awaitable<bool> ReadNextHeader();
   asio::awaitable<bool> ReadMore();
   // Returns false if the connection was reset in an answer that ends with its
   // connection. A socket reports a reset only once: if the write took the
@@ -211,17 +202,10 @@
   bool m_mayReroute = true;
   // Null after the connection was returned to the pool.
   EndpointConnectionPtr m_connection;
-  std::optional<Parser> m_parser;
-  // Bytes of the headers of the current answer, and of the interim answers
-  // before it, that the parser has taken.
-  std::size_t m_headerBytes = 0;
-  // Empty if answers are not counted.
-  std::optional<HeldAnswer> m_held;
-  std::size_t m_keptBytes = 0;
+  EndpointAnswer m_answer;
   std::function<void()> m_onRefused;
   std::string m_header;
   std::string_view m_body;
-  std::array<char, 8192> m_chunk{};
   CallEnd m_end = CallEnd::None;
   TimePoint m_sentAt{};
   TimePoint m_progressAt{};
