Routing: Take a huge load report for a huge load

An endpoint whose Instance-Load named 2^31 waiting requests or more looked as if it had 2^31 streams less than none, so that every VM that read it preferred it to all others.

Cause: the sum was cut to a signed number of 32 bits. It is limited to the largest of them now.

Failed before: RunnerLoad.AHugeReportIsNoIdleEndpoint, "CHECK(m_load.EstimateStreams(kTestStart) > 1e9) failed". All 208 tests of RoutingTests pass.

--- a/Source/Routing/RunnerLoad.cxx
+++ b/Source/Routing/RunnerLoad.cxx
@@ -145,8 +145,9 @@
 {
   const std::int64_t others =
     static_cast<std::int64_t>(aQueued) + aRunning - Load(m_streams);
+  // Any number may come from an endpoint; a cut one would look like no load.
   m_reportedOtherStreams.store(
-    static_cast<std::int32_t>(std::max<std::int64_t>(others, 0)),
+    static_cast<std::int32_t>(std::clamp<std::int64_t>(others, 0, INT32_MAX)),
     std::memory_order_relaxed);
   m_reportedAtNs.store(ToNs(aNow), std::memory_order_relaxed);
 }
--- a/Tests/Routing/RunnerTableTest.cxx
+++ b/Tests/Routing/RunnerTableTest.cxx
@@ -51,6 +51,12 @@
   CHECK(m_load.EstimateStreams(later) < 1.2);
 }
 
+TEST(RunnerLoad, AHugeReportIsNoIdleEndpoint)
+{
+  m_load.RecordReport(kTestStart, 2147483648U, 0);
+  CHECK(m_load.EstimateStreams(kTestStart) > 1e9);
+}
+
 TEST(RunnerLoad, RepeatedFailuresKeepWorkAwayUntilOneProbeSucceeds)
 {
   m_load.RecordFailure(kTestStart);
