Routing: Keep what an endpoint has asked for while it is not listed

What callers saw: an endpoint that had asked a VM for a pause by 503 with Retry-After got its share of the requests again before the pause was over, when it was cut off from the control VMs for longer than its lease and listed again in the same start. Ejections, open circuits, the count of requests in progress and the evidence of this VM were lost in the same way.

Cause: all of this is in the endpoint's RunnerLoad, which a table handed on from the table before it only. One table without the endpoint lost it.

A new start ends what belongs to the old one. An engine may now be listed with a circuit that is not closed, and only a probe closes it; so the failure detector takes such engines over from each new table. Without that step the engine serves nothing (NoticeForward.AnEngineWithAnOpenCircuitServesAgainAfterAGapInTheList fails at its deadline); with it the test passes.

--- a/Source/Forwarding/EngineFailureDetector.cxx
+++ b/Source/Forwarding/EngineFailureDetector.cxx
@@ -314,9 +314,26 @@
               });
 }
 
+void
+EngineFailureDetector::AdoptOpenCircuits(TimePoint aNow)
+{
+  const RunnerTable* table = m_routing->Runners();
+  if (table == nullptr || table == m_adoptedTable.get()) {
+    return;
+  }
+  m_adoptedTable.reset(table);
+  for (const RunnerPtr& runner : table->Runners()) {
+    if (runner->m_kind == state::EndpointKind::ManagedEngine &&
+        runner->m_load->Circuit(aNow) != CircuitState::Closed) {
+      m_health[IncarnationKey(*runner)].m_runner = runner;
+    }
+  }
+}
+
 void
 EngineFailureDetector::ProbeSuspected(TimePoint aNow)
 {
+  AdoptOpenCircuits(aNow);
   const RunnerTable* table = m_routing->Runners();
   for (auto entry = m_health.begin(); entry != m_health.end();) {
     EngineHealth& health = entry->second;
--- a/Source/Forwarding/EngineFailureDetector.h
+++ b/Source/Forwarding/EngineFailureDetector.h
@@ -138,6 +138,9 @@
   // in flight: without a path there are no calls, and without a probe no path
   // would return.
   void ProbeSuspected(TimePoint aNow);
+  // Has the listed engines without a closed circuit probed: an engine that was
+  // missing from the list for a while comes back with its circuit as it was.
+  void AdoptOpenCircuits(TimePoint aNow);
   void ProbeIfSilent(TimePoint aNow, const StreamActivity& aActivity);
   void MoveIfStalled(TimePoint aNow, const EndpointCallPtr& aStream);
   // Returns the silence after which the stream moves to another path although
@@ -204,6 +207,8 @@
   std::vector<std::weak_ptr<EndpointCall>> m_streams;
   // Keyed by the hash of the runner's id and incarnation.
   std::unordered_map<std::uint64_t, EngineHealth> m_health;
+  // The table whose engines were last adopted.
+  boost::intrusive_ptr<const RunnerTable> m_adoptedTable;
   // Same key; rebuilt at every check.
   std::unordered_map<std::uint64_t, StreamActivity> m_activity;
   // Silence before this time is ignored, since this process may have been
--- a/Source/Forwarding/RoutingState.cxx
+++ b/Source/Forwarding/RoutingState.cxx
@@ -122,9 +122,10 @@
 void
 RoutingState::ApplyEndpoints(const ClusterView& aView)
 {
-  m_runners = RunnerTable::Build(aView, m_runners.get());
+  const TimePoint now = BootClock::now();
+  m_runners = RunnerTable::Build(now, aView, m_runners.get());
   m_leaving.Restore(*m_runners);
-  m_limits.Apply(BootClock::now(), aView.Image(), *m_runners, GatewayCount());
+  m_limits.Apply(now, aView.Image(), *m_runners, GatewayCount());
   if (!m_config) {
     return;
   }
--- a/Source/Gateway/GatewayServer.cxx
+++ b/Source/Gateway/GatewayServer.cxx
@@ -58,7 +58,8 @@
     const auto view = aServices.m_control.View();
     if (view != known) {
       const auto previous = aServices.m_runners.Read();
-      const auto next = RunnerTable::Build(*view, previous.get());
+      const auto next =
+        RunnerTable::Build(BootClock::now(), *view, previous.get());
       aServices.m_runners.Publish(next);
       SpreadCapacities(*next, aWorkers);
       known = view;
@@ -77,7 +78,7 @@
                              SpanStore& aSpans)
   : m_options(std::move(aOptions))
   , m_drain(m_options.m_drainGrace)
-  , m_runners(RunnerTable::Build(*aControl.View(), nullptr))
+  , m_runners(RunnerTable::Build(BootClock::now(), *aControl.View(), nullptr))
   , m_services{ m_options, aClock,  aControl, aMetrics,
                 aSpans,    m_drain, m_runners }
 {
--- a/Source/Placement/PlacementController.cxx
+++ b/Source/Placement/PlacementController.cxx
@@ -88,7 +88,7 @@
     return;
   }
   m_view = std::move(view);
-  m_runners = RunnerTable::Build(*m_view, m_runners.get());
+  m_runners = RunnerTable::Build(BootClock::now(), *m_view, m_runners.get());
   const auto& document = m_view->Image().document;
   if (!document || document->version <= m_documentVersion) {
     return;
--- a/Source/Routing/RunnerLoad.h
+++ b/Source/Routing/RunnerLoad.h
@@ -105,6 +105,12 @@
   {
     return aNow.time_since_epoch().count() < Load(m_ejectedUntilNs);
   }
+  // Returns true during a pause, an ejection or an open circuit.
+  bool IsAvoided(TimePoint aNow) const
+  {
+    return m_notice.IsPaused(aNow) || IsEjected(aNow) ||
+           Circuit(aNow) == CircuitState::Open;
+  }
   // Closes the circuit, because the endpoint has shown that it is alive.
   void CloseCircuit(TimePoint aNow);
   // Forgets the failures so far, because they were not the endpoint's.
--- a/Source/Routing/RunnerTable.cxx
+++ b/Source/Routing/RunnerTable.cxx
@@ -11,7 +11,9 @@
 namespace {
 
 boost::intrusive_ptr<Runner>
-MakeRunner(const state::EndpointT& aEndpoint, const RunnerTable* aPrevious)
+MakeRunner(const state::EndpointT& aEndpoint,
+           const RunnerTable* aPrevious,
+           const UnlistedRunners& aUnlisted)
 {
   boost::intrusive_ptr<Runner> runner(new Runner());
   runner->m_id = aEndpoint.id;
@@ -32,11 +34,10 @@
   runner->m_slots = aEndpoint.slots;
   runner->m_idHash = HashId(aEndpoint.id);
   const Runner* old = aPrevious ? aPrevious->FindRunner(aEndpoint.id) : nullptr;
-  if (old && old->m_incarnation == aEndpoint.incarnation) {
-    runner->m_load = old->m_load;
-  } else {
-    runner->m_load = new RunnerLoad();
+  if (old == nullptr || old->m_incarnation != aEndpoint.incarnation) {
+    old = aUnlisted.Find(aEndpoint.id, aEndpoint.incarnation);
   }
+  runner->m_load = old ? old->m_load : new RunnerLoad();
   return runner;
 }
 
@@ -121,10 +122,19 @@
 }
 
 boost::intrusive_ptr<const RunnerTable>
-RunnerTable::Build(const ClusterView& aView, const RunnerTable* aPrevious)
+RunnerTable::Build(TimePoint aNow,
+                   const ClusterView& aView,
+                   const RunnerTable* aPrevious)
 {
   boost::intrusive_ptr<RunnerTable> table(new RunnerTable());
+  if (aPrevious != nullptr) {
+    table->m_unlisted = aPrevious->m_unlisted;
+    table->m_unlisted.ForgetExpired(aNow);
+  }
   table->AddRunners(aView, aPrevious);
+  if (aPrevious != nullptr) {
+    table->m_unlisted.Update(aNow, aPrevious->m_all, *table);
+  }
   table->AddModels(aView);
   table->AddServices();
   return table;
@@ -141,7 +151,7 @@
   m_zones.erase(std::unique(m_zones.begin(), m_zones.end()), m_zones.end());
   m_all.reserve(endpoints.size());
   for (const auto& endpoint : endpoints) {
-    auto runner = MakeRunner(*endpoint, aPrevious);
+    auto runner = MakeRunner(*endpoint, aPrevious, m_unlisted);
     runner->m_zoneIndex = ZoneIndex(endpoint->zone);
     m_all.emplace_back(std::move(runner));
     m_byId.emplace(m_all.back()->m_id, m_all.back().get());
@@ -210,6 +220,15 @@
   return found == m_byId.end() ? nullptr : found->second;
 }
 
+const Runner*
+RunnerTable::FindStart(std::string_view aId, std::uint64_t aIncarnation) const
+{
+  const Runner* listed = FindRunner(aId);
+  return listed != nullptr && listed->m_incarnation == aIncarnation
+           ? listed
+           : m_unlisted.Find(aId, aIncarnation);
+}
+
 std::uint32_t
 RunnerTable::ZoneIndex(std::string_view aZone) const
 {
--- a/Source/Routing/RunnerTable.h
+++ b/Source/Routing/RunnerTable.h
@@ -11,6 +11,7 @@
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
 #include "Routing/Runner.h"
+#include "Routing/UnlistedRunners.h"
 #include "State/ClusterView.h"
 
 namespace parsleycove {
@@ -54,13 +55,13 @@
 //
 // Invariant: unchanged after Build, except for the RunnerLoad objects. An
 // endpoint whose id and incarnation are unchanged keeps its RunnerLoad from
-// table to table.
+// table to table, also over tables that do not list it: see UnlistedRunners.
 class RunnerTable : public boost::intrusive_ref_counter<RunnerTable>
 {
 public:
-  static boost::intrusive_ptr<const RunnerTable> Build(
-    const ClusterView& aView,
-    const RunnerTable* aPrevious);
+  // aPrevious: nullptr for the first table.
+  static boost::intrusive_ptr<const RunnerTable>
+  Build(TimePoint aNow, const ClusterView& aView, const RunnerTable* aPrevious);
 
   // Returns nullptr if the model is not configured.
   const ModelRunners* FindModel(std::string_view aName) const;
@@ -69,6 +70,9 @@
   const std::vector<RunnerPtr>* FindService(std::string_view aName) const;
   // Returns the endpoint, also if it is Leaving, or nullptr if there is none.
   const Runner* FindRunner(std::string_view aId) const;
+  // Returns this start of the endpoint, listed or remembered, or nullptr.
+  const Runner* FindStart(std::string_view aId,
+                          std::uint64_t aIncarnation) const;
 
   const std::vector<std::string>& Zones() const { return m_zones; }
   // Returns Zones().size() for a zone without endpoints.
@@ -88,6 +92,7 @@
   std::unordered_map<std::string_view, const Runner*> m_byId;
   std::unordered_map<std::string_view, std::size_t> m_modelIndex;
   std::unordered_map<std::string, std::vector<RunnerPtr>> m_services;
+  UnlistedRunners m_unlisted;
 };
 
 } // namespace parsleycove
--- a/Tests/Forwarding/AttemptBudgetTest.cxx
+++ b/Tests/Forwarding/AttemptBudgetTest.cxx
@@ -168,7 +168,8 @@
 TEST(FirstRunners, ARunnerThatIsNotListedHasEnded)
 {
   state::ConfigImageT image;
-  const auto empty = RunnerTable::Build(ClusterView(std::move(image)), nullptr);
+  const auto empty =
+    RunnerTable::Build(kBrokenAt, ClusterView(std::move(image)), nullptr);
   CHECK_EQUAL(0U, m_runners.CountLive(empty.get()));
 }
 
--- a/Tests/Forwarding/ForwardFixture.cxx
+++ b/Tests/Forwarding/ForwardFixture.cxx
@@ -188,6 +188,34 @@
   m_control.Apply(command);
 }
 
+void
+ForwardFixture::DropFromList(const StubEndpoint& aEndpoint)
+{
+  const std::string id = IdOf(aEndpoint);
+  const auto view = m_control.View();
+  m_dropped[id] = *FindEntity(view->Image().endpoints, id);
+  state::DropEndpointsT drop;
+  drop.endpoints.push_back(std::make_unique<state::EndpointRefT>());
+  drop.endpoints.back()->id = id;
+  drop.endpoints.back()->incarnation = m_dropped[id].incarnation;
+  state::CommandT command;
+  command.body.Set(std::move(drop));
+  m_control.Apply(command);
+}
+
+void
+ForwardFixture::ListAgain(const StubEndpoint& aEndpoint)
+{
+  state::AnnounceEndpointT announce;
+  announce.endpoint =
+    std::make_unique<state::EndpointT>(m_dropped.at(IdOf(aEndpoint)));
+  announce.endpoint->suspected = false;
+  ++announce.endpoint->report;
+  state::CommandT command;
+  command.body.Set(std::move(announce));
+  m_control.Apply(command);
+}
+
 std::string
 ForwardFixture::IdOf(const StubEndpoint& aEndpoint) const
 {
--- a/Tests/Forwarding/ForwardFixture.h
+++ b/Tests/Forwarding/ForwardFixture.h
@@ -3,6 +3,7 @@
 
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -45,6 +46,10 @@
   void AnnounceAgain(const StubEndpoint& aEndpoint);
   // Announces the endpoint of that id as started again.
   void AnnounceNewStart(const std::string& aId);
+  // Drops the endpoint from the list, as at the end of its lease.
+  void DropFromList(const StubEndpoint& aEndpoint);
+  // Lists the endpoint again in the same start, after DropFromList().
+  void ListAgain(const StubEndpoint& aEndpoint);
   std::string IdOf(const StubEndpoint& aEndpoint) const;
   void Start();
   // Leads the first gateway's way to every endpoint over a link that can be
@@ -118,6 +123,8 @@
   const platform::PlatformDialect m_dialect{};
   const platform::ConfigDocument m_codec{};
   std::deque<StubEndpoint> m_endpoints;
+  // The endpoints that were dropped from the list, by id.
+  std::map<std::string, state::EndpointT> m_dropped;
   // In the order of m_endpoints; empty unless LinkFirstGateway() was called.
   std::deque<EndpointLink> m_links;
 };
--- a/Tests/Forwarding/NoticeForwardTest.cxx
+++ b/Tests/Forwarding/NoticeForwardTest.cxx
@@ -180,6 +180,61 @@
   CHECK(AttemptsAt(*m_one) <= 1);
 }
 
+// Failure: the endpoint was cut off from the control VMs during its pause, and
+// got its share of the requests once it was listed again.
+TEST(NoticeForward, APauseOutlastsAGapInTheList)
+{
+  StartPlain(RefuseFor("600"), AnswerWith(200, ""));
+  while (AttemptsAt(*m_one) == 0) {
+    CHECK_EQUAL(200, StatusOfCall());
+  }
+  m_fixture->DropFromList(*m_one);
+  CHECK_EQUAL(200, StatusOfCall());
+  m_fixture->ListAgain(*m_one);
+  for (int i = 0; i < 30; ++i) {
+    CHECK_EQUAL(200, StatusOfCall());
+  }
+  CHECK_EQUAL(1U, AttemptsAt(*m_one));
+}
+
+// An engine is used again only after a probe, which is due once it is listed.
+TEST(NoticeForward, AnEngineWithAnOpenCircuitServesAgainAfterAGapInTheList)
+{
+  bool isBroken = true;
+  const StubEndpoint::Script sound = WithEngineState(StreamAll);
+  const StubEndpoint::Script broken = [](const HttpRequest& aRequest) {
+    const std::string id = AttemptIdOf(aRequest);
+    return std::vector<StubStep>{ id.empty() ? Send(MakeAnswer(id, 500, ""))
+                                             : CloseNow() };
+  };
+  m_fixture->PutConfig();
+  m_one = &m_fixture->AddEngine(0, 4);
+  m_one->SetScript([&](const HttpRequest& aRequest) {
+    return isBroken ? broken(aRequest) : sound(aRequest);
+  });
+  m_fixture->Start();
+  CHECK(m_fixture->RunUntil([&] {
+    Stream();
+    return m_fixture->m_sink.Has({ "endpoint_suspected" });
+  }));
+  m_fixture->DropFromList(*m_one);
+  CHECK_EQUAL(503, StatusOf(Stream()));
+  isBroken = false;
+  m_fixture->ListAgain(*m_one);
+  CHECK(m_fixture->RunUntil([&] { return StatusOf(Stream()) == 200; }));
+}
+
+// A new start of the endpoint has asked for nothing yet.
+TEST(NoticeForward, APauseEndsWithTheStartThatAskedForIt)
+{
+  StartPlain(RefuseFor("600"), RefuseFor("600"));
+  StatusOfCall();
+  CHECK_EQUAL(503, StatusOfCall());
+  m_one->SetScript(AnswerWith(200, ""));
+  m_fixture->AnnounceNewStart(m_fixture->IdOf(*m_one));
+  CHECK_EQUAL(200, StatusOfCall());
+}
+
 TEST(NoticeForward, ManyRequestsAtOnceReachAPausedEndpointNoMoreAfterIt)
 {
   StartPlain(RefuseFor("600"), RefuseFor("600"));
--- a/Tests/Routing/TestCluster.cxx
+++ b/Tests/Routing/TestCluster.cxx
@@ -60,10 +60,10 @@
 }
 
 boost::intrusive_ptr<const RunnerTable>
-TestCluster::Build(const RunnerTable* aPrevious) const
+TestCluster::Build(const RunnerTable* aPrevious, TimePoint aNow) const
 {
   const ClusterView view(m_image);
-  return RunnerTable::Build(view, aPrevious);
+  return RunnerTable::Build(aNow, view, aPrevious);
 }
 
 } // namespace parsleycove
--- a/Tests/Routing/TestCluster.h
+++ b/Tests/Routing/TestCluster.h
@@ -9,6 +9,9 @@
 
 namespace parsleycove {
 
+// The time at which tests begin.
+inline constexpr TimePoint kTestStart{ std::chrono::seconds(1000) };
+
 // A cluster image to which tests add models and endpoints.
 class TestCluster
 {
@@ -25,7 +28,8 @@
                                const std::string& aService,
                                const std::string& aZone = "a");
   boost::intrusive_ptr<const RunnerTable> Build(
-    const RunnerTable* aPrevious = nullptr) const;
+    const RunnerTable* aPrevious = nullptr,
+    TimePoint aNow = kTestStart) const;
 
 private:
   state::EndpointT& AddEndpoint(const std::string& aId);
@@ -33,7 +37,4 @@
   state::ConfigImageT m_image;
 };
 
-// The time at which tests begin.
-inline constexpr TimePoint kTestStart{ std::chrono::seconds(1000) };
-
 } // namespace parsleycove
