Routing: Keep the limit of an endpoint while it is not listed

What callers saw: nothing; an endpoint that had named a limit got more than that when it was missing from the list for a while. All requests that arrived between its return and its first answer were sent to it.

Cause: the replicated table forgets the limits of endpoints that are not listed, with the next claim for any endpoint. The VMs forgot theirs with the view.

Evidence: with the change taken out, ServerLimit.ALimitOutlastsAGapInTheList fails with "CHECK_COMPARE(60 <= 5) failed", 60 requests at an endpoint that takes 2 a second, and UnlistedRunners.TheLimitIsKeptAndToldToTheTableAgain with "CHECK(Load().Quota().IsLimited()) failed".

Why it works: a VM keeps the limit of an endpoint that is not listed as long as the table of runners remembers the endpoint. When the endpoint is listed again each VM keeps to an equal part of the limit and claims it anew; a value that the table has by then is newer and counts. Nothing is claimed during the gap, since the control group passes such claims over.

--- a/Source/Routing/EndpointLimits.cxx
+++ b/Source/Routing/EndpointLimits.cxx
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <set>
 #include <utility>
 
@@ -87,7 +88,8 @@
   std::vector<RunnerPtr> silent;
   for (auto& [id, known] : m_known) {
     const RequestQuota& quota = known.m_runner->m_load->Quota();
-    if (known.m_runner->m_kind == state::EndpointKind::ManagedEngine &&
+    if (known.m_isListed &&
+        known.m_runner->m_kind == state::EndpointKind::ManagedEngine &&
         aNow - known.m_heardAt >= kMaxSilence && quota.IsLimited() &&
         quota.PerSecond() > 0) {
       known.m_heardAt = aNow;
@@ -124,6 +126,7 @@
   Known& known = FindOrAdd(aNow, aRunner);
   known.m_heardAt = aNow;
   known.m_namedAt = aNow;
+  known.m_isRemembered = false;
   if (known.m_perSecond == value && known.m_news != state::LimitNotice::Ended) {
     return;
   }
@@ -192,28 +195,48 @@
       ApplyEntry(aNow, *limit, runner);
     }
   }
-  std::erase_if(m_known, [&](const auto& aEntry) {
-    const Known& known = aEntry.second;
-    const Runner* listed = aRunners.FindRunner(aEntry.first);
-    if (listed == nullptr ||
-        listed->m_incarnation != known.m_runner->m_incarnation) {
-      return true;
-    }
-    const auto* limit = FindEntity(aImage.endpoint_limits, aEntry.first);
-    if (limit != nullptr && limit->incarnation == listed->m_incarnation) {
-      return false;
-    }
-    RequestQuota& quota = known.m_runner->m_load->Quota();
-    if (known.m_news == state::LimitNotice::Named) {
-      quota.SetRate(aNow, known.m_perSecond / std::max(1U, aGateways));
-      return false;
-    }
-    if (known.m_news == state::LimitNotice::None) {
-      AddChange(known, std::nullopt);
+  for (auto entry = m_known.begin(); entry != m_known.end();) {
+    const auto* limit = FindEntity(aImage.endpoint_limits, entry->first);
+    const bool isKept = Follow(aNow, entry->second, aRunners, limit, aGateways);
+    entry = isKept ? std::next(entry) : m_known.erase(entry);
+  }
+}
+
+bool
+EndpointLimits::Follow(TimePoint aNow,
+                       Known& aKnown,
+                       const RunnerTable& aRunners,
+                       const state::EndpointLimitT* aLimit,
+                       std::uint32_t aGateways)
+{
+  const Runner& start = *aKnown.m_runner;
+  const Runner* listed = aRunners.FindRunner(start.m_id);
+  aKnown.m_isListed = listed != nullptr;
+  if (listed == nullptr) {
+    if (aKnown.m_news == state::LimitNotice::None) {
+      aKnown.m_news = state::LimitNotice::Named;
+      aKnown.m_isRemembered = true;
     }
-    quota.RemoveLimit();
+    aKnown.m_isClaimed = false;
+    return aRunners.FindStart(start.m_id, start.m_incarnation) != nullptr;
+  }
+  if (listed->m_incarnation != start.m_incarnation) {
+    return false;
+  }
+  aKnown.m_runner = RunnerPtr(listed);
+  if (aLimit != nullptr && aLimit->incarnation == listed->m_incarnation) {
+    return true;
+  }
+  RequestQuota& quota = listed->m_load->Quota();
+  if (aKnown.m_news == state::LimitNotice::Named) {
+    quota.SetRate(aNow, aKnown.m_perSecond / std::max(1U, aGateways));
     return true;
-  });
+  }
+  if (aKnown.m_news == state::LimitNotice::None) {
+    AddChange(aKnown, std::nullopt);
+  }
+  quota.RemoveLimit();
+  return false;
 }
 
 void
@@ -226,9 +249,11 @@
   if (known.m_news == state::LimitNotice::Ended) {
     return;
   }
-  if (known.m_news == state::LimitNotice::Named && known.m_perSecond == value) {
+  if (known.m_news == state::LimitNotice::Named &&
+      (known.m_perSecond == value || known.m_isRemembered)) {
     known.m_news = state::LimitNotice::None;
   }
+  known.m_isRemembered = false;
   const bool isNews = known.m_news == state::LimitNotice::Named;
   const double perSecond = isNews ? known.m_perSecond : value;
   aRunner->m_load->Quota().SetRate(
@@ -282,6 +307,9 @@
   state::ClaimEndpointLimitsT claims;
   claims.gateway = m_gateway;
   for (auto& [id, known] : m_known) {
+    if (!known.m_isListed) {
+      continue; // the table would pass the claim over
+    }
     const auto* limit = FindEntity(aImage.endpoint_limits, id);
     const bool hasNews = known.m_news != state::LimitNotice::None;
     const Duration age = aNow - known.m_claimedAt;
--- a/Source/Routing/EndpointLimits.h
+++ b/Source/Routing/EndpointLimits.h
@@ -60,6 +60,9 @@
                    std::optional<double> aPerSecond,
                    std::uint32_t aGateways);
   // Applies the table of the replicated state to the quotas of the endpoints.
+  // The table forgets an endpoint that is not listed. Its limit is kept as long
+  // as aRunners remembers the endpoint, and told to the table once it is listed
+  // again.
   void Apply(TimePoint aNow,
              const state::ConfigImageT& aImage,
              const RunnerTable& aRunners,
@@ -89,6 +92,10 @@
     TimePoint m_heardAt{};
     // When an answer last named it, or the table first had it.
     TimePoint m_namedAt{};
+    bool m_isListed = true;
+    // Kept while the endpoint was not listed, and not named since: the table's
+    // value is newer.
+    bool m_isRemembered = false;
     // An answer to a probe has named it.
     bool m_isToldToProbes = false;
     // What the control group has not confirmed yet.
@@ -103,6 +110,13 @@
   void ApplyEntry(TimePoint aNow,
                   const state::EndpointLimitT& aLimit,
                   const RunnerPtr& aRunner);
+  // Returns false if what is known is to be forgotten. aLimit: the table's
+  // entry, nullptr if there is none.
+  bool Follow(TimePoint aNow,
+              Known& aKnown,
+              const RunnerTable& aRunners,
+              const state::EndpointLimitT* aLimit,
+              std::uint32_t aGateways);
   void SetValue(Known& aKnown, double aPerSecond);
   void AddChange(const Known& aKnown, std::optional<double> aPerSecond);
   // Returns true if the table's share of this gateway does not fit its demand.
--- a/Tests/Forwarding/ServerLimitTest.cxx
+++ b/Tests/Forwarding/ServerLimitTest.cxx
@@ -168,6 +168,52 @@
     [&] { return m_fixture->m_sink.Has({ "endpoint_limit_ended" }); }));
 }
 
+// Failure: the table forgets the limit of an endpoint that is not listed, and
+// once the endpoint was listed again it got what callers sent until its first
+// answer.
+TEST(ServerLimit, ALimitOutlastsAGapInTheList)
+{
+  m_one = &m_fixture->AddPlainEndpoint();
+  m_one->SetScript(AnswerWithLimit(kLimit));
+  Start();
+  int status = 200;
+  for (int i = 0; i < kRequests && status == 200; ++i) {
+    status = StatusOf(m_fixture->SendRequest("GET", "/safe/x"));
+  }
+  CHECK_EQUAL(503, status);
+  const std::size_t before = AttemptsAt(*m_one);
+  m_fixture->DropFromList(*m_one);
+  CHECK_EQUAL(503, StatusOf(m_fixture->SendRequest("GET", "/safe/x")));
+  // Any claim makes the table forget endpoints that are not listed.
+  state::ClaimEndpointLimitsT claims;
+  claims.gateway = "vm-2";
+  state::CommandT command;
+  command.body.Set(std::move(claims));
+  m_fixture->m_control.Apply(command);
+  CHECK(m_fixture->m_control.View()->Image().endpoint_limits.empty());
+  m_fixture->ListAgain(*m_one);
+  m_one->SetScript([](const HttpRequest& aRequest) {
+    return std::vector<StubStep>{
+      Pause(std::chrono::milliseconds(200)),
+      Send(MakeAnswer(AttemptIdOf(aRequest), 200, "done", kLimit))
+    };
+  });
+  std::vector<std::unique_ptr<ForwardFixture::Caller>> callers;
+  for (int i = 0; i < kRequests; ++i) {
+    callers.push_back(m_fixture->Connect());
+    callers.back()->Send(MakeRequest("GET", "/unsafe/x"));
+  }
+  CHECK(m_fixture->RunUntil([&] {
+    return std::all_of(callers.begin(), callers.end(), [](const auto& aCaller) {
+      return aCaller->Received().find("\r\n\r\n") != std::string::npos;
+    });
+  }));
+  CHECK_COMPARE(AttemptsAt(*m_one) - before, <=, MostAllowed());
+  CHECK(m_fixture->RunUntil([&] {
+    return m_fixture->m_control.View()->Image().endpoint_limits.size() == 1;
+  }));
+}
+
 // Failure: an engine that names its limit only in answers to requests got as
 // many as callers sent once it had answered a probe.
 TEST(ServerLimit, AnAnswerToAProbeEndsNoLimitThatOnlyRequestsAreTold)
--- a/Tests/Routing/UnlistedRunnersTest.cxx
+++ b/Tests/Routing/UnlistedRunnersTest.cxx
@@ -3,6 +3,7 @@
 // off from the control VMs for some seconds, while the gateways reach it.
 #include "Routing/UnlistedRunners.h"
 
+#include "Routing/EndpointLimits.h"
 #include "Routing/TestCluster.h"
 
 // Last, since its leak macros redefine new.
@@ -103,6 +104,33 @@
   CHECK(Load().Circuit(m_now) == CircuitState::Closed);
 }
 
+TEST(UnlistedRunners, TheLimitIsKeptAndToldToTheTableAgain)
+{
+  EndpointLimits limits("vm-1");
+  limits.RecordNamed(m_now, RunnerPtr(m_table->FindRunner("s0")), 3, 2);
+  state::ConfigImageT image;
+  image.endpoint_limits.push_back(std::make_unique<state::EndpointLimitT>());
+  state::EndpointLimitT& entry = *image.endpoint_limits.back();
+  entry.id = "s0";
+  entry.incarnation = m_record->incarnation;
+  entry.per_1000_s = 3000;
+  limits.Apply(m_now, image, *m_table, 2);
+  // The table forgets the endpoint with the list.
+  image.endpoint_limits.clear();
+  Drop();
+  limits.Apply(m_now, image, *m_table, 2);
+  m_now += kGap;
+  CHECK_FALSE(limits.TakeClaims(m_now, image, 2).has_value());
+  List();
+  limits.Apply(m_now, image, *m_table, 2);
+  CHECK(Load().Quota().IsLimited());
+  DOUBLES_EQUAL(1.5, Load().Quota().PerSecond(), 1e-9);
+  const auto claims = limits.TakeClaims(m_now, image, 2);
+  CHECK(claims.has_value());
+  CHECK(claims->claims.front()->notice == state::LimitNotice::Named);
+  CHECK_EQUAL(3000U, claims->claims.front()->per_1000_s);
+}
+
 TEST(UnlistedRunners, AnEndpointIsForgottenAfterItsTimeAndItsPause)
 {
   Load().Notice().PauseFor(m_now, hours(2));
