Routing: Leave a new start's limit alone when an older start answers late

What callers saw: nothing where it went well; else an endpoint that no longer named a limit got only a part of it from one VM until it named one again.

Cause: EndpointLimits keeps one start for each id, and RecordNamed put the start that answered in the place of the one that was known, also where that was newer. The next view dropped the entry, since it did not fit the list, and with it what would have ended the quota.

Evidence: EndpointLimits.ALateAnswerOfAnOlderStartSaysNothingOfTheNewOne failed before with "CHECK_FALSE(newer->m_load->Quota().IsLimited()) failed" and passes. Found by reading; not seen in a run.

Why it works: an answer of an older start than the known one is passed over.

--- a/Source/Routing/EndpointLimits.cxx
+++ b/Source/Routing/EndpointLimits.cxx
@@ -122,6 +122,11 @@
                             double aPerSecond,
                             std::uint32_t aGateways)
 {
+  const auto entry = m_known.find(aRunner->m_id);
+  if (entry != m_known.end() &&
+      entry->second.m_runner->m_incarnation > aRunner->m_incarnation) {
+    return; // a late answer of an older start
+  }
   const double value = static_cast<double>(ToPer1000s(aPerSecond)) / kPer1000s;
   Known& known = FindOrAdd(aNow, aRunner);
   known.m_heardAt = aNow;
--- a/Tests/Routing/EndpointLimitsTest.cxx
+++ b/Tests/Routing/EndpointLimitsTest.cxx
@@ -191,6 +191,27 @@
   CHECK_FALSE(runner->m_load->Quota().IsLimited());
 }
 
+// Failure: the late answer took the place of what the new start had named, and
+// the part of the limit stayed after its end.
+TEST(EndpointLimits, ALateAnswerOfAnOlderStartSaysNothingOfTheNewOne)
+{
+  TestCluster cluster;
+  state::EndpointT& record = cluster.AddService("e1", "plain");
+  const auto before = cluster.Build();
+  const RunnerPtr older(before->FindRunner("e1"));
+  ++record.incarnation;
+  const auto table = cluster.Build(before.get());
+  const RunnerPtr newer(table->FindRunner("e1"));
+  EndpointLimits limits("vm-1");
+  const TimePoint now = kTestStart;
+  limits.RecordNamed(now, newer, 2, 1);
+  limits.RecordNamed(now, older, 5, 1);
+  DOUBLES_EQUAL(2, newer->m_load->Quota().PerSecond(), 1e-9);
+  limits.Apply(now, state::ConfigImageT{}, *table, 1);
+  limits.RecordUnnamed(now + seconds(2), now + seconds(1), *newer);
+  CHECK_FALSE(newer->m_load->Quota().IsLimited());
+}
+
 TEST(EndpointLimits, AProbeEndsOnlyALimitThatProbesWereTold)
 {
   TestCluster cluster;
