Consensus: Limit the bytes that a leader holds without a commit

What callers saw: while a quorum was missing or slow, each change of a configuration that was sent again became one more entry of the leader's log, and none was refused.

Change: a leader holds at most 16 MiB that is not committed. It refuses what exceeds that at once; the feed's answer has the status Full with the reason, and the caller is told "not accepted", unless an earlier send of the same call may still be committed. Commands above m_maxAppendBytes may take a half, so that documents leave room for leases, limits and actions. One command is always taken, as are the first entry of a term and changes of the members: they end the shortage.

PendingCalls has the refusal with and without an uncertain send.

--- a/Source/Consensus/RaftLog.cxx
+++ b/Source/Consensus/RaftLog.cxx
@@ -3,12 +3,17 @@
 #include "Consensus/RaftLog.h"
 
 #include <algorithm>
-#include <iterator>
 
 #include "Consensus/Replica.h"
 
 namespace parsleycove {
 
+std::size_t
+CountEntryBytes(const consensus::EntryT& aEntry)
+{
+  return sizeof(aEntry) + aEntry.data.size();
+}
+
 RaftLog::RaftLog(RestoredLog& aRestored)
 {
   if (aRestored.m_snapshot) {
@@ -18,9 +23,9 @@
   m_snapshotIndex = m_baseIndex;
   m_commit = m_baseIndex;
   m_applied = m_baseIndex;
-  std::move(aRestored.m_entries.begin(),
-            aRestored.m_entries.end(),
-            std::back_inserter(m_entries));
+  for (consensus::EntryT& entry : aRestored.m_entries) {
+    Append(std::move(entry));
+  }
   m_submitted = LastIndex();
   m_persisted = m_submitted;
 }
@@ -55,13 +60,19 @@
 void
 RaftLog::Append(consensus::EntryT aEntry)
 {
+  m_bytes += CountEntryBytes(aEntry);
+  m_uncommittedBytes += CountEntryBytes(aEntry);
   m_entries.push_back(std::move(aEntry));
 }
 
 void
 RaftLog::TruncateFrom(std::uint64_t aIndex)
 {
-  m_entries.resize(aIndex - m_baseIndex - 1);
+  while (LastIndex() >= aIndex) {
+    m_bytes -= CountEntryBytes(m_entries.back());
+    m_uncommittedBytes -= CountEntryBytes(m_entries.back());
+    m_entries.pop_back();
+  }
   m_submitted = std::min(m_submitted, aIndex - 1);
   m_persisted = std::min(m_persisted, aIndex - 1);
 }
@@ -122,7 +133,11 @@
 void
 RaftLog::AdvanceCommitIndex(std::uint64_t aIndex)
 {
-  m_commit = std::max(m_commit, std::min(aIndex, LastIndex()));
+  const std::uint64_t end = std::min(aIndex, LastIndex());
+  while (m_commit < end) {
+    ++m_commit;
+    m_uncommittedBytes -= CountEntryBytes(At(m_commit));
+  }
 }
 
 bool
@@ -162,6 +177,10 @@
   }
   m_baseTerm = *TermAt(base);
   const auto count = static_cast<std::ptrdiff_t>(base - m_baseIndex);
+  for (auto entry = m_entries.begin(); entry != m_entries.begin() + count;
+       ++entry) {
+    m_bytes -= CountEntryBytes(*entry);
+  }
   m_entries.erase(m_entries.begin(), m_entries.begin() + count);
   m_baseIndex = base;
 }
@@ -170,6 +189,8 @@
 RaftLog::Reset(std::uint64_t aIndex, std::uint64_t aTerm)
 {
   m_entries.clear();
+  m_bytes = 0;
+  m_uncommittedBytes = 0;
   m_baseIndex = aIndex;
   m_baseTerm = aTerm;
   m_snapshotIndex = aIndex;
--- a/Source/Consensus/RaftLog.h
+++ b/Source/Consensus/RaftLog.h
@@ -2,6 +2,7 @@
 // the last index that the store has synced.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <optional>
@@ -13,6 +14,10 @@
 
 struct RestoredLog;
 
+// Returns the memory of an entry in a log, in bytes.
+std::size_t
+CountEntryBytes(const consensus::EntryT& aEntry);
+
 class RaftLog
 {
 public:
@@ -25,6 +30,9 @@
   std::uint64_t CommitIndex() const { return m_commit; }
   std::uint64_t AppliedIndex() const { return m_applied; }
   std::uint64_t PersistedIndex() const { return m_persisted; }
+  // Memory of the entries, and of those after the commit index, in bytes.
+  std::size_t CountBytes() const { return m_bytes; }
+  std::size_t CountUncommittedBytes() const { return m_uncommittedBytes; }
 
   // Returns std::nullopt for an index before the base or after the last entry.
   std::optional<std::uint64_t> TermAt(std::uint64_t aIndex) const;
@@ -78,6 +86,8 @@
   // Index and term of the last entry that the store is syncing.
   std::uint64_t m_syncingIndex = 0;
   std::uint64_t m_syncingTerm = 0;
+  std::size_t m_bytes = 0;
+  std::size_t m_uncommittedBytes = 0; // of the entries after m_commit
 };
 
 } // namespace parsleycove
--- a/Source/Consensus/Replica.cxx
+++ b/Source/Consensus/Replica.cxx
@@ -88,6 +88,10 @@
     m_reason.Set(ReplicaError::NotLeader, "this replica is not the leader");
     return std::nullopt;
   }
+  if (auto rejection = m_parts->FindCommandRejection(aCommand.size())) {
+    m_reason = std::move(*rejection);
+    return std::nullopt;
+  }
   return m_parts->m_leader.Propose(
     aNow, consensus::EntryKind::Command, std::move(aCommand));
 }
@@ -256,6 +260,18 @@
   return m_parts->m_state.m_log.LastIndex();
 }
 
+std::size_t
+Replica::CountLogBytes() const
+{
+  return m_parts->m_state.m_log.CountBytes();
+}
+
+std::size_t
+Replica::CountUncommittedBytes() const
+{
+  return m_parts->m_state.m_log.CountUncommittedBytes();
+}
+
 const consensus::MembershipT&
 Replica::Members() const
 {
--- a/Source/Consensus/Replica.h
+++ b/Source/Consensus/Replica.h
@@ -30,6 +30,8 @@
   // behind, or too few voters answer.
   NotNow,
   Invalid,
+  // The command was not taken: too many bytes of the log are not committed.
+  Full,
 };
 using ReplicaReason = Reason<ReplicaError>;
 
@@ -50,6 +52,11 @@
   // with this many bytes of data, are unanswered.
   std::size_t m_maxInflightAppends = 16;
   std::size_t m_maxInflightBytes = 4UL * 1024 * 1024;
+  // A leader takes no further commands while this many bytes of its log are not
+  // committed. Commands above m_maxAppendBytes may take a half, so that the
+  // small ones are still taken. With less than m_maxAppendBytes not committed,
+  // one command is taken whatever its size.
+  std::size_t m_maxUncommittedBytes = 16UL * 1024 * 1024;
   std::size_t m_snapshotChunkBytes = 256UL * 1024;
   // Largest number of entries before a snapshot's index that stay in memory,
   // for members that lag behind. Their data is no larger than the snapshot,
@@ -157,7 +164,8 @@
   void Step(TimePoint aNow, const consensus::PeerMessageT& aMessage);
 
   // Returns the index that the command will have if it commits in this term, or
-  // std::nullopt if this replica is not the leader.
+  // std::nullopt with LastReason set if this replica is not the leader or its
+  // log is full.
   std::optional<std::uint64_t> Propose(TimePoint aNow,
                                        std::vector<std::uint8_t> aCommand);
   // Adds, promotes or removes one member, or changes its address. Returns the
@@ -199,6 +207,9 @@
   std::uint64_t Term() const;
   std::uint64_t CommitIndex() const;
   std::uint64_t LastIndex() const;
+  // Memory of the log's entries, and of those not committed, in bytes.
+  std::size_t CountLogBytes() const;
+  std::size_t CountUncommittedBytes() const;
   const consensus::MembershipT& Members() const;
   std::uint64_t MatchIndex(std::uint64_t aReplica) const; // 0 if not leader
   // Returns whether this replica is the leader and no other replica can have
--- a/Source/Consensus/ReplicaParts.cxx
+++ b/Source/Consensus/ReplicaParts.cxx
@@ -97,6 +97,26 @@
   }
 }
 
+std::optional<ReplicaReason>
+Replica::Parts::FindCommandRejection(std::size_t aBytes) const
+{
+  const ReplicaOptions& options = m_state.m_options;
+  const std::size_t held = m_state.m_log.CountUncommittedBytes();
+  const bool isLarge = aBytes > options.m_maxAppendBytes;
+  const std::size_t limit =
+    isLarge ? options.m_maxUncommittedBytes / 2 : options.m_maxUncommittedBytes;
+  // Otherwise small commands that always follow one another would keep out a
+  // command above the limit for good.
+  if (held <= options.m_maxAppendBytes || held + aBytes <= limit) {
+    return std::nullopt;
+  }
+  return ReplicaReason{ ReplicaError::Full,
+                        "the log has " + std::to_string(held) +
+                          " bytes that are not committed, a command of " +
+                          std::to_string(aBytes) + " bytes is taken up to " +
+                          std::to_string(limit) };
+}
+
 std::optional<ReplicaReason>
 Replica::Parts::FindChangeRejection(TimePoint aNow,
                                     const consensus::MembershipT& aNext) const
--- a/Source/Consensus/ReplicaParts.h
+++ b/Source/Consensus/ReplicaParts.h
@@ -2,6 +2,7 @@
 // Dispatches each received message to the part that handles it.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 
@@ -24,6 +25,9 @@
                 std::uint64_t aFrom,
                 const consensus::PeerBodyUnion& aBody);
   void StartLeadingIfWon(TimePoint aNow);
+  // Returns why the leader's log does not take a command of this size, or
+  // std::nullopt if it does.
+  std::optional<ReplicaReason> FindCommandRejection(std::size_t aBytes) const;
   // Returns why the membership cannot be proposed now, or std::nullopt if it
   // can.
   std::optional<ReplicaReason> FindChangeRejection(
--- a/Source/Control/ClientNodeCalls.cxx
+++ b/Source/Control/ClientNodeCalls.cxx
@@ -164,6 +164,13 @@
     m_calls.Complete(reply.id, aBody);
     return;
   }
+  if (reply.status == feed::ProposeStatus::Full) {
+    // An earlier send may still be committed, so its call goes on.
+    if (!m_calls.FailRejected(reply.id, "not accepted: " + reply.text)) {
+      Retry(reply.id, m_options.m_resendInterval);
+    }
+    return;
+  }
   if (reply.status == feed::ProposeStatus::NotLeader) {
     m_calls.RecordRejection(reply.id);
   }
--- a/Source/Control/FeedBackend.h
+++ b/Source/Control/FeedBackend.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "Base/SocketAddress.h"
@@ -21,10 +22,11 @@
 
   virtual ~FeedBackend() = default;
 
-  // Returns false, without proposing the command, if this replica is not the
-  // leader.
-  virtual bool ProposeCommand(const state::CommandT& aCommand,
-                              PendingProposals::Handler aHandler) = 0;
+  // The handler is called only if the command was taken. aWhy is set if the log
+  // is full.
+  virtual ProposalIntake ProposeCommand(const state::CommandT& aCommand,
+                                        PendingProposals::Handler aHandler,
+                                        std::string& aWhy) = 0;
   // Calls aHandler with true once the applied state is known to be current as
   // of this call, or with false if that cannot be confirmed.
   virtual void ConfirmState(ReadHandler aHandler) = 0;
--- a/Source/Control/FeedServer.cxx
+++ b/Source/Control/FeedServer.cxx
@@ -201,7 +201,7 @@
   reply.id = aRequest.id;
   reply.status = feed::ProposeStatus::NotLeader;
   if (aRequest.command) {
-    const bool taken = m_backend.ProposeCommand(
+    const ProposalIntake intake = m_backend.ProposeCommand(
       *aRequest.command,
       [link = aSession.m_link,
        id = aRequest.id](std::optional<state::CommandResultT> aResult) {
@@ -213,10 +213,14 @@
           done.result = std::make_unique<state::CommandResultT>(*aResult);
         }
         link->Send(EncodeFeedBody(std::move(done)));
-      });
-    if (taken) {
+      },
+      reply.text);
+    if (intake == ProposalIntake::Taken) {
       return;
     }
+    if (intake == ProposalIntake::Full) {
+      reply.status = feed::ProposeStatus::Full;
+    }
   }
   if (const auto leader = m_backend.LeaderAddress()) {
     reply.leader_address = leader->m_address;
--- a/Source/Control/PendingCalls.cxx
+++ b/Source/Control/PendingCalls.cxx
@@ -41,6 +41,22 @@
   }
 }
 
+bool
+PendingCalls::FailRejected(std::uint64_t aId, const std::string& aWhy)
+{
+  RecordRejection(aId);
+  const auto found = m_calls.find(aId);
+  if (found == m_calls.end() || found->second.m_uncertainSends != 0) {
+    return false;
+  }
+  const PendingCall call = std::move(found->second);
+  m_calls.erase(found);
+  ControlReason reason;
+  reason.Set(ControlError::NotAccepted, aWhy);
+  call.m_handler(nullptr, reason);
+  return true;
+}
+
 void
 PendingCalls::MakeDue(CallTarget aTarget, TimePoint aNow)
 {
--- a/Source/Control/PendingCalls.h
+++ b/Source/Control/PendingCalls.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -50,6 +51,9 @@
   // Records that the replica rejected one send of the call, so that this send
   // had no effect.
   void RecordRejection(std::uint64_t aId);
+  // As RecordRejection(). Fails the call as not accepted if no other send of it
+  // may have taken effect; returns whether it did.
+  bool FailRejected(std::uint64_t aId, const std::string& aWhy);
   // Makes every call to this target due at aNow.
   void MakeDue(CallTarget aTarget, TimePoint aNow);
 
--- a/Source/Control/PendingProposals.h
+++ b/Source/Control/PendingProposals.h
@@ -10,6 +10,13 @@
 
 namespace parsleycove {
 
+enum class ProposalIntake
+{
+  Taken,
+  NotLeader, // or, for a routing document, too few voters
+  Full,      // too many bytes of the leader's log are not committed
+};
+
 // Matches applied entries with proposals by log index and term.
 class PendingProposals
 {
--- a/Source/Control/ReplicaCore.cxx
+++ b/Source/Control/ReplicaCore.cxx
@@ -320,16 +320,18 @@
   return false;
 }
 
-bool
+ProposalIntake
 ReplicaCore::Propose(TimePoint aNow,
                      const state::CommandT& aCommand,
                      PendingProposals::Handler aHandler)
 {
-  const auto index = m_replica.Propose(aNow, EncodeCommand(aCommand));
-  if (index) {
+  if (const auto index = m_replica.Propose(aNow, EncodeCommand(aCommand))) {
     m_proposals.Add(*index, m_replica.Term(), std::move(aHandler));
+    return ProposalIntake::Taken;
   }
-  return index.has_value();
+  return m_replica.LastReason().m_code == ReplicaError::Full
+           ? ProposalIntake::Full
+           : ProposalIntake::NotLeader;
 }
 
 bool
--- a/Source/Control/ReplicaCore.h
+++ b/Source/Control/ReplicaCore.h
@@ -79,11 +79,11 @@
   // has failed or an entry could not be applied.
   bool ProcessReady(TimePoint aNow);
 
-  // Returns false if this replica is not the leader; the handler is then not
-  // called.
-  bool Propose(TimePoint aNow,
-               const state::CommandT& aCommand,
-               PendingProposals::Handler aHandler);
+  // The handler is called only if the command was taken; otherwise the reason
+  // is in Log().LastReason().
+  ProposalIntake Propose(TimePoint aNow,
+                         const state::CommandT& aCommand,
+                         PendingProposals::Handler aHandler);
   // Returns false if the log refuses the change, with the reason in
   // Log().LastReason(); the handler is then not called.
   bool ProposeMembership(TimePoint aNow,
--- a/Source/Control/ReplicaNode.h
+++ b/Source/Control/ReplicaNode.h
@@ -72,8 +72,9 @@
   void OnFatal(const std::string& aText) override;
 
   // FeedBackend
-  bool ProposeCommand(const state::CommandT& aCommand,
-                      PendingProposals::Handler aHandler) override;
+  ProposalIntake ProposeCommand(const state::CommandT& aCommand,
+                                PendingProposals::Handler aHandler,
+                                std::string& aWhy) override;
   void ConfirmState(ReadHandler aHandler) override;
   void AddMember(const feed::AddReplicaT& aRequest,
                  AdminHandler aHandler) override;
--- a/Source/Control/ReplicaNodeGroup.cxx
+++ b/Source/Control/ReplicaNodeGroup.cxx
@@ -40,25 +40,29 @@
 
 } // namespace
 
-bool
+ProposalIntake
 ReplicaNode::ProposeCommand(const state::CommandT& aCommand,
-                            PendingProposals::Handler aHandler)
+                            PendingProposals::Handler aHandler,
+                            std::string& aWhy)
 {
   if (aCommand.body.type == state::CommandBody::PutDocument &&
       !CanAcceptDocuments()) {
-    return false;
+    return ProposalIntake::NotLeader;
   }
   // Commands carry the time of the leader's clock, not of the proposer's clock.
   state::CommandT stamped = aCommand;
   StampCommand(stamped, SystemClock().UnixMs());
   if (auto known = AnswerWithoutEntry(stamped)) {
     aHandler(std::move(*known));
-    return true;
+    return ProposalIntake::Taken;
   }
-  const bool taken =
+  const ProposalIntake intake =
     m_core->Propose(BootClock::now(), stamped, std::move(aHandler));
+  if (intake == ProposalIntake::Full) {
+    aWhy = m_core->Log().LastReason().m_text;
+  }
   RequestProcessing();
-  return taken;
+  return intake;
 }
 
 std::optional<state::CommandResultT>
@@ -245,7 +249,10 @@
     m_inForceIndex, m_maintenance->InForceIndex(now, log.CommitIndex()));
   for (const state::CommandT& command :
        m_maintenance->FindExpired(now, SystemClock().UnixMs(), State())) {
-    ProposeCommand(command, [](const auto&) {});
+    // What is not taken is found again in the next round.
+    std::string ignored;
+    ProposeCommand(
+      command, [](const auto&) {}, ignored);
   }
   RepairMembership(now);
   ReportShortage(now);
--- a/Source/Wire/Generated/FeedGenerated.h
+++ b/Source/Wire/Generated/FeedGenerated.h
@@ -106,31 +106,34 @@
   Applied = 0,
   NotLeader = 1,
   Unknown = 2,
+  Full = 3,
   MIN = Applied,
-  MAX = Unknown
+  MAX = Full
 };
 
-inline const ProposeStatus (&EnumValuesProposeStatus())[3] {
+inline const ProposeStatus (&EnumValuesProposeStatus())[4] {
   static const ProposeStatus values[] = {
     ProposeStatus::Applied,
     ProposeStatus::NotLeader,
-    ProposeStatus::Unknown
+    ProposeStatus::Unknown,
+    ProposeStatus::Full
   };
   return values;
 }
 
 inline const char * const *EnumNamesProposeStatus() {
-  static const char * const names[4] = {
+  static const char * const names[5] = {
     "Applied",
     "NotLeader",
     "Unknown",
+    "Full",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameProposeStatus(ProposeStatus e) {
-  if (flatbuffers::IsOutRange(e, ProposeStatus::Applied, ProposeStatus::Unknown)) return "";
+  if (flatbuffers::IsOutRange(e, ProposeStatus::Applied, ProposeStatus::Full)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesProposeStatus()[index];
 }
@@ -1329,6 +1332,7 @@
   std::unique_ptr<parsleycove::state::CommandResultT> result{};
   std::string leader_address{};
   uint16_t leader_port = 0;
+  std::string text{};
   ProposeReplyT() = default;
   ProposeReplyT(const ProposeReplyT &o);
   ProposeReplyT(ProposeReplyT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1344,7 +1348,8 @@
     VT_STATUS = 6,
     VT_RESULT = 8,
     VT_LEADER_ADDRESS = 10,
-    VT_LEADER_PORT = 12
+    VT_LEADER_PORT = 12,
+    VT_TEXT = 14
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -1361,6 +1366,9 @@
   uint16_t leader_port() const {
     return GetField<uint16_t>(VT_LEADER_PORT, 0);
   }
+  const flatbuffers::String *text() const {
+    return GetPointer<const flatbuffers::String *>(VT_TEXT);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -1370,6 +1378,8 @@
            VerifyOffset(verifier, VT_LEADER_ADDRESS) &&
            verifier.VerifyString(leader_address()) &&
            VerifyField<uint16_t>(verifier, VT_LEADER_PORT, 2) &&
+           VerifyOffset(verifier, VT_TEXT) &&
+           verifier.VerifyString(text()) &&
            verifier.EndTable();
   }
   ProposeReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1396,6 +1406,9 @@
   void add_leader_port(uint16_t leader_port) {
     fbb_.AddElement<uint16_t>(ProposeReply::VT_LEADER_PORT, leader_port, 0);
   }
+  void add_text(flatbuffers::Offset<flatbuffers::String> text) {
+    fbb_.AddOffset(ProposeReply::VT_TEXT, text);
+  }
   explicit ProposeReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1413,9 +1426,11 @@
     parsleycove::feed::ProposeStatus status = parsleycove::feed::ProposeStatus::Applied,
     flatbuffers::Offset<parsleycove::state::CommandResult> result = 0,
     flatbuffers::Offset<flatbuffers::String> leader_address = 0,
-    uint16_t leader_port = 0) {
+    uint16_t leader_port = 0,
+    flatbuffers::Offset<flatbuffers::String> text = 0) {
   ProposeReplyBuilder builder_(_fbb);
   builder_.add_id(id);
+  builder_.add_text(text);
   builder_.add_leader_address(leader_address);
   builder_.add_result(result);
   builder_.add_leader_port(leader_port);
@@ -1434,15 +1449,18 @@
     parsleycove::feed::ProposeStatus status = parsleycove::feed::ProposeStatus::Applied,
     flatbuffers::Offset<parsleycove::state::CommandResult> result = 0,
     const char *leader_address = nullptr,
-    uint16_t leader_port = 0) {
+    uint16_t leader_port = 0,
+    const char *text = nullptr) {
   auto leader_address__ = leader_address ? _fbb.CreateString(leader_address) : 0;
+  auto text__ = text ? _fbb.CreateString(text) : 0;
   return parsleycove::feed::CreateProposeReply(
       _fbb,
       id,
       status,
       result,
       leader_address__,
-      leader_port);
+      leader_port,
+      text__);
 }
 
 flatbuffers::Offset<ProposeReply> CreateProposeReply(flatbuffers::FlatBufferBuilder &_fbb, const ProposeReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3134,7 +3152,8 @@
         status(o.status),
         result((o.result) ? new parsleycove::state::CommandResultT(*o.result) : nullptr),
         leader_address(o.leader_address),
-        leader_port(o.leader_port) {
+        leader_port(o.leader_port),
+        text(o.text) {
 }
 
 inline ProposeReplyT &ProposeReplyT::operator=(ProposeReplyT o) FLATBUFFERS_NOEXCEPT {
@@ -3143,6 +3162,7 @@
   std::swap(result, o.result);
   std::swap(leader_address, o.leader_address);
   std::swap(leader_port, o.leader_port);
+  std::swap(text, o.text);
   return *this;
 }
 
@@ -3160,6 +3180,7 @@
   { auto _e = result(); if (_e) _o->result = std::unique_ptr<parsleycove::state::CommandResultT>(_e->UnPack(_resolver)); }
   { auto _e = leader_address(); if (_e) _o->leader_address = _e->str(); }
   { auto _e = leader_port(); _o->leader_port = _e; }
+  { auto _e = text(); if (_e) _o->text = _e->str(); }
 }
 
 inline flatbuffers::Offset<ProposeReply> ProposeReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ProposeReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3175,13 +3196,15 @@
   auto _result = _o->result ? CreateCommandResult(_fbb, _o->result.get(), _rehasher) : 0;
   auto _leader_address = _o->leader_address.empty() ? 0 : _fbb.CreateString(_o->leader_address);
   auto _leader_port = _o->leader_port;
+  auto _text = _o->text.empty() ? 0 : _fbb.CreateString(_o->text);
   return parsleycove::feed::CreateProposeReply(
       _fbb,
       _id,
       _status,
       _result,
       _leader_address,
-      _leader_port);
+      _leader_port,
+      _text);
 }
 
 inline ReadActionT *ReadAction::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/Tests/Control/ClientPartsTest.cxx
+++ b/Tests/Control/ClientPartsTest.cxx
@@ -106,6 +106,22 @@
   CHECK(m_errors[0] == ControlError::Unknown);
 }
 
+TEST(PendingCalls, ARefusalByAFullLogEndsTheCallUnlessAnotherSendMayCount)
+{
+  Add(1, At(10));
+  m_calls.Find(1)->m_uncertainSends = 1;
+  CHECK(m_calls.FailRejected(1, "the log is full"));
+  CHECK_EQUAL(1, m_errors.size());
+  CHECK(m_errors[0] == ControlError::NotAccepted);
+  Add(2, At(10));
+  m_calls.Find(2)->m_uncertainSends = 2;
+  CHECK_FALSE(m_calls.FailRejected(2, "the log is full"));
+  CHECK_EQUAL(1, m_errors.size());
+  m_calls.CollectDue(At(10));
+  CHECK(m_errors.back() == ControlError::Unknown);
+  CHECK_FALSE(m_calls.FailRejected(2, "the log is full"));
+}
+
 TEST(PendingCalls, LateAndDuplicateAnswersCallNobody)
 {
   Add(1, At(10));
