State: Limit the text of a remembered answer

What operators saw: nothing yet; found by a search for what is kept without a bound in bytes. The answer to a change with a malformed prefix quotes it whole, so a client that sends such changes fills a control VM: 100 KB of prefix were 100 KB of history each.

Change: the text of a kept answer has at most 512 bytes. The first answer goes out whole; only the one to a change that is sent again is shorter. The number of records stays as it was: another one would make replicas of two versions differ.

Test: ReplicatedState.TheMemoryOfAnswersDoesNotGrowWithTheirTexts; without the cut it failed with "CHECK_COMPARE(100107 < 1500)".

--- a/Source/State/ChangeHistory.cxx
+++ b/Source/State/ChangeHistory.cxx
@@ -8,6 +8,34 @@
 
 namespace parsleycove {
 
+namespace {
+
+// Shortens the text, without a part of a UTF-8 character at its end.
+void
+CutText(std::string& aText, std::size_t aMaxBytes)
+{
+  if (aText.size() <= aMaxBytes) {
+    return;
+  }
+  std::size_t end = aMaxBytes;
+  while (end > 0 && (static_cast<unsigned char>(aText[end]) & 0xC0U) == 0x80U) {
+    --end;
+  }
+  aText.resize(end);
+  aText.shrink_to_fit();
+}
+
+// The change id is held twice.
+std::size_t
+CountRecordBytes(const state::ChangeRecordT& aRecord)
+{
+  return sizeof(aRecord) + sizeof(*aRecord.result) +
+         2 * aRecord.change_id.size() + aRecord.fingerprint.size() +
+         aRecord.result->text.size();
+}
+
+} // namespace
+
 ChangeHistory::ChangeHistory(std::size_t aMaxRecords)
   : m_maxRecords(aMaxRecords)
 {
@@ -43,6 +71,7 @@
     return;
   }
   while (m_records.size() > m_maxRecords) {
+    m_bytes -= CountRecordBytes(m_records.front());
     m_positions.erase(m_records.front().change_id);
     m_records.pop_front();
     ++m_dropped;
@@ -57,6 +86,8 @@
       !m_positions.emplace(aRecord.change_id, position).second) {
     return false;
   }
+  CutText(aRecord.result->text, kMaxAnswerTextBytes);
+  m_bytes += CountRecordBytes(aRecord);
   m_records.push_back(std::move(aRecord));
   return true;
 }
--- a/Source/State/ReplicatedState.cxx
+++ b/Source/State/ReplicatedState.cxx
@@ -120,6 +120,12 @@
   return result;
 }
 
+std::size_t
+ReplicatedState::CountHistoryBytes() const
+{
+  return m_changes->CountBytes();
+}
+
 state::CommandResultT
 ReplicatedState::Route(std::uint64_t aIndex,
                        std::uint64_t aTerm,
--- a/Source/State/ReplicatedState.h
+++ b/Source/State/ReplicatedState.h
@@ -54,6 +54,8 @@
   std::vector<std::string> ListHolders() const;
   // Orders that are not done, in order of their sequence.
   std::vector<const state::EngineOrderT*> FindPendingOrders() const;
+  // Memory of the first answers to changes, in bytes.
+  std::size_t CountHistoryBytes() const;
   std::uint64_t LastUnixMs() const { return m_lastUnixMs; }
 
 private:
--- a/Tests/State/ReplicatedStateTest.cxx
+++ b/Tests/State/ReplicatedStateTest.cxx
@@ -125,6 +125,32 @@
   CHECK_EQUAL(1, m_state.Config().revision);
 }
 
+TEST(ReplicatedState, TheMemoryOfAnswersDoesNotGrowWithTheirTexts)
+{
+  constexpr std::size_t kPrefixBytes = 100'000;
+  constexpr std::size_t kAnswers = 50;
+  constexpr std::size_t kMaxAnswerBytes = 1500;
+  for (std::size_t i = 0; i < kAnswers; ++i) {
+    auto service = std::make_unique<state::ServiceT>();
+    service->name = "plain";
+    service->idempotent_prefixes.emplace_back(kPrefixBytes, 'p');
+    state::CommandT change =
+      MakeClassChange("change-" + std::to_string(i), 0, "calm");
+    change.body.AsApplyChange()->change->put_services.push_back(
+      std::move(service));
+    const auto refused = Apply(change);
+    CheckCode(ResultCode::Invalid, refused);
+    CHECK_COMPARE(refused.text.size(), >, kPrefixBytes);
+    const auto again = Apply(change);
+    CheckCode(ResultCode::Invalid, again);
+    CHECK(refused.text.starts_with(again.text));
+    CHECK_COMPARE(again.text.size(), <, kMaxAnswerBytes);
+  }
+  CHECK_COMPARE(m_state.TakeImage().size(), <, kAnswers * kMaxAnswerBytes);
+  CHECK_COMPARE(m_state.CountHistoryBytes(), <, kAnswers * kMaxAnswerBytes);
+  CHECK_COMPARE(m_state.CountHistoryBytes(), >, kAnswers);
+}
+
 TEST(ReplicatedState, AnswersOutliveAnImage)
 {
   Apply(MakeClassChange("one", 0, "urgent"));
