Control: Limit what waits to be sent to each member

Heartbeats stay, since a member without them asks for an election. The link is closed at 16 MiB, as before at 64.

Tests: PeerQueueLimit; without the limit both fail ("20000 <= 1100"). ReplicaBytes.AMemberThatGotAnAppendWithoutItsEntriesGetsThemLater shows that the log sends the entries again; FrameLink.CountsTheBytesThatWait.

--- a/Source/Control/ReplicaNode.cxx
+++ b/Source/Control/ReplicaNode.cxx
@@ -67,6 +67,7 @@
         }
       },
       [this](const std::string& aText) { Log(ControlLogLevel::Info, aText); })
+  , m_peerQueueLimit(aOptions.m_maxPeerBulkBytes)
   , m_tickTimer(aContext)
   , m_roundTimer(aContext)
   , m_maintenanceTimer(aContext)
@@ -141,24 +142,6 @@
   RequestProcessing();
 }
 
-void
-ReplicaNode::SendToPeer(consensus::PeerMessageT aMessage)
-{
-  if (auto* reply = aMessage.body.AsReadIndexReply()) {
-    reply->in_force = m_inForceIndex;
-    reply->gateways = CountGateways();
-  }
-  const std::uint64_t replica = aMessage.to;
-  const Frame::Pointer frame = EncodePeerFrame(aMessage);
-  if (m_peers.Send(replica, frame)) {
-    return;
-  }
-  if (const auto found = m_peerInbound.find(replica);
-      found != m_peerInbound.end()) {
-    found->second->Send(frame);
-  }
-}
-
 void
 ReplicaNode::RequestProcessing()
 {
--- a/Source/Control/ReplicaNode.h
+++ b/Source/Control/ReplicaNode.h
@@ -24,6 +24,7 @@
 #include "Control/MembershipChange.h"
 #include "Control/MembershipRepair.h"
 #include "Control/MembershipReport.h"
+#include "Control/PeerQueueLimit.h"
 #include "Control/PromptCommandFilter.h"
 #include "Control/ReplicaCore.h"
 #include "Control/ReplicaServiceOptions.h"
@@ -141,6 +142,7 @@
   InboundLinks m_inbound;
   FrameAcceptor m_acceptor;
   PeerLinks m_peers;
+  PeerQueueLimit m_peerQueueLimit;
   std::unique_ptr<ReplicaCore> m_core;
   // Set only while this replica is the leader.
   std::optional<LeaderMaintenance> m_maintenance;
--- a/Source/Control/ReplicaServiceOptions.h
+++ b/Source/Control/ReplicaServiceOptions.h
@@ -85,7 +85,10 @@
   Duration m_linkHeartbeat = std::chrono::milliseconds(500);
   std::size_t m_maxFrameBytes = 64UL * 1024 * 1024;
   std::size_t m_maxFeedQueueBytes = 16UL * 1024 * 1024;
-  std::size_t m_maxPeerQueueBytes = 64UL * 1024 * 1024;
+  // The link to a peer for which more waits is closed. Entries and snapshot
+  // pieces wait while the queue of their peer holds more than the second bound.
+  std::size_t m_maxPeerQueueBytes = 16UL * 1024 * 1024;
+  std::size_t m_maxPeerBulkBytes = 4UL * 1024 * 1024;
   std::size_t m_maxRingBytes = 4UL * 1024 * 1024;
   // As in ReplicaCoreOptions.
   std::uint64_t m_snapshotEntries = 20000;
--- a/Source/Wire/FrameLink.cxx
+++ b/Source/Wire/FrameLink.cxx
@@ -176,6 +176,12 @@
   }
 }
 
+std::size_t
+FrameLink::CountQueuedBytes() const
+{
+  return m_shut ? 0 : m_channel->m_queuedBytes;
+}
+
 void
 FrameLink::Write()
 {
--- a/Source/Wire/FrameLink.h
+++ b/Source/Wire/FrameLink.h
@@ -69,6 +69,8 @@
   // Closes without a call of OnClosed; the listener may be gone afterwards.
   void Close();
   bool IsOpen() const { return m_open; }
+  // Bytes of the frames that are not written yet.
+  std::size_t CountQueuedBytes() const;
   // Number and port of the other end, for messages to people.
   const std::string& PeerName() const { return m_peerName; }
 
--- a/Source/Wire/PeerLinks.cxx
+++ b/Source/Wire/PeerLinks.cxx
@@ -34,6 +34,11 @@
   const SocketAddress& Address() const { return m_peer.m_address; }
   bool IsOpen() const { return m_link && m_link->IsOpen(); }
 
+  std::size_t CountQueuedBytes() const
+  {
+    return m_link ? m_link->CountQueuedBytes() : 0;
+  }
+
   void Connect()
   {
     m_link = FrameLink::Connect(
@@ -154,6 +159,23 @@
   return found != m_peers.end() && found->second->IsOpen();
 }
 
+std::size_t
+PeerLinks::CountQueuedBytes(std::uint64_t aReplica) const
+{
+  const auto found = m_peers.find(aReplica);
+  return found == m_peers.end() ? 0 : found->second->CountQueuedBytes();
+}
+
+std::size_t
+PeerLinks::CountQueuedBytes() const
+{
+  std::size_t bytes = 0;
+  for (const auto& [replica, peer] : m_peers) {
+    bytes += peer->CountQueuedBytes();
+  }
+  return bytes;
+}
+
 void
 PeerLinks::Close()
 {
--- a/Source/Wire/PeerLinks.h
+++ b/Source/Wire/PeerLinks.h
@@ -1,6 +1,7 @@
 // One outgoing link to each other replica, opened again whenever it ends.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -50,6 +51,9 @@
   // peer is unknown.
   bool Send(std::uint64_t aReplica, Frame::Pointer aFrame);
   bool IsOpen(std::uint64_t aReplica) const;
+  // Bytes that wait to be sent to a peer, and to all of them.
+  std::size_t CountQueuedBytes(std::uint64_t aReplica) const;
+  std::size_t CountQueuedBytes() const;
   void Close();
 
 private:
--- a/Tests/Consensus/ReplicaBytesTest.cxx
+++ b/Tests/Consensus/ReplicaBytesTest.cxx
@@ -56,10 +56,71 @@
   TimePoint m_now;
 };
 
+constexpr std::uint64_t kLearner = 9;
+
+// Steps the leader with an answer of the learner.
+void
+Answer(LoneLeader& aLeader, bool aSuccess, std::uint64_t aIndex)
+{
+  consensus::AppendReplyT reply;
+  reply.term = aLeader.m_replica.Term();
+  reply.success = aSuccess;
+  reply.match_index = aSuccess ? aIndex : 0;
+  reply.hint_index = aSuccess ? 0 : aIndex;
+  consensus::PeerMessageT message;
+  message.cluster = 77;
+  message.from = kLearner;
+  message.to = 1;
+  message.body.Set(reply);
+  aLeader.m_replica.Step(aLeader.m_now, message);
+}
+
+// Returns the number of entries that the replica sends to the learner.
+std::size_t
+CountSentEntries(LoneLeader& aLeader)
+{
+  std::size_t entries = 0;
+  const Ready ready = aLeader.m_replica.TakeReady();
+  aLeader.m_replica.Persisted(aLeader.m_now);
+  for (const auto& message : ready.m_earlyMessages) {
+    const auto* append = message.body.AsAppend();
+    entries += append ? append->entries.size() : 0;
+  }
+  return entries;
+}
+
 } // namespace
 
 TEST_GROUP(ReplicaBytes){};
 
+// PeerQueueLimit takes the entries out of an append to a slow member.
+TEST(ReplicaBytes, AMemberThatGotAnAppendWithoutItsEntriesGetsThemLater)
+{
+  TestCluster cluster(1, 1);
+  LoneLeader leader(cluster);
+  auto joined = leader.m_replica.Members();
+  joined.members.push_back(std::make_unique<consensus::MemberT>());
+  joined.members.back()->replica = kLearner;
+  joined.members.back()->zone = cluster.At(1).m_zone;
+  CHECK_TEXT(
+    leader.m_replica.ProposeMembership(leader.m_now, joined).has_value(),
+    leader.m_replica.LastReason().m_text.c_str());
+  leader.Flush();
+  const std::uint64_t held = leader.m_replica.LastIndex();
+  Answer(leader, true, held);
+  leader.Flush();
+  CHECK(leader.Propose(kSmallBytes));
+  CHECK_EQUAL(1, CountSentEntries(leader));
+  Answer(leader, true, held);
+  CHECK_EQUAL(0, CountSentEntries(leader));
+  // The next heartbeat names the entry that the member lacks.
+  Answer(leader, false, held);
+  CHECK_EQUAL(1, CountSentEntries(leader));
+  Answer(leader, true, leader.m_replica.LastIndex());
+  CHECK_EQUAL(leader.m_replica.LastIndex(),
+              leader.m_replica.MatchIndex(kLearner));
+}
+
 TEST(ReplicaBytes, ALeaderTakesNoMoreThanItsLimitOfUncommittedBytes)
 {
   TestCluster cluster(1, 1);
--- a/Tests/Control/ReplicaPartsTest.cxx
+++ b/Tests/Control/ReplicaPartsTest.cxx
@@ -8,6 +8,7 @@
 #include "Control/GatewayCount.h"
 #include "Control/LeaderMaintenance.h"
 #include "Control/LeaseKey.h"
+#include "Control/PeerQueueLimit.h"
 #include "Control/PendingProposals.h"
 #include "Control/PendingReads.h"
 #include "Control/SnapshotAssembler.h"
@@ -129,6 +130,58 @@
 }
 
 // clang-format off
+TEST_GROUP(PeerQueueLimit)
+{
+  static constexpr std::size_t kMaxBytes = 1000;
+  PeerQueueLimit m_limit{ kMaxBytes };
+
+  static consensus::PeerMessageT MakeAppend()
+  {
+    consensus::AppendT append;
+    append.previous_index = 7;
+    append.commit = 7;
+    append.entries.push_back(std::make_unique<consensus::EntryT>());
+    consensus::PeerMessageT message;
+    message.body.Set(std::move(append));
+    return message;
+  }
+};
+
+TEST(PeerQueueLimit, EntriesAndPiecesWaitForASlowPeerAndNothingElseDoes)
+{
+  auto append = MakeAppend();
+  CHECK(m_limit.Admit(kMaxBytes, append));
+  CHECK_EQUAL(1, append.body.AsAppend()->entries.size());
+  // A follower without heartbeats would ask for an election.
+  CHECK(m_limit.Admit(kMaxBytes + 1, append));
+  CHECK_EQUAL(0, append.body.AsAppend()->entries.size());
+  CHECK_EQUAL(7, append.body.AsAppend()->previous_index);
+  CHECK(m_limit.Admit(kMaxBytes + 1, append));
+  consensus::PeerMessageT piece;
+  piece.body.Set(MakeChunk(5, 0, { 1 }, true));
+  CHECK(m_limit.Admit(kMaxBytes, piece));
+  CHECK_FALSE(m_limit.Admit(kMaxBytes + 1, piece));
+  consensus::PeerMessageT vote;
+  vote.body.Set(consensus::VoteT{});
+  CHECK(m_limit.Admit(kMaxBytes + 1, vote));
+  CHECK_EQUAL(2, m_limit.CountHeldBack());
+}
+
+// The leader sends a piece again whenever its answer is late.
+TEST(PeerQueueLimit, PiecesSentAgainDoNotFillAQueueThatIsNotRead)
+{
+  constexpr std::size_t kPieceBytes = 100;
+  const std::vector<std::uint8_t> data(kPieceBytes);
+  std::size_t queued = 0;
+  for (int i = 0; i < 200; ++i) {
+    consensus::PeerMessageT piece;
+    piece.body.Set(MakeChunk(5, 0, data, false));
+    queued += m_limit.Admit(queued, piece) ? kPieceBytes : 0;
+  }
+  CHECK_COMPARE(queued, >, kMaxBytes);
+  CHECK_COMPARE(queued, <=, kMaxBytes + kPieceBytes);
+}
+
 TEST_GROUP(LeaderMaintenance)
 {
   LeaderMaintenanceOptions m_options;
--- a/Tests/Wire/FrameLinkTest.cxx
+++ b/Tests/Wire/FrameLinkTest.cxx
@@ -73,6 +73,20 @@
   CHECK(m_client.m_closed.empty());
 }
 
+TEST(FrameLink, CountsTheBytesThatWait)
+{
+  const auto link =
+    FrameLink::Connect(m_context, m_server.Address(), ShortOptions(), m_client);
+  CHECK_EQUAL(0, link->CountQueuedBytes());
+  link->Send(MakeFeedFrame("one"));
+  link->Send(MakeFeedFrame("three"));
+  CHECK_EQUAL(2 * kFrameHeaderBytes + 8, link->CountQueuedBytes());
+  CHECK(RunUntil(m_context, [&] { return link->CountQueuedBytes() == 0; }));
+  link->Send(MakeFeedFrame("five"));
+  link->Close();
+  CHECK_EQUAL(0, link->CountQueuedBytes());
+}
+
 TEST(FrameLink, ASilentPeerEndsTheLink)
 {
   const auto socket = ConnectPlainly(m_context, m_server.Address());
