Control: Publish the bytes that a control VM keeps

What operators saw: nothing told how much of a control VM's memory and disk its log, its queues and its history take, nor that a leader refuses commands.

Test: EndToEnd.EachReplicaPublishesTheBytesThatItKeeps.

--- a/Source/Control/ReplicaCore.cxx
+++ b/Source/Control/ReplicaCore.cxx
@@ -267,6 +267,13 @@
   m_replica.SendSnapshotChunk(aRequest.m_to, std::move(chunk));
 }
 
+std::uint64_t
+ReplicaCore::CountStoredBytes() const
+{
+  const auto snapshot = m_store->Snapshot();
+  return m_store->LogBytes() + (snapshot ? snapshot->size : 0);
+}
+
 bool
 ReplicaCore::IsSnapshotDue() const
 {
--- a/Source/Control/ReplicaCore.h
+++ b/Source/Control/ReplicaCore.h
@@ -100,6 +100,8 @@
   const Replica& Log() const { return m_replica; }
   const ReplicatedState& State() const { return m_state; }
   std::uint64_t AppliedIndex() const { return m_applied; }
+  // Bytes of the log and of the snapshot on disk.
+  std::uint64_t CountStoredBytes() const;
 
 private:
   ReplicaCore(std::unique_ptr<LogStore> aStore,
--- a/Source/Control/ReplicaNode.h
+++ b/Source/Control/ReplicaNode.h
@@ -14,6 +14,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "Control/ByteGauges.h"
 #include "Control/FailureReportFilter.h"
 #include "Control/FeedServer.h"
 #include "Control/GatewayCount.h"
@@ -54,8 +55,8 @@
   bool Open(ControlServiceReason& aReason);
   void Close();
 
-  // IsLeader, LedTerm, PublishedApplied and Gauges may be called from any
-  // thread.
+  // IsLeader, LedTerm, PublishedApplied, Gauges and Bytes may be called from
+  // any thread.
   bool IsLeader() const { return m_leads.load(); }
   std::uint64_t LedTerm() const
   {
@@ -64,6 +65,8 @@
   std::uint64_t PublishedApplied() const { return m_publishedApplied.load(); }
   const GroupGauges& Gauges() const { return m_gauges; }
 
+  const ByteGauges& Bytes() const { return m_byteGauges; }
+
   // ReplicaCoreListener
   void SendToPeer(consensus::PeerMessageT aMessage) override;
   void OnConfigChanged(std::uint64_t aIndex,
@@ -125,6 +128,8 @@
     const state::CommandT& aCommand);
   // Logs the changes of the members and publishes the gauges.
   void ReportMembers();
+  // Publishes how many bytes this replica keeps.
+  void ReportBytes();
   void ReportShortage(TimePoint aNow);
   // Logs while no leader is known, and publishes since when.
   void ReportWithoutLeader(TimePoint aNow);
@@ -169,6 +174,7 @@
   LineRepeater m_leaderlessLine;
   std::string m_lastRefusal; // of a change of the members; empty if none
   GroupGauges m_gauges;
+  ByteGauges m_byteGauges;
   std::uint64_t m_configIndex = 0; // index of the last configuration change
   bool m_processingRequested = false;
   bool m_closed = false;
--- a/Source/Control/ReplicaNodeGroup.cxx
+++ b/Source/Control/ReplicaNodeGroup.cxx
@@ -60,6 +60,7 @@
     m_core->Propose(BootClock::now(), stamped, std::move(aHandler));
   if (intake == ProposalIntake::Full) {
     aWhy = m_core->Log().LastReason().m_text;
+    ++m_byteGauges.m_refused;
   }
   RequestProcessing();
   return intake;
@@ -242,6 +243,7 @@
   const Replica& log = m_core->Log();
   m_leads = log.Role() == ReplicaRole::Leader && log.HasLeaderLease(now);
   ReportWithoutLeader(now);
+  ReportBytes();
   if (!m_maintenance || !m_leads) {
     return;
   }
--- a/Source/Control/ReplicaNodePeers.cxx
+++ b/Source/Control/ReplicaNodePeers.cxx
@@ -1,4 +1,4 @@
-// The part of ReplicaNode that sends to peers.
+// The part of ReplicaNode that sends to peers and publishes what is kept.
 #include "Control/ReplicaNode.h"
 
 #include "Wire/MessageCodec.h"
@@ -26,4 +26,16 @@
   }
 }
 
+void
+ReplicaNode::ReportBytes()
+{
+  const Replica& log = m_core->Log();
+  m_byteGauges.m_log = log.CountLogBytes();
+  m_byteGauges.m_uncommitted = log.CountUncommittedBytes();
+  m_byteGauges.m_queued = m_peers.CountQueuedBytes();
+  m_byteGauges.m_history = State().CountHistoryBytes();
+  m_byteGauges.m_stored = m_core->CountStoredBytes();
+  m_byteGauges.m_heldBack = m_peerQueueLimit.CountHeldBack();
+}
+
 } // namespace parsleycove
--- a/Source/Control/ReplicaService.cxx
+++ b/Source/Control/ReplicaService.cxx
@@ -117,4 +117,10 @@
   return m_thread->Node().Gauges();
 }
 
+const ByteGauges&
+ReplicaService::Bytes() const
+{
+  return m_thread->Node().Bytes();
+}
+
 } // namespace parsleycove
--- a/Source/Control/ReplicaService.h
+++ b/Source/Control/ReplicaService.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <memory>
 
+#include "Control/ByteGauges.h"
 #include "Control/GroupGauges.h"
 #include "Control/ReplicaServiceOptions.h"
 
@@ -36,6 +37,8 @@
   std::uint64_t AppliedIndex() const;
   // The members as this replica's log has them. May be read from any thread.
   const GroupGauges& Gauges() const;
+  // What this replica keeps. May be read from any thread.
+  const ByteGauges& Bytes() const;
 
 private:
   class Thread;
--- a/Source/Daemon/ControlProcess.cxx
+++ b/Source/Daemon/ControlProcess.cxx
@@ -141,6 +141,23 @@
   });
 }
 
+void
+AddByteMetrics(MetricRegistry& aMetrics, const ReplicaService& aReplica)
+{
+  const auto add = [&](const char* aName, const auto& aValue) {
+    aMetrics.AddGauge(
+      aName, "", [&aValue] { return static_cast<double>(aValue.load()); });
+  };
+  const ByteGauges& bytes = aReplica.Bytes();
+  add("parsleycove_log_bytes", bytes.m_log);
+  add("parsleycove_uncommitted_bytes", bytes.m_uncommitted);
+  add("parsleycove_peer_queue_bytes", bytes.m_queued);
+  add("parsleycove_change_history_bytes", bytes.m_history);
+  add("parsleycove_stored_bytes", bytes.m_stored);
+  add("parsleycove_commands_refused_full", bytes.m_refused);
+  add("parsleycove_peer_messages_held_back", bytes.m_heldBack);
+}
+
 } // namespace
 
 DaemonExit
@@ -198,6 +215,7 @@
     return DaemonExit::CannotStart;
   }
   AddGroupMetrics(frame.Metrics(), *replica, options.m_targetVoters);
+  AddByteMetrics(frame.Metrics(), *replica);
   member.Start();
   placementController.Start();
   frame.Run();
--- a/Tests/Control/EndToEndTest.cxx
+++ b/Tests/Control/EndToEndTest.cxx
@@ -109,6 +109,30 @@
   CHECK_EQUAL(2, loser.m_value->revision);
 }
 
+TEST(EndToEnd, EachReplicaPublishesTheBytesThatItKeeps)
+{
+  constexpr std::size_t kDocumentBytes = 500'000;
+  m_cluster.WaitForLeader();
+  m_client = Connect("gateway-0", 0);
+  CHECK(IsApplied(Propose(*m_client, MakeChange("c1", 0, "urgent"))));
+  state::PutDocumentT put;
+  put.document = std::make_unique<state::RoutingDocumentT>();
+  put.document->version = 1;
+  put.document->text = std::string(kDocumentBytes, 'x');
+  state::CommandT command;
+  command.body.Set(std::move(put));
+  CHECK(IsApplied(Propose(*m_client, std::move(command))));
+  for (std::size_t i = 0; i < 3; ++i) {
+    const ByteGauges& bytes = m_cluster.Replica(i).Bytes();
+    CHECK(WaitUntil([&] {
+      return bytes.m_log > kDocumentBytes && bytes.m_stored > kDocumentBytes &&
+             bytes.m_history > 0 && bytes.m_uncommitted == 0 &&
+             bytes.m_queued < kDocumentBytes;
+    }));
+    CHECK_EQUAL(0, bytes.m_refused.load() + bytes.m_heldBack.load());
+  }
+}
+
 TEST(EndToEnd, ReadsTheLedgerThroughAnyReplica)
 {
   m_cluster.WaitForLeader();
