Forwarding: Blame the endpoint of an answer without a length over the budget

Since an answer over the budget blames no endpoint, one whose endpoint sends without end beside others is cut before it reaches a limit of its own: its endpoint would go on getting requests, each of which ends with 502. A plain answer that has not named its length counts as broken again when the budget cuts it; one that has is a promise, and its endpoint stays unblamed.

--- a/Source/Forwarding/PlainForwarder.cxx
+++ b/Source/Forwarding/PlainForwarder.cxx
@@ -467,9 +467,19 @@
     }
   }
 
+  // An answer that exceeds the budget and has not named its length may be one
+  // without end, which is its endpoint's fault.
+  static CallEnd JudgeEnd(const EndpointCall& aCall)
+  {
+    const bool isSound = aCall.HasAnswerHeader() &&
+                         aCall.Answer().count(http::field::content_length) != 0;
+    return aCall.End() == CallEnd::OverBudget && !isSound ? CallEnd::Broken
+                                                          : aCall.End();
+  }
+
   asio::awaitable<ForwardOutcome> RecordBrokenCall(EndpointCall& aCall)
   {
-    const CallEnd end = aCall.End();
+    const CallEnd end = JudgeEnd(aCall);
     if (end == CallEnd::CallerGone) {
       m_request.m_end = RequestEnd::CallerGone;
       co_return ForwardOutcome::Finished;
--- a/Tests/Forwarding/AnswerBudgetTest.cxx
+++ b/Tests/Forwarding/AnswerBudgetTest.cxx
@@ -109,3 +109,27 @@
   CHECK_EQUAL(0, m_fixture->MetricOf("parsleycove_repeats_total"));
   CHECK(m_fixture->m_sink.Has({ "over_budget" }));
 }
+
+TEST(AnswerBudget, AnEndpointOfAnswersWithoutALengthIsBlamed)
+{
+  int calls = 0;
+  m_fixture->m_options.m_answerBudgetBytes = kBudgetBytes;
+  m_fixture->PutConfig();
+  m_fixture->AddPlainEndpoint().SetScript(
+    [&](const HttpRequest& aRequest) -> std::vector<StubStep> {
+      ++calls;
+      return { Send(MakeStreamOpening(aRequest) +
+                    std::string(kBudgetBytes / 2, 'x')),
+               Hang() };
+    });
+  m_fixture->Start();
+  std::vector<std::unique_ptr<ForwardFixture::Caller>> callers;
+  for (int i = 0; i < kCallersAtOnce; ++i) {
+    callers.push_back(m_fixture->Connect());
+    callers.back()->Send(MakeRequest("POST", "/unsafe/x", "", "b"));
+  }
+  CHECK(m_fixture->RunUntil([&] { return OverBudget() >= 4; }));
+  CHECK(m_fixture->RunUntil(
+    [&] { return m_fixture->m_sink.Has({ "endpoint_suspected" }); }));
+  CHECK_FALSE(m_fixture->m_sink.Has({ "\"over_budget\"" }));
+}
