Forwarding: Give up stalled connections before callers are turned away

Cause: AcceptLoop closed what came once it held as many connections as it may, whoever held them, and gave none of them back.

Why it works: ConnectionPlaces knows what each connection waits for. At the limit it gives up a stalled connection, else an idle one, else a slow one, the longest first. A request that is served or answered keeps its connection, as does one whose bytes are not yet read, so what is given up has not run. The operators' and endpoints' listener of control VMs, that of other VMs, readiness and metrics use the same class. A listener takes three quarters of the process's descriptors at most; readiness and metrics hold 64 each.

Not measured: the processor time of such a crowd on a VM with a part of a core, and a crowd at a control VM.

--- a/Source/Daemon/ControlProcess.cxx
+++ b/Source/Daemon/ControlProcess.cxx
@@ -12,6 +12,7 @@
 #include "Control/ReplicaStarter.h"
 #include "Daemon/ProcessFrame.h"
 #include "Daemon/ReplicaLog.h"
+#include "Forwarding/ConnectionLosses.h"
 #include "Placement/PlacementController.h"
 #include "Store/DiskFiles.h"
 
@@ -194,13 +195,15 @@
                                           frame.Decisions(),
                                           [&] { return replica->LedTerm(); });
   UnreadRequests unread(frame.Metrics());
+  ConnectionLosses losses(frame.Metrics(), "control");
   HttpServiceLimits limits;
   limits.m_receiveBudgetBytes = aSettings.m_receiveBudgetBytes;
   HttpService calls(
     context,
     aDeployment.MakeControlHandler(context, control, frame.Decisions()),
     limits,
-    &unread);
+    &unread,
+    [&losses](PlaceLoss aLoss, TimePoint aNow) { losses.Count(aLoss, aNow); });
   asio::steady_timer stopTimer(context);
   const OperationDropper dropper(frame);
   const auto stop = [&] {
--- a/Source/Forwarding/AcceptLoop.cxx
+++ b/Source/Forwarding/AcceptLoop.cxx
@@ -21,37 +21,48 @@
 
 } // namespace
 
-struct AcceptLoop::Parts : std::enable_shared_from_this<Parts>
+struct AcceptLoop::Parts
 {
-  Parts(asio::io_context& aContext, std::size_t aMaxConnections)
+  Parts(asio::io_context& aContext, std::shared_ptr<ConnectionPlaces> aPlaces)
     : m_context(aContext)
     , m_acceptor(aContext)
-    , m_maxConnections(aMaxConnections)
+    , m_places(std::move(aPlaces))
   {
   }
 
   asio::awaitable<void> Run()
   {
-    const auto self = shared_from_this();
     while (m_acceptor.is_open()) {
       auto [error, socket] = co_await m_acceptor.async_accept(kAwait);
       if (error) {
         LogAcceptFailure(error);
+        if (error == asio::error::no_descriptors && MakeRoom()) {
+          continue;
+        }
         asio::steady_timer timer(m_context, kAcceptRetryDelay);
         co_await timer.async_wait(kAwait);
         continue;
       }
       m_isFailing = false;
-      if (m_connections < m_maxConnections) {
-        ++m_connections;
+      if (auto place = m_places->Take(BootClock::now())) {
         SpawnLogged(m_context,
                     "a caller's connection",
-                    m_handler(std::move(socket)),
-                    [self] { --self->m_connections; });
+                    m_handler(std::move(socket), std::move(place)));
       }
     }
   }
 
+  // Frees a descriptor. Returns false if no connection can be given up.
+  bool MakeRoom()
+  {
+    const TimePoint now = BootClock::now();
+    const bool isFreed = m_places->GiveUpOne(now);
+    if (!isFreed) {
+      m_places->CountTurnedAway(now);
+    }
+    return isFreed;
+  }
+
   // Logs only the first of several failures in a row.
   void LogAcceptFailure(const beast::error_code& aError)
   {
@@ -64,14 +75,14 @@
 
   asio::io_context& m_context;
   Tcp::acceptor m_acceptor;
-  const std::size_t m_maxConnections;
-  std::size_t m_connections = 0;
+  const std::shared_ptr<ConnectionPlaces> m_places;
   bool m_isFailing = false;
   ConnectionHandler m_handler;
 };
 
-AcceptLoop::AcceptLoop(asio::io_context& aContext, std::size_t aMaxConnections)
-  : m_parts(std::make_shared<Parts>(aContext, aMaxConnections))
+AcceptLoop::AcceptLoop(asio::io_context& aContext,
+                       std::shared_ptr<ConnectionPlaces> aPlaces)
+  : m_parts(std::make_shared<Parts>(aContext, std::move(aPlaces)))
 {
 }
 
--- a/Source/Forwarding/AcceptLoop.h
+++ b/Source/Forwarding/AcceptLoop.h
@@ -6,18 +6,22 @@
 #include <string>
 
 #include "Base/SocketAddress.h"
+#include "Forwarding/ConnectionPlaces.h"
 #include "Wire/Http.h"
 
 namespace parsleycove {
 
-// Connections beyond the limit are closed at once, so that their callers
-// connect to another VM.
+// For a connection beyond the limit another one is given up. If none can be, it
+// is closed at once, so that its caller connects to another VM.
 class AcceptLoop
 {
 public:
-  using ConnectionHandler = std::function<asio::awaitable<void>(Tcp::socket)>;
+  using PlacePtr = std::unique_ptr<ConnectionPlaces::Place>;
+  using ConnectionHandler =
+    std::function<asio::awaitable<void>(Tcp::socket, PlacePtr)>;
 
-  AcceptLoop(asio::io_context& aContext, std::size_t aMaxConnections);
+  AcceptLoop(asio::io_context& aContext,
+             std::shared_ptr<ConnectionPlaces> aPlaces);
   ~AcceptLoop();
   AcceptLoop(const AcceptLoop&) = delete;
   AcceptLoop& operator=(const AcceptLoop&) = delete;
--- a/Source/Forwarding/BoundedRead.h
+++ b/Source/Forwarding/BoundedRead.h
@@ -14,6 +14,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/read_size.hpp>
 
+#include "Forwarding/ConnectionPlaces.h"
 #include "Forwarding/ReadResult.h"
 #include "Forwarding/ReceiveBudget.h"
 #include "Wire/Http.h"
@@ -27,11 +28,14 @@
 class BoundedRead final : public ReceiveBudget::Reader
 {
 public:
-  // aOnRefused ends the read in progress.
+  // aOnRefused ends the read in progress. aPlace, which may be nullptr and must
+  // outlive the read, is told what arrives.
   BoundedRead(std::shared_ptr<ReceiveBudget> aBudget,
-              std::function<void()> aOnRefused)
+              std::function<void()> aOnRefused,
+              ConnectionPlaces::Place* aPlace = nullptr)
     : Reader(std::move(aBudget))
     , m_onRefused(std::move(aOnRefused))
+    , m_place(aPlace)
   {
   }
 
@@ -94,6 +98,9 @@
         co_return EndOf(error, aParser);
       }
       aBuffer.commit(bytes);
+      if (m_place != nullptr) {
+        m_place->AddReceived(bytes, BootClock::now());
+      }
     }
     co_return Parse(aBuffer, aParser);
   }
@@ -108,6 +115,7 @@
                           const RequestParser& aParser);
 
   const std::function<void()> m_onRefused;
+  ConnectionPlaces::Place* const m_place;
   std::size_t m_headerBytes = 0;
   // Bytes of the header, or of what follows it.
   std::size_t m_readBytes = 0;
--- a/Source/Forwarding/CallerConnection.cxx
+++ b/Source/Forwarding/CallerConnection.cxx
@@ -19,14 +19,18 @@
 
 } // namespace
 
-CallerConnection::CallerConnection(Tcp::socket aSocket,
-                                   std::shared_ptr<ReceiveBudget> aBudget)
+CallerConnection::CallerConnection(
+  Tcp::socket aSocket,
+  std::unique_ptr<ConnectionPlaces::Place> aPlace,
+  std::shared_ptr<ReceiveBudget> aBudget)
   : m_socket(std::move(aSocket))
+  , m_place(std::move(aPlace))
   , m_budget(std::move(aBudget))
 {
   beast::error_code ignored;
   m_socket.set_option(Tcp::no_delay(true), ignored);
   m_socket.non_blocking(true, ignored);
+  m_place->SetHolder(*this);
 }
 
 asio::awaitable<ReadResult>
@@ -41,6 +45,11 @@
   BoundedRead::LimitBuffer(m_buffer, aLimits.m_maxHeaderBytes);
   m_isReading = m_buffer.size() != 0;
   m_isIdle = !m_isReading;
+  if (m_isIdle && m_hasServed) {
+    m_place->SetIdle(BootClock::now());
+  } else {
+    m_place->SetReading(BootClock::now());
+  }
   if (m_isIdle) {
     if (m_buffer.capacity() > kMaxIdleBufferBytes) {
       m_buffer.shrink_to_fit();
@@ -54,10 +63,13 @@
     m_isIdle = false;
     m_isReading = true;
   }
-  BoundedRead read(m_budget, [this] {
-    beast::error_code ignored;
-    m_socket.cancel(ignored);
-  });
+  BoundedRead read(
+    m_budget,
+    [this] {
+      beast::error_code ignored;
+      m_socket.cancel(ignored);
+    },
+    m_place.get());
   SetDeadline(BootClock::now() + aLimits.m_headerTimeout);
   beast::error_code error =
     co_await read.ReadHeader(m_socket, m_buffer, parser);
@@ -66,6 +78,7 @@
     SetDeadline(BootClock::now() + aLimits.m_idleTimeout);
     error = co_await read.ReadBody(m_socket, m_buffer, parser);
   }
+  m_place->SetServed();
   if (error) {
     m_buffer.clear();
     m_buffer.shrink_to_fit();
@@ -73,6 +86,7 @@
   }
   ClearDeadline();
   m_isReading = false;
+  m_hasServed = true;
   m_request = parser.release();
   m_served.emplace(m_budget, m_request.body().capacity());
   m_closesAfterAnswer = m_closesAfterAnswer || !m_request.keep_alive();
@@ -149,6 +163,7 @@
   beast::error_code ignored;
   m_socket.shutdown(Tcp::socket::shutdown_both, ignored);
   m_socket.close(ignored);
+  m_place->Leave();
 }
 
 asio::awaitable<void>
@@ -156,6 +171,7 @@
 {
   beast::error_code ignored;
   m_socket.shutdown(Tcp::socket::shutdown_send, ignored);
+  m_place->SetReading(BootClock::now());
   SetDeadline(BootClock::now() + kDropTimeout);
   co_await DropInput(m_socket);
   ClearDeadline();
@@ -171,6 +187,21 @@
   }
 }
 
+bool
+CallerConnection::HasInput() const
+{
+  beast::error_code ignored;
+  return m_socket.available(ignored) != 0;
+}
+
+void
+CallerConnection::OnGivenUp()
+{
+  // The read in progress ends as if the caller had closed the connection.
+  beast::error_code ignored;
+  m_socket.close(ignored);
+}
+
 void
 CallerConnection::OnDeadline(TimePoint /*aNow*/)
 {
--- a/Source/Forwarding/CallerConnection.h
+++ b/Source/Forwarding/CallerConnection.h
@@ -10,6 +10,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 
 #include "Base/Clock.h"
+#include "Forwarding/ConnectionPlaces.h"
 #include "Forwarding/DeadlineMonitor.h"
 #include "Forwarding/ReadResult.h"
 #include "Forwarding/ReceiveBudget.h"
@@ -22,10 +23,13 @@
 // disconnect.
 class CallerConnection final
   : public MonitoredWait
+  , public ConnectionPlaces::Holder
   , public std::enable_shared_from_this<CallerConnection>
 {
 public:
-  CallerConnection(Tcp::socket aSocket, std::shared_ptr<ReceiveBudget> aBudget);
+  CallerConnection(Tcp::socket aSocket,
+                   std::unique_ptr<ConnectionPlaces::Place> aPlace,
+                   std::shared_ptr<ReceiveBudget> aBudget);
 
   asio::awaitable<ReadResult> ReadRequest(const CallerLimits& aLimits);
   const HttpRequest& Request() const { return m_request; }
@@ -52,11 +56,14 @@
   void CloseIfIdle();
 
   void OnDeadline(TimePoint aNow) override;
+  bool HasInput() const override;
+  void OnGivenUp() override;
 
 private:
   void ArmDisconnectWatch();
 
   Tcp::socket m_socket;
+  const std::unique_ptr<ConnectionPlaces::Place> m_place;
   const std::shared_ptr<ReceiveBudget> m_budget;
   beast::flat_buffer m_buffer;
   HttpRequest m_request;
@@ -66,6 +73,7 @@
   std::uint64_t m_watchGeneration = 0;
   bool m_isReading = false;
   bool m_isIdle = true;
+  bool m_hasServed = false;
   bool m_isOverdue = false;
   bool m_isDisconnected = false;
   bool m_closesAfterAnswer = false;
--- a/Source/Forwarding/ForwardGateway.cxx
+++ b/Source/Forwarding/ForwardGateway.cxx
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "Forwarding/AcceptLoop.h"
+#include "Forwarding/ConnectionLosses.h"
 #include "Forwarding/DeadlineMonitor.h"
 #include "Forwarding/EndpointChecker.h"
 #include "Forwarding/EngineFailureDetector.h"
@@ -106,8 +107,17 @@
                   m_metrics,
                   m_unread,
                   m_answerBudget }
-    , m_accept(aContext, m_options.m_maxConnections)
-    , m_takeover(aContext, m_options.m_maxConnections)
+    , m_callerPlaces(MakeCountedPlaces(
+        LimitByDescriptors(m_options.m_maxConnections, MaxDescriptors()),
+        aMetrics,
+        "callers"))
+    , m_accept(aContext, m_callerPlaces)
+    , m_takeover(
+        aContext,
+        MakeCountedPlaces(
+          LimitByDescriptors(m_options.m_maxConnections, MaxDescriptors()),
+          aMetrics,
+          "vms"))
     , m_readiness(
         aContext,
         [this](const HttpRequest&) { return AnswerReadiness(); },
@@ -130,6 +140,11 @@
       "parsleycove_answer_budget_held_bytes", "", [budget = m_answerBudget] {
         return static_cast<double>(budget->HeldBytes());
       });
+    aMetrics.AddGauge("parsleycove_connections_held",
+                      "listener=\"callers\"",
+                      [places = m_callerPlaces] {
+                        return static_cast<double>(places->Held());
+                      });
     m_callDeadlines.SetObserver(
       [this](TimePoint aNow) { m_failureDetector.Check(aNow); });
   }
@@ -150,10 +165,12 @@
            m_routing.Config() != nullptr && m_routing.HasLease(aNow);
   }
 
-  asio::awaitable<void> Serve(Tcp::socket aSocket, SessionKind aKind)
+  asio::awaitable<void> Serve(Tcp::socket aSocket,
+                              AcceptLoop::PlacePtr aPlace,
+                              SessionKind aKind)
   {
-    auto caller =
-      std::make_shared<CallerConnection>(std::move(aSocket), m_receiveBudget);
+    auto caller = std::make_shared<CallerConnection>(
+      std::move(aSocket), std::move(aPlace), m_receiveBudget);
     m_callerDeadlines.Add(*caller);
     m_callers.push_back(caller);
     co_await RunForwardSession(m_services, caller, aKind);
@@ -216,6 +233,7 @@
   ReachMonitor m_reach;
   EndpointChecker m_endpointChecker;
   ForwardServices m_services;
+  const std::shared_ptr<ConnectionPlaces> m_callerPlaces;
   AcceptLoop m_accept;
   // Takes connections of other VMs that pass requests on.
   AcceptLoop m_takeover;
@@ -254,17 +272,21 @@
       !parts.m_readiness.Open(parts.m_options.m_readiness, aReason)) {
     return false;
   }
-  parts.m_accept.Start([&parts](Tcp::socket aSocket) {
-    return parts.Serve(std::move(aSocket), SessionKind::Caller);
-  });
+  parts.m_accept.Start(
+    [&parts](Tcp::socket aSocket, AcceptLoop::PlacePtr aPlace) {
+      return parts.Serve(
+        std::move(aSocket), std::move(aPlace), SessionKind::Caller);
+    });
   if (parts.m_options.m_takeover) {
     SocketAddress address = *parts.m_options.m_takeover;
     if (!parts.m_takeover.Open(address, aReason)) {
       return false;
     }
-    parts.m_takeover.Start([&parts](Tcp::socket aSocket) {
-      return parts.Serve(std::move(aSocket), SessionKind::Gateway);
-    });
+    parts.m_takeover.Start(
+      [&parts](Tcp::socket aSocket, AcceptLoop::PlacePtr aPlace) {
+        return parts.Serve(
+          std::move(aSocket), std::move(aPlace), SessionKind::Gateway);
+      });
     address.m_port = parts.m_takeover.Port();
     parts.m_reach.Announce(address);
   }
--- a/Source/Forwarding/HttpService.cxx
+++ b/Source/Forwarding/HttpService.cxx
@@ -21,6 +21,26 @@
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 constexpr unsigned kHttp11 = 11;
 
+// Gives up the connection of a stream.
+class StreamHolder final : public ConnectionPlaces::Holder
+{
+public:
+  explicit StreamHolder(beast::tcp_stream& aStream)
+    : m_stream(aStream)
+  {
+  }
+
+  bool HasInput() const override
+  {
+    beast::error_code ignored;
+    return m_stream.socket().available(ignored) != 0;
+  }
+  void OnGivenUp() override { m_stream.close(); }
+
+private:
+  beast::tcp_stream& m_stream;
+};
+
 } // namespace
 
 HttpResponse
@@ -37,19 +57,26 @@
   Parts(asio::io_context& aContext,
         HttpHandler aHandler,
         HttpServiceLimits aLimits,
-        UnreadRequests* aUnread)
+        UnreadRequests* aUnread,
+        ConnectionPlaces::LossObserver aOnLoss)
     : m_context(aContext)
     , m_handler(std::move(aHandler))
     , m_limits(aLimits)
     , m_unread(aUnread)
     , m_budget(std::make_shared<ReceiveBudget>(aLimits.m_receiveBudgetBytes))
-    , m_accept(aContext, aLimits.m_maxConnections)
+    , m_accept(aContext,
+               std::make_shared<ConnectionPlaces>(
+                 LimitByDescriptors(aLimits.m_maxConnections, MaxDescriptors()),
+                 std::move(aOnLoss)))
   {
   }
 
-  asio::awaitable<void> Serve(Tcp::socket aSocket)
+  asio::awaitable<void> Serve(Tcp::socket aSocket, AcceptLoop::PlacePtr aPlace)
   {
     beast::tcp_stream stream(std::move(aSocket));
+    StreamHolder holder(stream);
+    aPlace->SetHolder(holder);
+    aPlace->SetReading(BootClock::now());
     beast::flat_buffer buffer;
     ReadResult unread = ReadResult::Closed;
     bool keepsAlive = true;
@@ -59,7 +86,8 @@
       BoundedRead::LimitBuffer(buffer, m_limits.m_maxHeaderBytes);
       stream.expires_after(m_limits.m_idleTimeout);
       const beast::error_code error =
-        co_await Read(stream, buffer, parser, unread);
+        co_await Read(stream, buffer, parser, *aPlace, unread);
+      aPlace->SetServed();
       if (error) {
         break;
       }
@@ -72,7 +100,13 @@
       const auto [writeError, written] =
         co_await http::async_write(stream, answer, kAwait);
       keepsAlive = !writeError && request.keep_alive();
+      if (buffer.size() == 0) {
+        aPlace->SetIdle(BootClock::now());
+      } else {
+        aPlace->SetReading(BootClock::now());
+      }
     }
+    aPlace->SetServed();
     buffer.clear();
     buffer.shrink_to_fit();
     if (unread != ReadResult::Closed) {
@@ -81,6 +115,7 @@
     beast::error_code ignored;
     stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
     if (unread != ReadResult::Closed) {
+      aPlace->SetReading(BootClock::now());
       stream.expires_after(kDropTimeout);
       co_await DropInput(stream);
     }
@@ -90,9 +125,11 @@
   asio::awaitable<beast::error_code> Read(beast::tcp_stream& aStream,
                                           beast::flat_buffer& aBuffer,
                                           RequestParser& aParser,
+                                          ConnectionPlaces::Place& aPlace,
                                           ReadResult& aUnread)
   {
-    BoundedRead read(m_budget, [&aStream] { aStream.cancel(); });
+    BoundedRead read(
+      m_budget, [&aStream] { aStream.cancel(); }, &aPlace);
     beast::error_code error =
       co_await read.ReadHeader(aStream, aBuffer, aParser);
     if (!error) {
@@ -160,9 +197,13 @@
 HttpService::HttpService(asio::io_context& aContext,
                          HttpHandler aHandler,
                          HttpServiceLimits aLimits,
-                         UnreadRequests* aUnread)
-  : m_parts(
-      std::make_shared<Parts>(aContext, std::move(aHandler), aLimits, aUnread))
+                         UnreadRequests* aUnread,
+                         ConnectionPlaces::LossObserver aOnLoss)
+  : m_parts(std::make_shared<Parts>(aContext,
+                                    std::move(aHandler),
+                                    aLimits,
+                                    aUnread,
+                                    std::move(aOnLoss)))
 {
 }
 
@@ -178,11 +219,13 @@
     return false;
   }
   std::weak_ptr<Parts> weak = m_parts;
-  m_parts->m_accept.Start([weak](Tcp::socket aSocket) -> asio::awaitable<void> {
-    if (const auto parts = weak.lock()) {
-      co_await parts->Serve(std::move(aSocket));
-    }
-  });
+  m_parts->m_accept.Start(
+    [weak](Tcp::socket aSocket,
+           AcceptLoop::PlacePtr aPlace) -> asio::awaitable<void> {
+      if (const auto parts = weak.lock()) {
+        co_await parts->Serve(std::move(aSocket), std::move(aPlace));
+      }
+    });
   return true;
 }
 
--- a/Source/Forwarding/HttpService.h
+++ b/Source/Forwarding/HttpService.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "Base/SocketAddress.h"
+#include "Forwarding/ConnectionPlaces.h"
 #include "Forwarding/UnreadRequests.h"
 #include "Wire/Http.h"
 
@@ -18,6 +19,7 @@
 {
   std::size_t m_maxBodyBytes = 8ULL * 1024 * 1024;
   std::size_t m_maxHeaderBytes = 8ULL * 1024;
+  // For any more, others are given up.
   std::size_t m_maxConnections = 2000;
   // Memory of requests that are not yet read to their end.
   std::size_t m_receiveBudgetBytes = 32ULL * 1024 * 1024;
@@ -29,6 +31,7 @@
 // For services whose requests have no body.
 inline constexpr HttpServiceLimits kSmallRequests{
   .m_maxBodyBytes = 16ULL * 1024,
+  .m_maxConnections = 64,
   .m_receiveBudgetBytes = 1024ULL * 1024,
 };
 
@@ -37,11 +40,13 @@
 {
 public:
   // aUnread: where requests that are not read to their end are counted;
-  // nullptr: nowhere.
+  // nullptr: nowhere. aOnLoss: called for connections that are closed for lack
+  // of places; may be empty.
   HttpService(asio::io_context& aContext,
               HttpHandler aHandler,
               HttpServiceLimits aLimits = {},
-              UnreadRequests* aUnread = nullptr);
+              UnreadRequests* aUnread = nullptr,
+              ConnectionPlaces::LossObserver aOnLoss = {});
   ~HttpService();
   HttpService(const HttpService&) = delete;
   HttpService& operator=(const HttpService&) = delete;
