Forwarding: Say not ready while callers are turned away for lack of places

Callers saw: when requests that were being served took all connections of an entry VM, each new connection was closed unread, and the VM went on saying that it was ready, so that the balancer sent more callers to it.

Cause: readiness knew only of the stop, the configuration and the lease.

Why it works: PlaceShortage counts in windows of a second. After two in a row in which at least half of the new connections were turned away the VM is not ready; it is ready again after three in a row without one turned away and with a quarter of the places not taken by requests that are served. Few callers come while it is not ready, so that their absence alone says nothing.

The balancer's side was not tried.

--- a/Source/Forwarding/ConnectionPlaces.cxx
+++ b/Source/Forwarding/ConnectionPlaces.cxx
@@ -93,6 +93,7 @@
     CountTurnedAway(aNow);
     return nullptr;
   }
+  m_shortage.CountTaken(aNow, IsBusy());
   return std::make_unique<Place>(shared_from_this());
 }
 
@@ -123,11 +124,18 @@
 void
 ConnectionPlaces::CountTurnedAway(TimePoint aNow)
 {
+  m_shortage.CountTurnedAway(aNow, IsBusy());
   if (m_onLoss) {
     m_onLoss(PlaceLoss::TurnedAway, aNow);
   }
 }
 
+bool
+ConnectionPlaces::IsShort(TimePoint aNow)
+{
+  return m_shortage.IsShort(aNow, IsBusy());
+}
+
 std::pair<ConnectionPlaces::Place*, PlaceLoss>
 ConnectionPlaces::Choose(TimePoint aNow)
 {
@@ -146,6 +154,14 @@
   return { nullptr, PlaceLoss::TurnedAway };
 }
 
+bool
+ConnectionPlaces::IsBusy() const
+{
+  constexpr std::size_t kQuarter = 4;
+  const std::size_t served = m_held - m_reading.size() - m_idle.size();
+  return served > m_limit - m_limit / kQuarter;
+}
+
 std::size_t
 LimitByDescriptors(std::size_t aWanted, std::size_t aDescriptors)
 {
--- a/Source/Forwarding/ConnectionPlaces.h
+++ b/Source/Forwarding/ConnectionPlaces.h
@@ -14,6 +14,7 @@
 
 #include "Base/Clock.h"
 #include "Base/EnumTable.h"
+#include "Forwarding/PlaceShortage.h"
 
 namespace parsleycove {
 
@@ -131,12 +132,16 @@
 
   std::size_t Held() const { return m_held; }
   std::size_t Limit() const { return m_limit; }
+  // Returns true while most new connections are turned away.
+  bool IsShort(TimePoint aNow);
 
 private:
   using PlaceList = boost::intrusive::list<Place>;
 
   // Returns the connection to give up and why, or nullptr.
   std::pair<Place*, PlaceLoss> Choose(TimePoint aNow);
+  // Returns true if too few places are left for new connections.
+  bool IsBusy() const;
 
   const std::size_t m_limit;
   const LossObserver m_onLoss;
@@ -144,6 +149,7 @@
   // Each in the order of m_since.
   PlaceList m_reading;
   PlaceList m_idle;
+  PlaceShortage m_shortage;
 };
 
 // Returns how many connections a listener may hold, of at most aWanted: a
--- a/Source/Forwarding/ForwardGateway.cxx
+++ b/Source/Forwarding/ForwardGateway.cxx
@@ -162,7 +162,8 @@
   bool IsReady(TimePoint aNow) const
   {
     return m_drain.Phase(aNow) == DrainPhase::Serving &&
-           m_routing.Config() != nullptr && m_routing.HasLease(aNow);
+           m_routing.Config() != nullptr && m_routing.HasLease(aNow) &&
+           !m_callerPlaces->IsShort(aNow);
   }
 
   asio::awaitable<void> Serve(Tcp::socket aSocket,
--- a/Tests/Forwarding/ConnectionPlacesTest.cxx
+++ b/Tests/Forwarding/ConnectionPlacesTest.cxx
@@ -159,6 +159,57 @@
   CHECK(Open().m_place != nullptr);
 }
 
+TEST(ConnectionPlaces, IsShortOnceMostAreTurnedAwayForTwoSeconds)
+{
+  for (std::size_t i = 0; i < kLimit; ++i) {
+    Open().m_place->SetServed();
+  }
+  CHECK_FALSE(m_places->IsShort(m_now));
+  for (int i = 0; i < 20; ++i) {
+    Open();
+    CHECK_FALSE(m_places->IsShort(m_now));
+    Pass(100);
+  }
+  CHECK_TRUE(m_places->IsShort(m_now));
+}
+
+TEST(ConnectionPlaces, IsNotShortAfterOneBurst)
+{
+  for (std::size_t i = 0; i < kLimit; ++i) {
+    Open().m_place->SetServed();
+  }
+  for (int i = 0; i < 500; ++i) {
+    Open();
+    Pass(1);
+  }
+  for (int i = 0; i < 10; ++i) {
+    Pass(500);
+    CHECK_FALSE(m_places->IsShort(m_now));
+  }
+}
+
+TEST(ConnectionPlaces, StaysShortUntilPlacesCouldBeGivenForThreeSeconds)
+{
+  for (std::size_t i = 0; i < kLimit; ++i) {
+    Open().m_place->SetServed();
+  }
+  for (int i = 0; i < 30; ++i) {
+    Open();
+    Pass(100);
+  }
+  // Nobody comes while the VM says that it is not ready, but all places are
+  // still taken.
+  for (int i = 0; i < 10; ++i) {
+    Pass(1000);
+    CHECK_TRUE(m_places->IsShort(m_now));
+  }
+  m_holders.front().m_place->SetIdle(m_now);
+  Pass(2000);
+  CHECK_TRUE(m_places->IsShort(m_now));
+  Pass(1000);
+  CHECK_FALSE(m_places->IsShort(m_now));
+}
+
 TEST(ConnectionPlaces, LeavesDescriptorsForEndpointsAndControlVms)
 {
   CHECK_EQUAL(3000U, LimitByDescriptors(3000, 4100));
--- a/Tests/Forwarding/FullListenerTest.cxx
+++ b/Tests/Forwarding/FullListenerTest.cxx
@@ -73,6 +73,10 @@
     CHECK(
       m_fixture->RunUntil([&] { return AttemptsAt(*m_endpoint) > kLimit; }));
   }
+  bool IsReady() const
+  {
+    return m_fixture->m_gateway->IsReady(BootClock::now());
+  }
   std::size_t Closed() const
   {
     std::size_t closed = 0;
@@ -113,3 +117,20 @@
     CHECK_FALSE(caller->IsClosed() && caller->Received().empty());
   }
 }
+
+TEST(FullListener, AVmThatTurnsItsCallersAwayIsNotReadyUntilItHasPlaces)
+{
+  HoldServed();
+  CHECK_TRUE(IsReady());
+  CHECK(m_fixture->RunUntil([&] {
+    CHECK_EQUAL(0, Ask());
+    return !IsReady();
+  }));
+  m_crowd.clear();
+  CHECK(m_fixture->RunUntil([&] { return IsReady(); }));
+  m_endpoint->SetScript([](const HttpRequest& aRequest) {
+    return std::vector<StubStep>{ Send(
+      MakeAnswer(AttemptIdOf(aRequest), 200, "done")) };
+  });
+  CHECK_EQUAL(200, Ask());
+}
