Tests: Show that a service gives up unfinished requests too

HttpService takes the calls of operators and endpoints at control VMs. Its listener changed with that of callers, and no test showed it.

--- a/Tests/Forwarding/FullListenerTest.cxx
+++ b/Tests/Forwarding/FullListenerTest.cxx
@@ -1,6 +1,7 @@
 // Tests that ordinary callers are answered while clients that keep to no limit
 // hold as many connections as a listener may have, over real connections.
 #include "Forwarding/ForwardFixture.h"
+#include "Forwarding/HttpService.h"
 
 // Last, since its leak macros redefine new.
 #include <CppUTest/TestHarness.h>
@@ -50,10 +51,10 @@
     m_fixture.reset();
   }
   int Ask() { return StatusOf(m_fixture->SendRequest("GET", "/safe/x")); }
-  void Hold(const std::string& aBytes)
+  void Hold(const std::string& aBytes, std::uint16_t aPort = 0)
   {
     for (std::size_t i = 0; i < kLimit; ++i) {
-      m_crowd.push_back(m_fixture->Connect());
+      m_crowd.push_back(m_fixture->Connect(aPort));
       if (!aBytes.empty()) {
         m_crowd.back()->Send(aBytes);
       }
@@ -134,3 +135,26 @@
   });
   CHECK_EQUAL(200, Ask());
 }
+
+// The listener of control VMs for operators and endpoints is of this kind.
+TEST(FullListener, AServiceGivesUpUnfinishedRequestsForOrdinaryOnes)
+{
+  HttpServiceLimits limits;
+  limits.m_maxConnections = kLimit;
+  HttpService service(
+    m_fixture->m_context,
+    [](const HttpRequest&) -> asio::awaitable<HttpResponse> {
+      co_return MakeTextAnswer(http::status::ok, "done");
+    },
+    limits);
+  std::string reason;
+  CHECK(service.Open({ "127.0.0.1", 0 }, reason));
+  Hold(MakeUnfinished(), service.Port());
+  CHECK_EQUAL(0U, Closed());
+  for (int i = 0; i < 4; ++i) {
+    CHECK_EQUAL(200,
+                StatusOf(m_fixture->SendRequest(
+                  "GET", "/x", "Connection: close\r\n", "", service.Port())));
+  }
+  CHECK_COMPARE(Closed(), >=, std::size_t{ 1 });
+}
