Control: Write no command that a member is not known to read

Cause: a gateway proposes kinds of commands that older log decoders do not know, and nothing between the processes said which kinds the group reads. A leader even put commands of kinds that it did not know itself into the log.

Change: each kind of command has a feature level in a table; a kind without a row fails a test. GroupFeatureLevel, without input or output, takes the lowest level of all members; one that has not spoken counts as 0, and a group below its target of voters agrees on nothing higher. The level of the applied commands counts as agreed and is kept in the state's image, so that neither a voter that is down nor a new leader takes a level back. Welcome carries the level to gateways, which keep commands above it back until the call's deadline and then report them as not accepted; the leader checks again. Gateways state their level in Hello; those of older builds get an image instead of a change that they do not read.

Not covered: an older build that joins a group whose log is above its level.

--- a/Source/Control/ClientNode.cxx
+++ b/Source/Control/ClientNode.cxx
@@ -7,6 +7,7 @@
 
 #include <boost/asio/post.hpp>
 
+#include "State/CommandLevel.h"
 #include "Wire/MessageCodec.h"
 
 namespace parsleycove {
@@ -101,6 +102,7 @@
     m_feed->Close();
     m_feed.reset();
   }
+  m_groupLevel = 0;
   m_pings.clear();
   m_pingTimer.cancel();
   ScheduleConnect();
@@ -146,6 +148,7 @@
   hello.epoch = m_options.m_epoch;
   hello.version = kFeedVersion;
   hello.takes_no_callers = !m_options.m_takesCallers;
+  hello.feature_level = kFeatureLevel;
   hello.has_index = m_needsImage ? 0 : m_view.AppliedIndex();
   m_feed->Send(EncodeFeedBody(std::move(hello)));
 }
@@ -234,6 +237,7 @@
 ClientNode::OnWelcome(const feed::WelcomeT& aWelcome)
 {
   m_directory.ApplyWelcome(aWelcome);
+  m_groupLevel = aWelcome.group_level;
   m_calls.MakeDue(CallTarget::Leader, BootClock::now());
   SendDueCalls();
   if (m_directory.HasCloserReplica(BootClock::now(), *m_feedAddress)) {
--- a/Source/Control/ClientNode.h
+++ b/Source/Control/ClientNode.h
@@ -79,6 +79,7 @@
                TimePoint aDeadline,
                PendingCall::Handler aHandler);
   void SendDueCalls();
+  // Withholds a call that not all control VMs are known to read.
   void SendCall(PendingCall& aCall, TimePoint aNow);
   FrameLink* LinkFor(CallTarget aTarget);
   void ArmCallTimer(TimePoint aAt);
@@ -112,6 +113,8 @@
   // Latest time at which a quorum confirmed the state of the current feed.
   TimePoint m_confirmedAt{};
   std::vector<state::EndpointRefT> m_renewals;
+  // Feature level of the control group, as the current feed stated it.
+  std::uint32_t m_groupLevel = 0;
   bool m_stopping = false;
   bool m_needsImage = false;
   bool m_publishRequested = false;
--- a/Source/Control/ClientNodeCalls.cxx
+++ b/Source/Control/ClientNodeCalls.cxx
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "State/CommandLevel.h"
 #include "Wire/MessageCodec.h"
 
 namespace parsleycove {
@@ -15,6 +16,15 @@
 // rejected the call or could not complete it.
 constexpr std::chrono::milliseconds kRetryDelayMs{ 20 };
 
+std::uint32_t
+LevelOf(const feed::FeedBodyUnion& aBody)
+{
+  const auto* proposal = aBody.AsPropose();
+  return proposal == nullptr || !proposal->command
+           ? 0
+           : FindCommandLevel(*proposal->command).value_or(0);
+}
+
 } // namespace
 
 void
@@ -28,6 +38,7 @@
   PendingCall call;
   call.m_id = aId;
   call.m_target = aTarget;
+  call.m_level = LevelOf(aMessage.body);
   call.m_frame = EncodeFeedFrame(aMessage);
   call.m_deadline = aDeadline;
   call.m_nextSendAt = now;
@@ -59,6 +70,12 @@
 void
 ClientNode::SendCall(PendingCall& aCall, TimePoint aNow)
 {
+  aCall.m_isWithheld = aCall.m_level > m_groupLevel;
+  if (aCall.m_isWithheld) {
+    // Sent as soon as the feed states a sufficient level.
+    aCall.m_nextSendAt = aNow + m_options.m_resendInterval;
+    return;
+  }
   FrameLink* link = LinkFor(aCall.m_target);
   if (link == nullptr || !link->IsOpen()) {
     aCall.m_nextSendAt = aNow + kRetryDelayMs;
--- a/Source/Control/FeedBackend.h
+++ b/Source/Control/FeedBackend.h
@@ -22,8 +22,9 @@
 
   virtual ~FeedBackend() = default;
 
-  // The handler is called only if the command was taken. aWhy is set if the log
-  // is full.
+  // The handler is called only if the command was taken; a replica that leads
+  // takes it only if all members of its group are known to read it. aWhy is set
+  // if the log is full.
   virtual ProposalIntake ProposeCommand(const state::CommandT& aCommand,
                                         PendingProposals::Handler aHandler,
                                         std::string& aWhy) = 0;
--- a/Source/Control/FeedServer.cxx
+++ b/Source/Control/FeedServer.cxx
@@ -6,6 +6,7 @@
 #include <memory>
 #include <utility>
 
+#include "State/CommandLevel.h"
 #include "Wire/MessageCodec.h"
 
 namespace parsleycove {
@@ -85,6 +86,7 @@
   aSession.m_vm = aHello.vm;
   aSession.m_epoch = aHello.epoch;
   aSession.m_hasHello = true;
+  aSession.m_featureLevel = aHello.feature_level;
   m_gateways.Greet(aNow, aHello);
   aSession.m_link->Send(EncodeFeedBody(m_backend.DescribeGroup()));
   SendConfigSince(aSession, aHello.has_index);
@@ -93,9 +95,11 @@
 void
 FeedServer::SendConfigSince(Session& aSession, std::uint64_t aHasIndex)
 {
-  const auto deltas = aHasIndex == 0 ? std::nullopt : m_ring.After(aHasIndex);
+  const bool readsAll = aSession.m_featureLevel >= kFeatureLevel;
+  const auto deltas =
+    aHasIndex == 0 || !readsAll ? std::nullopt : m_ring.After(aHasIndex);
   if (!deltas) {
-    aSession.m_link->Send(ImageFrame());
+    SendImage(aSession);
     return;
   }
   for (const Frame::Pointer& frame : *deltas) {
@@ -123,11 +127,18 @@
   m_ring.Reset(m_backend.AppliedIndex());
   for (auto& [link, session] : m_sessions) {
     if (session.m_hasHello) {
-      session.m_link->Send(ImageFrame());
+      SendImage(session);
     }
   }
 }
 
+void
+FeedServer::SendImage(Session& aSession)
+{
+  aSession.m_needsImage = false;
+  aSession.m_link->Send(ImageFrame());
+}
+
 void
 FeedServer::OnConfigChanged(std::uint64_t aIndex,
                             const state::CommandT& aCommand)
@@ -137,8 +148,17 @@
   delta.command = std::make_unique<state::CommandT>(aCommand);
   const Frame::Pointer frame = EncodeFeedBody(std::move(delta));
   m_ring.Add(aIndex, frame);
+  const std::uint32_t level = FindCommandLevel(aCommand).value_or(0);
   for (auto& [link, session] : m_sessions) {
-    if (session.m_hasHello) {
+    if (!session.m_hasHello) {
+      continue;
+    }
+    if (level > session.m_featureLevel) {
+      // Sent before the next Pong, so that many such deltas cost one image.
+      session.m_needsImage = true;
+    } else if (session.m_needsImage) {
+      SendImage(session);
+    } else {
       session.m_link->Send(frame);
     }
   }
@@ -175,6 +195,9 @@
   if (!aSession.m_hasHello) {
     return;
   }
+  if (aSession.m_needsImage) {
+    SendImage(aSession);
+  }
   m_backend.RecordRenewals(aPing.renewed);
   const std::uint64_t before = MinAppliedIndex(aNow);
   const auto lease =
--- a/Source/Control/FeedServer.h
+++ b/Source/Control/FeedServer.h
@@ -29,7 +29,8 @@
 // Sends every change, in log order, on each link that has sent a Hello. A link
 // whose gateway reads too slowly is closed by its queue limit. The gateway then
 // reconnects with its applied index and receives the deltas after that index,
-// or a full image if some of these deltas have been dropped.
+// or a full image if some of these deltas have been dropped. A gateway of an
+// older build gets an image instead of deltas that it does not read.
 class FeedServer
 {
 public:
@@ -64,6 +65,10 @@
     std::string m_vm;
     std::uint64_t m_epoch = 0;
     bool m_hasHello = false;
+    std::uint32_t m_featureLevel = 0; // that the gateway reads
+    // The gateway cannot read a delta that it has not been sent, so it needs
+    // an image before anything later.
+    bool m_needsImage = false;
   };
 
   void HandleHello(TimePoint aNow,
@@ -81,6 +86,7 @@
   void RemoveReplica(const Session& aSession,
                      const feed::RemoveReplicaT& aRequest);
   Frame::Pointer ImageFrame();
+  void SendImage(Session& aSession);
 
   FeedBackend& m_backend;
   GatewayLeaseTable m_gateways;
--- a/Source/Control/GroupGauges.h
+++ b/Source/Control/GroupGauges.h
@@ -3,6 +3,7 @@
 
 #include <atomic>
 #include <cstddef>
+#include <cstdint>
 
 #include "Base/Clock.h"
 
@@ -22,6 +23,8 @@
   // Since when this replica has known no leader; TimePoint::max() if it knows
   // one.
   std::atomic<TimePoint> m_leaderlessSince{ TimePoint::max() };
+  // The highest feature level that all members are known to read.
+  std::atomic<std::uint32_t> m_featureLevel{ 0 };
 };
 
 } // namespace parsleycove
--- a/Source/Control/PendingCalls.cxx
+++ b/Source/Control/PendingCalls.cxx
@@ -114,7 +114,11 @@
 PendingCalls::Fail(const PendingCall& aCall)
 {
   ControlReason reason;
-  if (aCall.m_uncertainSends == 0) {
+  if (aCall.m_uncertainSends == 0 && aCall.m_isWithheld) {
+    reason.Set(ControlError::NotAccepted,
+               "not all control VMs read commands of feature level " +
+                 std::to_string(aCall.m_level));
+  } else if (aCall.m_uncertainSends == 0) {
     reason.Set(ControlError::NotAccepted,
                "no leader of the control group was reached in time");
   } else {
--- a/Source/Control/PendingCalls.h
+++ b/Source/Control/PendingCalls.h
@@ -31,6 +31,10 @@
   std::uint64_t m_id = 0;
   CallTarget m_target = CallTarget::Feed;
   Frame::Pointer m_frame;
+  // Feature level that the control group needs to read the call.
+  std::uint32_t m_level = 0;
+  // True while the group is not known to read the call.
+  bool m_isWithheld = false;
   TimePoint m_deadline{};
   TimePoint m_nextSendAt{};
   // Number of sends that may have taken effect: no replica has rejected them.
--- a/Source/Control/ReplicaCore.cxx
+++ b/Source/Control/ReplicaCore.cxx
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "State/CommandCodec.h"
+#include "State/CommandLevel.h"
 
 namespace parsleycove {
 
@@ -181,6 +182,11 @@
   if (m_failed || aEntry.index <= m_applied) {
     return;
   }
+  if (aEntry.kind > consensus::EntryKind::MAX) {
+    Halt("cannot decode log entry " + std::to_string(aEntry.index) +
+         ": its kind is that of a newer build");
+    return;
+  }
   if (aEntry.kind == consensus::EntryKind::Command) {
     if (!ApplyCommand(aEntry)) {
       return;
@@ -199,12 +205,14 @@
   StateReason reason;
   const auto command =
     DecodeCommand(aEntry.data.data(), aEntry.data.size(), reason);
-  if (!command) {
-    // Skipping the entry would make this replica's state differ from the state
-    // of the other replicas.
-    m_failed = true;
-    m_listener.OnFatal("cannot decode log entry " +
-                       std::to_string(aEntry.index) + ": " + reason.m_text);
+  if (command && FindCommandLevel(*command) > m_options.m_featureLevel) {
+    reason.Set(StateError::Unreadable,
+               "command: feature level is above " +
+                 std::to_string(m_options.m_featureLevel));
+  }
+  if (!command || reason.m_code != StateError::None) {
+    Halt("cannot decode log entry " + std::to_string(aEntry.index) + ": " +
+         reason.m_text);
     return false;
   }
   const auto result = m_state.Apply(aEntry.index, aEntry.term, *command);
@@ -232,6 +240,12 @@
   }
   const bool isComplete = aSnapshot.m_meta.size == aSnapshot.m_state.size();
   if (!isComplete || !m_state.Restore(aSnapshot.m_state)) {
+    if (m_state.LastReason().m_code == StateError::Unreadable) {
+      Halt("cannot read the snapshot of log entry " +
+           std::to_string(aSnapshot.m_meta.index) + ": " +
+           m_state.LastReason().m_text);
+      return true;
+    }
     m_replica.SnapshotRejected(aNow);
     return true;
   }
@@ -327,6 +341,15 @@
   return false;
 }
 
+void
+ReplicaCore::Halt(const std::string& aText)
+{
+  // Skipping what cannot be read would make this replica's state differ from
+  // the state of the other replicas.
+  m_failed = true;
+  m_listener.OnUnreadable(aText);
+}
+
 ProposalIntake
 ReplicaCore::Propose(TimePoint aNow,
                      const state::CommandT& aCommand,
--- a/Source/Control/ReplicaCore.h
+++ b/Source/Control/ReplicaCore.h
@@ -13,6 +13,7 @@
 #include "Control/PendingReads.h"
 #include "Control/ReplicaServiceOptions.h"
 #include "Control/SnapshotAssembler.h"
+#include "State/CommandLevel.h"
 #include "State/ReplicatedState.h"
 #include "Store/LogStore.h"
 
@@ -26,6 +27,7 @@
 struct ReplicaCoreOptions
 {
   ReplicaOptions m_replica;
+  std::uint32_t m_featureLevel = kFeatureLevel; // see ReplicaServiceOptions
   // A snapshot is written after this many applied entries, or once the log has
   // grown by four times the size of the last snapshot, within these bounds.
   std::uint64_t m_snapshotEntries = 20000;
@@ -49,6 +51,10 @@
   // Called when the replica cannot continue. The core must not be called
   // afterwards.
   virtual void OnFatal(const std::string& aText) = 0;
+  // Called when a committed command or a received snapshot is of a newer build.
+  // The store is sound; only a newer build can continue with it. The core must
+  // not be called afterwards.
+  virtual void OnUnreadable(const std::string& aText) = 0;
 };
 
 // Processes the output of a Replica: stores and syncs all ready entries as one
@@ -126,6 +132,8 @@
   // Records that the store has a snapshot up to this index.
   void RecordSnapshot(std::uint64_t aIndex);
   bool ReportStoreFailure();
+  // Ends the work at something that only a newer build reads.
+  void Halt(const std::string& aText);
 
   const ReplicaCoreOptions m_options;
   ReplicaCoreListener& m_listener;
--- a/Source/Control/ReplicaNode.cxx
+++ b/Source/Control/ReplicaNode.cxx
@@ -74,6 +74,9 @@
   , m_gatewayCount(aOptions.m_configLease, aOptions.m_gatewayLease)
   , m_repair({ aOptions.m_targetVoters, aOptions.m_memberTimeout })
   , m_report(aOptions.m_targetVoters)
+  , m_level(aOptions.m_replica,
+            aOptions.m_featureLevel,
+            aOptions.m_targetVoters)
   , m_shortageLine(kShortageLineS)
   , m_leaderlessLine(kShortageLineS)
 {
@@ -124,24 +127,6 @@
   m_peers.Close();
 }
 
-void
-ReplicaNode::OnPeerMessage(const consensus::PeerMessageT& aMessage)
-{
-  const bool mine = aMessage.cluster == m_options.m_cluster &&
-                    aMessage.to == m_options.m_replica;
-  if (m_closed || !mine) {
-    return;
-  }
-  if (const auto* reply = aMessage.body.AsReadIndexReply();
-      reply != nullptr && reply->ok) {
-    m_inForceIndex = std::max(m_inForceIndex, reply->in_force);
-    m_gatewayCount.RecordLeaderCount(BootClock::now(), reply->gateways);
-  }
-  m_repair.RecordMessage(BootClock::now(), aMessage.from);
-  m_core->Step(BootClock::now(), aMessage);
-  RequestProcessing();
-}
-
 void
 ReplicaNode::RequestProcessing()
 {
@@ -201,7 +186,8 @@
     m_peerAddresses = std::move(peers);
     m_peers.SetPeers(m_peerAddresses);
   }
-  if (changed || log.Leader() != m_knownLeader) {
+  const bool hasNewLevel = UpdateLevel();
+  if (changed || hasNewLevel || log.Leader() != m_knownLeader) {
     m_knownLeader = log.Leader();
     m_feeds.OnGroupChanged();
   }
--- a/Source/Control/ReplicaNode.h
+++ b/Source/Control/ReplicaNode.h
@@ -18,6 +18,7 @@
 #include "Control/FailureReportFilter.h"
 #include "Control/FeedServer.h"
 #include "Control/GatewayCount.h"
+#include "Control/GroupFeatureLevel.h"
 #include "Control/GroupGauges.h"
 #include "Control/InboundLinks.h"
 #include "Control/LeaderMaintenance.h"
@@ -74,6 +75,7 @@
   void OnStateReplaced() override;
   void OnReport(const FollowerReport& aReport) override;
   void OnFatal(const std::string& aText) override;
+  void OnUnreadable(const std::string& aText) override;
 
   // FeedBackend
   ProposalIntake ProposeCommand(const state::CommandT& aCommand,
@@ -133,6 +135,12 @@
   void ReportShortage(TimePoint aNow);
   // Logs while no leader is known, and publishes since when.
   void ReportWithoutLeader(TimePoint aNow);
+  // Returns the highest feature level that all members are known to read.
+  std::uint32_t GroupLevel() const;
+  // Returns whether all members are known to read the command.
+  bool IsReadByGroup(const state::CommandT& aCommand) const;
+  // Publishes the group's feature level, and returns whether it has changed.
+  bool UpdateLevel();
   // Returns whether enough voters hold the log to accept a routing document.
   bool CanAcceptDocuments() const;
   void ChangeMembers(MembershipChange aChange,
@@ -170,6 +178,8 @@
   GatewayCount m_gatewayCount;
   MembershipRepair m_repair;
   MembershipReport m_report;
+  GroupFeatureLevel m_level;
+  std::uint32_t m_knownLevel = 0; // as sent to the gateways
   LineRepeater m_shortageLine;
   LineRepeater m_leaderlessLine;
   std::string m_lastRefusal; // of a change of the members; empty if none
--- a/Source/Control/ReplicaNodeGroup.cxx
+++ b/Source/Control/ReplicaNodeGroup.cxx
@@ -49,6 +49,9 @@
       !CanAcceptDocuments()) {
     return ProposalIntake::NotLeader;
   }
+  if (!IsReadByGroup(aCommand)) {
+    return ProposalIntake::NotLeader;
+  }
   // Commands carry the time of the leader's clock, not of the proposer's clock.
   state::CommandT stamped = aCommand;
   StampCommand(stamped, SystemClock().UnixMs());
@@ -183,6 +186,7 @@
 {
   feed::WelcomeT welcome;
   welcome.replica = m_options.m_replica;
+  welcome.group_level = GroupLevel();
   if (const auto leader = LeaderAddress()) {
     welcome.leader_address = leader->m_address;
     welcome.leader_port = leader->m_port;
--- a/Source/Control/ReplicaNodeOptions.cxx
+++ b/Source/Control/ReplicaNodeOptions.cxx
@@ -46,6 +46,7 @@
   options.m_replica.m_electionTimeout = aOptions.m_electionTimeout;
   options.m_replica.m_leaderLease = aOptions.m_leaderLease;
   options.m_replica.m_seed = aOptions.m_seed;
+  options.m_featureLevel = aOptions.m_featureLevel;
   options.m_snapshotEntries = aOptions.m_snapshotEntries;
   options.m_minSnapshotLogBytes = aOptions.m_minSnapshotLogBytes;
   options.m_maxSnapshotLogBytes = aOptions.m_maxSnapshotLogBytes;
--- a/Source/Control/ReplicaServiceOptions.h
+++ b/Source/Control/ReplicaServiceOptions.h
@@ -10,6 +10,7 @@
 #include "Base/Clock.h"
 #include "Base/Reason.h"
 #include "Base/SocketAddress.h"
+#include "State/CommandLevel.h"
 
 namespace parsleycove {
 
@@ -95,6 +96,9 @@
   std::uint64_t m_minSnapshotLogBytes = 4UL * 1024 * 1024;
   std::uint64_t m_maxSnapshotLogBytes = 64UL * 1024 * 1024;
   std::uint64_t m_seed = 1;
+  // Highest level of commands that the replica reads and states to others (see
+  // State/CommandLevel.h); lower values stand in for an older build.
+  std::uint32_t m_featureLevel = kFeatureLevel;
 
   // Called once, on the replica's thread, when the replica cannot continue, for
   // instance because its store failed. Must not call ReplicaService::Stop.
--- a/Source/Daemon/ControlProcess.cxx
+++ b/Source/Daemon/ControlProcess.cxx
@@ -140,6 +140,9 @@
   aMetrics.AddGauge("parsleycove_leaderless_seconds", "", [&aReplica] {
     return SecondsSince(aReplica.Gauges().m_leaderlessSince);
   });
+  aMetrics.AddGauge("parsleycove_group_feature_level", "", [&aReplica] {
+    return static_cast<double>(aReplica.Gauges().m_featureLevel.load());
+  });
 }
 
 void
--- a/Source/State/ReplicatedState.cxx
+++ b/Source/State/ReplicatedState.cxx
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "State/CommandLevel.h"
 #include "State/CommandTime.h"
 #include "State/StateImage.h"
 
@@ -44,6 +45,8 @@
     return result;
   }
   m_lastUnixMs = std::max(m_lastUnixMs, ReadCommandTime(aCommand));
+  m_featureLevel =
+    std::max(m_featureLevel, FindCommandLevel(aCommand).value_or(0));
   state::CommandResultT result = Route(aIndex, aTerm, aCommand);
   m_config.AdvanceIndex(aIndex);
   return result;
@@ -53,7 +56,7 @@
 ReplicatedState::TakeImage() const
 {
   return EncodeStateImage(
-    Config(), *m_changes, m_ledger->Table(), m_lastUnixMs);
+    Config(), *m_changes, m_ledger->Table(), m_lastUnixMs, m_featureLevel);
 }
 
 bool
@@ -67,6 +70,7 @@
   m_changes = std::move(decoded->m_changes);
   m_ledger = std::move(decoded->m_ledger);
   m_lastUnixMs = decoded->m_lastUnixMs;
+  m_featureLevel = decoded->m_featureLevel;
   return true;
 }
 
--- a/Source/State/ReplicatedState.h
+++ b/Source/State/ReplicatedState.h
@@ -57,6 +57,8 @@
   // Memory of the first answers to changes, in bytes.
   std::size_t CountHistoryBytes() const;
   std::uint64_t LastUnixMs() const { return m_lastUnixMs; }
+  // Highest level of the applied commands (see CommandLevel.h).
+  std::uint32_t FeatureLevel() const { return m_featureLevel; }
 
 private:
   state::CommandResultT Route(std::uint64_t aIndex,
@@ -73,7 +75,8 @@
   ConfigState m_config;
   std::unique_ptr<ChangeHistory> m_changes;
   std::unique_ptr<ActionLedger> m_ledger;
-  std::uint64_t m_lastUnixMs = 0; // never goes back
+  std::uint64_t m_lastUnixMs = 0;   // never goes back
+  std::uint32_t m_featureLevel = 0; // never goes back
   StateReason m_reason;
 };
 
--- a/Source/State/StateImage.cxx
+++ b/Source/State/StateImage.cxx
@@ -6,6 +6,7 @@
 
 #include <flatbuffers/flatbuffers.h>
 
+#include "State/CommandLevel.h"
 #include "State/EndpointLimitTable.h"
 #include "State/NamedEntities.h"
 #include "State/PromptPartTable.h"
@@ -71,13 +72,24 @@
   return true;
 }
 
+// Images of builds from before the level was stored show it by their tables.
+std::uint32_t
+FindLevel(const state::StateImage& aRoot, const state::ConfigImageT& aConfig)
+{
+  const bool hasFirst = !aConfig.prompt_parts.empty() ||
+                        !aConfig.endpoint_limits.empty() ||
+                        !aConfig.gateways.empty();
+  return std::max(aRoot.feature_level(), hasFirst ? 1U : 0U);
+}
+
 } // namespace
 
 std::vector<std::uint8_t>
 EncodeStateImage(const state::ConfigImageT& aConfig,
                  const ChangeHistory& aChanges,
                  const ActionTable& aActions,
-                 std::uint64_t aLastUnixMs)
+                 std::uint64_t aLastUnixMs,
+                 std::uint32_t aFeatureLevel)
 {
   flatbuffers::FlatBufferBuilder builder(
     std::max(kFirstBufferBytes, aActions.Bytes()));
@@ -97,7 +109,8 @@
                                          builder.CreateVector(actions),
                                          aLastUnixMs,
                                          aActions.EvictedKeyUnixMs(),
-                                         aActions.AttemptFloor()));
+                                         aActions.AttemptFloor(),
+                                         aFeatureLevel));
   return { builder.GetBufferPointer(),
            builder.GetBufferPointer() + builder.GetSize() };
 }
@@ -117,6 +130,13 @@
     return std::nullopt;
   }
   const state::StateImage& root = *state::GetStateImage(aImage.data());
+  if (root.feature_level() > kFeatureLevel) {
+    aReason.Set(StateError::Unreadable,
+                "image: feature level is " +
+                  std::to_string(root.feature_level()) + ", expected at most " +
+                  std::to_string(kFeatureLevel));
+    return std::nullopt;
+  }
   DecodedImage result;
   result.m_changes =
     std::make_unique<ChangeHistory>(aLimits.m_maxChangeRecords);
@@ -131,6 +151,7 @@
                 "lists of unique names");
     return std::nullopt;
   }
+  result.m_featureLevel = FindLevel(root, result.m_config);
   if (!DecodeChanges(root, *result.m_changes)) {
     aReason.Set(StateError::Malformed,
                 "image: changes have an empty or repeated entry, expected "
--- a/Source/State/StateImage.h
+++ b/Source/State/StateImage.h
@@ -21,15 +21,18 @@
   std::unique_ptr<ChangeHistory> m_changes;
   std::unique_ptr<ActionLedger> m_ledger;
   std::uint64_t m_lastUnixMs = 0;
+  std::uint32_t m_featureLevel = 0;
 };
 
 std::vector<std::uint8_t>
 EncodeStateImage(const state::ConfigImageT& aConfig,
                  const ChangeHistory& aChanges,
                  const ActionTable& aActions,
-                 std::uint64_t aLastUnixMs);
+                 std::uint64_t aLastUnixMs,
+                 std::uint32_t aFeatureLevel);
 
-// Nothing and a reason unless buffer and contents are sound.
+// Nothing and a reason unless buffer and contents are sound and this build
+// reads them; Unreadable if the image contains commands of a higher level.
 std::optional<DecodedImage>
 DecodeStateImage(const std::vector<std::uint8_t>& aImage,
                  StateLimits aLimits,
--- a/Source/State/StateReason.h
+++ b/Source/State/StateReason.h
@@ -12,6 +12,9 @@
   Malformed,
   // Well formed, but a field has a value that is not allowed.
   Invalid,
+  // Well formed, but of a newer build: it has commands that this one does not
+  // know.
+  Unreadable,
 };
 using StateReason = Reason<StateError>;
 
--- a/Source/Wire/Generated/ConsensusGenerated.h
+++ b/Source/Wire/Generated/ConsensusGenerated.h
@@ -1756,6 +1756,7 @@
   bool ok = false;
   uint64_t in_force = 0;
   uint32_t gateways = 0;
+  uint32_t group_level = 0;
 };
 
 struct ReadIndexReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1767,7 +1768,8 @@
     VT_INDEX = 6,
     VT_OK = 8,
     VT_IN_FORCE = 10,
-    VT_GATEWAYS = 12
+    VT_GATEWAYS = 12,
+    VT_GROUP_LEVEL = 14
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -1784,6 +1786,9 @@
   uint32_t gateways() const {
     return GetField<uint32_t>(VT_GATEWAYS, 0);
   }
+  uint32_t group_level() const {
+    return GetField<uint32_t>(VT_GROUP_LEVEL, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -1791,6 +1796,7 @@
            VerifyField<uint8_t>(verifier, VT_OK, 1) &&
            VerifyField<uint64_t>(verifier, VT_IN_FORCE, 8) &&
            VerifyField<uint32_t>(verifier, VT_GATEWAYS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_GROUP_LEVEL, 4) &&
            verifier.EndTable();
   }
   ReadIndexReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1817,6 +1823,9 @@
   void add_gateways(uint32_t gateways) {
     fbb_.AddElement<uint32_t>(ReadIndexReply::VT_GATEWAYS, gateways, 0);
   }
+  void add_group_level(uint32_t group_level) {
+    fbb_.AddElement<uint32_t>(ReadIndexReply::VT_GROUP_LEVEL, group_level, 0);
+  }
   explicit ReadIndexReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1834,11 +1843,13 @@
     uint64_t index = 0,
     bool ok = false,
     uint64_t in_force = 0,
-    uint32_t gateways = 0) {
+    uint32_t gateways = 0,
+    uint32_t group_level = 0) {
   ReadIndexReplyBuilder builder_(_fbb);
   builder_.add_in_force(in_force);
   builder_.add_index(index);
   builder_.add_id(id);
+  builder_.add_group_level(group_level);
   builder_.add_gateways(gateways);
   builder_.add_ok(ok);
   return builder_.Finish();
@@ -1857,6 +1868,7 @@
   uint64_t from = 0;
   uint64_t to = 0;
   parsleycove::consensus::PeerBodyUnion body{};
+  uint32_t feature_level = 0;
 };
 
 struct PeerMessage FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1868,7 +1880,8 @@
     VT_FROM = 6,
     VT_TO = 8,
     VT_BODY_TYPE = 10,
-    VT_BODY = 12
+    VT_BODY = 12,
+    VT_FEATURE_LEVEL = 14
   };
   uint64_t cluster() const {
     return GetField<uint64_t>(VT_CLUSTER, 0);
@@ -1916,6 +1929,9 @@
   const parsleycove::consensus::ReadIndexReply *body_as_ReadIndexReply() const {
     return body_type() == parsleycove::consensus::PeerBody::ReadIndexReply ? static_cast<const parsleycove::consensus::ReadIndexReply *>(body()) : nullptr;
   }
+  uint32_t feature_level() const {
+    return GetField<uint32_t>(VT_FEATURE_LEVEL, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_CLUSTER, 8) &&
@@ -1924,6 +1940,7 @@
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
            VerifyOffset(verifier, VT_BODY) &&
            VerifyPeerBody(verifier, body(), body_type()) &&
+           VerifyField<uint32_t>(verifier, VT_FEATURE_LEVEL, 4) &&
            verifier.EndTable();
   }
   PeerMessageT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1990,6 +2007,9 @@
   void add_body(flatbuffers::Offset<void> body) {
     fbb_.AddOffset(PeerMessage::VT_BODY, body);
   }
+  void add_feature_level(uint32_t feature_level) {
+    fbb_.AddElement<uint32_t>(PeerMessage::VT_FEATURE_LEVEL, feature_level, 0);
+  }
   explicit PeerMessageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2007,11 +2027,13 @@
     uint64_t from = 0,
     uint64_t to = 0,
     parsleycove::consensus::PeerBody body_type = parsleycove::consensus::PeerBody::NONE,
-    flatbuffers::Offset<void> body = 0) {
+    flatbuffers::Offset<void> body = 0,
+    uint32_t feature_level = 0) {
   PeerMessageBuilder builder_(_fbb);
   builder_.add_to(to);
   builder_.add_from(from);
   builder_.add_cluster(cluster);
+  builder_.add_feature_level(feature_level);
   builder_.add_body(body);
   builder_.add_body_type(body_type);
   return builder_.Finish();
@@ -2586,6 +2608,7 @@
   { auto _e = ok(); _o->ok = _e; }
   { auto _e = in_force(); _o->in_force = _e; }
   { auto _e = gateways(); _o->gateways = _e; }
+  { auto _e = group_level(); _o->group_level = _e; }
 }
 
 inline flatbuffers::Offset<ReadIndexReply> ReadIndexReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ReadIndexReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2601,13 +2624,15 @@
   auto _ok = _o->ok;
   auto _in_force = _o->in_force;
   auto _gateways = _o->gateways;
+  auto _group_level = _o->group_level;
   return parsleycove::consensus::CreateReadIndexReply(
       _fbb,
       _id,
       _index,
       _ok,
       _in_force,
-      _gateways);
+      _gateways,
+      _group_level);
 }
 
 inline PeerMessageT *PeerMessage::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -2624,6 +2649,7 @@
   { auto _e = to(); _o->to = _e; }
   { auto _e = body_type(); _o->body.type = _e; }
   { auto _e = body(); if (_e) _o->body.value = parsleycove::consensus::PeerBodyUnion::UnPack(_e, body_type(), _resolver); }
+  { auto _e = feature_level(); _o->feature_level = _e; }
 }
 
 inline flatbuffers::Offset<PeerMessage> PeerMessage::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PeerMessageT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2639,13 +2665,15 @@
   auto _to = _o->to;
   auto _body_type = _o->body.type;
   auto _body = _o->body.Pack(_fbb);
+  auto _feature_level = _o->feature_level;
   return parsleycove::consensus::CreatePeerMessage(
       _fbb,
       _cluster,
       _from,
       _to,
       _body_type,
-      _body);
+      _body,
+      _feature_level);
 }
 
 inline bool VerifyPeerBody(flatbuffers::Verifier &verifier, const void *obj, PeerBody type) {
--- a/Source/Wire/Generated/FeedGenerated.h
+++ b/Source/Wire/Generated/FeedGenerated.h
@@ -539,6 +539,7 @@
   uint64_t has_index = 0;
   uint32_t version = 0;
   bool takes_no_callers = false;
+  uint32_t feature_level = 0;
 };
 
 struct Hello FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -551,7 +552,8 @@
     VT_EPOCH = 8,
     VT_HAS_INDEX = 10,
     VT_VERSION = 12,
-    VT_TAKES_NO_CALLERS = 14
+    VT_TAKES_NO_CALLERS = 14,
+    VT_FEATURE_LEVEL = 16
   };
   const flatbuffers::String *vm() const {
     return GetPointer<const flatbuffers::String *>(VT_VM);
@@ -571,6 +573,9 @@
   bool takes_no_callers() const {
     return GetField<uint8_t>(VT_TAKES_NO_CALLERS, 0) != 0;
   }
+  uint32_t feature_level() const {
+    return GetField<uint32_t>(VT_FEATURE_LEVEL, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_VM) &&
@@ -581,6 +586,7 @@
            VerifyField<uint64_t>(verifier, VT_HAS_INDEX, 8) &&
            VerifyField<uint32_t>(verifier, VT_VERSION, 4) &&
            VerifyField<uint8_t>(verifier, VT_TAKES_NO_CALLERS, 1) &&
+           VerifyField<uint32_t>(verifier, VT_FEATURE_LEVEL, 4) &&
            verifier.EndTable();
   }
   HelloT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -610,6 +616,9 @@
   void add_takes_no_callers(bool takes_no_callers) {
     fbb_.AddElement<uint8_t>(Hello::VT_TAKES_NO_CALLERS, static_cast<uint8_t>(takes_no_callers), 0);
   }
+  void add_feature_level(uint32_t feature_level) {
+    fbb_.AddElement<uint32_t>(Hello::VT_FEATURE_LEVEL, feature_level, 0);
+  }
   explicit HelloBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -628,10 +637,12 @@
     uint64_t epoch = 0,
     uint64_t has_index = 0,
     uint32_t version = 0,
-    bool takes_no_callers = false) {
+    bool takes_no_callers = false,
+    uint32_t feature_level = 0) {
   HelloBuilder builder_(_fbb);
   builder_.add_has_index(has_index);
   builder_.add_epoch(epoch);
+  builder_.add_feature_level(feature_level);
   builder_.add_version(version);
   builder_.add_zone(zone);
   builder_.add_vm(vm);
@@ -651,7 +662,8 @@
     uint64_t epoch = 0,
     uint64_t has_index = 0,
     uint32_t version = 0,
-    bool takes_no_callers = false) {
+    bool takes_no_callers = false,
+    uint32_t feature_level = 0) {
   auto vm__ = vm ? _fbb.CreateString(vm) : 0;
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
   return parsleycove::feed::CreateHello(
@@ -661,7 +673,8 @@
       epoch,
       has_index,
       version,
-      takes_no_callers);
+      takes_no_callers,
+      feature_level);
 }
 
 flatbuffers::Offset<Hello> CreateHello(flatbuffers::FlatBufferBuilder &_fbb, const HelloT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -781,6 +794,7 @@
   std::string leader_address{};
   uint16_t leader_port = 0;
   std::vector<std::unique_ptr<parsleycove::feed::ReplicaAddressT>> peers{};
+  uint32_t group_level = 0;
   WelcomeT() = default;
   WelcomeT(const WelcomeT &o);
   WelcomeT(WelcomeT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -795,7 +809,8 @@
     VT_REPLICA = 4,
     VT_LEADER_ADDRESS = 6,
     VT_LEADER_PORT = 8,
-    VT_PEERS = 10
+    VT_PEERS = 10,
+    VT_GROUP_LEVEL = 12
   };
   uint64_t replica() const {
     return GetField<uint64_t>(VT_REPLICA, 0);
@@ -809,6 +824,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<parsleycove::feed::ReplicaAddress>> *peers() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<parsleycove::feed::ReplicaAddress>> *>(VT_PEERS);
   }
+  uint32_t group_level() const {
+    return GetField<uint32_t>(VT_GROUP_LEVEL, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_REPLICA, 8) &&
@@ -818,6 +836,7 @@
            VerifyOffset(verifier, VT_PEERS) &&
            verifier.VerifyVector(peers()) &&
            verifier.VerifyVectorOfTables(peers()) &&
+           VerifyField<uint32_t>(verifier, VT_GROUP_LEVEL, 4) &&
            verifier.EndTable();
   }
   WelcomeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -841,6 +860,9 @@
   void add_peers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<parsleycove::feed::ReplicaAddress>>> peers) {
     fbb_.AddOffset(Welcome::VT_PEERS, peers);
   }
+  void add_group_level(uint32_t group_level) {
+    fbb_.AddElement<uint32_t>(Welcome::VT_GROUP_LEVEL, group_level, 0);
+  }
   explicit WelcomeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -857,9 +879,11 @@
     uint64_t replica = 0,
     flatbuffers::Offset<flatbuffers::String> leader_address = 0,
     uint16_t leader_port = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<parsleycove::feed::ReplicaAddress>>> peers = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<parsleycove::feed::ReplicaAddress>>> peers = 0,
+    uint32_t group_level = 0) {
   WelcomeBuilder builder_(_fbb);
   builder_.add_replica(replica);
+  builder_.add_group_level(group_level);
   builder_.add_peers(peers);
   builder_.add_leader_address(leader_address);
   builder_.add_leader_port(leader_port);
@@ -876,7 +900,8 @@
     uint64_t replica = 0,
     const char *leader_address = nullptr,
     uint16_t leader_port = 0,
-    const std::vector<flatbuffers::Offset<parsleycove::feed::ReplicaAddress>> *peers = nullptr) {
+    const std::vector<flatbuffers::Offset<parsleycove::feed::ReplicaAddress>> *peers = nullptr,
+    uint32_t group_level = 0) {
   auto leader_address__ = leader_address ? _fbb.CreateString(leader_address) : 0;
   auto peers__ = peers ? _fbb.CreateVector<flatbuffers::Offset<parsleycove::feed::ReplicaAddress>>(*peers) : 0;
   return parsleycove::feed::CreateWelcome(
@@ -884,7 +909,8 @@
       replica,
       leader_address__,
       leader_port,
-      peers__);
+      peers__,
+      group_level);
 }
 
 flatbuffers::Offset<Welcome> CreateWelcome(flatbuffers::FlatBufferBuilder &_fbb, const WelcomeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2828,6 +2854,7 @@
   { auto _e = has_index(); _o->has_index = _e; }
   { auto _e = version(); _o->version = _e; }
   { auto _e = takes_no_callers(); _o->takes_no_callers = _e; }
+  { auto _e = feature_level(); _o->feature_level = _e; }
 }
 
 inline flatbuffers::Offset<Hello> Hello::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HelloT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2844,6 +2871,7 @@
   auto _has_index = _o->has_index;
   auto _version = _o->version;
   auto _takes_no_callers = _o->takes_no_callers;
+  auto _feature_level = _o->feature_level;
   return parsleycove::feed::CreateHello(
       _fbb,
       _vm,
@@ -2851,7 +2879,8 @@
       _epoch,
       _has_index,
       _version,
-      _takes_no_callers);
+      _takes_no_callers,
+      _feature_level);
 }
 
 inline ReplicaAddressT *ReplicaAddress::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -2892,7 +2921,8 @@
 inline WelcomeT::WelcomeT(const WelcomeT &o)
       : replica(o.replica),
         leader_address(o.leader_address),
-        leader_port(o.leader_port) {
+        leader_port(o.leader_port),
+        group_level(o.group_level) {
   peers.reserve(o.peers.size());
   for (const auto &peers_ : o.peers) { peers.emplace_back((peers_) ? new parsleycove::feed::ReplicaAddressT(*peers_) : nullptr); }
 }
@@ -2902,6 +2932,7 @@
   std::swap(leader_address, o.leader_address);
   std::swap(leader_port, o.leader_port);
   std::swap(peers, o.peers);
+  std::swap(group_level, o.group_level);
   return *this;
 }
 
@@ -2918,6 +2949,7 @@
   { auto _e = leader_address(); if (_e) _o->leader_address = _e->str(); }
   { auto _e = leader_port(); _o->leader_port = _e; }
   { auto _e = peers(); if (_e) { _o->peers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->peers[_i] = std::unique_ptr<parsleycove::feed::ReplicaAddressT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = group_level(); _o->group_level = _e; }
 }
 
 inline flatbuffers::Offset<Welcome> Welcome::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WelcomeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2932,12 +2964,14 @@
   auto _leader_address = _o->leader_address.empty() ? 0 : _fbb.CreateString(_o->leader_address);
   auto _leader_port = _o->leader_port;
   auto _peers = _o->peers.size() ? _fbb.CreateVector<flatbuffers::Offset<parsleycove::feed::ReplicaAddress>> (_o->peers.size(), [](size_t i, _VectorArgs *__va) { return CreateReplicaAddress(*__va->__fbb, __va->__o->peers[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _group_level = _o->group_level;
   return parsleycove::feed::CreateWelcome(
       _fbb,
       _replica,
       _leader_address,
       _leader_port,
-      _peers);
+      _peers,
+      _group_level);
 }
 
 inline ImageT::ImageT(const ImageT &o)
--- a/Source/Wire/Generated/StateGenerated.h
+++ b/Source/Wire/Generated/StateGenerated.h
@@ -6044,6 +6044,7 @@
   uint64_t last_unix_ms = 0;
   uint64_t evicted_key_unix_ms = 0;
   uint64_t attempt_floor = 0;
+  uint32_t feature_level = 0;
   StateImageT() = default;
   StateImageT(const StateImageT &o);
   StateImageT(StateImageT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -6060,7 +6061,8 @@
     VT_ACTIONS = 8,
     VT_LAST_UNIX_MS = 10,
     VT_EVICTED_KEY_UNIX_MS = 12,
-    VT_ATTEMPT_FLOOR = 14
+    VT_ATTEMPT_FLOOR = 14,
+    VT_FEATURE_LEVEL = 16
   };
   const parsleycove::state::ConfigImage *config() const {
     return GetPointer<const parsleycove::state::ConfigImage *>(VT_CONFIG);
@@ -6080,6 +6082,9 @@
   uint64_t attempt_floor() const {
     return GetField<uint64_t>(VT_ATTEMPT_FLOOR, 0);
   }
+  uint32_t feature_level() const {
+    return GetField<uint32_t>(VT_FEATURE_LEVEL, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_CONFIG) &&
@@ -6093,6 +6098,7 @@
            VerifyField<uint64_t>(verifier, VT_LAST_UNIX_MS, 8) &&
            VerifyField<uint64_t>(verifier, VT_EVICTED_KEY_UNIX_MS, 8) &&
            VerifyField<uint64_t>(verifier, VT_ATTEMPT_FLOOR, 8) &&
+           VerifyField<uint32_t>(verifier, VT_FEATURE_LEVEL, 4) &&
            verifier.EndTable();
   }
   StateImageT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -6122,6 +6128,9 @@
   void add_attempt_floor(uint64_t attempt_floor) {
     fbb_.AddElement<uint64_t>(StateImage::VT_ATTEMPT_FLOOR, attempt_floor, 0);
   }
+  void add_feature_level(uint32_t feature_level) {
+    fbb_.AddElement<uint32_t>(StateImage::VT_FEATURE_LEVEL, feature_level, 0);
+  }
   explicit StateImageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -6140,11 +6149,13 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<parsleycove::state::ActionRecord>>> actions = 0,
     uint64_t last_unix_ms = 0,
     uint64_t evicted_key_unix_ms = 0,
-    uint64_t attempt_floor = 0) {
+    uint64_t attempt_floor = 0,
+    uint32_t feature_level = 0) {
   StateImageBuilder builder_(_fbb);
   builder_.add_attempt_floor(attempt_floor);
   builder_.add_evicted_key_unix_ms(evicted_key_unix_ms);
   builder_.add_last_unix_ms(last_unix_ms);
+  builder_.add_feature_level(feature_level);
   builder_.add_actions(actions);
   builder_.add_changes(changes);
   builder_.add_config(config);
@@ -6163,7 +6174,8 @@
     const std::vector<flatbuffers::Offset<parsleycove::state::ActionRecord>> *actions = nullptr,
     uint64_t last_unix_ms = 0,
     uint64_t evicted_key_unix_ms = 0,
-    uint64_t attempt_floor = 0) {
+    uint64_t attempt_floor = 0,
+    uint32_t feature_level = 0) {
   auto changes__ = changes ? _fbb.CreateVector<flatbuffers::Offset<parsleycove::state::ChangeRecord>>(*changes) : 0;
   auto actions__ = actions ? _fbb.CreateVector<flatbuffers::Offset<parsleycove::state::ActionRecord>>(*actions) : 0;
   return parsleycove::state::CreateStateImage(
@@ -6173,7 +6185,8 @@
       actions__,
       last_unix_ms,
       evicted_key_unix_ms,
-      attempt_floor);
+      attempt_floor,
+      feature_level);
 }
 
 flatbuffers::Offset<StateImage> CreateStateImage(flatbuffers::FlatBufferBuilder &_fbb, const StateImageT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -8153,7 +8166,8 @@
       : config((o.config) ? new parsleycove::state::ConfigImageT(*o.config) : nullptr),
         last_unix_ms(o.last_unix_ms),
         evicted_key_unix_ms(o.evicted_key_unix_ms),
-        attempt_floor(o.attempt_floor) {
+        attempt_floor(o.attempt_floor),
+        feature_level(o.feature_level) {
   changes.reserve(o.changes.size());
   for (const auto &changes_ : o.changes) { changes.emplace_back((changes_) ? new parsleycove::state::ChangeRecordT(*changes_) : nullptr); }
   actions.reserve(o.actions.size());
@@ -8167,6 +8181,7 @@
   std::swap(last_unix_ms, o.last_unix_ms);
   std::swap(evicted_key_unix_ms, o.evicted_key_unix_ms);
   std::swap(attempt_floor, o.attempt_floor);
+  std::swap(feature_level, o.feature_level);
   return *this;
 }
 
@@ -8185,6 +8200,7 @@
   { auto _e = last_unix_ms(); _o->last_unix_ms = _e; }
   { auto _e = evicted_key_unix_ms(); _o->evicted_key_unix_ms = _e; }
   { auto _e = attempt_floor(); _o->attempt_floor = _e; }
+  { auto _e = feature_level(); _o->feature_level = _e; }
 }
 
 inline flatbuffers::Offset<StateImage> StateImage::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StateImageT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -8201,6 +8217,7 @@
   auto _last_unix_ms = _o->last_unix_ms;
   auto _evicted_key_unix_ms = _o->evicted_key_unix_ms;
   auto _attempt_floor = _o->attempt_floor;
+  auto _feature_level = _o->feature_level;
   return parsleycove::state::CreateStateImage(
       _fbb,
       _config,
@@ -8208,7 +8225,8 @@
       _actions,
       _last_unix_ms,
       _evicted_key_unix_ms,
-      _attempt_floor);
+      _attempt_floor,
+      _feature_level);
 }
 
 inline bool VerifyCommandBody(flatbuffers::Verifier &verifier, const void *obj, CommandBody type) {
--- a/Tests/Control/ReplicaCoreFaultTest.cxx
+++ b/Tests/Control/ReplicaCoreFaultTest.cxx
@@ -34,6 +34,7 @@
   void OnStateReplaced() override {}
   void OnReport(const FollowerReport& /*aReport*/) override {}
   void OnFatal(const std::string& /*aText*/) override { ++m_fatal; }
+  void OnUnreadable(const std::string& /*aText*/) override { ++m_fatal; }
 
   int m_fatal = 0;
 };
--- a/Tests/Control/ReplicaStarterTest.cxx
+++ b/Tests/Control/ReplicaStarterTest.cxx
@@ -38,6 +38,7 @@
   void OnStateReplaced() override {}
   void OnReport(const FollowerReport& /*aReport*/) override {}
   void OnFatal(const std::string& /*aText*/) override {}
+  void OnUnreadable(const std::string& /*aText*/) override {}
 };
 
 consensus::MembershipT
