Control: Stop at a command of a newer build, and do not end

Change: such a replica closes its links, so that it neither applies, votes nor feeds, and its process stays. It logs the entry every 5 s and sets parsleycove_replica_halted. The store stays as it is: a build that reads the command continues with it.

Evidence: with OnUnreadable ending the replica as before, MixedBuilds.AReplicaThatCannotReadItsLogStopsButDoesNotEnd CHECK_TRUE(WaitUntil([&] { return IsHalted(2); })) failed and with the change it passes.

--- a/Source/Control/GroupGauges.h
+++ b/Source/Control/GroupGauges.h
@@ -25,6 +25,9 @@
   std::atomic<TimePoint> m_leaderlessSince{ TimePoint::max() };
   // The highest feature level that all members are known to read.
   std::atomic<std::uint32_t> m_featureLevel{ 0 };
+  // This replica has met a command of a newer build and neither applies nor
+  // votes any more.
+  std::atomic<bool> m_isHalted{ false };
 };
 
 } // namespace parsleycove
--- a/Source/Control/ReplicaNode.h
+++ b/Source/Control/ReplicaNode.h
@@ -141,6 +141,8 @@
   bool IsReadByGroup(const state::CommandT& aCommand) const;
   // Publishes the group's feature level, and returns whether it has changed.
   bool UpdateLevel();
+  // Logs why this replica takes no part any more, and again every few seconds.
+  void ReportHalt(const std::string& aText);
   // Returns whether enough voters hold the log to accept a routing document.
   bool CanAcceptDocuments() const;
   void ChangeMembers(MembershipChange aChange,
--- a/Source/Control/ReplicaNodePeers.cxx
+++ b/Source/Control/ReplicaNodePeers.cxx
@@ -10,6 +10,12 @@
 
 namespace parsleycove {
 
+namespace {
+
+constexpr std::chrono::seconds kHaltLineS{ 5 };
+
+} // namespace
+
 void
 ReplicaNode::OnPeerMessage(const consensus::PeerMessageT& aMessage)
 {
@@ -100,7 +106,24 @@
 void
 ReplicaNode::OnUnreadable(const std::string& aText)
 {
-  OnFatal(aText);
+  m_gauges.m_isHalted = true;
+  Close();
+  ReportHalt(aText +
+             "; this replica has stopped applying and voting, start a build "
+             "that reads it");
+}
+
+void
+ReplicaNode::ReportHalt(const std::string& aText)
+{
+  Log(ControlLogLevel::Error, aText);
+  m_maintenanceTimer.expires_after(kHaltLineS);
+  m_maintenanceTimer.async_wait(
+    [this, aText](const boost::system::error_code& aError) {
+      if (!aError) {
+        ReportHalt(aText);
+      }
+    });
 }
 
 } // namespace parsleycove
--- a/Source/Daemon/ControlProcess.cxx
+++ b/Source/Daemon/ControlProcess.cxx
@@ -143,6 +143,9 @@
   aMetrics.AddGauge("parsleycove_group_feature_level", "", [&aReplica] {
     return static_cast<double>(aReplica.Gauges().m_featureLevel.load());
   });
+  aMetrics.AddGauge("parsleycove_replica_halted", "", [&aReplica] {
+    return aReplica.Gauges().m_isHalted.load() ? 1.0 : 0.0;
+  });
 }
 
 void
--- a/Tests/Control/MixedBuildsTest.cxx
+++ b/Tests/Control/MixedBuildsTest.cxx
@@ -152,6 +152,10 @@
     return std::make_unique<ControlClient>(
       m_cluster.ClientOptions("gateway", "zone-a"));
   }
+  bool IsHalted(std::size_t aReplica)
+  {
+    return m_cluster.Replica(aReplica).Gauges().m_isHalted.load();
+  }
 };
 
 TEST(MixedBuilds, ACommandThatOneVoterDoesNotReadIsNotSent)
@@ -166,6 +170,9 @@
   STRCMP_EQUAL("not all control VMs read commands of feature level 1",
                withheld.m_reason.m_text.c_str());
   CHECK_TRUE(IsApplied(Propose(*client, MakeChange("c1", 0, "fast"))));
+  for (std::size_t i = 0; i < 3; ++i) {
+    CHECK_FALSE(IsHalted(i));
+  }
   LONGS_EQUAL(0, m_ended.load());
 }
 
@@ -195,6 +202,29 @@
   CHECK_TRUE(IsApplied(Propose(*client, MakeGatewayAnnouncement("vm-9"))));
 }
 
+TEST(MixedBuilds, AReplicaThatCannotReadItsLogStopsButDoesNotEnd)
+{
+  StartAll();
+  const auto client = Connect();
+  CHECK_TRUE(IsApplied(Propose(*client, MakeGatewayAnnouncement("vm-8"))));
+  m_cluster.Stop(2);
+  m_cluster.Options(2).m_featureLevel = 0;
+  m_cluster.Start(2);
+  CHECK_TRUE(WaitUntil([&] { return IsHalted(2); }));
+  LONGS_EQUAL(0, m_ended.load());
+  CHECK_TRUE(m_cluster.IsRunning(2));
+  // The others go on.
+  CHECK_TRUE(IsApplied(Propose(*client, MakeChange("c1", 0, "fast"))));
+  // It holds its log: a build that reads the command continues with it.
+  m_cluster.Stop(2);
+  m_cluster.Options(2).m_featureLevel = kFeatureLevel;
+  m_cluster.Start(2);
+  const std::uint64_t applied = m_cluster.Replica(0).AppliedIndex();
+  CHECK_TRUE(WaitUntil(
+    [&] { return m_cluster.Replica(2).AppliedIndex() >= applied; }));
+  CHECK_FALSE(IsHalted(2));
+}
+
 TEST(MixedBuilds, AGatewayOfAnOlderBuildGetsImagesInPlaceOfUnknownCommands)
 {
   StartAll();
@@ -229,6 +259,9 @@
   CHECK_TRUE(newer.RunUntil([&] { return newer.m_reply.has_value(); }));
   CHECK_TRUE(newer.m_reply == feed::ProposeStatus::NotLeader);
   CHECK_TRUE(IsApplied(Propose(*client, MakeChange("c1", 0, "fast"))));
+  for (std::size_t i = 0; i < 3; ++i) {
+    CHECK_FALSE(IsHalted(i));
+  }
   LONGS_EQUAL(0, m_ended.load());
 }
 // clang-format on
