Daemon: End other threads before operations are dropped

DropOperations() ran while the thread of the control client, and on one path that of the replica, could still post to the loop: an answer that came at that moment met a queue that is emptied without its lock. Found by review, not seen in a run. ControlClient::Stop() ends the thread; the dropper calls it, and ReplicaService::Stop(), first, on all paths.

--- a/Source/Control/ControlClient.cxx
+++ b/Source/Control/ControlClient.cxx
@@ -25,8 +25,12 @@
     })
   {
   }
-  ~Thread()
+  ~Thread() { Stop(); }
+  void Stop()
   {
+    if (!m_thread.joinable()) {
+      return;
+    }
     asio::post(m_context, [this] {
       m_node.Close();
       m_work.reset();
@@ -60,6 +64,12 @@
 
 ControlClient::~ControlClient() = default;
 
+void
+ControlClient::Stop()
+{
+  m_thread->Stop();
+}
+
 void
 ControlClient::Propose(state::CommandT aCommand,
                        TimePoint aDeadline,
--- a/Source/Control/ControlClient.h
+++ b/Source/Control/ControlClient.h
@@ -51,6 +51,9 @@
 public:
   explicit ControlClient(const ControlClientOptions& aOptions);
   ~ControlClient() override;
+  // Ends the client's thread. Later calls are not answered, and no handler is
+  // called any more.
+  void Stop();
   ControlClient(const ControlClient&) = delete;
   ControlClient& operator=(const ControlClient&) = delete;
 
--- a/Source/Daemon/ControlProcess.cxx
+++ b/Source/Daemon/ControlProcess.cxx
@@ -211,7 +211,10 @@
     &unread,
     [&losses](PlaceLoss aLoss, TimePoint aNow) { losses.Count(aLoss, aNow); });
   asio::steady_timer stopTimer(context);
-  const OperationDropper dropper(frame);
+  const OperationDropper dropper(frame, [&] {
+    replica->Stop();
+    control.Stop();
+  });
   const auto stop = [&] {
     calls.Close();
     stopTimer.expires_after(kStopPauseMs);
@@ -228,7 +231,6 @@
   member.Start();
   placementController.Start();
   frame.Run();
-  replica->Stop();
   return hasFailed ? DaemonExit::StoreFailed : DaemonExit::Stopped;
 }
 
--- a/Source/Daemon/EntryProcess.cxx
+++ b/Source/Daemon/EntryProcess.cxx
@@ -65,7 +65,7 @@
                          frame.Decisions(),
                          frame.Metrics());
   StopCheck stop(frame, gateway);
-  const OperationDropper dropper(frame);
+  const OperationDropper dropper(frame, [&] { control.Stop(); });
   std::string reason;
   if (!gateway.Start(reason) || !frame.Start(
                                   control,
--- a/Source/Daemon/ProcessFrame.h
+++ b/Source/Daemon/ProcessFrame.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -60,16 +61,23 @@
 class OperationDropper
 {
 public:
-  explicit OperationDropper(ProcessFrame& aFrame)
+  // aEndThreads ends all other threads that post to the frame's context.
+  OperationDropper(ProcessFrame& aFrame, std::function<void()> aEndThreads)
     : m_frame(aFrame)
+    , m_endThreads(std::move(aEndThreads))
   {
   }
-  ~OperationDropper() { m_frame.DropOperations(); }
+  ~OperationDropper()
+  {
+    m_endThreads();
+    m_frame.DropOperations();
+  }
   OperationDropper(const OperationDropper&) = delete;
   OperationDropper& operator=(const OperationDropper&) = delete;
 
 private:
   ProcessFrame& m_frame;
+  const std::function<void()> m_endThreads;
 };
 
 } // namespace parsleycove
