Forwarding: Blame no endpoint for a head that the budget refused

A call that was over the budget before its header was whole counted as broken, and as unreached. Nothing is known of its length then; heads without end are broken by a limit of their own. Found by review.

--- a/Source/Forwarding/PlainForwarder.cxx
+++ b/Source/Forwarding/PlainForwarder.cxx
@@ -467,11 +467,11 @@
     }
   }
 
-  // An answer that exceeds the budget and has not named its length may be one
-  // without end, which is its endpoint's fault.
+  // An answer that exceeds the budget and whose header names no length may be
+  // one without end, which is its endpoint's fault.
   static CallEnd JudgeEnd(const EndpointCall& aCall)
   {
-    const bool isSound = aCall.HasAnswerHeader() &&
+    const bool isSound = !aCall.HasAnswerHeader() ||
                          aCall.Answer().count(http::field::content_length) != 0;
     return aCall.End() == CallEnd::OverBudget && !isSound ? CallEnd::Broken
                                                           : aCall.End();
