Forwarding: Serve no request of a connection that was given up

When a listener was full, it could give up a connection whose last bytes had been taken from the socket but not yet handed to the reader: it looked idle or stalled, with nothing left to read. The read then ended without an error, and the request was forwarded and ran on a closed connection, although none of the requests that are given up may run.

SetServed() tells whether the place was given up; both readers end there. A connection on which something arrives counts as reading at once, so that it is given up less often. Found by review; ConnectionPlaces.ARequestOfAConnection- ThatWasGivenUpIsNotServed fixes what the readers rely on, no test plays the race itself.

--- a/Source/Forwarding/CallerConnection.cxx
+++ b/Source/Forwarding/CallerConnection.cxx
@@ -62,6 +62,7 @@
     }
     m_isIdle = false;
     m_isReading = true;
+    m_place->SetReading(BootClock::now());
   }
   BoundedRead read(
     m_budget,
@@ -78,10 +79,13 @@
     SetDeadline(BootClock::now() + aLimits.m_idleTimeout);
     error = co_await read.ReadBody(m_socket, m_buffer, parser);
   }
-  m_place->SetServed();
-  if (error) {
+  const bool isGivenUp = !m_place->SetServed();
+  if (error || isGivenUp) {
     m_buffer.clear();
     m_buffer.shrink_to_fit();
+    if (isGivenUp) {
+      co_return ReadResult::Closed;
+    }
     co_return m_isOverdue ? ReadResult::TimedOut : read.Classify(error);
   }
   ClearDeadline();
--- a/Source/Forwarding/ConnectionPlaces.cxx
+++ b/Source/Forwarding/ConnectionPlaces.cxx
@@ -44,10 +44,11 @@
   Move(Stage::Idle, aNow);
 }
 
-void
+bool
 ConnectionPlaces::Place::SetServed()
 {
   Move(Stage::Served, TimePoint{});
+  return m_stage == Stage::Served;
 }
 
 void
--- a/Source/Forwarding/ConnectionPlaces.h
+++ b/Source/Forwarding/ConnectionPlaces.h
@@ -79,8 +79,10 @@
     void AddReceived(std::size_t aBytes, TimePoint aNow);
     // An answer was written, and no new request has begun.
     void SetIdle(TimePoint aNow);
-    // A request is served or answered.
-    void SetServed();
+    // A request is served or answered. Returns false if the connection was
+    // given up, perhaps while the last bytes of the request were on their way
+    // to the reader: the request must not be served.
+    bool SetServed();
     // Frees the place; the connection is closed.
     void Leave();
 
--- a/Source/Forwarding/HttpService.cxx
+++ b/Source/Forwarding/HttpService.cxx
@@ -87,7 +87,10 @@
       stream.expires_after(m_limits.m_idleTimeout);
       const beast::error_code error =
         co_await Read(stream, buffer, parser, *aPlace, unread);
-      aPlace->SetServed();
+      if (!aPlace->SetServed()) {
+        unread = ReadResult::Closed;
+        break;
+      }
       if (error) {
         break;
       }
--- a/Tests/Forwarding/ConnectionPlacesTest.cxx
+++ b/Tests/Forwarding/ConnectionPlacesTest.cxx
@@ -148,6 +148,18 @@
   CHECK_TRUE(silent.m_isGivenUp);
 }
 
+TEST(ConnectionPlaces, ARequestOfAConnectionThatWasGivenUpIsNotServed)
+{
+  TestHolder& givenUp = Open();
+  TestHolder& served = Open();
+  CHECK(served.m_place->SetServed());
+  Pass(1000);
+  CHECK(m_places->GiveUpOne(m_now));
+  givenUp.m_place->AddReceived(1000, m_now);
+  CHECK_FALSE(givenUp.m_place->SetServed());
+  CHECK(served.m_place->SetServed());
+}
+
 TEST(ConnectionPlaces, AConnectionThatEndsGivesItsPlaceBack)
 {
   for (std::size_t i = 0; i < kLimit; ++i) {
