--- a/Source/Forwarding/ConnectionPlaces.h
+++ b/Source/Forwarding/ConnectionPlaces.h
@@ -154,9 +154,9 @@
   PlaceShortage m_shortage;
 };
 
-// Returns how many connections a listener may hold, of at most aWanted: a
-// quarter of the process's descriptors is left for endpoints, control VMs,
-// readiness and metrics.
+// Returns how many connections one listener may hold, of at most aWanted: at
+// least a quarter of the process's descriptors is left by it. Two listeners
+// together may hold more.
 std::size_t
 LimitByDescriptors(std::size_t aWanted, std::size_t aDescriptors);
 
