--- a/review/11/case.cpp
+++ b/review/11/case.cpp
@@ -51,7 +51,7 @@
   Record::Get().Open(folder + "/record.txt");
   Fleet fleet({ { "zone-a", "zone-b", "zone-c" } });
   fleet.Start();
-  Runner runner(fleet, "app-1", "app", [](const Message& aRequest, int) {
+  Runner runner(fleet.ListControls(), "app-1", "app", [](const Message& aRequest, int) {
     Sleep(15);
     return Runner::MakeAnswer(aRequest, std::string(800, 'a'));
   });
--- a/review/lib-3/Fleet.h
+++ b/review/lib-3/Fleet.h
@@ -626,6 +626,14 @@
     return { m_frontIps[aIndex], kFrontPort };
   }
   std::size_t Controls() const { return m_controlIps.size(); }
+  std::vector<Address> ListControls() const
+  {
+    std::vector<Address> result;
+    for (const std::string& ip : m_controlIps) {
+      result.push_back({ ip, kControlPort });
+    }
+    return result;
+  }
   Process& ControlProcess(std::size_t aIndex) { return *m_controls[aIndex]; }
   Process& FrontProcess(std::size_t aIndex) { return *m_fronts[aIndex]; }
   const std::string& Folder() const { return m_folder; }
@@ -712,8 +720,12 @@
   // Returns the bytes of the answer; "" closes the connection.
   using Run = std::function<std::string(const Message&, int aConnection)>;
 
-  Runner(const Fleet& aFleet, std::string aId, std::string aService, Run aRun)
-    : m_fleet(aFleet)
+  // aControls: the nodes that the runner calls, the first one first.
+  Runner(std::vector<Address> aControls,
+         std::string aId,
+         std::string aService,
+         Run aRun)
+    : m_controls(std::move(aControls))
     , m_id(std::move(aId))
     , m_service(std::move(aService))
     , m_run(std::move(aRun))
@@ -744,7 +756,32 @@
       Sleep(10);
     }
   }
+  // Heartbeats end, and nodes are told of the leave until one acknowledges it;
+  // after a second without an answer the next one is called.
+  bool Leave()
+  {
+    m_hasLeft = true;
+    for (std::size_t i = 0; i < 2 * m_controls.size(); ++i) {
+      const Address& node = m_controls[i % m_controls.size()];
+      const Message answer =
+        Call(node,
+             MakeRequest(
+               "DELETE", "/parsleycove/instances/" + m_id, "control", "", ""),
+             1000);
+      SAY("%s tells %s that it leaves: %d %s",
+          m_id.c_str(),
+          node.Text().c_str(),
+          answer.Status(),
+          answer.m_fault.c_str());
+      if (answer.Status() == 200) {
+        return true;
+      }
+    }
+    return false;
+  }
   bool IsRegistered() const { return m_isRegistered; }
+  // Heartbeats that were acknowledged.
+  int Acknowledged() const { return m_acknowledged; }
   const std::string& Id() const { return m_id; }
   int Requests() const { return m_requests; }
 
@@ -762,7 +799,7 @@
 private:
   void Beat()
   {
-    for (int sequence = 1; !m_stops; ++sequence) {
+    for (int sequence = 1; !m_stops && !m_hasLeft; ++sequence) {
       const std::string body =
         "{\"service\":\"" + m_service + "\",\"address\":\"" +
         m_address.Text() +
@@ -770,9 +807,9 @@
         "\"state\":\"ready\",\"cold-remaining-ms\":0,\"born\":" +
         std::to_string(m_born) + ",\"sequence\":" + std::to_string(sequence) +
         "}";
-      for (std::size_t i = 0; i < m_fleet.Controls() && !m_stops; ++i) {
+      for (std::size_t i = 0; i < m_controls.size() && !m_stops; ++i) {
         const Message answer =
-          Call(m_fleet.Control((m_next + i) % m_fleet.Controls()),
+          Call(m_controls[(m_next + i) % m_controls.size()],
                MakeRequest("PUT",
                            "/parsleycove/instances/" + m_id,
                            "control",
@@ -781,7 +818,8 @@
                1000);
         if (answer.Status() == 200) {
           m_isRegistered = true;
-          m_next = (m_next + i) % m_fleet.Controls();
+          ++m_acknowledged;
+          m_next = (m_next + i) % m_controls.size();
           break;
         }
       }
@@ -841,7 +879,7 @@
     }
   }
 
-  const Fleet& m_fleet;
+  const std::vector<Address> m_controls;
   const std::string m_id;
   const std::string m_service;
   const Run m_run;
@@ -850,12 +888,111 @@
   std::int64_t m_born = 0;
   std::atomic<std::size_t> m_next{ 0 };
   std::atomic<bool> m_stops{ false };
+  std::atomic<bool> m_hasLeft{ false };
   std::atomic<bool> m_isRegistered{ false };
+  std::atomic<int> m_acknowledged{ 0 };
   std::atomic<int> m_connections{ 0 };
   std::atomic<int> m_requests{ 0 };
   std::vector<std::thread> m_threads;
 };
 
+// Passes connections on to one node. While it holds, nothing passes either way;
+// what was sent arrives when the hold is over, also if its sender has closed
+// the connection meanwhile.
+class Proxy
+{
+public:
+  explicit Proxy(Address aTo)
+    : m_to(std::move(aTo))
+  {
+    m_listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    m_address = { "127.0.0.1", 0 };
+    sockaddr_in own = SocketAddressOf(m_address);
+    socklen_t size = sizeof(own);
+    bind(m_listener, reinterpret_cast<sockaddr*>(&own), size);
+    getsockname(m_listener, reinterpret_cast<sockaddr*>(&own), &size);
+    m_address.m_port = ntohs(own.sin_port);
+    listen(m_listener, 64);
+    m_thread = std::thread([this] { Accept(); });
+  }
+  ~Proxy()
+  {
+    m_stops = true;
+    shutdown(m_listener, SHUT_RDWR);
+    m_thread.join();
+    close(m_listener);
+    while (m_connections > 0) {
+      Sleep(10);
+    }
+  }
+  const Address& Own() const { return m_address; }
+  void Hold(bool aHolds) { m_holds = aHolds; }
+
+private:
+  void Accept()
+  {
+    while (!m_stops) {
+      const int fd = accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC);
+      if (fd >= 0) {
+        ++m_connections;
+        std::thread([this, fd] {
+          Relay(fd);
+          --m_connections;
+        }).detach();
+      }
+    }
+  }
+  void Relay(int aCaller)
+  {
+    const int node = Connect(m_to, 1000);
+    bool isOpen = node >= 0;
+    bool callerEnded = false;
+    while (isOpen && !m_stops) {
+      if (m_holds) {
+        Sleep(5);
+        continue;
+      }
+      std::array<pollfd, 2> wait{ pollfd{ callerEnded ? -1 : aCaller,
+                                          POLLIN,
+                                          0 },
+                                  pollfd{ node, POLLIN, 0 } };
+      if (poll(wait.data(), wait.size(), 20) <= 0 || m_holds) {
+        continue;
+      }
+      if (wait[0].revents != 0) {
+        std::string bytes;
+        const ssize_t got = ReadSome(aCaller, bytes, 0);
+        callerEnded = got <= 0;
+        if (got > 0) {
+          isOpen = SendAll(node, bytes, 1000);
+        } else {
+          shutdown(node, SHUT_WR);
+        }
+      }
+      if (wait[1].revents != 0) {
+        std::string bytes;
+        const ssize_t got = ReadSome(node, bytes, 0);
+        isOpen = got > 0;
+        if (got > 0 && !callerEnded) {
+          SendAll(aCaller, bytes, 1000);
+        }
+      }
+    }
+    close(aCaller);
+    if (node >= 0) {
+      close(node);
+    }
+  }
+
+  const Address m_to;
+  Address m_address;
+  int m_listener = -1;
+  std::atomic<bool> m_holds{ false };
+  std::atomic<bool> m_stops{ false };
+  std::atomic<int> m_connections{ 0 };
+  std::thread m_thread;
+};
+
 inline bool
 HasTrouble()
 {
