--- a/review/lib-3/Fleet.h
+++ b/review/lib-3/Fleet.h
@@ -712,8 +712,15 @@
   std::vector<std::unique_ptr<Process>> m_fronts;
 };
 
-// A runner of a plain service: registers, sends heartbeats, answers health
-// checks, and runs requests as aRun says.
+enum class RunnerKind
+{
+  Plain,
+  // Holds the layers that it is ordered to hold, of weights of version 1.
+  Engine,
+};
+
+// Registers, sends heartbeats, answers health checks, reports and orders, and
+// runs requests as aRun says.
 class Runner
 {
 public:
@@ -724,11 +731,13 @@
   Runner(std::vector<Address> aControls,
          std::string aId,
          std::string aService,
-         Run aRun)
+         Run aRun,
+         RunnerKind aKind = RunnerKind::Plain)
     : m_controls(std::move(aControls))
     , m_id(std::move(aId))
     , m_service(std::move(aService))
     , m_run(std::move(aRun))
+    , m_kind(aKind)
   {
     m_listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     m_address = { "127.0.0.1", 0 };
@@ -797,6 +806,61 @@
   }
 
 private:
+  // The fields of an engine's heartbeat and report.
+  std::string Describe()
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    std::string text = R"("stage":"both","models":[{"name":"m0","version":1,)"
+                       R"("adapters":[]}],"kind":"l4")";
+    if (m_end > m_first) {
+      text += ",\"layers\":[{\"from\":" + std::to_string(m_first) +
+              ",\"target\":" + std::to_string(m_end) + ",\"version\":1}]";
+    }
+    return text;
+  }
+  static std::uint64_t NumberIn(const std::string& aText,
+                                const std::string& aName)
+  {
+    const auto place = aText.find("\"" + aName + "\":");
+    return place == std::string::npos
+             ? 0
+             : std::strtoull(
+                 aText.c_str() + place + aName.size() + 3, nullptr, 10);
+  }
+  bool AnswerEngineCall(int aFd, const Message& aRequest)
+  {
+    const auto answer = [&](const char* aStatus, const std::string& aBody) {
+      SendAll(aFd,
+              std::string("HTTP/1.1 ") + aStatus +
+                "\r\nContent-Type: application/json\r\nContent-Length: " +
+                std::to_string(aBody.size()) + "\r\n\r\n" + aBody,
+              1000);
+      return true;
+    };
+    if (aRequest.m_first.rfind("GET /parsleycove/report ", 0) == 0) {
+      return answer("200 OK",
+                    "{" + Describe() +
+                      ",\"busy\":false,\"sequence\":1,\"waiting\":0,"
+                      "\"running\":0,\"kv-used\":0,\"kv-total\":100000,"
+                      "\"handles\":0,\"pace\":1.0,\"born\":" +
+                      std::to_string(m_born) + "}");
+    }
+    if (aRequest.m_first.rfind("POST /parsleycove/order ", 0) != 0) {
+      return false;
+    }
+    const std::string& body = aRequest.m_body;
+    if (body.find("\"place\"") == std::string::npos) {
+      return answer("404 Not Found", "{}");
+    }
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    if (NumberIn(body, "fence") < m_fence) {
+      return answer("412 Precondition Failed", "{}");
+    }
+    m_fence = NumberIn(body, "fence");
+    m_first = NumberIn(body, "from");
+    m_end = NumberIn(body, "target");
+    return answer("202 Accepted", "{}");
+  }
   void Beat()
   {
     for (int sequence = 1; !m_stops && !m_hasLeft; ++sequence) {
@@ -806,7 +870,7 @@
         "\",\"zone\":\"zone-a\",\"version\":\"v1\",\"slots\":64,"
         "\"state\":\"ready\",\"cold-remaining-ms\":0,\"born\":" +
         std::to_string(m_born) + ",\"sequence\":" + std::to_string(sequence) +
-        "}";
+        (m_kind == RunnerKind::Engine ? "," + Describe() : "") + "}";
       for (std::size_t i = 0; i < m_controls.size() && !m_stops; ++i) {
         const Message answer =
           Call(m_controls[(m_next + i) % m_controls.size()],
@@ -862,12 +926,18 @@
                 1000);
         continue;
       }
-      if (!request.Field("expect-instance").empty() &&
-          request.Field("expect-instance") != m_id) {
+      if (m_kind == RunnerKind::Engine && AnswerEngineCall(aFd, request)) {
+        continue;
+      }
+      const std::string version = request.Field("expect-version");
+      const std::string instance = request.Field("expect-instance");
+      if ((!instance.empty() && instance != m_id) ||
+          (m_kind == RunnerKind::Engine && !version.empty() &&
+           version != "1")) {
         SendAll(aFd,
                 "HTTP/1.1 421 Misdirected\r\nNot-Executed: 1\r\nAttempt-Id: " +
-                  request.Field("attempt-id") +
-                  "\r\nContent-Length: 0\r\n\r\n",
+                  request.Field("attempt-id") + "\r\nAt-Server: " +
+                  m_address.Text() + "\r\nContent-Length: 0\r\n\r\n",
                 1000);
         continue;
       }
@@ -883,6 +953,11 @@
   const std::string m_id;
   const std::string m_service;
   const Run m_run;
+  const RunnerKind m_kind;
+  std::mutex m_mutex;
+  std::uint64_t m_fence = 0;
+  std::uint64_t m_first = 0;
+  std::uint64_t m_end = 0;
   Address m_address;
   int m_listener = -1;
   std::int64_t m_born = 0;
