Control: Log a group that bears fewer losses than its target does

The line about a group below its target is logged as long as the group bears fewer losses than the target of voters alone; parsleycove_bearable_losses is the number on the leader.

MembershipReport.ASilentVoterBeyondTheTargetIsAShortage passes; without the new condition DescribeShortage is empty there.

--- a/Source/Control/GroupGauges.h
+++ b/Source/Control/GroupGauges.h
@@ -20,6 +20,9 @@
   std::atomic<TimePoint> m_oldestWithoutVoteSince{ TimePoint::max() };
   // The voters that this replica has heard from within 1.5 s, and itself.
   std::atomic<std::size_t> m_votersHeard{ 0 };
+  // On the leader: voters that may be lost at once, beside those that are, with
+  // a majority left. 0 on the other replicas.
+  std::atomic<std::size_t> m_bearableLosses{ 0 };
   // Since when this replica has known no leader; TimePoint::max() if it knows
   // one.
   std::atomic<TimePoint> m_leaderlessSince{ TimePoint::max() };
--- a/Source/Control/MembershipReport.cxx
+++ b/Source/Control/MembershipReport.cxx
@@ -18,6 +18,14 @@
     .count();
 }
 
+// How many of the voters that run may be lost at once with a majority left.
+std::size_t
+BearableLosses(std::size_t aVoters, std::size_t aRunning)
+{
+  const std::size_t majority = aVoters / 2 + 1;
+  return aRunning > majority ? aRunning - majority : 0;
+}
+
 } // namespace
 
 MembershipReport::Members
@@ -102,7 +110,11 @@
                                    const std::vector<std::uint64_t>& aSilent,
                                    const std::string& aRefusal) const
 {
-  if (CountVoters() >= m_target + aSilent.size()) {
+  // A silent voter beyond the target counts too: it raises the majority.
+  const bool isBelow =
+    CountVoters() < m_target + aSilent.size() ||
+    CountBearableLosses(aSilent.size()) < BearableLosses(m_target, m_target);
+  if (m_target == 0 || !isBelow) {
     return {};
   }
   std::string silent;
@@ -167,6 +179,13 @@
     });
 }
 
+std::size_t
+MembershipReport::CountBearableLosses(std::size_t aSilent) const
+{
+  const std::size_t voters = CountVoters();
+  return BearableLosses(voters, voters - std::min(voters, aSilent));
+}
+
 std::size_t
 MembershipReport::CountWithoutVote() const
 {
--- a/Source/Control/MembershipReport.h
+++ b/Source/Control/MembershipReport.h
@@ -32,9 +32,10 @@
   std::vector<std::string> Update(TimePoint aNow,
                                   const consensus::MembershipT& aMembers);
 
-  // Returns the line for a group with fewer voters that answer than its target,
-  // or an empty text. aSilent are the voters that do not answer; aRefusal is
-  // why the leader's last change was refused, or empty.
+  // Returns the line for a group that has fewer voters that answer, or bears
+  // fewer losses, than with its target of voters, or an empty text. aSilent are
+  // the voters that do not answer; aRefusal is why the leader's last change was
+  // refused, or empty.
   std::string DescribeShortage(TimePoint aNow,
                                const std::vector<std::uint64_t>& aSilent,
                                const std::string& aRefusal) const;
@@ -48,6 +49,9 @@
     const std::vector<std::uint64_t>& aHeard) const;
 
   std::size_t CountVoters() const;
+  // Returns how many voters may be lost at once beside aSilent ones with a
+  // majority left.
+  std::size_t CountBearableLosses(std::size_t aSilent) const;
   std::size_t CountVotersAmong(
     const std::vector<std::uint64_t>& aReplicas) const;
   std::size_t CountWithoutVote() const;
--- a/Source/Control/ReplicaNodeGroup.cxx
+++ b/Source/Control/ReplicaNodeGroup.cxx
@@ -249,6 +249,7 @@
   ReportWithoutLeader(now);
   ReportBytes();
   if (!m_maintenance || !m_leads) {
+    m_gauges.m_bearableLosses = 0;
     return;
   }
   m_inForceIndex = std::max(
@@ -323,6 +324,7 @@
 {
   const auto silent =
     m_repair.ListLostVoters(aNow, m_core->Log().Members(), m_options.m_replica);
+  m_gauges.m_bearableLosses = m_report.CountBearableLosses(silent.size());
   const std::string text =
     m_report.DescribeShortage(aNow, silent, m_lastRefusal);
   // The line's figures change all the time, so only its presence counts.
--- a/Source/Daemon/ControlProcess.cxx
+++ b/Source/Daemon/ControlProcess.cxx
@@ -137,6 +137,9 @@
   aMetrics.AddGauge("parsleycove_voters_heard", "", [&aReplica] {
     return static_cast<double>(aReplica.Gauges().m_votersHeard.load());
   });
+  aMetrics.AddGauge("parsleycove_bearable_losses", "", [&aReplica] {
+    return static_cast<double>(aReplica.Gauges().m_bearableLosses.load());
+  });
   aMetrics.AddGauge("parsleycove_leaderless_seconds", "", [&aReplica] {
     return SecondsSince(aReplica.Gauges().m_leaderlessSince);
   });
--- a/Tests/Control/MembershipReportTest.cxx
+++ b/Tests/Control/MembershipReportTest.cxx
@@ -109,6 +109,19 @@
   CHECK(m_report.OldestWithoutVoteSince() == TimePoint::max());
 }
 
+// Guards against a lost voter beyond the target that no line tells of.
+TEST(MembershipReport, ASilentVoterBeyondTheTargetIsAShortage)
+{
+  m_report.Start(At(0), MakeGroup(6));
+  CHECK_EQUAL(2U, m_report.CountBearableLosses(0));
+  STRCMP_EQUAL("", m_report.DescribeShortage(At(0), {}, "why").c_str());
+  CHECK_EQUAL(1U, m_report.CountBearableLosses(1));
+  STRCMP_EQUAL("the group is below its target: voters 6, target 5; silent "
+               "voters: 3; members without a vote: none; last refused change: "
+               "why",
+               m_report.DescribeShortage(At(0), { 3 }, "why").c_str());
+}
+
 TEST(MembershipReport, AReplicaWithoutALeaderNamesTheVotersItDoesNotHear)
 {
   m_report.Start(At(0), MakeGroup(4, 1));
