Control: Replace a lost voter whatever the availability zones

Cause: the rule that no zone may hold a majority was asked of each single change. The promotion of the successor makes six voters, three of them in one zone, and was allowed; the removal of the lost voter would leave three of five and was refused. The group stood with six voters of which one was lost, so it needed four and bore one loss.

A lost voter protects no zone: the survivors of a zone have to reach the larger majority too. The log refuses a removal that gives a zone a majority if the voter still answers, which keeps operators from crowding a zone. If a repair leaves a zone with a majority, the leader gives the vote of one of its voters to a learner elsewhere as soon as one has caught up.

Tests: the model put successors into the old zone and counted a group as whole however many lost voters it had. It now plays replacements in every order and zone in groups of 3, 5 and 7, and asks whether the group bears what its target bears. ReplicaSafety ALostVoterIsRemovedWhateverTheZones and MembershipReturn AVmElsewhereTakesAVoteFromTheZoneWithAMajority fail with the new rule and the move of votes taken out.

--- a/Source/Consensus/LeaderRole.cxx
+++ b/Source/Consensus/LeaderRole.cxx
@@ -199,6 +199,17 @@
   return m_tracker.Find(aReplica);
 }
 
+bool
+LeaderRole::HasAnswered(TimePoint aNow, std::uint64_t aReplica) const
+{
+  if (aReplica == m_state.Self()) {
+    return true;
+  }
+  const Progress* progress = Find(aReplica);
+  return progress != nullptr && progress->m_ackedSentAt != TimePoint::min() &&
+         aNow - progress->m_ackedSentAt <= m_state.m_options.m_electionTimeout;
+}
+
 bool
 LeaderRole::HasLiveQuorum(TimePoint aNow,
                           const consensus::MembershipT& aMembership) const
--- a/Source/Consensus/LeaderRole.h
+++ b/Source/Consensus/LeaderRole.h
@@ -49,6 +49,9 @@
   // Returns nullptr for a replica that is not a member, and for the leader
   // itself.
   const Progress* Find(std::uint64_t aReplica) const;
+  // Returns whether this member has answered within an election timeout, or is
+  // the leader itself.
+  bool HasAnswered(TimePoint aNow, std::uint64_t aReplica) const;
   // Returns whether a quorum of the membership's voters has answered within an
   // election timeout.
   bool HasLiveQuorum(TimePoint aNow,
--- a/Source/Consensus/MembershipRules.cxx
+++ b/Source/Consensus/MembershipRules.cxx
@@ -19,39 +19,19 @@
          aMember.vm + "\"";
 }
 
-std::size_t
-CountVotersOfZone(const MembershipT& aMembership, const std::string& aZone)
-{
-  return std::count_if(aMembership.members.begin(),
-                       aMembership.members.end(),
-                       [&](const auto& aMember) {
-                         return aMember->voter && aMember->zone == aZone;
-                       });
-}
-
 // Returns why the voters are not spread over enough availability zones, or
 // std::nullopt if they are.
 std::optional<std::string>
 FindZoneFault(const MembershipT& aMembership)
 {
-  const std::size_t voters = CountVoters(aMembership);
-  if (voters < kZoneRuleMinVoters) {
+  const auto zone = FindMajorityZone(aMembership);
+  if (!zone) {
     return std::nullopt;
   }
-  for (const auto& member : aMembership.members) {
-    // Founding members that know each other only by address have no zone, so
-    // the rule of the zones cannot be checked for them.
-    if (member->zone.empty()) {
-      continue;
-    }
-    const std::size_t ofZone = CountVotersOfZone(aMembership, member->zone);
-    if (ofZone >= QuorumSize(aMembership)) {
-      return "membership: availability zone \"" + member->zone + "\" has " +
-             std::to_string(ofZone) + " of " + std::to_string(voters) +
-             " voters; expected fewer than a majority";
-    }
-  }
-  return std::nullopt;
+  return "membership: availability zone \"" + *zone + "\" has " +
+         std::to_string(CountVotersOfZone(aMembership, *zone)) + " of " +
+         std::to_string(CountVoters(aMembership)) +
+         " voters; expected fewer than a majority";
 }
 
 // Returns why a member is not valid, or std::nullopt if all are.
@@ -73,24 +53,6 @@
   return std::nullopt;
 }
 
-// True if no member is known to be in another availability zone than the
-// others.
-bool
-IsInOneZone(const MembershipT& aMembership)
-{
-  const std::string* zone = nullptr;
-  for (const auto& member : aMembership.members) {
-    if (member->zone.empty()) {
-      continue;
-    }
-    if (zone != nullptr && *zone != member->zone) {
-      return false;
-    }
-    zone = &member->zone;
-  }
-  return true;
-}
-
 bool
 HasSameAddress(const MemberT& aLeft, const MemberT& aRight)
 {
@@ -132,6 +94,33 @@
   return CountVoters(aMembership) / 2 + 1;
 }
 
+std::size_t
+CountVotersOfZone(const MembershipT& aMembership, std::string_view aZone)
+{
+  return std::count_if(aMembership.members.begin(),
+                       aMembership.members.end(),
+                       [&](const auto& aMember) {
+                         return aMember->voter && aMember->zone == aZone;
+                       });
+}
+
+std::optional<std::string>
+FindMajorityZone(const MembershipT& aMembership)
+{
+  if (CountVoters(aMembership) < kZoneRuleMinVoters) {
+    return std::nullopt;
+  }
+  for (const auto& member : aMembership.members) {
+    // Founding members that know each other only by address have no zone, so
+    // the rule of the zones cannot be checked for them.
+    if (!member->zone.empty() && CountVotersOfZone(aMembership, member->zone) >=
+                                   QuorumSize(aMembership)) {
+      return member->zone;
+    }
+  }
+  return std::nullopt;
+}
+
 std::optional<std::string>
 FindMembershipFault(const MembershipT& aMembership)
 {
@@ -147,12 +136,6 @@
   if (auto fault = FindMemberFault(aNext)) {
     return fault;
   }
-  // Without a member elsewhere the group can only lose by keeping lost voters.
-  const bool mustSpread =
-    CountVoters(aCurrent) < kZoneRuleMinVoters || !IsInOneZone(aNext);
-  if (auto fault = FindZoneFault(aNext); fault && mustSpread) {
-    return fault;
-  }
   std::size_t changes = 0;
   for (const auto& member : aNext.members) {
     const MemberT* before = FindMember(aCurrent, member->replica);
@@ -178,6 +161,26 @@
   return std::nullopt;
 }
 
+std::optional<std::string>
+FindSpreadFault(const MembershipT& aCurrent, const MembershipT& aNext)
+{
+  auto fault = FindZoneFault(aNext);
+  return fault && FindMajorityZone(aCurrent) != FindMajorityZone(aNext)
+           ? fault
+           : std::nullopt;
+}
+
+std::uint64_t
+FindRemovedVoter(const MembershipT& aCurrent, const MembershipT& aNext)
+{
+  for (const auto& member : aCurrent.members) {
+    if (member->voter && FindMember(aNext, member->replica) == nullptr) {
+      return member->replica;
+    }
+  }
+  return 0;
+}
+
 std::uint64_t
 FindPromoted(const MembershipT& aCurrent, const MembershipT& aNext)
 {
--- a/Source/Consensus/MembershipRules.h
+++ b/Source/Consensus/MembershipRules.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "ConsensusGenerated.h"
@@ -24,22 +25,43 @@
 std::size_t
 QuorumSize(const consensus::MembershipT& aMembership);
 
-// Returns why the membership is not valid, or std::nullopt if it is valid.
+// Returns the number of voters that are known to be in this availability zone.
+std::size_t
+CountVotersOfZone(const consensus::MembershipT& aMembership,
+                  std::string_view aZone);
+
+// Returns the availability zone that holds a majority of three or more voters,
+// or std::nullopt if none is known to.
+std::optional<std::string>
+FindMajorityZone(const consensus::MembershipT& aMembership);
+
+// Returns why a group must not be formed of these members, or std::nullopt if
+// it may.
 //
 // In a group of three or more voters, no availability zone may hold a majority.
-// Otherwise a zone that is partitioned from the others could commit alone.
+// Otherwise the loss of that zone ends the group.
 std::optional<std::string>
 FindMembershipFault(const consensus::MembershipT& aMembership);
 
 // Returns why aNext must not follow aCurrent, or std::nullopt if it may. A
 // change adds one learner, promotes one learner, removes one member or moves
-// one member to another address. A group of three or more voters whose members
-// are all in one availability zone, as far as is known, stays changeable, so
-// that lost voters are replaced.
+// one member to another address.
 std::optional<std::string>
 FindChangeFault(const consensus::MembershipT& aCurrent,
                 const consensus::MembershipT& aNext);
 
+// Returns why the voters of aNext are worse spread over the availability zones
+// than those of aCurrent, or std::nullopt if they are not: a zone gets a
+// majority that it did not have.
+std::optional<std::string>
+FindSpreadFault(const consensus::MembershipT& aCurrent,
+                const consensus::MembershipT& aNext);
+
+// Returns the voter that aNext removes, or 0.
+std::uint64_t
+FindRemovedVoter(const consensus::MembershipT& aCurrent,
+                 const consensus::MembershipT& aNext);
+
 // Returns the learner that aNext promotes to a voter, or 0.
 std::uint64_t
 FindPromoted(const consensus::MembershipT& aCurrent,
--- a/Source/Consensus/ReplicaParts.cxx
+++ b/Source/Consensus/ReplicaParts.cxx
@@ -138,6 +138,12 @@
   if (auto fault = FindChangeFault(current, aNext)) {
     return ReplicaReason{ ReplicaError::Invalid, std::move(*fault) };
   }
+  // A lost voter only raises the majority, so it may go whatever its zone.
+  if (m_leader.HasAnswered(aNow, FindRemovedVoter(current, aNext))) {
+    if (auto fault = FindSpreadFault(current, aNext)) {
+      return ReplicaReason{ ReplicaError::Invalid, std::move(*fault) };
+    }
+  }
   const std::uint64_t promoted = FindPromoted(current, aNext);
   if (promoted != 0 && MatchIndex(promoted) < m_state.m_log.CommitIndex()) {
     return notNow("membership: replica " + std::to_string(promoted) +
--- a/Source/Control/MembershipChange.cxx
+++ b/Source/Control/MembershipChange.cxx
@@ -3,6 +3,7 @@
 
 #include <memory>
 #include <utility>
+#include <vector>
 
 #include "Consensus/MembershipRules.h"
 
@@ -25,6 +26,78 @@
   return !fault;
 }
 
+// Returns the learners that answer and have synced all committed entries.
+std::vector<const consensus::MemberT*>
+ListReadyLearners(TimePoint aNow,
+                  const Replica& aLeader,
+                  const MembershipRepair& aRepair)
+{
+  std::vector<const consensus::MemberT*> learners;
+  for (const auto& member : aLeader.Members().members) {
+    // The match index of a member covers only entries that it has synced.
+    const std::uint64_t match = aLeader.MatchIndex(member->replica);
+    if (!member->voter && match != 0 && match >= aLeader.CommitIndex() &&
+        aRepair.IsResponsive(aNow, member->replica)) {
+      learners.push_back(member.get());
+    }
+  }
+  return learners;
+}
+
+std::string
+DescribeProgress(const Replica& aLeader, std::uint64_t aReplica)
+{
+  return "caught up to " + std::to_string(aLeader.MatchIndex(aReplica)) +
+         " of " + std::to_string(aLeader.CommitIndex());
+}
+
+MembershipChange
+MakePromotion(const Replica& aLeader,
+              std::uint64_t aReplica,
+              std::string aEvidence)
+{
+  MembershipChange change{ aLeader.Members(), aReplica, std::move(aEvidence) };
+  for (const auto& member : change.m_next.members) {
+    member->voter = member->voter || member->replica == aReplica;
+  }
+  return change;
+}
+
+// Returns the promotion of a learner outside of the availability zone with a
+// majority or, once the group has a voter beyond its target, the removal of a
+// voter of that zone.
+std::optional<MembershipChange>
+FindBetterSpread(TimePoint aNow,
+                 const Replica& aLeader,
+                 const MembershipRepair& aRepair,
+                 std::uint64_t aSelf,
+                 std::string& aPassedOver)
+{
+  const consensus::MembershipT& members = aLeader.Members();
+  const auto zone = aRepair.FindCrowdedZone(aNow, members, aSelf);
+  if (!zone) {
+    return std::nullopt;
+  }
+  const std::string evidence =
+    "availability zone \"" + *zone + "\" has a majority of the voters";
+  if (aRepair.HasSpareVoter(members)) {
+    for (const auto& member : members.members) {
+      if (member->voter && member->zone == *zone && member->replica != aSelf) {
+        return FindRemoval(members, member->replica, evidence);
+      }
+    }
+    return std::nullopt;
+  }
+  for (const auto* learner : ListReadyLearners(aNow, aLeader, aRepair)) {
+    auto change = MakePromotion(aLeader, learner->replica, evidence);
+    if (aRepair.HasRoom(members, learner->zone) &&
+        IsAllowed(members, change, aPassedOver)) {
+      return change;
+    }
+  }
+  return std::nullopt;
+}
+
 } // namespace
 
 std::optional<MembershipChange>
@@ -68,20 +141,9 @@
               std::string& aPassedOver)
 {
   const consensus::MembershipT& members = aLeader.Members();
-  const std::uint64_t commit = aLeader.CommitIndex();
-  for (std::size_t i = 0; i < members.members.size(); ++i) {
-    const consensus::MemberT& member = *members.members[i];
-    // The match index of a member covers only entries that it has synced.
-    const std::uint64_t match = aLeader.MatchIndex(member.replica);
-    if (member.voter || match == 0 || match < commit ||
-        !aRepair.IsResponsive(aNow, member.replica)) {
-      continue;
-    }
-    MembershipChange change{ members,
-                             member.replica,
-                             "caught up to " + std::to_string(match) + " of " +
-                               std::to_string(commit) };
-    change.m_next.members[i]->voter = true;
+  for (const auto* learner : ListReadyLearners(aNow, aLeader, aRepair)) {
+    auto change = MakePromotion(
+      aLeader, learner->replica, DescribeProgress(aLeader, learner->replica));
     if (IsAllowed(members, change, aPassedOver)) {
       return change;
     }
@@ -110,7 +172,7 @@
       return removal;
     }
   }
-  return std::nullopt;
+  return FindBetterSpread(aNow, aLeader, aRepair, aSelf, aPassedOver);
 }
 
 } // namespace parsleycove
--- a/Source/Control/MembershipChange.h
+++ b/Source/Control/MembershipChange.h
@@ -39,8 +39,9 @@
               const MembershipRepair& aRepair,
               std::string& aPassedOver);
 
-// Returns what the leader changes next to keep the group at its target, or
-// std::nullopt if nothing is to be changed. A change that the rules for
+// Returns what the leader changes next to keep the group at its target, and
+// then to take a majority of the voters from an availability zone that has one,
+// or std::nullopt if nothing is to be changed. A change that the rules for
 // memberships forbid is passed over, so that it does not block the others. The
 // log may refuse the change for now. aPassedOver is set to the last change that
 // was passed over and why, for the log; it stays as it is if there was none.
--- a/Source/Control/MembershipRepair.cxx
+++ b/Source/Control/MembershipRepair.cxx
@@ -16,6 +16,8 @@
 // A learner is promoted only if its last message is at most this share of the
 // time-out old: a lost learner with a vote would only raise the majority.
 constexpr int kPromotionShare = 3;
+// The loss of a zone ends a smaller group in any case.
+constexpr std::size_t kMinSpreadVoters = 3;
 
 } // namespace
 
@@ -178,9 +180,8 @@
   if (m_options.m_targetVoters == 0) {
     return replicas;
   }
-  const bool hasSpareVoter = CountVoters(aMembers) > m_options.m_targetVoters;
   for (const auto& member : aMembers.members) {
-    const bool isRemovable = !member->voter || hasSpareVoter;
+    const bool isRemovable = !member->voter || HasSpareVoter(aMembers);
     if (isRemovable && IsLost(aNow, aMembers, *member, aSelf)) {
       replicas.push_back(member->replica);
     }
@@ -194,6 +195,45 @@
   return replicas;
 }
 
+bool
+MembershipRepair::HasSpareVoter(const consensus::MembershipT& aMembers) const
+{
+  return CountVoters(aMembers) > m_options.m_targetVoters;
+}
+
+std::optional<std::string>
+MembershipRepair::FindCrowdedZone(TimePoint aNow,
+                                  const consensus::MembershipT& aMembers,
+                                  std::uint64_t aSelf) const
+{
+  if (m_options.m_targetVoters < kMinSpreadVoters ||
+      CountVoters(aMembers) < m_options.m_targetVoters) {
+    return std::nullopt;
+  }
+  const std::string* crowded = nullptr;
+  for (const auto& member : aMembers.members) {
+    if (!member->voter) {
+      continue;
+    }
+    if (member->replica != aSelf && !IsResponsive(aNow, member->replica)) {
+      return std::nullopt;
+    }
+    if (!member->zone.empty() &&
+        CountVotersOfZone(aMembers, member->zone) >= MajorityOfTarget()) {
+      crowded = &member->zone;
+    }
+  }
+  return crowded == nullptr ? std::nullopt : std::optional(*crowded);
+}
+
+bool
+MembershipRepair::HasRoom(const consensus::MembershipT& aMembers,
+                          const std::string& aZone) const
+{
+  return !aZone.empty() &&
+         CountVotersOfZone(aMembers, aZone) + 1 < MajorityOfTarget();
+}
+
 bool
 MembershipRepair::IsResponsive(TimePoint aNow, std::uint64_t aReplica) const
 {
--- a/Source/Control/MembershipRepair.h
+++ b/Source/Control/MembershipRepair.h
@@ -8,6 +8,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -56,6 +57,19 @@
     TimePoint aNow,
     const consensus::MembershipT& aMembers,
     std::uint64_t aSelf) const;
+  // Returns whether the group has more voters than its target.
+  bool HasSpareVoter(const consensus::MembershipT& aMembers) const;
+  // Returns the availability zone that has a majority of the target of voters,
+  // or std::nullopt if none has, or not all voters answer: their replacement
+  // comes first.
+  std::optional<std::string> FindCrowdedZone(
+    TimePoint aNow,
+    const consensus::MembershipT& aMembers,
+    std::uint64_t aSelf) const;
+  // Returns whether a zone that is known may have another voter without a
+  // majority of the target.
+  bool HasRoom(const consensus::MembershipT& aMembers,
+               const std::string& aZone) const;
   // Returns whether the replica sent a message recently enough to be promoted.
   bool IsResponsive(TimePoint aNow, std::uint64_t aReplica) const;
   // Returns the voters that are lost.
@@ -85,6 +99,10 @@
               const consensus::MembershipT& aMembers,
               const consensus::MemberT& aMember,
               std::uint64_t aSelf) const;
+  std::size_t MajorityOfTarget() const
+  {
+    return m_options.m_targetVoters / 2 + 1;
+  }
 
   const MembershipRepairOptions m_options;
   TimePoint m_startedAt{};
--- a/Tests/Consensus/ReplicaSafetyTest.cxx
+++ b/Tests/Consensus/ReplicaSafetyTest.cxx
@@ -462,7 +462,7 @@
     Grants(restarted, soon + seconds(1), MakeMessage(3, 2, MakeVote(9))));
 }
 
-TEST(ReplicaSafety, OneZoneNeverHoldsAMajority)
+TEST(ReplicaSafety, NoZoneGetsAMajorityByTheRemovalOfARunningVoter)
 {
   TestCluster cluster(3, 1);
   CHECK(cluster.Commit(1));
@@ -478,6 +478,23 @@
   CHECK_FALSE(fresh.Bootstrap(members));
 }
 
+// Guards against a group that is left with a lost voter and a larger majority,
+// since the removal gives a zone the majority.
+TEST(ReplicaSafety, ALostVoterIsRemovedWhateverTheZones)
+{
+  TestCluster cluster(3, 1);
+  CHECK(cluster.Commit(1));
+  const std::uint64_t id = cluster.Join("a");
+  CHECK(cluster.ChangeMembership(cluster.With(id, "a", true)));
+  const std::uint64_t lost = cluster.Leader() == 2 ? 3 : 2;
+  cluster.Wipe(lost);
+  cluster.Run(seconds(2));
+  CHECK(cluster.ChangeMembership(cluster.Without(lost)));
+  cluster.Wipe(cluster.Leader() == id ? 1 : id);
+  CHECK(cluster.Commit(2));
+  STRCMP_EQUAL("", cluster.FirstViolation().c_str());
+}
+
 TEST(ReplicaSafety, LearnerIsPromotedOnlyOnceItHasStoredAll)
 {
   TestCluster cluster(3, 1);
--- a/Tests/Control/MembershipModel.cxx
+++ b/Tests/Control/MembershipModel.cxx
@@ -20,21 +20,22 @@
 constexpr Duration kValueInterval = milliseconds(500);
 constexpr Duration kReturnTime = seconds(10);
 constexpr Duration kMemberTimeout = seconds(1);
-using Names = std::vector<std::string>;
-
-const Names kZones{ "a", "b", "c" };
 
 } // namespace
 
 MembershipModel::MembershipModel(std::size_t aTarget,
                                  std::uint64_t aSeed,
                                  const ReplicaOptions& aOptions,
-                                 bool aOneZone)
+                                 const ModelZones& aZones)
   : m_target(aTarget)
-  , m_cluster(aTarget, aSeed, aOptions, aOneZone ? Names{ "" } : kZones)
+  , m_cluster(aTarget,
+              aSeed,
+              aOptions,
+              aZones.m_areKnown ? aZones.m_zones
+                                : std::vector<std::string>{ "" })
 {
   for (std::size_t i = 0; i < aTarget; ++i) {
-    AddVm(i + 1, kZones[aOneZone ? 0 : i % kZones.size()]);
+    AddVm(i + 1, aZones.m_zones[i % aZones.m_zones.size()]);
     m_seeds.push_back(m_vms.back().m_address);
   }
   for (std::size_t i = 0; i < aTarget; ++i) {
@@ -209,12 +210,24 @@
 
 std::size_t
 MembershipModel::Replace(std::size_t aVm)
+{
+  return Replace(aVm, std::string(m_vms[aVm].m_zone));
+}
+
+std::size_t
+MembershipModel::Join(const std::string& aZone)
+{
+  AddVm(m_cluster.Add(aZone), aZone);
+  return m_vms.size() - 1;
+}
+
+std::size_t
+MembershipModel::Replace(std::size_t aVm, const std::string& aZone)
 {
   m_cluster.Wipe(m_vms[aVm].m_id);
   m_vms[aVm].m_gone = true;
   m_vms[aVm].m_client.reset();
-  const std::string zone = m_vms[aVm].m_zone;
-  AddVm(m_cluster.Add(zone), zone);
+  Join(aZone);
   std::replace(m_seeds.begin(),
                m_seeds.end(),
                m_vms[aVm].m_address,
--- a/Tests/Control/MembershipModel.h
+++ b/Tests/Control/MembershipModel.h
@@ -15,18 +15,25 @@
 
 namespace parsleycove::test {
 
+// The availability zones of the founders, in turn.
+struct ModelZones
+{
+  std::vector<std::string> m_zones{ "a", "b", "c" };
+  // Otherwise the founders know each other by address only.
+  bool m_areKnown = true;
+};
+
 // VMs have numbers from 0 on, which stay the same for a lost disk and a new
 // identity. Not modelled: a replica that keeps its disk and changes its
 // address.
 class MembershipModel final : public ModelNetwork
 {
 public:
-  // Starts a group of aTarget VMs in three availability zones, or in one zone
-  // that the founders do not know of each other.
+  // Starts a group of aTarget VMs.
   MembershipModel(std::size_t aTarget,
                   std::uint64_t aSeed,
                   const ReplicaOptions& aOptions = {},
-                  bool aOneZone = false);
+                  const ModelZones& aZones = {});
 
   void Run(Duration aFor);
 
@@ -39,6 +46,9 @@
   // A new VM at another address takes the place of this one for good, also
   // among the seeds of the settings. Returns its number.
   std::size_t Replace(std::size_t aVm);
+  std::size_t Replace(std::size_t aVm, const std::string& aZone);
+  // Starts a VM beyond the target. Returns its number.
+  std::size_t Join(const std::string& aZone);
   // The calls of this VM are carried out, but the next aCount answers are lost.
   void LoseAnswers(std::size_t aVm, std::size_t aCount);
 
@@ -55,8 +65,11 @@
   // Ends all faults and runs on for 10 s.
   void HealAndWait();
   // Returns whether the leader's members have at least the target of voters
-  // that run and hold their disks.
+  // that run and hold their disks, and bear as many losses at once as the
+  // target of voters alone.
   bool HasReturned() const;
+  // Returns whether some zone has a majority of the leader's voters.
+  bool IsHeldByOneZone() const;
   // Whether a value is committed and all that was acknowledged is kept.
   bool KeepsWhatWasAcknowledged();
   // Returns why safety was violated, or an empty text.
--- a/Tests/Control/MembershipModelNetwork.cxx
+++ b/Tests/Control/MembershipModelNetwork.cxx
@@ -23,12 +23,22 @@
   if (leader == m_vms.size()) {
     return false;
   }
+  const consensus::MembershipT& members = ReplicaOf(m_vms[leader]).Members();
   std::size_t voters = 0;
-  for (const auto& member : ReplicaOf(m_vms[leader]).Members().members) {
+  for (const auto& member : members.members) {
     const std::size_t vm = VmOf(member->replica);
     voters += member->voter && vm < m_vms.size() && IsUp(m_vms[vm]) ? 1 : 0;
   }
-  return voters >= m_target;
+  const std::size_t bearable = (m_target - 1) / 2;
+  return voters >= m_target && voters - bearable >= QuorumSize(members);
+}
+
+bool
+MembershipModel::IsHeldByOneZone() const
+{
+  const std::size_t leader = LeaderVm();
+  return leader < m_vms.size() &&
+         FindMembershipFault(ReplicaOf(m_vms[leader]).Members()).has_value();
 }
 
 bool
--- a/Tests/Control/MembershipModelTest.cxx
+++ b/Tests/Control/MembershipModelTest.cxx
@@ -4,11 +4,13 @@
 // over the group has its target of voters again.
 //
 // PARSLEYCOVE_MODEL_WALKS sets the number of random walks,
-// PARSLEYCOVE_MODEL_SEED the seed of the first one.
+// PARSLEYCOVE_MODEL_SEED the seed of the first one, and
+// PARSLEYCOVE_MODEL_REPLACEMENTS how many replacements are added to each order.
 #include "Control/MembershipModel.h"
 
 #include <algorithm>
 #include <cstdlib>
+#include <map>
 #include <random>
 #include <string>
 #include <vector>
@@ -260,6 +262,124 @@
   return text == nullptr ? aDefault : std::strtoull(text, nullptr, 10);
 }
 
+// VMs are replaced one after the other, each by one in any zone, and as many
+// disks as the group bears are lost at once after the last one.
+struct Replacement
+{
+  std::size_t m_victim = 0; // counted from the leader on
+  const char* m_zone = "a";
+};
+struct Replacements
+{
+  std::size_t m_target = kTarget;
+  ModelZones m_zones;
+  std::vector<Replacement> m_steps;
+};
+
+std::string
+Describe(const Replacements& aSchedule)
+{
+  std::string text = std::to_string(aSchedule.m_target) + " VMs in";
+  for (const std::string& zone : aSchedule.m_zones.m_zones) {
+    text += " " + zone;
+  }
+  text += aSchedule.m_zones.m_areKnown ? "" : " (not known)";
+  for (const Replacement& step : aSchedule.m_steps) {
+    text += ", " + std::to_string(step.m_victim) + " replaced in " +
+            std::string(step.m_zone);
+  }
+  return text;
+}
+
+std::vector<std::size_t>
+ListRunning(const MembershipModel& aModel)
+{
+  std::vector<std::size_t> running;
+  for (std::size_t vm = 0; vm < aModel.CountVms(); ++vm) {
+    if (!aModel.IsGone(vm)) {
+      running.push_back(vm);
+    }
+  }
+  const auto leader =
+    std::find(running.begin(), running.end(), aModel.LeaderVm());
+  std::rotate(running.begin(),
+              leader == running.end() ? running.begin() : leader,
+              running.end());
+  return running;
+}
+
+// Returns whether the group was whole again after each replacement.
+bool
+Play(MembershipModel& aModel, const Replacements& aSchedule)
+{
+  bool isWhole = true;
+  for (const Replacement& step : aSchedule.m_steps) {
+    aModel.Replace(ListRunning(aModel)[step.m_victim], step.m_zone);
+    aModel.Run(milliseconds(kCatchUpMs));
+    isWhole = isWhole && aModel.HasReturned();
+  }
+  const auto running = ListRunning(aModel);
+  for (std::size_t i = 0; i < (aSchedule.m_target - 1) / 2; ++i) {
+    aModel.LoseDisk(running[i], milliseconds(500));
+  }
+  return isWhole;
+}
+
+// Appends all schedules with one more step up to aDepth steps.
+void
+AppendSchedules(const Replacements& aFirst,
+                std::size_t aDepth,
+                std::vector<Replacements>& aSchedules)
+{
+  if (aFirst.m_steps.size() == aDepth) {
+    aSchedules.push_back(aFirst);
+    return;
+  }
+  for (std::size_t victim = 0; victim < aFirst.m_target; ++victim) {
+    for (const char* const zone : { "a", "b", "c" }) {
+      Replacements next = aFirst;
+      next.m_steps.push_back({ victim, zone });
+      AppendSchedules(next, aDepth, aSchedules);
+    }
+  }
+}
+
+// A group is not formed of founders that know of a zone with a majority.
+bool
+CanForm(std::size_t aTarget, const ModelZones& aZones)
+{
+  const std::vector<std::string>& zones = aZones.m_zones;
+  std::map<std::string, std::size_t> founders;
+  std::size_t most = 0;
+  for (std::size_t i = 0; i < aTarget; ++i) {
+    most = std::max(most, ++founders[zones[i % zones.size()]]);
+  }
+  return !aZones.m_areKnown || most <= aTarget / 2;
+}
+
+// All orders of replacements in groups of each size and spread over the zones.
+std::vector<Replacements>
+ListReplacements()
+{
+  using Names = std::vector<std::string>;
+  const std::size_t more = ReadNumber("PARSLEYCOVE_MODEL_REPLACEMENTS", 0);
+  std::vector<Replacements> schedules;
+  for (const auto& [target, depth] :
+       { std::pair{ 3U, 2U }, std::pair{ 5U, 2U }, std::pair{ 7U, 1U } }) {
+    for (const bool areKnown : { true, false }) {
+      for (const Names& zones : { Names{ "a", "b", "c" },
+                                  Names{ "a", "a", "b", "b", "c" },
+                                  Names{ "a" } }) {
+        const Replacements first{ target, { zones, areKnown }, {} };
+        if (CanForm(first.m_target, first.m_zones)) {
+          AppendSchedules(first, depth + more, schedules);
+        }
+      }
+    }
+  }
+  return schedules;
+}
+
 std::size_t
 CountImpaired(const MembershipModel& aModel)
 {
@@ -433,6 +553,23 @@
   return kOutcomes;
 }
 
+const std::vector<Outcome>&
+PlayReplacements()
+{
+  static const std::vector<Outcome> kOutcomes = [] {
+    std::vector<Outcome> outcomes;
+    for (const Replacements& schedule : ListReplacements()) {
+      MembershipModel model(
+        schedule.m_target, 1, ControlVmOptions(), schedule.m_zones);
+      const bool isWhole = Play(model, schedule);
+      outcomes.push_back(Judge(model, Describe(schedule)));
+      outcomes.back().m_returned = outcomes.back().m_returned && isWhole;
+    }
+    return outcomes;
+  }();
+  return kOutcomes;
+}
+
 // Fails if one of the plays does not hold, and tells how many and the first.
 void
 CheckAll(const std::vector<Outcome>& aOutcomes, bool Outcome::*aHolds)
@@ -490,7 +627,8 @@
 TEST(MembershipReturn, DisksInTurnInOneZone)
 {
   for (const std::size_t target : { 3, 5 }) {
-    MembershipModel model(target, 1, ControlVmOptions(), true);
+    MembershipModel model(
+      target, 1, ControlVmOptions(), ModelZones{ { "a" }, false });
     for (std::size_t vm = 0; vm < target; ++vm) {
       model.LoseDisk(vm, milliseconds(500));
       model.Run(milliseconds(500 + kCatchUpMs));
@@ -499,6 +637,39 @@
   }
 }
 
+// Guards against a lost voter that keeps its vote for good, since its successor
+// came in another zone.
+TEST(MembershipReturn, ReplacementsInAnyZone)
+{
+  CheckAll(PlayReplacements(), &Outcome::m_returned);
+}
+
+TEST(MembershipSafety, ReplacementsInAnyZone)
+{
+  CheckAll(PlayReplacements(), &Outcome::m_kept);
+}
+
+// Guards against a zone that keeps a majority though VMs run elsewhere.
+TEST(MembershipReturn, AVmElsewhereTakesAVoteFromTheZoneWithAMajority)
+{
+  for (const std::size_t target : { 3, 5, 7 }) {
+    MembershipModel model(target, 1, ControlVmOptions());
+    // A founder that is not in the zone "a" is the last one or the second one.
+    for (std::size_t vm = 1; !model.IsHeldByOneZone(); ++vm) {
+      CHECK(vm < target);
+      model.Replace(vm, "a");
+      model.Run(milliseconds(kCatchUpMs));
+      CHECK_TEXT(model.HasReturned(), model.Describe().c_str());
+    }
+    for (const char* const zone : { "b", "c", "b", "c" }) {
+      model.Join(zone);
+    }
+    model.Run(milliseconds(2 * kCatchUpMs));
+    CHECK_TEXT(!model.IsHeldByOneZone(), model.Describe().c_str());
+    CHECK_TEXT(model.HasReturned(), model.Describe().c_str());
+  }
+}
+
 TEST(MembershipSafety, DiskAndPower)
 {
   CheckAll(PlayDiskAndPower(), &Outcome::m_kept);
