Wire: Read the parameters of Keep-Alive in any spelling

An endpoint that writes "Timeout=5" counted as one that names no limit, so its idle connections were kept for 30 s and a request could be sent on one that the endpoint was closing.

The field is read parameter by parameter, names without regard to case.

--- a/Source/Forwarding/EndpointCall.cxx
+++ b/Source/Forwarding/EndpointCall.cxx
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <utility>
 
 #include <boost/asio/as_tuple.hpp>
@@ -12,6 +11,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
+#include "Wire/KeepAlive.h"
+
 namespace parsleycove {
 
 namespace {
@@ -19,29 +20,12 @@
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t kReadBytes = 16UL * 1024;
 // Idle limit of connections to an endpoint that does not send a limit.
-constexpr Duration kDefaultIdle = std::chrono::seconds(30);
+constexpr std::chrono::seconds kDefaultIdle{ 30 };
 // Idle connections are closed this long before the endpoint would close them.
 constexpr Duration kIdleMargin = std::chrono::milliseconds(500);
 // A call whose request may not move yet asks again after this time.
 constexpr Duration kMoveClaimInterval = std::chrono::milliseconds(20);
 
-// Parses the "timeout=5" parameter of a Keep-Alive header.
-Duration
-ReadIdleLimit(std::string_view aValue)
-{
-  constexpr std::string_view kName = "timeout=";
-  const auto place = aValue.find(kName);
-  if (place == std::string_view::npos) {
-    return kDefaultIdle;
-  }
-  const std::string_view digits = aValue.substr(place + kName.size());
-  unsigned seconds = 0;
-  const auto [stop, error] =
-    std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
-  return error == std::errc{} ? Duration(std::chrono::seconds(seconds))
-                              : kDefaultIdle;
-}
-
 } // namespace
 
 EndpointCall::EndpointCall(const asio::any_io_executor& aExecutor,
@@ -378,7 +362,8 @@
     return;
   }
   const Duration idle =
-    ReadIdleLimit(Answer()[http::field::keep_alive]) - kIdleMargin;
+    ReadIdleLimit(Answer()[http::field::keep_alive]).value_or(kDefaultIdle) -
+    kIdleMargin;
   if (m_connection->m_buffer.capacity() > kReadBytes) {
     m_connection->m_buffer.shrink_to_fit();
   }
