Base: Compare IPv6 numbers whatever their spelling

"[FD00::1]:7000" and "[fd00::1]:7000" were two addresses, so a VM whose own address is written otherwise than in the list of founders or seeds did not find itself there, and an endpoint named in another one's answer was not found.

SocketAddress::Parse gives the one form of a number. Addresses in answers are parsed before they are compared. IPv4 numbers have one form; nothing changes for them.

SocketAddress.SpellingsOfOneNumberAreEqual failed with the old Parse (for "[FD00::1]:7000") and passes now.

--- a/Source/Base/SocketAddress.cxx
+++ b/Source/Base/SocketAddress.cxx
@@ -2,18 +2,28 @@
 #include "Base/SocketAddress.h"
 
 #include <arpa/inet.h>
+#include <array>
 #include <charconv>
+#include <utility>
 
 namespace parsleycove {
 
 namespace {
 
-bool
-IsIpNumber(const std::string& aText)
+// Returns the one form of an IP number in which it is compared, or std::nullopt
+// for another text.
+std::optional<std::string>
+NormalizeIpNumber(const std::string& aText)
 {
-  in6_addr buffer{};
-  return inet_pton(AF_INET, aText.c_str(), &buffer) == 1 ||
-         inet_pton(AF_INET6, aText.c_str(), &buffer) == 1;
+  for (const int family : { AF_INET, AF_INET6 }) {
+    in6_addr number{};
+    std::array<char, INET6_ADDRSTRLEN> text{};
+    if (inet_pton(family, aText.c_str(), &number) == 1 &&
+        inet_ntop(family, &number, text.data(), text.size()) != nullptr) {
+      return text.data();
+    }
+  }
+  return std::nullopt;
 }
 
 } // namespace
@@ -40,11 +50,11 @@
   if (error != std::errc{} || end != digits.data() + digits.size()) {
     return std::nullopt;
   }
-  SocketAddress result{ std::string(host), port };
-  if (!IsIpNumber(result.m_address)) {
+  auto number = NormalizeIpNumber(std::string(host));
+  if (!number) {
     return std::nullopt;
   }
-  return result;
+  return SocketAddress{ std::move(*number), port };
 }
 
 std::string
--- a/Source/Forwarding/EngineFailureDetector.cxx
+++ b/Source/Forwarding/EngineFailureDetector.cxx
@@ -601,13 +601,14 @@
 EngineFailureDetector::FindByAddress(std::string_view aAddress) const
 {
   const RunnerTable* table = m_routing->Runners();
-  if (table == nullptr || aAddress.empty()) {
+  const auto address = SocketAddress::Parse(aAddress);
+  if (table == nullptr || !address) {
     return nullptr;
   }
   // One that has left stays listed, also after another took its address.
   RunnerPtr leaving;
   for (const RunnerPtr& runner : table->Runners()) {
-    if (runner->m_address.ToString() != aAddress) {
+    if (runner->m_address != *address) {
       continue;
     }
     if (runner->m_phase == state::EndpointPhase::Ready) {
--- a/Source/Forwarding/StreamRerouter.cxx
+++ b/Source/Forwarding/StreamRerouter.cxx
@@ -218,10 +218,11 @@
 std::string
 StreamRerouter::FindStageId(const StagePath& aPath, std::string_view aAddress)
 {
+  const auto address = SocketAddress::Parse(aAddress);
   const auto& stages = aPath.m_stages;
   const auto stage =
     std::find_if(stages.begin(), stages.end(), [&](const PathStage& aStage) {
-      return aStage.m_runner->m_address.ToString() == aAddress;
+      return address && aStage.m_runner->m_address == *address;
     });
   return stage == stages.end() ? std::string{} : stage->m_runner->m_id;
 }
--- a/Tests/Base/SocketAddressTest.cxx
+++ b/Tests/Base/SocketAddressTest.cxx
@@ -17,6 +17,16 @@
   STRCMP_EQUAL("[::1]:7000", v6->ToString().c_str());
 }
 
+// Guards against a VM that does not find itself among the founders or the
+// seeds.
+TEST(SocketAddress, SpellingsOfOneNumberAreEqual)
+{
+  const auto usual = SocketAddress::Parse("[fd00::1]:7000");
+  for (const char* const text : { "[FD00::1]:7000", "[fd00:0:0::0:1]:7000" }) {
+    CHECK_TEXT(SocketAddress::Parse(text) == usual, text);
+  }
+}
+
 TEST(SocketAddress, RefusesNamesAndBadPorts)
 {
   for (const char* text : { "localhost:70",
