Routing: Compare hosts in one form

Cause: the host of a request was brought into small letters and lost its port, the host of a route was compared as the operator wrote it.

NormalizeHost() is the one form in which hosts are compared: in the index of the routes, in the look-up, in the check for two routes at one place, and in the identity of a request that comes again, which took the host as written, so that a crashing request got around its quarantine by another spelling. A document that the control group has accepted under an earlier release may hold two spellings of one host; the one that was served goes on being served, and an operator who sends it again is refused.

Ruled out: a route that is dropped when the document is read, and a host of a request that is read wrongly: a route for "one.example" is found by any spelling on the code before, one for "One.Example" by none.

Tests, seen to fail with the normal form taken out of the index and of the identity: RoutingConfig FindsAHostInAnySpelling and RefusesTwoRoutesAtOnePlaceWhateverTheirSpelling, RequestIdentity IsEqualForAHostInAnySpelling.

--- a/Source/Base/RequestIdentity.cxx
+++ b/Source/Base/RequestIdentity.cxx
@@ -9,6 +9,8 @@
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
+#include "Base/HostName.h"
+
 namespace parsleycove {
 
 namespace {
@@ -21,11 +23,12 @@
 std::string
 IdentifyRequest(const RequestContent& aContent)
 {
+  const std::string host = NormalizeHost(aContent.m_host);
   // Each field is preceded by its length, so that no two contents give the same
   // bytes.
   std::string bytes;
   for (const std::string_view field : { aContent.m_method,
-                                        aContent.m_host,
+                                        std::string_view(host),
                                         aContent.m_target,
                                         aContent.m_account,
                                         aContent.m_prompt }) {
--- a/Source/Base/RequestIdentity.h
+++ b/Source/Base/RequestIdentity.h
@@ -10,6 +10,7 @@
 struct RequestContent
 {
   std::string_view m_method;
+  // Compared in the form of NormalizeHost().
   std::string_view m_host;
   // Path and query.
   std::string_view m_target;
--- a/Source/Forwarding/ForwardSession.cxx
+++ b/Source/Forwarding/ForwardSession.cxx
@@ -2,7 +2,6 @@
 #include "Forwarding/ForwardSession.h"
 
 #include <algorithm>
-#include <cctype>
 #include <utility>
 
 #include <boost/asio/as_tuple.hpp>
@@ -44,21 +43,6 @@
 constexpr Duration kMaxConfirmWait = std::chrono::milliseconds(800);
 constexpr Duration kConfigurationPollInterval = std::chrono::milliseconds(15);
 
-// Returns the host without its port, in lower case.
-std::string
-ReadHost(const HttpRequest& aRequest)
-{
-  std::string host(aRequest[http::field::host]);
-  if (const auto colon = host.find(':'); colon != std::string::npos) {
-    host.resize(colon);
-  }
-  std::transform(
-    host.begin(), host.end(), host.begin(), [](unsigned char aLetter) {
-      return static_cast<char>(std::tolower(aLetter));
-    });
-  return host;
-}
-
 std::string_view
 PathOf(const HttpRequest& aRequest)
 {
@@ -345,8 +329,8 @@
     const bool hasLease = routing.HasLease(BootClock::now());
     aRequest.m_config = routing.SharedConfig();
     aRequest.m_account = nullptr;
-    aRequest.m_route = aRequest.m_config->FindRoute(ReadHost(aRequest.Http()),
-                                                    PathOf(aRequest.Http()));
+    aRequest.m_route = aRequest.m_config->FindRoute(
+      aRequest.Http()[http::field::host], PathOf(aRequest.Http()));
     if (aRequest.m_route == nullptr) {
       return hasLease ? LookupResult::NoRoute : LookupResult::NoLease;
     }
--- a/Source/Forwarding/RoutingState.cxx
+++ b/Source/Forwarding/RoutingState.cxx
@@ -94,7 +94,8 @@
   }
   m_documentVersion = document->version;
   RoutingReason reason;
-  auto config = m_codec.Decode(document->text, reason);
+  auto config =
+    m_codec.Decode(document->text, reason, DocumentOrigin::Accepted);
   if (!config) {
     // Documents are validated before they are accepted, so a replica of another
     // release accepted this one.
--- a/Source/Placement/PlacementController.cxx
+++ b/Source/Placement/PlacementController.cxx
@@ -95,7 +95,8 @@
   }
   m_documentVersion = document->version;
   RoutingReason reason;
-  if (auto config = m_codec.Decode(document->text, reason)) {
+  if (auto config =
+        m_codec.Decode(document->text, reason, DocumentOrigin::Accepted)) {
     m_config = std::move(config);
     return;
   }
--- a/Source/Routing/RoutingConfig.cxx
+++ b/Source/Routing/RoutingConfig.cxx
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "Base/HostName.h"
+
 namespace parsleycove {
 
 namespace {
@@ -39,16 +41,19 @@
   return nullptr;
 }
 
-RoutingConfig::RoutingConfig(RoutingDraft aDraft)
+RoutingConfig::RoutingConfig(RoutingDraft aDraft, DocumentOrigin aOrigin)
   : m_draft(std::move(aDraft))
+  , m_origin(aOrigin)
 {
 }
 
 boost::intrusive_ptr<const RoutingConfig>
-RoutingConfig::Build(RoutingDraft aDraft, RoutingReason& aReason)
+RoutingConfig::Build(RoutingDraft aDraft,
+                     RoutingReason& aReason,
+                     DocumentOrigin aOrigin)
 {
   boost::intrusive_ptr<RoutingConfig> config(
-    new RoutingConfig(std::move(aDraft)));
+    new RoutingConfig(std::move(aDraft), aOrigin));
   if (!config->Index(aReason)) {
     return nullptr;
   }
@@ -96,7 +101,7 @@
                       "\", expected it to begin and end with a slash");
     }
     m_longestPrefix = std::max(m_longestPrefix, route.m_prefix.size());
-    if (!m_hosts[route.m_host].emplace(route.m_prefix, &route).second) {
+    if (!IndexRoute(route)) {
       return Refuse(aReason,
                     where + "host \"" + route.m_host + "\" with prefix \"" +
                       route.m_prefix + "\" is taken, expected a unique pair");
@@ -105,6 +110,26 @@
   return true;
 }
 
+bool
+RoutingConfig::IndexRoute(const RouteRule& aRoute)
+{
+  const std::string host = NormalizeHost(aRoute.m_host);
+  const auto [place, isNew] = m_hosts[host].emplace(aRoute.m_prefix, &aRoute);
+  if (isNew) {
+    return true;
+  }
+  // Releases that compared hosts as written accepted two routes whose hosts
+  // differ in case only, and served the one in the form that is compared.
+  const bool differ = place->second->m_host != aRoute.m_host;
+  if (m_origin == DocumentOrigin::Offered || !differ) {
+    return false;
+  }
+  if (aRoute.m_host == host) {
+    place->second = &aRoute;
+  }
+  return true;
+}
+
 bool
 RoutingConfig::IndexAccounts(RoutingReason& aReason)
 {
@@ -125,7 +150,7 @@
 const RouteRule*
 RoutingConfig::FindRoute(std::string_view aHost, std::string_view aPath) const
 {
-  const auto host = m_hosts.find(aHost);
+  const auto host = m_hosts.find(NormalizeHost(aHost));
   if (host == m_hosts.end()) {
     return nullptr;
   }
--- a/Source/Routing/RoutingConfig.h
+++ b/Source/Routing/RoutingConfig.h
@@ -39,6 +39,7 @@
 struct RouteRule
 {
   std::string m_name;
+  // As the operator wrote it; compared in the form of NormalizeHost().
   std::string m_host;
   // Begins and ends with a slash.
   std::string m_prefix;
@@ -127,6 +128,16 @@
   Duration m_idleTimeout = std::chrono::seconds(15);
 };
 
+// Where a configuration comes from.
+enum class DocumentOrigin
+{
+  // An operator sends it. It is refused if it breaks a rule.
+  Offered,
+  // The control group has accepted it, perhaps under an earlier release whose
+  // rules refused less.
+  Accepted,
+};
+
 // A configuration as decoded, before it is checked.
 struct RoutingDraft
 {
@@ -159,7 +170,8 @@
 public:
   static boost::intrusive_ptr<const RoutingConfig> Build(
     RoutingDraft aDraft,
-    RoutingReason& aReason);
+    RoutingReason& aReason,
+    DocumentOrigin aOrigin = DocumentOrigin::Offered);
 
   std::uint64_t Version() const { return m_draft.m_version; }
   bool HasAccounts() const { return m_draft.m_hasAccounts; }
@@ -175,7 +187,7 @@
   }
 
   // Returns the route whose prefix is the longest one at the start of the path,
-  // or nullptr if there is none.
+  // or nullptr if there is none. aHost is the Host header of a request.
   const RouteRule* FindRoute(std::string_view aHost,
                              std::string_view aPath) const;
   const AccountRule* FindAccount(std::string_view aKey) const;
@@ -184,14 +196,18 @@
 private:
   using PrefixMap = std::unordered_map<std::string_view, const RouteRule*>;
 
-  explicit RoutingConfig(RoutingDraft aDraft);
+  RoutingConfig(RoutingDraft aDraft, DocumentOrigin aOrigin);
   bool Index(RoutingReason& aReason);
   bool IndexRoutes(RoutingReason& aReason);
+  // Returns false if another route has the host and the prefix.
+  bool IndexRoute(const RouteRule& aRoute);
   bool IndexAccounts(RoutingReason& aReason);
 
   RoutingDraft m_draft;
-  // The keys point into m_draft.
-  std::unordered_map<std::string_view, PrefixMap> m_hosts;
+  DocumentOrigin m_origin;
+  // By NormalizeHost(). The prefixes and the keys of the other maps point into
+  // m_draft.
+  std::unordered_map<std::string, PrefixMap> m_hosts;
   std::size_t m_longestPrefix = 0;
   std::unordered_map<std::string_view, const AccountRule*> m_keys;
   std::unordered_map<std::string_view, const ServiceRule*> m_services;
@@ -206,7 +222,8 @@
   // value.
   virtual boost::intrusive_ptr<const RoutingConfig> Decode(
     std::string_view aText,
-    RoutingReason& aReason) const = 0;
+    RoutingReason& aReason,
+    DocumentOrigin aOrigin) const = 0;
 };
 
 } // namespace parsleycove
--- a/Tests/Base/RequestIdentityTest.cxx
+++ b/Tests/Base/RequestIdentityTest.cxx
@@ -32,3 +32,14 @@
     CHECK(id != IdentifyRequest(other));
   }
 }
+
+// Guards against a quarantine that a caller gets around by the spelling of the
+// host.
+TEST(RequestIdentity, IsEqualForAHostInAnySpelling)
+{
+  const RequestContent usual{ "GET", "one.example", "/a", "", "", "" };
+  for (const char* const host : { "One.Example", "one.example:8080" }) {
+    const RequestContent other{ "GET", host, "/a", "", "", "" };
+    CHECK(IdentifyRequest(usual) == IdentifyRequest(other));
+  }
+}
--- a/Tests/Platform/ConfigDocumentTest.cxx
+++ b/Tests/Platform/ConfigDocumentTest.cxx
@@ -33,11 +33,19 @@
   return aText.replace(aText.find(aFrom), aFrom.size(), aTo);
 }
 
+boost::intrusive_ptr<const RoutingConfig>
+Decode(const std::string& aText,
+       RoutingReason& aReason,
+       DocumentOrigin aOrigin = DocumentOrigin::Offered)
+{
+  return platform::ConfigDocument().Decode(aText, aReason, aOrigin);
+}
+
 std::string
 DecodeError(const std::string& aText)
 {
   RoutingReason reason;
-  CHECK_FALSE(platform::ConfigDocument().Decode(aText, reason));
+  CHECK_FALSE(Decode(aText, reason));
   return reason.m_text;
 }
 
@@ -48,7 +56,7 @@
 TEST(ConfigDocument, IsReadIntoTheProductsTypes)
 {
   RoutingReason reason;
-  const auto config = platform::ConfigDocument().Decode(kDocument, reason);
+  const auto config = Decode(kDocument, reason);
   CHECK(config != nullptr);
   CHECK_EQUAL(7U, config->Version());
   const RouteRule& route = *config->FindRoute("one.example", "/a/x");
@@ -107,7 +115,7 @@
 TEST(ConfigDocument, AKindThatIsNotKnownIsNeverRepeated)
 {
   RoutingReason reason;
-  const auto config = platform::ConfigDocument().Decode(
+  const auto config = Decode(
     Replace(kDocument, "\"kind\":\"unsafe\"", "\"kind\":\"later\""), reason);
   CHECK_FALSE(config->FindRoute("one.example", "/b/")->CanRetry());
 }
@@ -115,20 +123,20 @@
 TEST(ConfigDocument, WithoutTenantsNoKeyIsNeeded)
 {
   RoutingReason reason;
-  const auto config = platform::ConfigDocument().Decode(
-    R"({"version":1,"routes":[],"services":[]})", reason);
+  const auto config =
+    Decode(R"({"version":1,"routes":[],"services":[]})", reason);
   CHECK_FALSE(config->HasAccounts());
 }
 
 TEST(ConfigDocument, SizesOfReadingAreOptional)
 {
   RoutingReason reason;
-  const auto bare = platform::ConfigDocument().Decode(kDocument, reason);
+  const auto bare = Decode(kDocument, reason);
   const LayeredModel& none = *bare->FindService("s1")->m_model;
   DOUBLES_EQUAL(0, none.m_chunkTokens, 0);
   DOUBLES_EQUAL(1, none.m_stepsPerPass, 0);
   DOUBLES_EQUAL(0, none.m_usualPromptTokens, 0);
-  const auto full = platform::ConfigDocument().Decode(
+  const auto full = Decode(
     Replace(kDocument,
             R"("step_ms":0.85,)",
             R"("step_ms":0.85,"chunk":512,"stride":3,"pairs_per_m":0.11,)"
@@ -241,11 +249,11 @@
     text += R"(,[{\")";
   }
   RoutingReason reason;
-  const auto config = platform::ConfigDocument().Decode(
-    Replace(kDocument,
-            "\"later-field\":[",
-            "\"later-text\":\"" + text + "\",\"later-field\":["),
-    reason);
+  const auto config =
+    Decode(Replace(kDocument,
+                   "\"later-field\":[",
+                   "\"later-text\":\"" + text + "\",\"later-field\":["),
+           reason);
   CHECK_TEXT(config != nullptr, reason.m_text.c_str());
 }
 
@@ -261,8 +269,20 @@
               R"("allow-anonymous":false,"session-affinity":true},)";
   }
   RoutingReason reason;
-  const auto config = platform::ConfigDocument().Decode(
-    Replace(kDocument, "\"routes\":[", "\"routes\":[" + routes), reason);
+  const auto config =
+    Decode(Replace(kDocument, "\"routes\":[", "\"routes\":[" + routes), reason);
   CHECK_TEXT(config != nullptr, reason.m_text.c_str());
   CHECK_EQUAL(20'002U, config->Routes().size());
 }
+
+TEST(ConfigDocument, RoutesOfOneHostInTwoSpellingsAreRefusedUnlessAccepted)
+{
+  const std::string text =
+    Replace(Replace(kDocument, "/b/", "/a/"), "one.example", "One.Example");
+  STRCMP_EQUAL("route \"r2\": host \"one.example\" with prefix \"/a/\" is "
+               "taken, expected a unique pair",
+               DecodeError(text).c_str());
+  RoutingReason reason;
+  const auto config = Decode(text, reason, DocumentOrigin::Accepted);
+  STRCMP_EQUAL("r2", config->FindRoute("ONE.example", "/a/x")->m_name.c_str());
+}
--- a/Tests/Routing/RoutingConfigTest.cxx
+++ b/Tests/Routing/RoutingConfigTest.cxx
@@ -104,6 +104,57 @@
                Refusal(std::move(draft)).c_str());
 }
 
+// Guards against a route that no request finds, since its host is written with
+// capitals or a port.
+TEST(RoutingConfig, FindsAHostInAnySpelling)
+{
+  for (const char* const written :
+       { "one.example", "One.Example", "ONE.EXAMPLE", "one.example:8080" }) {
+    RoutingDraft draft = MakeDraft();
+    for (RouteRule& route : draft.m_routes) {
+      route.m_host = written;
+    }
+    RoutingReason reason;
+    const auto config = RoutingConfig::Build(std::move(draft), reason);
+    for (const char* const asked :
+         { "one.example", "One.Example", "one.EXAMPLE:80" }) {
+      CHECK_TEXT(config->FindRoute(asked, "/a/b/c") != nullptr, asked);
+    }
+    CHECK(config->FindRoute("two.example", "/a/b/c") == nullptr);
+  }
+}
+
+TEST(RoutingConfig, RefusesTwoRoutesAtOnePlaceWhateverTheirSpelling)
+{
+  RoutingDraft draft = MakeDraft();
+  draft.m_routes[1].m_prefix = "/";
+  draft.m_routes[1].m_host = "One.Example:80";
+  STRCMP_EQUAL("route \"long\": host \"One.Example:80\" with prefix \"/\" is "
+               "taken, expected a unique pair",
+               Refusal(std::move(draft)).c_str());
+}
+
+// Guards against an upgrade that leaves the fleet without a configuration.
+TEST(RoutingConfig, OfTwoSpellingsThatWereAcceptedTheComparedOneIsServed)
+{
+  for (const std::size_t first : { 0, 1 }) {
+    RoutingDraft draft = MakeDraft();
+    draft.m_routes[1].m_prefix = "/";
+    draft.m_routes[first].m_host = "One.Example";
+    const std::string served = draft.m_routes[1 - first].m_name;
+    RoutingReason reason;
+    const auto config =
+      RoutingConfig::Build(std::move(draft), reason, DocumentOrigin::Accepted);
+    STRCMP_EQUAL(served.c_str(),
+                 config->FindRoute("one.example", "/")->m_name.c_str());
+  }
+  RoutingDraft equal = MakeDraft();
+  equal.m_routes[1].m_prefix = "/";
+  RoutingReason reason;
+  CHECK(RoutingConfig::Build(
+          std::move(equal), reason, DocumentOrigin::Accepted) == nullptr);
+}
+
 TEST(RoutingConfig, RefusesWeightsThatAddUpToNothing)
 {
   RoutingDraft draft = MakeDraft();
