Control: Find learners to promote in one place

The loop over the learners stood twice, for a repair and for a better spread of the voters. No behaviour changes but the line's evidence for a promotion, which names the progress and the zone. MembershipReturn AVmElsewhereTakesAVoteFromTheZoneWithAMajority passes.

--- a/Source/Control/MembershipChange.cxx
+++ b/Source/Control/MembershipChange.cxx
@@ -3,7 +3,6 @@
 
 #include <memory>
 #include <utility>
-#include <vector>
 
 #include "Consensus/MembershipRules.h"
 
@@ -26,41 +25,36 @@
   return !fault;
 }
 
-// Returns the learners that answer and have synced all committed entries.
-std::vector<const consensus::MemberT*>
-ListReadyLearners(TimePoint aNow,
-                  const Replica& aLeader,
-                  const MembershipRepair& aRepair)
+// Returns the promotion of the first learner that answers, has synced all
+// committed entries and is wanted, or std::nullopt if there is none.
+template<typename Predicate>
+std::optional<MembershipChange>
+FindPromotionOf(TimePoint aNow,
+                const Replica& aLeader,
+                const MembershipRepair& aRepair,
+                Predicate aIsWanted,
+                std::string& aPassedOver)
 {
-  std::vector<const consensus::MemberT*> learners;
-  for (const auto& member : aLeader.Members().members) {
+  const consensus::MembershipT& members = aLeader.Members();
+  const std::uint64_t commit = aLeader.CommitIndex();
+  for (std::size_t i = 0; i < members.members.size(); ++i) {
+    const consensus::MemberT& member = *members.members[i];
     // The match index of a member covers only entries that it has synced.
-    const std::uint64_t match = aLeader.MatchIndex(member->replica);
-    if (!member->voter && match != 0 && match >= aLeader.CommitIndex() &&
-        aRepair.IsResponsive(aNow, member->replica)) {
-      learners.push_back(member.get());
+    const std::uint64_t match = aLeader.MatchIndex(member.replica);
+    if (member.voter || match == 0 || match < commit || !aIsWanted(member) ||
+        !aRepair.IsResponsive(aNow, member.replica)) {
+      continue;
+    }
+    MembershipChange change{ members,
+                             member.replica,
+                             "caught up to " + std::to_string(match) + " of " +
+                               std::to_string(commit) };
+    change.m_next.members[i]->voter = true;
+    if (IsAllowed(members, change, aPassedOver)) {
+      return change;
     }
   }
-  return learners;
-}
-
-std::string
-DescribeProgress(const Replica& aLeader, std::uint64_t aReplica)
-{
-  return "caught up to " + std::to_string(aLeader.MatchIndex(aReplica)) +
-         " of " + std::to_string(aLeader.CommitIndex());
-}
-
-MembershipChange
-MakePromotion(const Replica& aLeader,
-              std::uint64_t aReplica,
-              std::string aEvidence)
-{
-  MembershipChange change{ aLeader.Members(), aReplica, std::move(aEvidence) };
-  for (const auto& member : change.m_next.members) {
-    member->voter = member->voter || member->replica == aReplica;
-  }
-  return change;
+  return std::nullopt;
 }
 
 // Returns the promotion of a learner outside of the availability zone with a
@@ -88,14 +82,16 @@
     }
     return std::nullopt;
   }
-  for (const auto* learner : ListReadyLearners(aNow, aLeader, aRepair)) {
-    auto change = MakePromotion(aLeader, learner->replica, evidence);
-    if (aRepair.HasRoom(members, learner->zone) &&
-        IsAllowed(members, change, aPassedOver)) {
-      return change;
-    }
+  auto promotion = FindPromotionOf(
+    aNow,
+    aLeader,
+    aRepair,
+    [&](const auto& aMember) { return aRepair.HasRoom(members, aMember.zone); },
+    aPassedOver);
+  if (promotion) {
+    promotion->m_evidence += ", " + evidence;
   }
-  return std::nullopt;
+  return promotion;
 }
 
 } // namespace
@@ -140,15 +136,8 @@
               const MembershipRepair& aRepair,
               std::string& aPassedOver)
 {
-  const consensus::MembershipT& members = aLeader.Members();
-  for (const auto* learner : ListReadyLearners(aNow, aLeader, aRepair)) {
-    auto change = MakePromotion(
-      aLeader, learner->replica, DescribeProgress(aLeader, learner->replica));
-    if (IsAllowed(members, change, aPassedOver)) {
-      return change;
-    }
-  }
-  return std::nullopt;
+  return FindPromotionOf(
+    aNow, aLeader, aRepair, [](const auto&) { return true; }, aPassedOver);
 }
 
 std::optional<MembershipChange>
