--- a/Source/Wire/KeepAlive.cxx
+++ b/Source/Wire/KeepAlive.cxx
@@ -5,21 +5,9 @@
 
 #include <boost/beast/core/string.hpp>
 
-namespace parsleycove {
-
-namespace {
-
-std::string_view
-Trim(std::string_view aText)
-{
-  const auto first = aText.find_first_not_of(" \t");
-  const auto last = aText.find_last_not_of(" \t");
-  return first == std::string_view::npos
-           ? std::string_view{}
-           : aText.substr(first, last - first + 1);
-}
+#include "Base/Text.h"
 
-} // namespace
+namespace parsleycove {
 
 std::optional<std::chrono::seconds>
 ReadIdleLimit(std::string_view aKeepAlive)
